Set down the design, the workspace and the core types

The core takes typed events and a time and returns typed effects; parts register handlers with singledispatch entry points. The request, task and control parts hold one thin path each: send a request, run a job, accept a patch. No adapter exists yet, so nothing has been run end to end.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every target sets up what it needs: Python 3.11, pip and make suffice.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format check test demo bench mutations clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e packages/core -e packages/entry -e packages/operator
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+clean:
+	rm -rf $(VENV) build report
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler, without input or output."""
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/dispatch.py
@@ -0,0 +1,115 @@
+"""Entry points of the core; the parts register their handlers here.
+
+All four functions dispatch on the type of their first argument and return the
+effects to perform, in order.
+"""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import errors
+from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from sapphirestall_core import peer_messages
+from sapphirestall_core import store_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+Effects = list[messages.Effect]
+
+
+def _reject(message: object) -> errors.UnhandledMessageError:
+    return errors.UnhandledMessageError(
+        f"no handler for {type(message).__name__}", step="dispatch"
+    )
+
+
+@functools.singledispatch
+def handle(
+    event: messages.Event, instance: state.Instance, now: float
+) -> Effects:
+    """Handles an event.
+
+    Args:
+        event: What happened.
+        instance: State of this entry instance; changed in place.
+        now: Monotonic clock of the process, in seconds.
+
+    Raises:
+        errors.UnhandledMessageError: No part handles this type of event.
+    """
+    raise _reject(event)
+
+
+@functools.singledispatch
+def resume(
+    purpose: store_messages.Purpose,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> Effects:
+    """Handles the outcome of a store call by what the call was for."""
+    raise _reject(purpose)
+
+
+@functools.singledispatch
+def expire(
+    timer: messages.Timer, instance: state.Instance, now: float
+) -> Effects:
+    """Handles a timer."""
+    raise _reject(timer)
+
+
+@functools.singledispatch
+def execute(
+    command: operator_messages.Command,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> Effects:
+    """Handles an operator's command."""
+    raise _reject(command)
+
+
+@functools.singledispatch
+def receive(
+    message: peer_messages.PeerMessage,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> Effects:
+    """Handles a message from a peer."""
+    raise _reject(message)
+
+
+@handle.register(store_messages.StoreReply)
+def _(
+    event: store_messages.StoreReply, instance: state.Instance, now: float
+) -> Effects:
+    return resume(event.purpose, event, instance, now)
+
+
+@handle.register(messages.TimerFired)
+def _(
+    event: messages.TimerFired, instance: state.Instance, now: float
+) -> Effects:
+    return expire(event.timer, instance, now)
+
+
+@handle.register(operator_messages.OperatorCalled)
+def _(
+    event: operator_messages.OperatorCalled,
+    instance: state.Instance,
+    now: float,
+) -> Effects:
+    return execute(event.command, event.call_id, instance, now)
+
+
+@handle.register(peer_messages.PeerReceived)
+def _(
+    event: peer_messages.PeerReceived, instance: state.Instance, now: float
+) -> Effects:
+    return receive(event.message, event.peer_id, instance, now)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -0,0 +1,68 @@
+"""Exception tree: each class has a stable code and an exit code."""
+
+from typing import ClassVar
+
+
+class SapphirestallError(Exception):
+    """Base of all errors of the project.
+
+    Attributes:
+        code: Stable identifier for callers, logs and metrics.
+        exit_code: Exit code of a process that ends with this error.
+        step: Step at which the error arose.
+        peer: The other side at that step; empty when there is none.
+        detail: One sentence for a person.
+    """
+
+    code: ClassVar[str] = "internal"
+    exit_code: ClassVar[int] = 1
+
+    def __init__(self, detail: str, *, step: str, peer: str = "") -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step} ({self.peer})" if self.peer else self.step
+        return f"{self.code} at {where}: {self.detail}"
+
+
+class UsageError(SapphirestallError):
+    """The command line was used in a way it does not allow."""
+
+    code = "usage"
+    exit_code = 2
+
+
+class SettingsError(SapphirestallError):
+    """The settings file has one or more faults."""
+
+    code = "settings_invalid"
+    exit_code = 3
+
+
+class UnhandledMessageError(SapphirestallError):
+    """No handler is registered for a type of message."""
+
+    code = "unhandled_message"
+
+
+class InvalidMessageError(SapphirestallError):
+    """A message from outside could not be decoded."""
+
+    code = "invalid_message"
+
+
+class UnreachableError(SapphirestallError):
+    """The other side could not be reached or did not answer."""
+
+    code = "unreachable"
+    exit_code = 4
+
+
+class RefusedError(SapphirestallError):
+    """The other side refused a command."""
+
+    code = "refused"
+    exit_code = 5
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/instance.py
@@ -0,0 +1,24 @@
+"""Builds the state of an entry instance and registers all handlers."""
+
+from sapphirestall_core import control
+from sapphirestall_core import dispatch
+from sapphirestall_core import messages
+from sapphirestall_core import requests
+from sapphirestall_core import state
+from sapphirestall_core import tasks
+
+# Importing a part registers its handlers with `dispatch`.
+PARTS = (control, requests, tasks)
+
+
+def build(identity: state.Identity) -> state.Instance:
+    """Returns the state of a new entry instance."""
+    timers = (tasks.LeaseDue(), tasks.OwnersDue())
+    return state.Instance(identity, start_timers=timers)
+
+
+def handle(
+    event: messages.Event, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Handles one event; see `dispatch.handle`."""
+    return dispatch.handle(event, instance, now)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/resources.py
@@ -0,0 +1,91 @@
+"""Vectors of processors, memory and accelerators, and a worker's ledger."""
+
+from collections.abc import Hashable
+
+import attrs
+
+
+@attrs.frozen
+class Vector:
+    """An amount of resources.
+
+    Attributes:
+        cpu_millis: Processors, in thousandths.
+        memory_mb: Memory, in megabytes.
+        accelerators: Whole accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: "Vector") -> "Vector":
+        """Returns the sum of two vectors."""
+        return Vector(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Vector") -> "Vector":
+        """Returns the difference of two vectors; parts may be negative."""
+        return Vector(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def maximum(self, other: "Vector") -> "Vector":
+        """Returns the larger of each part."""
+        return Vector(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+    def fits(self, room: "Vector") -> bool:
+        """Tells whether this amount fits into `room` in every part."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+@attrs.define
+class Ledger:
+    """Reservations on one worker."""
+
+    capacity: Vector
+    reserved: Vector = attrs.field(factory=Vector)
+    holders: dict[Hashable, Vector] = attrs.field(factory=dict)
+
+    def compute_free(self) -> Vector:
+        """Returns what is not reserved."""
+        return self.capacity.minus(self.reserved)
+
+    def reserve(self, holder: Hashable, amount: Vector) -> bool:
+        """Reserves an amount for a holder.
+
+        Returns:
+            Whether the amount fitted; a holder that already has a reservation
+            keeps it and True is returned.
+        """
+        if holder in self.holders:
+            return True
+        if not amount.fits(self.compute_free()):
+            return False
+        self.record(holder, amount)
+        return True
+
+    def record(self, holder: Hashable, amount: Vector) -> None:
+        """Records what a worker reports to hold, whether or not it fits."""
+        self.release(holder)
+        self.holders[holder] = amount
+        self.reserved = self.reserved.plus(amount)
+
+    def release(self, holder: Hashable) -> None:
+        """Releases a holder's reservation, if it has one."""
+        amount = self.holders.pop(holder, None)
+        if amount is not None:
+            self.reserved = self.reserved.minus(amount)
--- /dev/null
+++ b/packages/entry/src/sapphirestall_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon: adapters around the core."""
--- /dev/null
+++ b/packages/operator/src/sapphirestall_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
