Add the daemon, the operators' tool, stand-ins and a demo of the whole path

Cause: the core had no adapters, so nothing could be run end to end. Ruled out: a shared port for callers and operators, since operators' calls must not be reachable by callers. Before: no run. Found on the way: the configuration status called a version in force everywhere before the instance list had been read. The demo now checks the names; the status itself still has to say that the list is unread.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,9 @@
 
 clean:
 	rm -rf $(VENV) build report
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+test: check
+	$(BIN)/python -m tools.verdict
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks in virtual time."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks of the test runner."""
--- a/packages/core/src/sapphirestall_core/control.py
+++ b/packages/core/src/sapphirestall_core/control.py
@@ -27,6 +27,7 @@
 CONFIGURATION_PERIOD_S = 30.0
 WATCHERS_PER_DATA_CENTRE = 2
 STORE_RETRY_S = 0.5
+DRAIN_CHECK_S = 0.1
 
 
 @attrs.frozen
@@ -49,6 +50,11 @@
     """Time to decide whether to hold a watch on the configuration."""
 
 
+@attrs.frozen
+class DrainDue(messages.Timer):
+    """Time to check whether a shutdown can end."""
+
+
 @attrs.frozen
 class ReadConfiguration(store_messages.Purpose):
     """Reads the configuration to adopt it."""
@@ -454,3 +460,30 @@
         messages.CountRefusal(PART, code),
         operator_messages.AnswerOperator(call_id, failure),
     ]
+
+
+@dispatch.handle.register(peer_messages.PeerLost)
+def lose_peer(
+    event: peer_messages.PeerLost, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Leaves the verdict to the missing heartbeats."""
+    return []
+
+
+@dispatch.handle.register(messages.ShutdownRequested)
+def start_draining(
+    event: messages.ShutdownRequested, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Refuses new work and exits when nothing is in flight."""
+    instance.draining = True
+    return [messages.StartTimer(DrainDue(), 0.0)]
+
+
+@dispatch.expire.register(DrainDue)
+def exit_when_idle(
+    timer: DrainDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Exits once no request is in flight."""
+    if instance.requests.in_flight:
+        return [messages.StartTimer(timer, DRAIN_CHECK_S)]
+    return [messages.Exit()]
--- a/packages/core/src/sapphirestall_core/state.py
+++ b/packages/core/src/sapphirestall_core/state.py
@@ -1,5 +1,7 @@
 """State of one entry instance, one attribute for each part."""
 
+from __future__ import annotations
+
 import attrs
 
 from sapphirestall_core import configuration
--- /dev/null
+++ b/packages/entry/src/sapphirestall_entry/context.py
@@ -0,0 +1,55 @@
+"""The object passed to every adapter."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import state
+
+if TYPE_CHECKING:
+    from sapphirestall_entry import callers
+    from sapphirestall_entry import counters
+    from sapphirestall_entry import executors
+    from sapphirestall_entry import operators
+    from sapphirestall_entry import peers
+    from sapphirestall_entry import settings
+    from sapphirestall_entry import store
+    from sapphirestall_entry import workers
+
+
+@attrs.define
+class Context:
+    """Adapters of one process, wired by the composition root.
+
+    Attributes:
+        feed: Hands an event to the core and performs its effects.
+        clock: Monotonic clock, in seconds.
+        exit: Set when the process may end.
+    """
+
+    settings: settings.Settings
+    identity: state.Identity
+    feed: Callable[[messages.Event], None]
+    clock: Callable[[], float]
+    counters: counters.Counters
+    callers: callers.Callers = attrs.field(init=False)
+    operators: operators.Operators = attrs.field(init=False)
+    executors: executors.Executors = attrs.field(init=False)
+    workers: workers.Workers = attrs.field(init=False)
+    store: store.Store = attrs.field(init=False)
+    peers: peers.Peers = attrs.field(init=False)
+    exit: asyncio.Event = attrs.field(factory=asyncio.Event)
+    background: set[asyncio.Task[Any]] = attrs.field(factory=set)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine in the background and keeps a reference to it."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
--- /dev/null
+++ b/packages/entry/src/sapphirestall_entry/workers.py
@@ -0,0 +1,168 @@
+"""HTTP client to workers."""
+
+import functools
+from typing import Any
+
+import aiohttp
+import attrs
+import cattrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import task_messages
+from sapphirestall_entry import context as context_module
+
+CALL_TIMEOUT_S = 1.5
+
+
+@attrs.define
+class Workers:
+    """Calls workers; every call ends in one event."""
+
+    context: context_module.Context
+    session: aiohttp.ClientSession
+    converter: cattrs.Converter
+
+    async def call(self, effect: task_messages.WorkerEffect) -> None:
+        """Performs a call and feeds its result to the core."""
+        sent_at = self.context.clock()
+        path, body = encode(effect, self.converter)
+        body |= {
+            "owner": self.context.identity.instance_id,
+            "epoch": effect.epoch,
+            "expires_at": effect.expires_at,
+        }
+        try:
+            status, raw = await self._exchange(effect.address, path, body)
+        except aiohttp.ClientConnectorError:
+            event = fail(effect, sent_at, "unreachable", False, 0)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            event = fail(effect, sent_at, "unreachable", True, 0)
+        else:
+            if status == 200:
+                event = finish(effect, sent_at, raw, self.converter)
+            else:
+                epoch = raw.get("highest_epoch", 0)
+                event = fail(effect, sent_at, raw["code"], False, epoch)
+        self.context.feed(event)
+
+    async def _exchange(
+        self, address: str, path: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        url = f"http://{address}{path}"
+        async with self.session.post(
+            url, json=body, timeout=timeout
+        ) as response:
+            return response.status, await response.json()
+
+
+@functools.singledispatch
+def encode(
+    effect: task_messages.WorkerEffect, converter: cattrs.Converter
+) -> tuple[str, dict[str, Any]]:
+    """Returns path and body of a call, without the common fields."""
+    raise NotImplementedError(type(effect).__name__)
+
+
+@encode.register
+def _(
+    effect: task_messages.PollWorker, converter: cattrs.Converter
+) -> tuple[str, dict[str, Any]]:
+    return "/poll", {
+        "lease_s": effect.lease_s,
+        "renew": converter.unstructure(effect.renew),
+        "acknowledge": converter.unstructure(effect.acknowledge),
+    }
+
+
+@encode.register
+def _(
+    effect: task_messages.StartTask, converter: cattrs.Converter
+) -> tuple[str, dict[str, Any]]:
+    return "/tasks", {
+        "name": converter.unstructure(effect.name),
+        "kind": effect.kind,
+        "reserved": converter.unstructure(effect.reserved),
+        "run_s": effect.run_s,
+        "lease_s": effect.lease_s,
+        "checkpoint": effect.checkpoint,
+    }
+
+
+@encode.register
+def _(
+    effect: task_messages.CheckpointTask, converter: cattrs.Converter
+) -> tuple[str, dict[str, Any]]:
+    return f"/tasks/{effect.name}/checkpoint", {}
+
+
+@encode.register
+def _(
+    effect: task_messages.ThrottleTask, converter: cattrs.Converter
+) -> tuple[str, dict[str, Any]]:
+    return f"/tasks/{effect.name}/throttle", {"share": effect.share}
+
+
+@encode.register
+def _(
+    effect: task_messages.StopTask, converter: cattrs.Converter
+) -> tuple[str, dict[str, Any]]:
+    return f"/tasks/{effect.name}/stop", {}
+
+
+@functools.singledispatch
+def finish(
+    effect: task_messages.WorkerEffect,
+    sent_at: float,
+    raw: dict[str, Any],
+    converter: cattrs.Converter,
+) -> messages.Event:
+    """Returns the event of a call that the worker carried out."""
+    return task_messages.CommandDone(
+        effect.worker_id, sent_at, effect, raw.get("checkpoint", "")
+    )
+
+
+@finish.register
+def _(
+    effect: task_messages.PollWorker,
+    sent_at: float,
+    raw: dict[str, Any],
+    converter: cattrs.Converter,
+) -> messages.Event:
+    report = converter.structure(raw, task_messages.WorkerReport)
+    return task_messages.WorkerReported(
+        effect.worker_id, sent_at, effect.epoch, effect.round_number, report
+    )
+
+
+@functools.singledispatch
+def fail(
+    effect: task_messages.WorkerEffect,
+    sent_at: float,
+    code: str,
+    ambiguous: bool,
+    highest_epoch: int,
+) -> messages.Event:
+    """Returns the event of a call that failed or was refused."""
+    return task_messages.CommandFailed(
+        effect.worker_id, sent_at, effect, code, ambiguous, highest_epoch
+    )
+
+
+@fail.register
+def _(
+    effect: task_messages.PollWorker,
+    sent_at: float,
+    code: str,
+    ambiguous: bool,
+    highest_epoch: int,
+) -> messages.Event:
+    return task_messages.WorkerFailed(
+        effect.worker_id,
+        sent_at,
+        effect.epoch,
+        effect.round_number,
+        code,
+        highest_epoch,
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the back ends."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,153 @@
+"""Runs a request, a job and a configuration patch through real processes.
+
+Exits with 0 only if every outcome was the expected one.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import sys
+from typing import Any
+
+import aiohttp
+
+from standins import fleet as fleet_module
+
+DATA_CENTRES = ("sefrou", "imouzzer", "el-hajeb")
+WAIT_S = 30.0
+PATCH = {
+    "services": {
+        "rota": {
+            "operations": {
+                "compute": {"repeatable": True},
+                "assign": {"repeatable": False},
+            }
+        }
+    }
+}
+
+
+def build_fleet() -> fleet_module.Fleet:
+    """Starts the store and, in each data centre, one of each role."""
+    fleet = fleet_module.Fleet()
+    fleet.add_store()
+    for data_centre in DATA_CENTRES:
+        fleet.add_executor(f"executor-{data_centre}", data_centre, "rota")
+        fleet.add_worker(
+            f"worker-{data_centre}", data_centre, f"rack-{data_centre}"
+        )
+        fleet.add_entry(f"entry-{data_centre}", data_centre)
+    return fleet
+
+
+async def exchange(
+    session: aiohttp.ClientSession, method: str, url: str, body: object = None
+) -> Any:
+    """Sends one call and returns its JSON body."""
+    async with session.request(method, f"http://{url}", json=body) as response:
+        return await response.json(content_type=None)
+
+
+async def wait_for(check: Callable[[], Awaitable[bool]]) -> bool:
+    """Waits until a check holds; tells whether it did in time."""
+    try:
+        async with asyncio.timeout(WAIT_S):
+            while not await check():
+                await asyncio.sleep(0.2)
+    except TimeoutError:
+        return False
+    return True
+
+
+async def show_patch(
+    session: aiohttp.ClientSession, fleet: fleet_module.Fleet
+) -> bool:
+    """Submits a patch and waits until it is in force everywhere."""
+    entry = fleet.entries["entry-sefrou"]
+    body = {"patch_id": "demo-1", "base_version": 0, "patch": PATCH}
+    url = f"{entry.operators}/v1/configuration"
+    answer = await exchange(session, "PATCH", url, body)
+    print(f"patch: accepted as version {answer.get('version')}")
+
+    async def check() -> bool:
+        shown = await exchange(session, "GET", f"{url}/status")
+        return set(shown["in_force"]) == set(fleet.entries) and bool(
+            shown["lowest"] == 1
+        )
+
+    in_force = await wait_for(check)
+    print(f"patch: in force everywhere: {in_force}")
+    return in_force
+
+
+async def show_request(
+    session: aiohttp.ClientSession, fleet: fleet_module.Fleet
+) -> bool:
+    """Sends one request through each entry instance."""
+    good = True
+    for entry in fleet.entries.values():
+        url = f"http://{entry.callers}/v1/services/rota/compute"
+        async with session.post(url, data=b"gate 3") as response:
+            body = await response.read()
+            print(f"request: {entry.instance_id}: {response.status} {body!r}")
+            expected = f"executor-{entry.data_centre} ran gate 3".encode()
+            good &= response.status == 200 and body == expected
+    return good
+
+
+async def show_job(
+    session: aiohttp.ClientSession, fleet: fleet_module.Fleet
+) -> bool:
+    """Submits a job and waits until all its tasks finished."""
+    entry = fleet.entries["entry-sefrou"]
+    job = {
+        "job_id": "tally",
+        "data_centre": "sefrou",
+        "team": "press",
+        "kind": "tally",
+        "task_count": 4,
+        "cpu_millis": 1000,
+        "memory_mb": 500,
+        "run_s": 0.5,
+    }
+    shown: Any = {}
+
+    async def submit() -> bool:
+        nonlocal shown
+        url = f"{entry.operators}/v1/jobs"
+        shown = await exchange(session, "POST", url, job)
+        return "state" in shown
+
+    async def check() -> bool:
+        nonlocal shown
+        url = f"{entry.operators}/v1/jobs/sefrou/tally"
+        shown = await exchange(session, "GET", url)
+        return bool(shown.get("state") == "finished")
+
+    accepted = await wait_for(submit)
+    print(f"job: accepted: {accepted}")
+    finished = await wait_for(check)
+    print(f"job: {shown}")
+    return finished
+
+
+async def run() -> bool:
+    """Runs the demonstration; tells whether every outcome was right."""
+    fleet = build_fleet()
+    try:
+        async with aiohttp.ClientSession() as session:
+            await fleet.wait_ready(session)
+            await fleet.publish(session)
+            outcomes = [
+                await show_patch(session, fleet),
+                await show_request(session, fleet),
+                await show_job(session, fleet),
+            ]
+    finally:
+        fleet.stop()
+    print(f"demo: {'every outcome was right' if all(outcomes) else 'FAILED'}")
+    return all(outcomes)
+
+
+if __name__ == "__main__":
+    sys.exit(0 if asyncio.run(run()) else 1)
--- /dev/null
+++ b/standins/executor.py
@@ -0,0 +1,114 @@
+"""Stand-in for a backend server that runs requests in slots.
+
+`POST /faults` sets the faults to show: `leaving`, `freeze_s` (delay before
+each answer), `refuse_all`, `truncate` and `cross` (wrong attempt id).
+"""
+
+import asyncio
+import collections
+
+from aiohttp import web
+import attrs
+import click
+
+
+@attrs.define
+class Faults:
+    """Faults to show."""
+
+    leaving: bool = False
+    freeze_s: float = 0.0
+    refuse_all: bool = False
+    truncate: bool = False
+    cross: bool = False
+
+
+@attrs.define
+class Executor:
+    """Slots, and how often each request id was run."""
+
+    name: str
+    slots: int
+    work_s: float
+    running: int = 0
+    runs: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    faults: Faults = attrs.field(factory=Faults)
+
+
+EXECUTOR = web.AppKey("executor", Executor)
+
+
+async def run_operation(request: web.Request) -> web.StreamResponse:
+    """Runs one request, or refuses it before it starts."""
+    executor = request.app[EXECUTOR]
+    faults = executor.faults
+    headers = {
+        "Attempt-Id": request.headers["Attempt-Id"],
+        "X-State": "leaving" if faults.leaving else "live",
+    }
+    if faults.refuse_all or executor.running >= executor.slots:
+        headers["X-Not-Run"] = "1"
+        return web.Response(status=503, headers=headers)
+    executor.running += 1
+    try:
+        executor.runs[request.headers["Request-Id"]] += 1
+        body = await request.read()
+        await asyncio.sleep(executor.work_s + faults.freeze_s)
+    finally:
+        executor.running -= 1
+    if faults.cross:
+        headers["Attempt-Id"] = "another"
+    answer = b"%s ran %s" % (executor.name.encode(), body)
+    response = web.Response(body=answer, headers=headers)
+    if faults.truncate:
+        response.content_length = len(answer) + 10
+    return response
+
+
+async def show_health(request: web.Request) -> web.Response:
+    """Shows whether the executor is leaving."""
+    executor = request.app[EXECUTOR]
+    state = "leaving" if executor.faults.leaving else "live"
+    return web.json_response({"state": state, "incarnation": executor.name})
+
+
+async def set_faults(request: web.Request) -> web.Response:
+    """Sets the faults to show."""
+    executor = request.app[EXECUTOR]
+    executor.faults = Faults(**await request.json())
+    return web.json_response(attrs.asdict(executor.faults))
+
+
+async def show_runs(request: web.Request) -> web.Response:
+    """Shows how often each request id was run."""
+    return web.json_response(dict(request.app[EXECUTOR].runs))
+
+
+def build_app(name: str, slots: int, work_s: float) -> web.Application:
+    """Returns the application."""
+    app = web.Application()
+    app[EXECUTOR] = Executor(name, slots, work_s)
+    app.add_routes(
+        [
+            web.post("/run/{operation}", run_operation),
+            web.get("/health", show_health),
+            web.post("/faults", set_faults),
+            web.get("/runs", show_runs),
+        ]
+    )
+    return app
+
+
+@click.command()
+@click.option("--name", required=True)
+@click.option("--port", type=int, required=True)
+@click.option("--slots", type=int, default=8)
+@click.option("--work-s", type=float, default=0.01)
+def run(name: str, port: int, slots: int, work_s: float) -> None:
+    """Runs the stand-in."""
+    app = build_app(name, slots, work_s)
+    web.run_app(app, host="127.0.0.1", port=port, print=None)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,177 @@
+"""Starts stand-ins and entry instances as processes on the loopback range."""
+
+import asyncio
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import aiohttp
+import attrs
+import yaml
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+HOST = "127.0.0.1"
+
+
+def find_port() -> int:
+    """Returns a port that is free at present."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+@attrs.define
+class Entry:
+    """An entry instance and its addresses."""
+
+    instance_id: str
+    data_centre: str
+    callers: str
+    operators: str
+    peers: str
+    settings: pathlib.Path
+
+
+@attrs.define
+class Fleet:
+    """Processes of one run; every process it started is ended by `stop`.
+
+    Attributes:
+        processes: Started processes by name.
+        listings: The platform's instance list.
+    """
+
+    directory: pathlib.Path = attrs.field(
+        factory=lambda: pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
+    )
+    processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+    listings: list[dict[str, Any]] = attrs.field(factory=list)
+    entries: dict[str, Entry] = attrs.field(factory=dict)
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    store: str = ""
+
+    def spawn(self, name: str, *arguments: str) -> None:
+        """Starts a process whose output goes to a file."""
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def add_store(self) -> None:
+        """Starts the platform's store."""
+        port = find_port()
+        self.store = f"{HOST}:{port}"
+        self.addresses["store"] = self.store
+        self.spawn("store", "standins.store", "--port", str(port))
+
+    def add_executor(
+        self, name: str, data_centre: str, service: str, **options: object
+    ) -> None:
+        """Starts an executor and lists it."""
+        port = find_port()
+        arguments = ["--name", name, "--port", str(port)]
+        self.spawn(name, "standins.executor", *arguments, *_format(options))
+        self._list(name, "executor", data_centre, port, service=service)
+
+    def add_worker(
+        self, name: str, data_centre: str, rack: str, **options: object
+    ) -> None:
+        """Starts a worker and lists it."""
+        port = find_port()
+        arguments = ["--port", str(port)]
+        self.spawn(name, "standins.worker", *arguments, *_format(options))
+        self._list(name, "worker", data_centre, port, rack=rack)
+
+    def add_entry(self, name: str, data_centre: str) -> None:
+        """Starts an entry instance and lists it."""
+        ports = [find_port() for _ in range(3)]
+        callers, operators, peers = (f"{HOST}:{port}" for port in ports)
+        tree = {
+            "instance_id": name,
+            "data_centre": data_centre,
+            "callers_listen": callers,
+            "operators_listen": operators,
+            "peers_listen": peers,
+            "store_address": self.store,
+        }
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(tree), encoding="utf-8")
+        self.entries[name] = Entry(
+            name, data_centre, callers, operators, peers, path
+        )
+        self._list(name, "entry", data_centre, ports[2])
+        self.start_entry(name)
+
+    def start_entry(self, name: str) -> None:
+        """Starts or restarts an entry instance that has settings."""
+        path = str(self.entries[name].settings)
+        self.spawn(name, "sapphirestall_entry.main", path)
+
+    def _list(
+        self, name: str, kind: str, data_centre: str, port: int, **more: str
+    ) -> None:
+        self.addresses[name] = f"{HOST}:{port}"
+        self.listings.append(
+            {
+                "instance_id": name,
+                "kind": kind,
+                "data_centre": data_centre,
+                "address": self.addresses[name],
+                "state": "live",
+                "incarnation": name,
+                **more,
+            }
+        )
+
+    async def publish(self, session: aiohttp.ClientSession) -> None:
+        """Hands the instance list to the platform."""
+        url = f"http://{self.store}/instances"
+        async with session.put(url, json=self.listings) as response:
+            response.raise_for_status()
+
+    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
+        """Waits until the store and every entry instance answer.
+
+        Raises:
+            TimeoutError: They did not answer in time.
+        """
+        urls = [f"http://{self.store}/counts"]
+        urls += [f"http://{e.operators}/healthz" for e in self.entries.values()]
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for url in urls:
+                while not await _answers(session, url):
+                    await asyncio.sleep(0.05)
+
+    def stop(self) -> None:
+        """Ends every process that this fleet started."""
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+async def _answers(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+def _format(options: dict[str, object]) -> list[str]:
+    return [
+        text
+        for name, value in options.items()
+        for text in (f"--{name.replace('_', '-')}", str(value))
+    ]
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers."""
