Run instances against the stand-ins in virtual time

Ruled out: a second model of store and workers beside the process stand-ins; both front ends now share store_model and worker_model. Change: World performs the core's effects with seeded delays and faults.

--- /dev/null
+++ b/standins/store_model.py
@@ -0,0 +1,140 @@
+"""State of the platform's store, without input or output."""
+
+import collections
+
+import attrs
+
+
+@attrs.define
+class Item:
+    """One key."""
+
+    key: str
+    value: object
+    version: int
+    create_revision: int
+    revision: int
+    lease_id: str | None = None
+
+
+@attrs.define
+class Lease:
+    """One lease; its keys are deleted when it ends."""
+
+    lease_id: str
+    ttl_s: float
+    ends_at: float
+
+
+class VersionMismatchError(Exception):
+    """The key does not have the expected version."""
+
+    def __init__(self, version: int) -> None:
+        super().__init__(version)
+        self.version = version
+
+
+class LeaseLostError(Exception):
+    """The lease does not exist."""
+
+
+@attrs.define
+class Store:
+    """Keys and leases; `now` is the store's own clock, in seconds.
+
+    Attributes:
+        deletions: Newest deletions, so that a watch sees them too.
+    """
+
+    items: dict[str, Item] = attrs.field(factory=dict)
+    leases: dict[str, Lease] = attrs.field(factory=dict)
+    revision: int = 0
+    deletions: collections.deque[tuple[int, str]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=1024)
+    )
+
+    def expire_leases(self, now: float) -> None:
+        """Deletes the keys of leases that ended."""
+        ended = [e for e in self.leases.values() if e.ends_at <= now]
+        for lease in ended:
+            del self.leases[lease.lease_id]
+            for item in list(self.items.values()):
+                if item.lease_id == lease.lease_id:
+                    self._remove(item.key)
+
+    def put(
+        self, key: str, value: object, expected: int, lease_id: str | None
+    ) -> Item:
+        """Writes a key if its version is the expected one.
+
+        Raises:
+            VersionMismatchError: The key has another version.
+            LeaseLostError: The lease does not exist.
+        """
+        self._check(key, expected)
+        if lease_id and lease_id not in self.leases:
+            raise LeaseLostError(lease_id)
+        self.revision += 1
+        item = self.items.get(key)
+        if item is None:
+            item = Item(key, value, 0, self.revision, 0, lease_id)
+            self.items[key] = item
+        item.value = value
+        item.version += 1
+        item.revision = self.revision
+        return item
+
+    def delete(self, key: str, expected: int) -> Item:
+        """Deletes a key if its version is the expected one.
+
+        Raises:
+            VersionMismatchError: The key has another version or is absent.
+        """
+        self._check(key, expected)
+        if key not in self.items:
+            raise VersionMismatchError(0)
+        return self._remove(key)
+
+    def _check(self, key: str, expected: int) -> None:
+        current = self.items[key].version if key in self.items else 0
+        if expected != current:
+            raise VersionMismatchError(current)
+
+    def _remove(self, key: str) -> Item:
+        self.revision += 1
+        self.deletions.append((self.revision, key))
+        return self.items.pop(key)
+
+    def find(self, prefix: str) -> list[Item]:
+        """Returns all keys with a prefix."""
+        return [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix)
+        ]
+
+    def grant(self, ttl_s: float, now: float) -> Lease:
+        """Grants a lease."""
+        self.revision += 1
+        lease = Lease(f"lease-{self.revision}", ttl_s, now + ttl_s)
+        self.leases[lease.lease_id] = lease
+        return lease
+
+    def renew(self, lease_id: str, now: float) -> Lease:
+        """Renews a lease.
+
+        Raises:
+            LeaseLostError: The lease does not exist.
+        """
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            raise LeaseLostError(lease_id)
+        lease.ends_at = now + lease.ttl_s
+        return lease
+
+    def has_changed(self, prefix: str, after: int) -> bool:
+        """Tells whether anything under a prefix changed after a revision."""
+        return any(item.revision > after for item in self.find(prefix)) or any(
+            revision > after and key.startswith(prefix)
+            for revision, key in self.deletions
+        )
--- /dev/null
+++ b/standins/virtual.py
@@ -0,0 +1,14 @@
+"""Runs entry instances against in-memory stand-ins in virtual time."""
+
+from standins import world
+from standins import world_executors
+from standins import world_store
+from standins import world_workers
+
+# Importing a module registers how it performs its effects.
+MODULES = (world_executors, world_store, world_workers)
+
+
+def make_world(seed: int) -> world.World:
+    """Returns an empty world."""
+    return world.World(seed=seed)
--- /dev/null
+++ b/standins/worker_model.py
@@ -0,0 +1,135 @@
+"""State of a worker, without input or output."""
+
+import attrs
+
+
+@attrs.frozen
+class Amount:
+    """Resources, in the units of the workers' interface."""
+
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int = 0
+
+    def fits_with(self, others: "list[Amount]", limit: "Amount") -> bool:
+        """Tells whether this amount fits beside others."""
+        return all(
+            getattr(self, part) + sum(getattr(o, part) for o in others)
+            <= getattr(limit, part)
+            for part in ("cpu_millis", "memory_mb", "accelerators")
+        )
+
+
+@attrs.define
+class Task:
+    """One attempt; times are readings of the worker's clock.
+
+    Attributes:
+        name: `job.task.attempt`.
+        work_left_s: Run time that is left at full share.
+    """
+
+    name: str
+    kind: str
+    reserved: Amount
+    work_left_s: float
+    lease_until: float
+    state: str = "running"
+    checkpoint: str = ""
+    throttle: float = 1.0
+
+
+class RefusalError(Exception):
+    """The worker refused a command; `code` says why."""
+
+    def __init__(self, code: str) -> None:
+        super().__init__(code)
+        self.code = code
+
+
+@attrs.define
+class Worker:
+    """Capacity, tasks and fence of a worker.
+
+    Attributes:
+        fail_starts: Fault: every start fails.
+        started: Names of all attempts ever started, in order.
+        now: Time up to which the tasks have advanced.
+    """
+
+    capacity: Amount
+    incarnation: str = ""
+    highest_epoch: int = 0
+    owner: str = ""
+    tasks: dict[str, Task] = attrs.field(factory=dict)
+    fail_starts: bool = False
+    started: list[str] = attrs.field(factory=list)
+    now: float = 0.0
+
+    def advance(self, now: float) -> None:
+        """Runs the tasks on to `now`; ends those done or without a lease."""
+        for task in self.tasks.values():
+            if task.state != "running":
+                continue
+            until = min(now, task.lease_until)
+            task.work_left_s -= max(0.0, until - self.now) * task.throttle
+            if task.work_left_s <= 0:
+                task.state = "finished"
+            elif task.lease_until <= now:
+                task.state = "stopped"
+        self.now = now
+
+    def admit(self, owner: str, epoch: int, expires_at: float | None) -> None:
+        """Checks the fence of a command and remembers its epoch.
+
+        Raises:
+            RefusalError: `stale_epoch` or `expired`.
+        """
+        other = epoch == self.highest_epoch and owner != self.owner
+        if epoch < self.highest_epoch or (other and self.owner):
+            raise RefusalError("stale_epoch")
+        if expires_at is not None and expires_at < self.now:
+            raise RefusalError("expired")
+        self.highest_epoch = epoch
+        self.owner = owner
+
+    def renew(self, name: str, lease_s: float) -> None:
+        """Renews the lease of an attempt, if it is running."""
+        task = self.tasks.get(name)
+        if task and task.state == "running":
+            task.lease_until = self.now + lease_s
+
+    def acknowledge(self, name: str) -> None:
+        """Forgets an attempt that ended."""
+        task = self.tasks.get(name)
+        if task and task.state != "running":
+            del self.tasks[name]
+
+    def start(self, task: Task) -> None:
+        """Starts an attempt.
+
+        Raises:
+            RefusalError: `duplicate`, `start_failed` or `no_room`.
+        """
+        if task.name in self.tasks:
+            raise RefusalError("duplicate")
+        if self.fail_starts:
+            raise RefusalError("start_failed")
+        running = [
+            t.reserved for t in self.tasks.values() if t.state == "running"
+        ]
+        if not task.reserved.fits_with(running, self.capacity):
+            raise RefusalError("no_room")
+        self.started.append(task.name)
+        self.tasks[task.name] = task
+
+    def find_running(self, name: str) -> Task:
+        """Returns a running attempt.
+
+        Raises:
+            RefusalError: `unknown_task`.
+        """
+        task = self.tasks.get(name)
+        if task is None or task.state != "running":
+            raise RefusalError("unknown_task")
+        return task
--- /dev/null
+++ b/standins/world_workers.py
@@ -0,0 +1,182 @@
+"""Workers in virtual time."""
+
+import functools
+
+from sapphirestall_core import messages
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+from standins import worker_model
+from standins import world as world_module
+
+
+@world_module.perform.register
+def _(
+    effect: task_messages.WorkerEffect,
+    node: world_module.Node,
+    world: world_module.World,
+) -> None:
+    sent_at = world.now
+    own_id = node.state.identity.instance_id
+    world.counts[f"worker {type(effect).__name__}"] += 1
+
+    def fail(code: str, ambiguous: bool, epoch: int, delay_s: float) -> None:
+        event = _fail(effect, sent_at, code, ambiguous, epoch)
+        world.at(delay_s, lambda: world.feed(node, event))
+
+    def arrive(answers: bool) -> None:
+        worker = _find_worker(effect.worker_id, own_id, world)
+        try:
+            if worker is None:
+                raise worker_model.RefusalError("unreachable")
+            worker.advance(world.now)
+            event = carry_out(effect, worker, own_id, sent_at)
+        except worker_model.RefusalError as error:
+            epoch = worker.highest_epoch if worker else 0
+            delay_s = (
+                world_module.LINK_DELAY_S
+                if worker
+                else world_module.CALL_TIMEOUT_S
+            )
+            if answers:
+                fail(error.code, worker is None, epoch, delay_s)
+            return
+        if answers and world.is_lost():
+            fail("unreachable", True, 0, world_module.CALL_TIMEOUT_S)
+        elif answers:
+            world.at(world.draw_delay(), lambda: world.feed(node, event))
+
+    if world.is_lost():
+        fail("unreachable", True, 0, world_module.CALL_TIMEOUT_S)
+        return
+    world.at(world.draw_delay(), lambda: arrive(True))
+    if world.rng.random() < world.faults.duplication:
+        world.at(world.draw_delay() * 3, lambda: arrive(False))
+
+
+def _find_worker(
+    worker_id: str, own_id: str, world: world_module.World
+) -> worker_model.Worker | None:
+    gone = worker_id in world.dead_workers or world.is_cut(own_id, worker_id)
+    return None if gone else world.workers.get(worker_id)
+
+
+def _fail(
+    effect: task_messages.WorkerEffect,
+    sent_at: float,
+    code: str,
+    ambiguous: bool,
+    epoch: int,
+) -> messages.Event:
+    if isinstance(effect, task_messages.PollWorker):
+        return task_messages.WorkerFailed(
+            effect.worker_id,
+            sent_at,
+            effect.epoch,
+            effect.round_number,
+            code,
+            epoch,
+        )
+    return task_messages.CommandFailed(
+        effect.worker_id, sent_at, effect, code, ambiguous, epoch
+    )
+
+
+def _parse(name: str) -> task_messages.AttemptName:
+    job_id, task, attempt = name.rsplit(".", 2)
+    return task_messages.AttemptName(job_id, int(task), int(attempt))
+
+
+def _measure(amount: worker_model.Amount) -> resources.Vector:
+    return resources.Vector(
+        amount.cpu_millis, amount.memory_mb, amount.accelerators
+    )
+
+
+def make_report(worker: worker_model.Worker) -> task_messages.WorkerReport:
+    """Returns a worker's inventory."""
+    return task_messages.WorkerReport(
+        worker.now,
+        worker.highest_epoch,
+        worker.incarnation,
+        _measure(worker.capacity),
+        tuple(
+            task_messages.TaskReport(
+                _parse(task.name),
+                task_messages.TaskState(task.state),
+                _measure(task.reserved),
+                _measure(task.reserved),
+                task.lease_until - worker.now,
+                task.checkpoint,
+                task.kind,
+                task.throttle,
+            )
+            for task in worker.tasks.values()
+        ),
+    )
+
+
+@functools.singledispatch
+def carry_out(
+    effect: task_messages.WorkerEffect,
+    worker: worker_model.Worker,
+    owner: str,
+    sent_at: float,
+) -> messages.Event:
+    """Carries out a command on a running attempt."""
+    worker.admit(owner, effect.epoch, effect.expires_at)
+    name = str(getattr(effect, "name", ""))
+    task = worker.find_running(name)
+    if isinstance(effect, task_messages.CheckpointTask):
+        task.checkpoint = f"checkpoint-{name}"
+    elif isinstance(effect, task_messages.StopTask):
+        task.state = "stopped"
+    elif isinstance(effect, task_messages.ThrottleTask):
+        task.throttle = effect.share
+    return task_messages.CommandDone(
+        effect.worker_id, sent_at, effect, task.checkpoint
+    )
+
+
+@carry_out.register
+def _(
+    effect: task_messages.PollWorker,
+    worker: worker_model.Worker,
+    owner: str,
+    sent_at: float,
+) -> messages.Event:
+    expires_at = effect.expires_at if effect.renew else None
+    worker.admit(owner, effect.epoch, expires_at)
+    for name in effect.renew:
+        worker.renew(str(name), effect.lease_s)
+    for name in effect.acknowledge:
+        worker.acknowledge(str(name))
+    return task_messages.WorkerReported(
+        effect.worker_id,
+        sent_at,
+        effect.epoch,
+        effect.round_number,
+        make_report(worker),
+    )
+
+
+@carry_out.register
+def _(
+    effect: task_messages.StartTask,
+    worker: worker_model.Worker,
+    owner: str,
+    sent_at: float,
+) -> messages.Event:
+    worker.admit(owner, effect.epoch, effect.expires_at)
+    amount = effect.reserved
+    worker.start(
+        worker_model.Task(
+            str(effect.name),
+            effect.kind,
+            worker_model.Amount(
+                amount.cpu_millis, amount.memory_mb, amount.accelerators
+            ),
+            effect.run_s,
+            worker.now + effect.lease_s,
+        )
+    )
+    return task_messages.CommandDone(effect.worker_id, sent_at, effect)
