--- /dev/null
+++ b/packages/core/src/sapphirestall_core/answers.py
@@ -0,0 +1,127 @@
+"""Answers to operators, here or through the instance that forwarded."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import control
+from sapphirestall_core import dispatch
+from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from sapphirestall_core import peer_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "jobs"
+# Marks the call ids of forwarded commands; the id of the peer follows.
+FORWARDED = "forwarded\0"
+
+
+def answer(call_id: str, result: operator_messages.Result) -> dispatch.Effects:
+    """Returns the effects that hand a result to whoever asked."""
+    effects: dispatch.Effects = []
+    failure = None
+    if isinstance(result, operator_messages.Failure):
+        failure = result
+        effects.append(messages.CountRefusal(PART, result.code))
+    if not call_id.startswith(FORWARDED):
+        return [*effects, operator_messages.AnswerOperator(call_id, result)]
+    _, peer_id, original = call_id.split("\0", 2)
+    shown = result if isinstance(result, operator_messages.JobShown) else None
+    reply = peer_messages.CommandAnswered(original, shown, failure)
+    return [*effects, peer_messages.SendPeer(peer_id, reply)]
+
+
+def refuse(
+    call_id: str, code: str, step: str, detail: str, status: int
+) -> dispatch.Effects:
+    """Returns the effects that refuse a command."""
+    failure = operator_messages.Failure(code, step, detail, status)
+    return answer(call_id, failure)
+
+
+def refuse_without_store(call_id: str, step: str) -> dispatch.Effects:
+    """Refuses a command that needs the store while it cannot be reached."""
+    detail = "the store did not answer; the command may be repeated"
+    return refuse(call_id, "store_unavailable", step, detail, 503)
+
+
+def find_live_peers(
+    data_centre: str, instance: state.Instance, now: float
+) -> list[str]:
+    """Returns ids of the live entry instances of a data centre."""
+    return sorted(
+        peer_id
+        for peer_id, peer in instance.peers.items()
+        if peer.data_centre == data_centre
+        and now - peer.heard_at < control.PEER_DEAD_S
+    )
+
+
+def is_forwarded(call_id: str) -> bool:
+    """Tells whether a command came from another instance."""
+    return call_id.startswith(FORWARDED)
+
+
+def make_call_id(peer_id: str, original: str) -> str:
+    """Returns the local call id of a forwarded command."""
+    return f"{FORWARDED}{peer_id}\0{original}"
+
+
+def knows_data_centre(data_centre: str, instance: state.Instance) -> bool:
+    """Tells whether an entry instance of a data centre is listed."""
+    return data_centre == instance.identity.data_centre or any(
+        entry.data_centre == data_centre
+        for entry in instance.members.listings.values()
+    )
+
+
+def forward(
+    data_centre: str,
+    call_id: str,
+    message: peer_messages.PeerMessage,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Hands a command to an instance of another data centre."""
+    if not knows_data_centre(data_centre, instance):
+        detail = f"no data centre {data_centre!r} is known"
+        return refuse(call_id, "unknown_data_centre", "forward", detail, 422)
+    peers = find_live_peers(data_centre, instance, now)
+    if not peers or is_forwarded(call_id):
+        detail = f"no entry instance of {data_centre!r} can be reached"
+        return refuse(call_id, "unreachable", "forward", detail, 503)
+    instance.tasks.forwarded += 1
+    chosen = peers[instance.tasks.forwarded % len(peers)]
+    return [peer_messages.SendPeer(chosen, message)]
+
+
+@dispatch.receive.register(peer_messages.SubmissionForwarded)
+@dispatch.receive.register(peer_messages.CancellationForwarded)
+@dispatch.receive.register(peer_messages.QuestionForwarded)
+def take_forwarded(
+    message: peer_messages.SubmissionForwarded
+    | peer_messages.CancellationForwarded
+    | peer_messages.QuestionForwarded,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Executes a command on behalf of a peer."""
+    call_id = make_call_id(peer_id, message.call_id)
+    return dispatch.execute(message.command, call_id, instance, now)
+
+
+@dispatch.receive.register(peer_messages.CommandAnswered)
+def take_answer(
+    message: peer_messages.CommandAnswered,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Hands the result of a forwarded command to the operator."""
+    result = message.shown or message.failure
+    if result is None:
+        return [messages.CountRefusal(PART, "empty_answer")]
+    return [operator_messages.AnswerOperator(message.call_id, result)]
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/attempts.py
@@ -0,0 +1,166 @@
+"""Transitions of attempts and of the queues of waiting tasks."""
+
+from sapphirestall_core import jobs
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
+ATTEMPTS_PER_EPOCH = 2**20
+
+
+def number_attempt(epoch: int, counter: int) -> int:
+    """Returns an attempt number that rises across owners."""
+    return epoch * ATTEMPTS_PER_EPOCH + counter
+
+
+def name_task(name: task_messages.AttemptName) -> task_messages.TaskName:
+    """Returns the task that an attempt belongs to."""
+    return task_messages.TaskName(name.job_id, name.task)
+
+
+def make_queue_key(record: jobs.JobRecord) -> tasks_state.QueueKey:
+    """Returns the queue in which the tasks of a job wait."""
+    return tasks_state.QueueKey(
+        record.urgency, record.declared, record.kind, record.team
+    )
+
+
+def enqueue(partition: tasks_state.Partition, share: tasks_state.Share) -> None:
+    """Queues a share with waiting tasks if they may be placed.
+
+    Before the takeover is settled, a task that no inventory shows may still
+    run on a worker that does not answer. Only jobs that were created after the
+    own epoch cannot have been started by an earlier owner: it had lost the
+    store lease, and takes job records only under a valid one.
+    """
+    fresh = share.job.create_revision > partition.epoch
+    if not share.waiting.count or not share.is_active:
+        return
+    if partition.settled or fresh:
+        key = make_queue_key(share.job.record)
+        queue = partition.queues.setdefault(key, {})
+        queue[share.job.record.job_id] = share
+
+
+def dequeue(partition: tasks_state.Partition, share: tasks_state.Share) -> None:
+    """Takes a share out of its queue."""
+    key = make_queue_key(share.job.record)
+    queue = partition.queues.get(key)
+    if queue is None:
+        return
+    queue.pop(share.job.record.job_id, None)
+    if not queue:
+        del partition.queues[key]
+
+
+def add(
+    attempt: tasks_state.Attempt,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+) -> None:
+    """Indexes an attempt; its task no longer waits."""
+    name = name_task(attempt.name)
+    partition.attempts[name] = attempt
+    worker.attempts[name] = attempt
+    if attempt.share is None:
+        attempt.share = partition.shares.get(name.job_id)
+        if attempt.share is None:
+            return
+    share = attempt.share
+    share.running += 1
+    share.waiting.remove(name.task)
+    if not share.waiting.count:
+        dequeue(partition, share)
+
+
+def bind(attempt: tasks_state.Attempt, share: tasks_state.Share) -> None:
+    """Connects an attempt that was adopted before its job was known."""
+    if attempt.share is None:
+        attempt.share = share
+        share.running += 1
+        share.waiting.remove(attempt.name.task)
+
+
+def remove(
+    attempt: tasks_state.Attempt, partition: tasks_state.Partition
+) -> None:
+    """Forgets an attempt that cannot run any more."""
+    name = name_task(attempt.name)
+    if partition.attempts.get(name) is attempt:
+        del partition.attempts[name]
+    worker = partition.workers.get(attempt.worker_id)
+    if worker is not None:
+        if worker.attempts.get(name) is attempt:
+            del worker.attempts[name]
+        if worker.ledger is not None:
+            worker.ledger.release(attempt.name)
+    if attempt.share is not None:
+        attempt.share.running -= 1
+
+
+def requeue(
+    attempt: tasks_state.Attempt, partition: tasks_state.Partition
+) -> None:
+    """Forgets an attempt that cannot run any more; its task waits again."""
+    remove(attempt, partition)
+    share, task = attempt.share, attempt.name.task
+    if share is None or not share.is_active or task in share.finished:
+        return
+    if holds_task(share, task):
+        share.waiting.add(task)
+        enqueue(partition, share)
+
+
+def lose(
+    attempt: tasks_state.Attempt, partition: tasks_state.Partition
+) -> None:
+    """Requeues the task of an attempt that ended without a record."""
+    if attempt.share is not None and attempt.checkpoint:
+        keep_checkpoint(attempt.share, attempt.name, attempt.checkpoint)
+        partition.dirty.add(attempt.name.job_id)
+    requeue(attempt, partition)
+
+
+def holds_task(share: tasks_state.Share, task: int) -> bool:
+    """Tells whether a task lies in the share's slices."""
+    return any(part.first <= task <= part.last for part in share.slices)
+
+
+def keep_checkpoint(
+    share: tasks_state.Share, name: task_messages.AttemptName, checkpoint: str
+) -> bool:
+    """Records the end of an attempt and its checkpoint.
+
+    Returns:
+        Whether the attempt is newer than the one recorded; an older one never
+        replaces it, so that work does not resume from an older state.
+    """
+    known = share.checkpoints.get(name.task)
+    if known is not None and (
+        known.attempt > name.attempt
+        or (
+            known.attempt == name.attempt
+            and checkpoint in ("", known.checkpoint)
+        )
+    ):
+        return False
+    if not checkpoint and known is not None:
+        checkpoint = known.checkpoint
+    share.checkpoints[name.task] = jobs.Checkpoint(name.attempt, checkpoint)
+    return True
+
+
+def rebuild_ledger(
+    worker: tasks_state.Worker, report: task_messages.WorkerReport
+) -> None:
+    """Counts what a worker reports and what it may have been sent since."""
+    ledger = resources.Ledger(report.capacity)
+    for service in report.services:
+        ledger.record(("service", service.service), service.reserved)
+    for attempt in worker.attempts.values():
+        ledger.record(attempt.name, attempt.reserved)
+    for name, reserved in worker.strays.items():
+        ledger.record(name, reserved)
+    worker.ledger = ledger
+    worker.services = report.services
+    worker.out_of_room = False
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/commits.py
@@ -0,0 +1,301 @@
+"""Group commits of ended tasks, witness changes, moves and the hand-over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import amendments
+from sapphirestall_core import dispatch
+from sapphirestall_core import jobs
+from sapphirestall_core import messages
+from sapphirestall_core import ownership
+from sapphirestall_core import polling
+from sapphirestall_core import records
+from sapphirestall_core import store_messages
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "commits"
+COMMIT_PERIOD_S = 1.0
+
+
+@attrs.frozen
+class CommitDue(messages.Timer):
+    """Time to commit what ended in a partition."""
+
+    partition: str
+    epoch: int
+
+
+@attrs.frozen
+class CommitProgress(store_messages.Purpose):
+    """Commits ends, checkpoints, moves and the witness set.
+
+    Attributes:
+        names: Ended attempts that the commit includes.
+        job_ids: Jobs whose state it includes.
+    """
+
+    partition: str
+    epoch: int
+    progress: jobs.Progress
+    names: tuple[task_messages.AttemptName, ...]
+    job_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class RereadProgress(store_messages.Purpose):
+    """Settles a commit whose answer was lost or refused."""
+
+    partition: str
+    epoch: int
+
+
+@attrs.frozen
+class Release(store_messages.Purpose):
+    """Deletes the owner key at shutdown."""
+
+    partition: str
+    epoch: int
+
+
+@dispatch.expire.register(CommitDue)
+def commit(
+    timer: CommitDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Commits everything since the last commit in one write."""
+    partition = instance.tasks.partitions[timer.partition]
+    if partition.epoch != timer.epoch:
+        return []
+    again = messages.StartTimer(timer, COMMIT_PERIOD_S)
+    records.drop_closed(partition, instance)
+    if partition.commit_in_flight or partition.handing_over:
+        return [again]
+    progress = compose(partition, instance, now)
+    if progress == partition.progress and not partition.ended:
+        partition.dirty.clear()
+        return [again, *hand_over(partition, instance, now)]
+    partition.commit_in_flight = True
+    purpose = CommitProgress(
+        partition.name,
+        timer.epoch,
+        progress,
+        tuple(partition.ended),
+        tuple(partition.dirty),
+    )
+    partition.dirty.clear()
+    key = jobs.make_progress_key(instance.identity.data_centre, partition.name)
+    version = partition.progress_version
+    return [again, store_messages.StorePut(purpose, key, progress, version)]
+
+
+def compose(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> jobs.Progress:
+    """Returns the committed state with everything that is new."""
+    base = partition.progress
+    finished, checkpoints = dict(base.finished), dict(base.checkpoints)
+    for job_id in partition.dirty:
+        finished.pop(job_id, None)
+        checkpoints.pop(job_id, None)
+        share = partition.shares.get(job_id)
+        if share is None:
+            continue
+        if share.finished.count:
+            finished[job_id] = share.finished.to_ranges()
+        if share.checkpoints:
+            checkpoints[job_id] = dict(share.checkpoints)
+    moves = (set(base.moves) | partition.moving) - partition.moved
+    return attrs.evolve(
+        base,
+        epoch=partition.epoch,
+        witnesses=choose_witnesses(partition, instance, now),
+        finished=finished,
+        checkpoints=checkpoints,
+        moves=tuple(sorted(moves, key=_order_move)),
+    )
+
+
+def _order_move(move: jobs.Move) -> tuple[str, int]:
+    return move.job_id, move.first
+
+
+def choose_witnesses(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> tuple[str, ...]:
+    """Returns the next witness set, changed by one worker at most.
+
+    Majorities of two sets that differ by one worker always intersect, so an
+    owner that has not learned of the change cannot complete rounds beside one
+    that has.
+    """
+    witnesses = partition.progress.witnesses
+    lease = instance.tasks.lease
+    authority = ownership.find_authority(partition, lease, now)
+    if authority is not ownership.Authority.LEASE or not partition.settled:
+        return witnesses
+    for worker_id, worker in partition.workers.items():
+        member = worker_id in witnesses
+        if not member and worker.listed and worker.inventoried:
+            return tuple(sorted((*witnesses, worker_id)))
+        if member and _is_gone(worker, now):
+            return tuple(w for w in witnesses if w != worker_id)
+    for worker_id in witnesses:
+        if worker_id not in partition.workers and _took_over_long_ago(
+            partition, now
+        ):
+            return tuple(w for w in witnesses if w != worker_id)
+    return witnesses
+
+
+def _is_gone(worker: tasks_state.Worker, now: float) -> bool:
+    silent = now - worker.reported_at >= ownership.SILENT_WORKER_WAIT_S
+    return not worker.listed and silent and not worker.attempts
+
+
+def _took_over_long_ago(partition: tasks_state.Partition, now: float) -> bool:
+    """Tells whether every lease of an earlier owner has ended."""
+    waited = now - partition.majority_at
+    return waited >= ownership.TAKEOVER_WAIT_S
+
+
+@dispatch.resume.register(CommitProgress)
+def finish_commit(
+    purpose: CommitProgress,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Acknowledges committed ends to their workers at the next poll."""
+    partition = instance.tasks.partitions[purpose.partition]
+    if partition.epoch != purpose.epoch:
+        return []
+    if not isinstance(reply.outcome, store_messages.Written):
+        partition.dirty.update(purpose.job_ids)
+        instance.tasks.store_failed_at = now
+        key = jobs.make_progress_key(
+            instance.identity.data_centre, partition.name
+        )
+        reread = RereadProgress(partition.name, purpose.epoch)
+        return [
+            messages.CountRetry(PART, "commit_failed"),
+            store_messages.StoreGet(reread, key, jobs.Progress),
+        ]
+    partition.commit_in_flight = False
+    adopt(purpose.progress, reply.outcome.version, partition)
+    for name in purpose.names:
+        worker = partition.workers.get(partition.ended.pop(name, ""))
+        if worker is not None:
+            worker.acknowledge.add(name)
+    effects: dispatch.Effects = []
+    for job_id in purpose.job_ids:
+        effects += finish_share(job_id, partition, instance, now)
+    return effects + begin_moves(partition, instance, now)
+
+
+def adopt(
+    progress: jobs.Progress, version: int, partition: tasks_state.Partition
+) -> None:
+    """Takes the committed state that the store has."""
+    partition.progress = progress
+    partition.progress_version = version
+    partition.moving.difference_update(progress.moves)
+    partition.moved.intersection_update(progress.moves)
+    for worker_id in list(partition.workers):
+        worker = partition.workers[worker_id]
+        needed = worker.listed or worker_id in progress.witnesses
+        if not needed and not worker.attempts and not worker.strays:
+            del partition.workers[worker_id]
+
+
+def finish_share(
+    job_id: str,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Marks the slices in the job record once all tasks are committed."""
+    share = partition.shares.get(job_id)
+    if share is None or not share.is_active:
+        return []
+    size = sum(part.last - part.first + 1 for part in share.slices)
+    if share.finished.count < size or share.waiting.count:
+        return []
+    change = amendments.FinishSlices(job_id, partition.name)
+    return amendments.begin(change, instance, now)
+
+
+def begin_moves(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Writes committed moves to the job records."""
+    effects: dispatch.Effects = []
+    for move in partition.progress.moves:
+        if move not in partition.moved:
+            change = amendments.MoveTasks(move.job_id, partition.name, move)
+            effects += amendments.begin(change, instance, now)
+    return effects
+
+
+@dispatch.resume.register(RereadProgress)
+def settle_commit(
+    purpose: RereadProgress,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Finds out whether a commit took effect or another owner wrote."""
+    partition = instance.tasks.partitions[purpose.partition]
+    if partition.epoch != purpose.epoch:
+        return []
+    match reply.outcome:
+        case store_messages.Found(value=jobs.Progress() as progress) as found:
+            partition.commit_in_flight = False
+            if progress.epoch != partition.epoch:
+                if partition.pending_epoch == progress.epoch:
+                    return []
+                return polling.lose(partition, instance, now, "commit refused")
+            # What the write held is committed again with the next one, so a
+            # write that takes effect late changes nothing.
+            adopt(progress, found.version, partition)
+            return begin_moves(partition, instance, now)
+        case store_messages.Absent():
+            partition.commit_in_flight = False
+            return polling.lose(partition, instance, now, "progress is gone")
+    instance.tasks.store_failed_at = now
+    partition.commit_in_flight = False
+    return []
+
+
+def hand_over(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Deletes the owner key at shutdown, once everything is committed."""
+    if not instance.draining:
+        return []
+    partition.handing_over = True
+    purpose = Release(partition.name, partition.epoch)
+    key = jobs.make_owner_key(instance.identity.data_centre, partition.name)
+    return [store_messages.StoreDelete(purpose, key, 1)]
+
+
+@dispatch.resume.register(Release)
+def finish_release(
+    purpose: Release,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Gives the partition up; a failed deletion is tried again."""
+    partition = instance.tasks.partitions[purpose.partition]
+    if partition.epoch != purpose.epoch:
+        return []
+    if isinstance(reply.outcome, store_messages.Unavailable):
+        partition.handing_over = False
+        return []
+    return polling.lose(partition, instance, now, "handed over")
--- a/packages/core/src/sapphirestall_core/control.py
+++ b/packages/core/src/sapphirestall_core/control.py
@@ -28,6 +28,8 @@
 WATCHERS_PER_DATA_CENTRE = 2
 STORE_RETRY_S = 0.5
 DRAIN_CHECK_S = 0.1
+# The owner keys that a shutdown could not delete expire with the store lease.
+HANDOVER_LIMIT_S = 10.0
 
 
 @attrs.frozen
@@ -476,6 +478,7 @@
 ) -> dispatch.Effects:
     """Refuses new work and exits when nothing is in flight."""
     instance.draining = True
+    instance.tasks.drain_until = now + HANDOVER_LIMIT_S
     return [messages.StartTimer(DrainDue(), 0.0)]
 
 
@@ -483,7 +486,7 @@
 def exit_when_idle(
     timer: DrainDue, instance: state.Instance, now: float
 ) -> dispatch.Effects:
-    """Exits once no request is in flight."""
-    if instance.requests.in_flight:
+    """Exits once no request is in flight and the partitions are handed over."""
+    if instance.requests.in_flight or not instance.tasks.is_idle(now):
         return [messages.StartTimer(timer, DRAIN_CHECK_S)]
     return [messages.Exit()]
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/eviction.py
@@ -0,0 +1,299 @@
+"""Eviction: checkpoint, stop, requeue (docs/design.md, section 4.4)."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import attempts
+from sapphirestall_core import commands
+from sapphirestall_core import messages
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import dispatch
+    from sapphirestall_core import state
+
+PART = "eviction"
+CHECKPOINT_LIMIT_S = 10.0
+
+
+@attrs.frozen
+class Candidate:
+    """A running attempt that could be evicted.
+
+    Attributes:
+        lost_work_s: Time since the attempt started or was adopted, which is
+            repeated if it cannot checkpoint.
+    """
+
+    name: task_messages.AttemptName
+    reserved: resources.Vector
+    urgency: int
+    kind: str
+    team: str
+    checkpointable: bool
+    lost_work_s: float
+
+
+def list_candidates(worker: tasks_state.Worker, now: float) -> list[Candidate]:
+    """Returns the attempts of a worker that may be evicted.
+
+    Attempts that start, are being evicted already, or belong to an ended job
+    are left out. The least urgent come first, and among these the one that
+    loses the least work.
+    """
+    candidates = [
+        _describe(attempt, attempt.share.job.record.checkpointable, now)
+        for attempt in worker.attempts.values()
+        if attempt.phase is tasks_state.Phase.RUNNING
+        and attempt.share is not None
+        and attempt.share.is_active
+    ]
+    return sorted(candidates, key=_rank)
+
+
+def _describe(
+    attempt: tasks_state.Attempt, checkpointable: bool, now: float
+) -> Candidate:
+    assert attempt.share is not None
+    record = attempt.share.job.record
+    return Candidate(
+        attempt.name,
+        attempt.reserved,
+        record.urgency,
+        record.kind,
+        record.team,
+        checkpointable,
+        now - attempt.started_at,
+    )
+
+
+def _rank(candidate: Candidate) -> tuple[int, float]:
+    lost_s = 0.0 if candidate.checkpointable else candidate.lost_work_s
+    return candidate.urgency, lost_s
+
+
+def start(
+    name: task_messages.AttemptName,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+    reason: str,
+) -> dispatch.Effects:
+    """Starts the eviction of a running attempt.
+
+    Args:
+        name: The attempt; another attempt of the task is left alone.
+        partition: Its partition, owned by this instance.
+        instance: State of this entry instance.
+        now: Own time.
+        reason: For the decision journal.
+
+    Returns:
+        The first command. Nothing if the attempt is not running, is being
+        evicted already, or its worker may not be commanded now.
+    """
+    attempt = partition.attempts.get(attempts.name_task(name))
+    running = attempt is not None and attempt.name == name
+    if (
+        attempt is None
+        or not running
+        or attempt.phase is not tasks_state.Phase.RUNNING
+        or attempt.share is None
+    ):
+        return [messages.CountRefusal(PART, "not_running")]
+    worker = partition.workers[attempt.worker_id]
+    if not commands.may_command(worker, partition, instance, now):
+        return [messages.CountRefusal(PART, "no_authority")]
+    instance.journal.record(now, str(name), "evict", reason)
+    if not attempt.share.job.record.checkpointable:
+        return stop(attempt, partition, instance, now)
+    attempt.phase = tasks_state.Phase.CHECKPOINTING
+    attempt.phase_since = now
+    return [commands.checkpoint(name, worker, partition)]
+
+
+def stop(
+    attempt: tasks_state.Attempt,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Stops an attempt; repeated by `repeat` until a report shows the end."""
+    if attempt.phase is not tasks_state.Phase.STOPPING:
+        attempt.phase = tasks_state.Phase.STOPPING
+        attempt.phase_since = now
+    worker = partition.workers[attempt.worker_id]
+    if not commands.may_command(worker, partition, instance, now):
+        return []
+    return [commands.stop(attempt.name, worker, partition)]
+
+
+def repeat(
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Repeats commands without an answer and abandons slow checkpoints."""
+    if not commands.may_command(worker, partition, instance, now):
+        return []
+    effects: dispatch.Effects = [
+        commands.stop(name, worker, partition) for name in worker.strays
+    ]
+    for attempt in list(worker.attempts.values()):
+        match attempt.phase:
+            case tasks_state.Phase.STOPPING:
+                effects += stop(attempt, partition, instance, now)
+            case tasks_state.Phase.CHECKPOINTING:
+                effects += _repeat_checkpoint(attempt, worker, partition, now)
+    return effects
+
+
+def _repeat_checkpoint(
+    attempt: tasks_state.Attempt,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    now: float,
+) -> dispatch.Effects:
+    if now - attempt.phase_since > CHECKPOINT_LIMIT_S:
+        return _abandon(attempt, "checkpoint_slow")
+    return [commands.checkpoint(attempt.name, worker, partition)]
+
+
+def _abandon(attempt: tasks_state.Attempt, code: str) -> dispatch.Effects:
+    attempt.phase = tasks_state.Phase.RUNNING
+    return [messages.CountRefusal(PART, code)]
+
+
+def take_checkpoint(
+    attempt: tasks_state.Attempt,
+    checkpoint: str,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Records a checkpoint; an attempt that waited for it is stopped."""
+    newer = bool(checkpoint) and checkpoint != attempt.checkpoint
+    if newer:
+        attempt.checkpoint = checkpoint
+    if newer and attempt.phase is tasks_state.Phase.CHECKPOINTING:
+        return stop(attempt, partition, instance, now)
+    return []
+
+
+def find_current(
+    name: task_messages.AttemptName, partition: tasks_state.Partition
+) -> tasks_state.Attempt | None:
+    """Returns an attempt if it is the present one of its task."""
+    attempt = partition.attempts.get(attempts.name_task(name))
+    return attempt if attempt is not None and attempt.name == name else None
+
+
+@functools.singledispatch
+def finish(
+    command: task_messages.WorkerEffect,
+    event: task_messages.CommandDone,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Takes a worker's acknowledgement of one type of command."""
+    return []
+
+
+@finish.register(task_messages.CheckpointTask)
+def _(
+    command: task_messages.CheckpointTask,
+    event: task_messages.CommandDone,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt = find_current(command.name, partition)
+    if attempt is None:
+        return [messages.CountRefusal(PART, "late_acknowledgement")]
+    return take_checkpoint(attempt, event.checkpoint, partition, instance, now)
+
+
+@finish.register(task_messages.StopTask)
+def _(
+    command: task_messages.StopTask,
+    event: task_messages.CommandDone,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt = find_current(command.name, partition)
+    if attempt is None or attempt.phase is not tasks_state.Phase.STOPPING:
+        return [messages.CountRefusal(PART, "late_acknowledgement")]
+    end_stopped(attempt, event.checkpoint, partition)
+    return []
+
+
+def end_stopped(
+    attempt: tasks_state.Attempt,
+    checkpoint: str,
+    partition: tasks_state.Partition,
+) -> None:
+    """Requeues a stopped attempt's task with its newest checkpoint."""
+    share = attempt.share
+    if share is not None:
+        newest = checkpoint or attempt.checkpoint
+        attempts.keep_checkpoint(share, attempt.name, newest)
+        note_ended(attempt.name, attempt.worker_id, share, partition)
+    attempts.requeue(attempt, partition)
+
+
+def note_ended(
+    name: task_messages.AttemptName,
+    worker_id: str,
+    share: tasks_state.Share,
+    partition: tasks_state.Partition,
+) -> None:
+    """Lets an end be acknowledged once it is committed.
+
+    The ends of an ended job need no commit: its record says that none of its
+    tasks runs again.
+    """
+    if share.is_active:
+        partition.ended[name] = worker_id
+        partition.dirty.add(name.job_id)
+    elif worker_id in partition.workers:
+        partition.workers[worker_id].acknowledge.add(name)
+
+
+@functools.singledispatch
+def fail(
+    command: task_messages.WorkerEffect,
+    event: task_messages.CommandFailed,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Takes the failure of one type of command; reports settle the rest."""
+    return []
+
+
+@fail.register(task_messages.CheckpointTask)
+def _(
+    command: task_messages.CheckpointTask,
+    event: task_messages.CommandFailed,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt = find_current(command.name, partition)
+    checkpointing = (
+        attempt is not None and attempt.phase is tasks_state.Phase.CHECKPOINTING
+    )
+    if attempt is None or not checkpointing:
+        return []
+    if event.code == "checkpoint_failed":
+        return _abandon(attempt, event.code)
+    return []
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/failures.py
@@ -0,0 +1,74 @@
+"""Tasks that fail on several workers (docs/design.md, sections 4.12 and 7)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import amendments
+from sapphirestall_core import policy_calls
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import dispatch
+    from sapphirestall_core import state
+
+WORKERS_PER_FAILED_TASK = 3
+# Bounds the loop of starts on a worker that refuses each of them at once.
+PAUSE_AFTER_FAILURE_S = 1.0
+
+
+def note(
+    name: task_messages.AttemptName,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Records a failed start or task; fails the job at the third worker."""
+    worker.paused_until = now + PAUSE_AFTER_FAILURE_S
+    effects = policy_calls.note_start_failed(worker, name, instance, now)
+    share = partition.shares.get(name.job_id)
+    if share is None or not share.is_active:
+        return effects
+    failed_on = share.failures.setdefault(name.task, {})
+    failed_on[worker.worker_id] = now
+    counted = [
+        worker_id
+        for worker_id, at in failed_on.items()
+        if _counts(worker_id, at, name.job_id, partition, instance, now)
+    ]
+    if len(counted) < WORKERS_PER_FAILED_TASK:
+        return effects
+    reason = f"task {name.task} failed on {', '.join(sorted(counted))}"
+    instance.journal.record(now, name.job_id, "fail", reason)
+    change = amendments.FailJob(name.job_id, reason)
+    return [*effects, *amendments.begin(change, instance, now)]
+
+
+def _counts(
+    worker_id: str,
+    failed_at: float,
+    job_id: str,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> bool:
+    worker = partition.workers.get(worker_id)
+    if worker is None:
+        return False
+    proven = any(
+        at > failed_at and other != job_id
+        for other, at in worker.finished_at.items()
+    )
+    return proven or not policy_calls.is_on_probation(worker, instance, now)
+
+
+def note_finished(
+    name: task_messages.AttemptName, worker: tasks_state.Worker, now: float
+) -> None:
+    """Records that a worker finished a task of a job."""
+    worker.finished_at.pop(name.job_id, None)
+    worker.finished_at[name.job_id] = now
+    if len(worker.finished_at) > 2:
+        del worker.finished_at[next(iter(worker.finished_at))]
--- a/packages/core/src/sapphirestall_core/instance.py
+++ b/packages/core/src/sapphirestall_core/instance.py
@@ -13,8 +13,7 @@
 
 def build(identity: state.Identity) -> state.Instance:
     """Returns the state of a new entry instance."""
-    timers = (tasks.LeaseDue(), tasks.OwnersDue())
-    return state.Instance(identity, start_timers=timers)
+    return state.Instance(identity, start_timers=tasks.START_TIMERS)
 
 
 def handle(
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/inventory.py
@@ -0,0 +1,260 @@
+"""What each worker is known to run, from its reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import attempts
+from sapphirestall_core import eviction
+from sapphirestall_core import failures
+from sapphirestall_core import messages
+from sapphirestall_core import ownership
+from sapphirestall_core import policy_calls
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import dispatch
+    from sapphirestall_core import state
+
+PART = "inventory"
+
+
+def take(
+    worker: tasks_state.Worker,
+    report: task_messages.WorkerReport,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Takes a worker's whole inventory.
+
+    The caller has checked that the report is newer than the last one.
+    """
+    effects: dispatch.Effects = []
+    if worker.incarnation != report.incarnation:
+        lose_all(worker, partition)
+        worker.strays.clear()
+        worker.acknowledge.clear()
+        worker.incarnation = report.incarnation
+    worker.clock = report.clock
+    worker.reported_at = now
+    worker.strays.clear()
+    for task in report.tasks:
+        if task.state is task_messages.TaskState.RUNNING:
+            effects += _take_running(task, worker, partition, instance, now)
+        else:
+            effects += _take_ended(task, worker, partition, instance, now)
+    seen = {task.name for task in report.tasks}
+    for attempt in list(worker.attempts.values()):
+        absent = attempt.name not in seen
+        if absent and report.clock > attempt.start_expires_at:
+            attempts.lose(attempt, partition)
+    worker.acknowledge &= seen
+    attempts.rebuild_ledger(worker, report)
+    if partition.listed:
+        worker.inventoried = True
+        settle(partition, now)
+    return effects
+
+
+def lose_all(
+    worker: tasks_state.Worker, partition: tasks_state.Partition
+) -> None:
+    """Requeues everything that ran on a worker that lost its tasks."""
+    for attempt in list(worker.attempts.values()):
+        attempts.lose(attempt, partition)
+
+
+def settle(partition: tasks_state.Partition, now: float) -> None:
+    """Lets tasks that no inventory shows be placed when 4.3 allows it."""
+    if partition.settled:
+        return
+    witnesses = partition.progress.witnesses
+    reported = {
+        worker.worker_id
+        for worker in partition.workers.values()
+        if worker.inventoried
+    }
+    # Without witnesses no worker was ever given a task.
+    if partition.majority_at < 0 and witnesses:
+        if not ownership.is_majority(reported, witnesses):
+            return
+        partition.majority_at = now
+    waited = now - partition.majority_at >= ownership.TAKEOVER_WAIT_S
+    if waited or reported.issuperset(witnesses):
+        partition.settled = True
+        for share in partition.shares.values():
+            attempts.enqueue(partition, share)
+
+
+def _take_running(
+    task: task_messages.TaskReport,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    name = task.name
+    if name in partition.ended or name in worker.acknowledge:
+        # The report was made before a stop that was already acknowledged.
+        return []
+    current = partition.attempts.get(attempts.name_task(name))
+    if current is not None and current.name == name:
+        return _confirm(current, task, partition, instance, now)
+    if current is not None and current.name.attempt > name.attempt:
+        worker.strays[name] = task.reserved
+        return [messages.CountRefusal(PART, "lower_attempt")]
+    if current is not None:
+        _displace(current, partition)
+    return _adopt(task, worker, partition, instance, now)
+
+
+def _confirm(
+    attempt: tasks_state.Attempt,
+    task: task_messages.TaskReport,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt.start_expires_at = 0.0
+    attempt.reserved = task.reserved
+    if attempt.phase is tasks_state.Phase.STARTING:
+        attempt.phase = tasks_state.Phase.RUNNING
+    return eviction.take_checkpoint(
+        attempt, task.checkpoint, partition, instance, now
+    )
+
+
+def _displace(
+    attempt: tasks_state.Attempt, partition: tasks_state.Partition
+) -> None:
+    worker = partition.workers[attempt.worker_id]
+    attempts.remove(attempt, partition)
+    worker.strays[attempt.name] = attempt.reserved
+    if worker.ledger is not None:
+        worker.ledger.record(attempt.name, attempt.reserved)
+
+
+def _adopt(
+    task: task_messages.TaskReport,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt = tasks_state.Attempt(
+        task.name,
+        worker.worker_id,
+        task.reserved,
+        tasks_state.Phase.RUNNING,
+        phase_since=now,
+        started_at=now,
+        checkpoint=task.checkpoint,
+    )
+    attempts.add(attempt, worker, partition)
+    if not partition.listed or _is_wanted(attempt):
+        return []
+    instance.journal.record(now, str(task.name), "stop", "must not run here")
+    return [
+        messages.CountRefusal(PART, "unwanted_attempt"),
+        *eviction.stop(attempt, partition, instance, now),
+    ]
+
+
+def _is_wanted(attempt: tasks_state.Attempt) -> bool:
+    share, number = attempt.share, attempt.name.task
+    if share is None or not share.is_active or number in share.finished:
+        return False
+    known = share.checkpoints.get(number)
+    if known is not None and known.attempt > attempt.name.attempt:
+        return False
+    return attempts.holds_task(share, number)
+
+
+def stop_unwanted(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Stops adopted attempts that the job records do not ask for."""
+    effects: dispatch.Effects = []
+    for attempt in list(partition.attempts.values()):
+        if not _is_wanted(attempt):
+            effects += eviction.stop(attempt, partition, instance, now)
+    return effects
+
+
+def _take_ended(
+    task: task_messages.TaskReport,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    name = task.name
+    if name in partition.ended or not partition.listed:
+        return []
+    share = partition.shares.get(name.job_id)
+    current = partition.attempts.get(attempts.name_task(name))
+    matches = current is not None and current.name == name
+    known = share is not None and share.is_active
+    if share is None or not known or not attempts.holds_task(share, name.task):
+        if current is not None and matches:
+            attempts.requeue(current, partition)
+        worker.acknowledge.add(name)
+        return []
+    if task.state is task_messages.TaskState.FINISHED:
+        return _finish(name, worker, share, partition, instance, now)
+    return _end(task, worker, share, partition, instance, now)
+
+
+def _finish(
+    name: task_messages.AttemptName,
+    worker: tasks_state.Worker,
+    share: tasks_state.Share,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    current = partition.attempts.get(attempts.name_task(name))
+    if not share.finished.add(name.task):
+        worker.acknowledge.add(name)
+        return []
+    effects: dispatch.Effects = []
+    share.waiting.remove(name.task)
+    if not share.waiting.count:
+        attempts.dequeue(partition, share)
+    share.checkpoints.pop(name.task, None)
+    share.failures.pop(name.task, None)
+    if current is not None and current.name == name:
+        attempts.remove(current, partition)
+    elif current is not None:
+        effects += eviction.stop(current, partition, instance, now)
+    partition.ended[name] = worker.worker_id
+    partition.dirty.add(name.job_id)
+    failures.note_finished(name, worker, now)
+    return effects + policy_calls.note_finished(worker, name, instance, now)
+
+
+def _end(
+    task: task_messages.TaskReport,
+    worker: tasks_state.Worker,
+    share: tasks_state.Share,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    name = task.name
+    current = partition.attempts.get(attempts.name_task(name))
+    if current is not None and current.name == name:
+        eviction.end_stopped(current, task.checkpoint, partition)
+    elif name.task in share.finished or not attempts.keep_checkpoint(
+        share, name, task.checkpoint
+    ):
+        worker.acknowledge.add(name)
+        return [messages.CountRefusal(PART, "late_end")]
+    else:
+        partition.ended[name] = worker.worker_id
+        partition.dirty.add(name.job_id)
+    if task.state is task_messages.TaskState.FAILED:
+        return failures.note(name, worker, partition, instance, now)
+    return []
--- a/packages/core/src/sapphirestall_core/jobs.py
+++ b/packages/core/src/sapphirestall_core/jobs.py
@@ -18,11 +18,17 @@
 
 @attrs.frozen
 class Slice:
-    """Tasks `first` to `last` (inclusive) belong to one partition."""
+    """Tasks `first` to `last` (inclusive) belong to one partition.
+
+    Attributes:
+        done: Whether all of them finished and the partition's progress no
+            longer needs to list them.
+    """
 
     partition: str
     first: int
     last: int
+    done: bool = False
 
 
 @attrs.frozen
@@ -34,6 +40,10 @@
         run_s: Declared run time of one task, in seconds.
         urgency: 0 is the least urgent.
         submitted_at: Wall-clock time, in seconds since the epoch.
+        submission: Token of the submission; settles a lost answer.
+        state: `CANCELLED` is the mark that a cancel command sets.
+        ended_at: Wall-clock time of the end; 0 while the job is active.
+        reason: Why the job failed.
     """
 
     job_id: str
@@ -47,7 +57,10 @@
     checkpointable: bool
     slices: tuple[Slice, ...]
     submitted_at: float
+    submission: str = ""
     state: JobState = JobState.ACTIVE
+    ended_at: float = 0.0
+    reason: str = ""
 
 
 @attrs.frozen
@@ -58,6 +71,34 @@
     last: int
 
 
+@attrs.frozen
+class Checkpoint:
+    """Newest checkpoint of a task that was stopped.
+
+    Attributes:
+        attempt: Number of the attempt that was stopped.
+        checkpoint: Name under which the platform keeps it; may be empty.
+    """
+
+    attempt: int
+    checkpoint: str
+
+
+@attrs.frozen
+class Move:
+    """Tasks that are on their way to another partition.
+
+    The move is committed in `progress` before the job record changes, so that
+    an owner that lost the partition cannot move tasks that the next owner has
+    placed.
+    """
+
+    job_id: str
+    target: str
+    first: int
+    last: int
+
+
 @attrs.frozen
 class Progress:
     """Committed state of a partition, under `progress/<dc>/<partition>`.
@@ -66,13 +107,15 @@
         epoch: Epoch of the owner that wrote it.
         witnesses: Ids of the workers of the partition.
         finished: Finished tasks by job id, as sorted ranges.
-        checkpoints: Newest checkpoint of evicted tasks, by `job.task`.
+        checkpoints: Checkpoints of stopped tasks, by job id and task.
+        moves: Moves that the job records may not show yet.
     """
 
     epoch: int = 0
     witnesses: tuple[str, ...] = ()
     finished: dict[str, tuple[Range, ...]] = attrs.field(factory=dict)
-    checkpoints: dict[str, str] = attrs.field(factory=dict)
+    checkpoints: dict[str, dict[int, Checkpoint]] = attrs.field(factory=dict)
+    moves: tuple[Move, ...] = ()
 
 
 def make_job_key(data_centre: str, job_id: str) -> str:
--- a/packages/core/src/sapphirestall_core/peer_messages.py
+++ b/packages/core/src/sapphirestall_core/peer_messages.py
@@ -3,6 +3,8 @@
 import attrs
 
 from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from sapphirestall_core import resources
 
 
 @attrs.frozen
@@ -53,6 +55,86 @@
     partition: str
 
 
+@attrs.frozen
+class PartitionRoom:
+    """Room in a partition that the sender owns.
+
+    Attributes:
+        free: Sum of what is free on its workers.
+        capacities: Distinct capacities of its workers.
+    """
+
+    partition: str
+    free: resources.Vector
+    capacities: tuple[resources.Vector, ...]
+
+
+@attrs.frozen
+class PartitionsOwned(PeerMessage):
+    """Tells peers of the data centre how much room the sender has."""
+
+    rooms: tuple[PartitionRoom, ...]
+
+
+@attrs.frozen
+class SharesRequested(PeerMessage):
+    """Asks how far the tasks of a job are in the receiver's partitions."""
+
+    call_id: str
+    job_id: str
+
+
+@attrs.frozen
+class ShareState:
+    """How far the tasks of a job are in one partition."""
+
+    partition: str
+    finished: int
+    running: int
+    reason: str
+
+
+@attrs.frozen
+class SharesReported(PeerMessage):
+    """Answers `SharesRequested`."""
+
+    call_id: str
+    shares: tuple[ShareState, ...]
+
+
+@attrs.frozen
+class SubmissionForwarded(PeerMessage):
+    """Hands a submission to an instance of the job's data centre."""
+
+    call_id: str
+    command: operator_messages.SubmitJob
+
+
+@attrs.frozen
+class CancellationForwarded(PeerMessage):
+    """Hands a cancellation to an instance of the job's data centre."""
+
+    call_id: str
+    command: operator_messages.CancelJob
+
+
+@attrs.frozen
+class QuestionForwarded(PeerMessage):
+    """Hands a question about a job to an instance of its data centre."""
+
+    call_id: str
+    command: operator_messages.ShowJob
+
+
+@attrs.frozen
+class CommandAnswered(PeerMessage):
+    """Result of a forwarded command; exactly one of the two is set."""
+
+    call_id: str
+    shown: operator_messages.JobShown | None
+    failure: operator_messages.Failure | None
+
+
 @attrs.frozen
 class SendPeer(messages.Effect):
     """Sends a message to one peer; lost when the peer is not connected."""
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/records.py
@@ -0,0 +1,160 @@
+"""Takes job records into the state of the owned partitions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import attempts
+from sapphirestall_core import eviction
+from sapphirestall_core import jobs
+from sapphirestall_core import ownership
+from sapphirestall_core import ranges
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import dispatch
+    from sapphirestall_core import state
+
+
+def take(
+    record: jobs.JobRecord,
+    version: int,
+    create_revision: int,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Takes a record as the store has it.
+
+    Returns:
+        Commands that stop attempts which the record no longer asks for.
+    """
+    tasks = instance.tasks
+    job = tasks.jobs.get(record.job_id)
+    if job is None:
+        job = tasks_state.Job(record, version, create_revision)
+    elif version < job.version and create_revision <= job.create_revision:
+        return []
+    job.record, job.version = record, version
+    job.create_revision = create_revision
+    effects: dispatch.Effects = []
+    for partition in tasks.find_owned():
+        effects += _update(job, partition, instance, now)
+    if job.shares:
+        tasks.jobs[record.job_id] = job
+    else:
+        tasks.jobs.pop(record.job_id, None)
+    return effects
+
+
+def _update(
+    job: tasks_state.Job,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    record = job.record
+    share = partition.shares.get(record.job_id)
+    slices = tuple(
+        part
+        for part in record.slices
+        if part.partition == partition.name and not part.done
+    )
+    if record.state is not jobs.JobState.ACTIVE or not slices:
+        return _close(share, partition, instance, now) if share else []
+    if share is None:
+        lease = instance.tasks.lease
+        authority = ownership.find_authority(partition, lease, now)
+        if authority is not ownership.Authority.LEASE:
+            # Under authority (b) another owner may exist already; jobs that
+            # it was given must not be taken here. See `attempts.enqueue`.
+            return []
+        share = _open(job, partition)
+    if share.slices != slices:
+        share.slices = slices
+        _rebuild_waiting(share, partition)
+    return []
+
+
+def _open(
+    job: tasks_state.Job, partition: tasks_state.Partition
+) -> tasks_state.Share:
+    job_id = job.record.job_id
+    committed = partition.progress
+    share = tasks_state.Share(job, partition.name)
+    share.finished = ranges.build(committed.finished.get(job_id, ()))
+    share.checkpoints = dict(committed.checkpoints.get(job_id, {}))
+    partition.shares[job_id] = share
+    job.shares[partition.name] = share
+    return share
+
+
+def _rebuild_waiting(
+    share: tasks_state.Share, partition: tasks_state.Partition
+) -> None:
+    attempts.dequeue(partition, share)
+    job_id = share.job.record.job_id
+    share.waiting = ranges.build(share.slices)
+    share.waiting.remove_all(share.finished)
+    moving = [m for m in partition.progress.moves if m.job_id == job_id]
+    for move in moving:
+        leaving = ranges.build([jobs.Range(move.first, move.last)])
+        share.waiting.remove_all(leaving)
+    for name in partition.attempts:
+        if name.job_id == job_id:
+            share.waiting.remove(name.task)
+    attempts.enqueue(partition, share)
+
+
+def _close(
+    share: tasks_state.Share,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Stops what is left of a job that ended here."""
+    attempts.dequeue(partition, share)
+    share.waiting = ranges.RangeSet()
+    share.slices = ()
+    job_id = share.job.record.job_id
+    partition.closing.add(job_id)
+    effects: dispatch.Effects = []
+    if share.running:
+        for attempt in list(partition.attempts.values()):
+            if attempt.share is share:
+                effects += eviction.stop(attempt, partition, instance, now)
+    drop_closed(partition, instance)
+    return effects
+
+
+def drop_closed(
+    partition: tasks_state.Partition, instance: state.Instance
+) -> None:
+    """Forgets ended jobs without attempts; their progress is pruned."""
+    for job_id in list(partition.closing):
+        share = partition.shares.get(job_id)
+        if share is not None and share.running > 0:
+            continue
+        partition.closing.discard(job_id)
+        if share is None:
+            continue
+        del partition.shares[job_id]
+        # The next commit removes the job from `progress`.
+        partition.dirty.add(job_id)
+        share.job.shares.pop(partition.name, None)
+        if not share.job.shares:
+            instance.tasks.jobs.pop(job_id, None)
+
+
+def connect_attempts(
+    partition: tasks_state.Partition, instance: state.Instance
+) -> None:
+    """Connects attempts that were adopted before the records were read."""
+    for attempt in partition.attempts.values():
+        share = partition.shares.get(attempt.name.job_id)
+        if share is not None:
+            attempts.bind(attempt, share)
+            if not share.waiting.count:
+                attempts.dequeue(partition, share)
+    for job_id in partition.progress.finished:
+        if job_id not in partition.shares:
+            partition.dirty.add(job_id)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/starts.py
@@ -0,0 +1,164 @@
+"""Placing of waiting tasks and the outcomes of start commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import attempts
+from sapphirestall_core import commands
+from sapphirestall_core import eviction
+from sapphirestall_core import failures
+from sapphirestall_core import messages
+from sapphirestall_core import ownership
+from sapphirestall_core import placement
+from sapphirestall_core import policy_calls
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import dispatch
+    from sapphirestall_core import state
+
+PART = "starts"
+
+
+def place(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Starts waiting tasks, the most urgent first, until none fits.
+
+    Shares with equal needs wait in one queue, so that a pass costs one failed
+    decision for each distinct need, however many tasks wait.
+    """
+    lease = instance.tasks.lease
+    authority = ownership.find_authority(partition, lease, now)
+    idle = authority is ownership.Authority.NONE or not partition.queues
+    if instance.draining or idle:
+        return []
+    usable = [
+        worker
+        for worker in partition.workers.values()
+        if is_usable(worker, partition, instance, now)
+    ]
+    effects: dispatch.Effects = []
+    for key in sorted(partition.queues, key=_rank):
+        effects += _place_queue(key, usable, partition, instance, now)
+    return effects
+
+
+def _rank(key: tasks_state.QueueKey) -> int:
+    return -key.urgency
+
+
+def is_usable(
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> bool:
+    """Tells whether a worker may be given tasks at `now`.
+
+    A worker outside the witness set gets none: the next owner waits only for
+    the inventories of witnesses.
+    """
+    return (
+        worker.ledger is not None
+        and worker.inventoried
+        and worker.listed
+        and not worker.out_of_room
+        and now >= worker.paused_until
+        and worker.worker_id in partition.progress.witnesses
+        and commands.may_command(worker, partition, instance, now)
+    )
+
+
+def _place_queue(
+    key: tasks_state.QueueKey,
+    usable: list[tasks_state.Worker],
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    effects: dispatch.Effects = []
+    while queue := partition.queues.get(key):
+        share = next(iter(queue.values()))
+        task = share.waiting.get_first()
+        failed_on = share.failures.get(task, {})
+        others = [w for w in usable if w.worker_id not in failed_on]
+        worker = placement.choose_worker(others or usable, key.declared)
+        if worker is None:
+            share.waiting_since = share.waiting_since or now
+            effects += policy_calls.make_room(share, partition, instance, now)
+            break
+        effects.append(_start(share, task, worker, partition, now))
+    return effects
+
+
+def _start(
+    share: tasks_state.Share,
+    task: int,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    now: float,
+) -> task_messages.StartTask:
+    record = share.job.record
+    partition.attempts_made += 1
+    number = attempts.number_attempt(partition.epoch, partition.attempts_made)
+    known = share.checkpoints.get(task)
+    attempt = tasks_state.Attempt(
+        task_messages.AttemptName(record.job_id, task, number),
+        worker.worker_id,
+        record.declared,
+        tasks_state.Phase.STARTING,
+        share,
+        worker.clock + ownership.COMMAND_TERM_S,
+        phase_since=now,
+        started_at=now,
+        checkpoint=known.checkpoint if known else "",
+    )
+    assert worker.ledger is not None
+    worker.ledger.reserve(attempt.name, record.declared)
+    attempts.add(attempt, worker, partition)
+    share.waiting_since = 0.0
+    return commands.start(attempt, record.declared, worker, partition)
+
+
+@eviction.finish.register(task_messages.StartTask)
+def _(
+    command: task_messages.StartTask,
+    event: task_messages.CommandDone,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt = eviction.find_current(command.name, partition)
+    if attempt is not None and attempt.phase is tasks_state.Phase.STARTING:
+        attempt.phase = tasks_state.Phase.RUNNING
+    return []
+
+
+@eviction.fail.register(task_messages.StartTask)
+def _(
+    command: task_messages.StartTask,
+    event: task_messages.CommandFailed,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    attempt = eviction.find_current(command.name, partition)
+    settled_by_report = event.ambiguous or event.code == "duplicate"
+    if attempt is None or not attempt.start_expires_at or settled_by_report:
+        # A start whose answer was lost keeps its reservation until a report,
+        # or the wait for a silent worker, shows whether it took effect.
+        return []
+    worker = partition.workers[attempt.worker_id]
+    effects: dispatch.Effects = [messages.CountRetry(PART, event.code)]
+    if event.code == "start_failed":
+        # The worker keeps a record of it; recording the end here lets the
+        # report that shows the record pass without a second count.
+        eviction.end_stopped(attempt, "", partition)
+        effects += failures.note(command.name, worker, partition, instance, now)
+    else:
+        worker.out_of_room = event.code == "no_room"
+        attempts.requeue(attempt, partition)
+    return effects + place(partition, instance, now)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/submission.py
@@ -0,0 +1,318 @@
+"""Submission of jobs: checks, division into slices, creation of the record."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import amendments
+from sapphirestall_core import answers
+from sapphirestall_core import dispatch
+from sapphirestall_core import jobs
+from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from sapphirestall_core import peer_messages
+from sapphirestall_core import records
+from sapphirestall_core import resources
+from sapphirestall_core import starts
+from sapphirestall_core import store_messages
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+ROOMS_PERIOD_S = 2.0
+# An owner that was not heard for three periods is left out of new jobs.
+ROOM_KEPT_S = 3 * ROOMS_PERIOD_S
+STEP = "submit"
+
+
+@attrs.frozen
+class RoomsDue(messages.Timer):
+    """Time to tell the peers how much room the own partitions have."""
+
+
+@attrs.frozen
+class CreateJob(store_messages.Purpose):
+    """Creates a job record."""
+
+    call_id: str
+    record: jobs.JobRecord
+
+
+@attrs.frozen
+class RereadJob(store_messages.Purpose):
+    """Finds out whether a create whose answer was lost took effect."""
+
+    call_id: str
+    record: jobs.JobRecord
+
+
+@dispatch.expire.register(RoomsDue)
+def send_rooms(
+    timer: RoomsDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Tells the peers of the data centre how much room there is."""
+    rooms = tuple(find_own_rooms(instance))
+    effects: dispatch.Effects = [
+        messages.StartTimer(RoomsDue(), ROOMS_PERIOD_S, 0.1)
+    ]
+    if rooms and not instance.draining:
+        message = peer_messages.PartitionsOwned(rooms)
+        own = instance.identity.data_centre
+        effects += [
+            peer_messages.SendPeer(peer_id, message)
+            for peer_id in answers.find_live_peers(own, instance, now)
+        ]
+    return effects
+
+
+def find_own_rooms(
+    instance: state.Instance,
+) -> list[peer_messages.PartitionRoom]:
+    """Returns the room in the owned partitions that have reported."""
+    rooms = []
+    for partition in instance.tasks.find_owned():
+        free = resources.Vector()
+        capacities = set()
+        for worker in partition.workers.values():
+            if worker.ledger is not None:
+                free = free.plus(worker.ledger.compute_free())
+                capacities.add(worker.ledger.capacity)
+        if capacities:
+            rooms.append(
+                peer_messages.PartitionRoom(
+                    partition.name, free, tuple(sorted(capacities, key=repr))
+                )
+            )
+    return rooms
+
+
+@dispatch.receive.register(peer_messages.PartitionsOwned)
+def take_rooms(
+    message: peer_messages.PartitionsOwned,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Records the room in a peer's partitions."""
+    for room in message.rooms:
+        instance.tasks.rooms[room.partition] = tasks_state.Room(
+            peer_id, now, room.free, room.capacities
+        )
+    return []
+
+
+def collect_rooms(
+    instance: state.Instance, now: float
+) -> list[peer_messages.PartitionRoom]:
+    """Returns the partitions with a live owner, by name."""
+    rooms = {
+        name: peer_messages.PartitionRoom(name, room.free, room.capacities)
+        for name, room in instance.tasks.rooms.items()
+        if now - room.heard_at < ROOM_KEPT_S
+    }
+    if not instance.draining:
+        rooms |= {room.partition: room for room in find_own_rooms(instance)}
+    return [rooms[name] for name in sorted(rooms)]
+
+
+def divide(
+    task_count: int,
+    declared: resources.Vector,
+    rooms: list[peer_messages.PartitionRoom],
+) -> tuple[jobs.Slice, ...]:
+    """Divides tasks over partitions by the number that fits now.
+
+    Partitions without a worker that could ever hold a task get none. When
+    nothing fits now, every other partition gets an equal part.
+    """
+    able = [room for room in rooms if _could_hold(declared, room)]
+    weights = [_count_fitting(declared, room.free) for room in able]
+    if not any(weights):
+        weights = [1] * len(able)
+    total = sum(weights)
+    slices = []
+    first = reached = 0
+    for room, weight in zip(able, weights, strict=True):
+        reached += weight
+        last = task_count * reached // total - 1
+        if last >= first:
+            slices.append(jobs.Slice(room.partition, first, last))
+            first = last + 1
+    return tuple(slices)
+
+
+def _could_hold(
+    declared: resources.Vector, room: peer_messages.PartitionRoom
+) -> bool:
+    return any(declared.fits(capacity) for capacity in room.capacities)
+
+
+def _count_fitting(declared: resources.Vector, free: resources.Vector) -> int:
+    counts = [
+        max(0, there) // needed
+        for needed, there in (
+            (declared.cpu_millis, free.cpu_millis),
+            (declared.memory_mb, free.memory_mb),
+            (declared.accelerators, free.accelerators),
+        )
+        if needed > 0
+    ]
+    return min(counts, default=1)
+
+
+@dispatch.execute.register(operator_messages.SubmitJob)
+def submit_job(
+    command: operator_messages.SubmitJob,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Checks a submission and creates the job's record."""
+    data_centre = instance.identity.data_centre
+    if command.data_centre != data_centre:
+        forwarded = peer_messages.SubmissionForwarded(call_id, command)
+        return answers.forward(
+            command.data_centre, call_id, forwarded, instance, now
+        )
+    fault = _find_fault(command, instance)
+    if fault:
+        code, detail = fault
+        return answers.refuse(call_id, code, STEP, detail, 422)
+    declared = resources.Vector(
+        command.cpu_millis, command.memory_mb, command.accelerators
+    )
+    rooms = collect_rooms(instance, now)
+    slices = divide(command.task_count, declared, rooms)
+    if not slices:
+        return _refuse_size(call_id, rooms, instance)
+    record = jobs.JobRecord(
+        job_id=command.job_id,
+        data_centre=data_centre,
+        team=command.team,
+        kind=command.kind,
+        task_count=command.task_count,
+        declared=declared,
+        run_s=command.run_s,
+        urgency=command.urgency,
+        checkpointable=command.checkpointable,
+        slices=slices,
+        submitted_at=now + instance.identity.wall_offset,
+        submission=f"{instance.identity.incarnation}/{call_id}",
+    )
+    key = jobs.make_job_key(data_centre, command.job_id)
+    return [store_messages.StorePut(CreateJob(call_id, record), key, record, 0)]
+
+
+def _find_fault(
+    command: operator_messages.SubmitJob, instance: state.Instance
+) -> tuple[str, str] | None:
+    if not command.job_id or "/" in command.job_id or "\0" in command.job_id:
+        return "invalid_job", "the job id is empty or holds a slash"
+    if command.task_count < 1 or command.run_s < 0:
+        return "invalid_job", "a job needs a task and a run time"
+    sizes = (command.cpu_millis, command.memory_mb, command.accelerators)
+    if min(sizes) < 0 or max(sizes) == 0:
+        return "invalid_job", "the size of a task must be positive"
+    teams = instance.policy.teams
+    if teams and command.team not in teams:
+        return "unknown_team", f"no team {command.team!r} is configured"
+    return None
+
+
+def _refuse_size(
+    call_id: str,
+    rooms: list[peer_messages.PartitionRoom],
+    instance: state.Instance,
+) -> dispatch.Effects:
+    """Refuses for good only when every partition's workers are known."""
+    known = {room.partition for room in rooms}
+    if known and known.issuperset(instance.tasks.partitions):
+        detail = "no worker of the data centre could ever hold a task"
+        return answers.refuse(call_id, "job_too_large", STEP, detail, 422)
+    detail = "no partition that could hold a task has an owner at present"
+    return answers.refuse(call_id, "no_partition", STEP, detail, 503)
+
+
+@dispatch.resume.register(CreateJob)
+def finish_submission(
+    purpose: CreateJob,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Answers the operator and tells the owners."""
+    match reply.outcome:
+        case store_messages.Written() as written:
+            return _accept(
+                purpose.call_id,
+                purpose.record,
+                written.version,
+                written.create_revision,
+                instance,
+                now,
+            )
+        case store_messages.Unavailable(ambiguous=False):
+            return answers.refuse_without_store(purpose.call_id, STEP)
+    record = purpose.record
+    key = jobs.make_job_key(record.data_centre, record.job_id)
+    reread = RereadJob(purpose.call_id, record)
+    return [store_messages.StoreGet(reread, key, jobs.JobRecord)]
+
+
+@dispatch.resume.register(RereadJob)
+def settle_submission(
+    purpose: RereadJob,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Tells a lost answer from a duplicate id by the submission's token."""
+    call_id, record = purpose.call_id, purpose.record
+    match reply.outcome:
+        case store_messages.Found(value=jobs.JobRecord() as stored) as found:
+            if stored.submission == record.submission:
+                return _accept(
+                    call_id,
+                    stored,
+                    found.version,
+                    found.create_revision,
+                    instance,
+                    now,
+                )
+            detail = f"the job id {record.job_id!r} is taken"
+            return answers.refuse(call_id, "duplicate_job", STEP, detail, 409)
+        case store_messages.Absent():
+            # The create may still take effect, so it is repeated: the version
+            # check lets one of the two in.
+            key = jobs.make_job_key(record.data_centre, record.job_id)
+            create = CreateJob(call_id, record)
+            return [store_messages.StorePut(create, key, record, 0)]
+    return answers.refuse_without_store(call_id, STEP)
+
+
+def _accept(
+    call_id: str,
+    record: jobs.JobRecord,
+    version: int,
+    create_revision: int,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    effects = records.take(record, version, create_revision, instance, now)
+    shown = operator_messages.JobShown(
+        record.job_id,
+        record.data_centre,
+        "waiting",
+        0,
+        0,
+        record.task_count,
+    )
+    effects += answers.answer(call_id, shown)
+    effects += amendments.notify_owners(record, instance)
+    for partition in instance.tasks.find_owned():
+        if record.job_id in partition.shares:
+            effects += starts.place(partition, instance, now)
+    return effects
--- a/packages/core/src/sapphirestall_core/task_messages.py
+++ b/packages/core/src/sapphirestall_core/task_messages.py
@@ -29,6 +29,17 @@
         return f"{self.job_id}.{self.task}.{self.attempt}"
 
 
+@attrs.frozen
+class TaskName:
+    """Names one task of a job."""
+
+    job_id: str
+    task: int
+
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.task}"
+
+
 @attrs.frozen
 class TaskReport:
     """One task in a worker's report.
@@ -89,12 +100,15 @@
         epoch: Epoch of the sender; the worker refuses an older one.
         expires_at: Reading of the worker's clock after which it refuses the
             call.
+        incarnation: Incarnation of the worker that is meant; another one
+            refuses the call. Empty in a poll, which learns the incarnation.
     """
 
     worker_id: str
     address: str
     epoch: int
     expires_at: float
+    incarnation: str = attrs.field(default="", kw_only=True)
 
 
 @attrs.frozen
@@ -201,7 +215,8 @@
 
     Attributes:
         code: `unreachable`, `stale_epoch`, `expired`, `no_room`, `duplicate`,
-            `unknown_task`, `start_failed`.
+            `unknown_task`, `start_failed`, `wrong_incarnation`,
+            `checkpoint_failed`.
         ambiguous: Whether the command may still have taken effect.
     """
 
--- a/packages/entry/src/sapphirestall_entry/workers.py
+++ b/packages/entry/src/sapphirestall_entry/workers.py
@@ -30,6 +30,7 @@
             "owner": self.context.identity.instance_id,
             "epoch": effect.epoch,
             "expires_at": effect.expires_at,
+            "incarnation": effect.incarnation,
         }
         try:
             status, raw = await self._exchange(effect.address, path, body)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -46,7 +46,12 @@
     fenced = request.path != "/poll" or body["renew"]
     expires_at = body["expires_at"] if fenced else None
     try:
-        worker.admit(body["owner"], body["epoch"], expires_at)
+        worker.admit(
+            body["owner"],
+            body["epoch"],
+            expires_at,
+            body.get("incarnation", ""),
+        )
         response = await handler(request)
     except worker_model.RefusalError as error:
         return refuse(worker, error.code)
@@ -72,6 +77,10 @@
         "incarnation": worker.incarnation,
         "capacity": attrs.asdict(worker.capacity),
         "tasks": [render(t, worker.now) for t in worker.tasks.values()],
+        "services": [
+            attrs.asdict(service) | {"measured_at": worker.now}
+            for service in worker.services
+        ],
     }
     return web.json_response(report)
 
@@ -113,7 +122,9 @@
             worker_model.Amount(**body["reserved"]),
             body["run_s"],
             worker.now + body["lease_s"],
-        )
+            checkpoint=body["checkpoint"],
+        ),
+        body["expires_at"],
     )
     return web.json_response({})
 
@@ -124,7 +135,7 @@
     task = request.app[WORKER].find_running(name)
     match request.match_info["command"]:
         case "checkpoint":
-            task.checkpoint = f"checkpoint-{name}"
+            request.app[WORKER].take_checkpoint(task)
         case "throttle":
             task.throttle = (await request.json())["share"]
         case "stop":
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -27,6 +27,7 @@
     Attributes:
         name: `job.task.attempt`.
         work_left_s: Run time that is left at full share.
+        checkpoint: Newest checkpoint, or the one that it was started from.
     """
 
     name: str
@@ -47,13 +48,27 @@
         self.code = code
 
 
+@attrs.frozen
+class Service:
+    """A latency-critical task that the platform runs on the worker."""
+
+    service: str
+    reserved: Amount
+    slowdown: float = 1.0
+
+
 @attrs.define
 class Worker:
     """Capacity, tasks and fence of a worker.
 
     Attributes:
         fail_starts: Fault: every start fails.
+        fail_kinds: Fault: tasks of these kinds fail when their time is over.
+        fail_checkpoints: Fault: every checkpoint fails.
         started: Names of all attempts ever started, in order.
+        seen: Names of start commands by the reading until which they could
+            arrive again; a name is never started twice.
+        checkpoints_made: Number of checkpoints taken.
         now: Time up to which the tasks have advanced.
     """
 
@@ -62,8 +77,13 @@
     highest_epoch: int = 0
     owner: str = ""
     tasks: dict[str, Task] = attrs.field(factory=dict)
+    services: list[Service] = attrs.field(factory=list)
     fail_starts: bool = False
+    fail_kinds: set[str] = attrs.field(factory=set)
+    fail_checkpoints: bool = False
     started: list[str] = attrs.field(factory=list)
+    seen: dict[str, float] = attrs.field(factory=dict)
+    checkpoints_made: int = 0
     now: float = 0.0
 
     def advance(self, now: float) -> None:
@@ -74,20 +94,29 @@
             until = min(now, task.lease_until)
             task.work_left_s -= max(0.0, until - self.now) * task.throttle
             if task.work_left_s <= 0:
-                task.state = "finished"
+                failed = task.kind in self.fail_kinds
+                task.state = "failed" if failed else "finished"
             elif task.lease_until <= now:
                 task.state = "stopped"
         self.now = now
 
-    def admit(self, owner: str, epoch: int, expires_at: float | None) -> None:
+    def admit(
+        self,
+        owner: str,
+        epoch: int,
+        expires_at: float | None,
+        incarnation: str = "",
+    ) -> None:
         """Checks the fence of a command and remembers its epoch.
 
         Raises:
-            RefusalError: `stale_epoch` or `expired`.
+            RefusalError: `stale_epoch`, `wrong_incarnation` or `expired`.
         """
         other = epoch == self.highest_epoch and owner != self.owner
         if epoch < self.highest_epoch or (other and self.owner):
             raise RefusalError("stale_epoch")
+        if incarnation and incarnation != self.incarnation:
+            raise RefusalError("wrong_incarnation")
         if expires_at is not None and expires_at < self.now:
             raise RefusalError("expired")
         self.highest_epoch = epoch
@@ -105,17 +134,24 @@
         if task and task.state != "running":
             del self.tasks[name]
 
-    def start(self, task: Task) -> None:
+    def start(self, task: Task, expires_at: float = 0.0) -> None:
         """Starts an attempt.
 
+        A start that fails leaves a `failed` task.
+
         Raises:
             RefusalError: `duplicate`, `start_failed` or `no_room`.
         """
-        if task.name in self.tasks:
+        self.seen = {n: at for n, at in self.seen.items() if at >= self.now}
+        if task.name in self.tasks or task.name in self.seen:
             raise RefusalError("duplicate")
+        self.seen[task.name] = expires_at
         if self.fail_starts:
+            task.state = "failed"
+            self.tasks[task.name] = task
             raise RefusalError("start_failed")
-        running = [
+        running = [s.reserved for s in self.services]
+        running += [
             t.reserved for t in self.tasks.values() if t.state == "running"
         ]
         if not task.reserved.fits_with(running, self.capacity):
@@ -133,3 +169,14 @@
         if task is None or task.state != "running":
             raise RefusalError("unknown_task")
         return task
+
+    def take_checkpoint(self, task: Task) -> None:
+        """Takes a checkpoint of a running attempt.
+
+        Raises:
+            RefusalError: `checkpoint_failed`.
+        """
+        if self.fail_checkpoints:
+            raise RefusalError("checkpoint_failed")
+        self.checkpoints_made += 1
+        task.checkpoint = f"checkpoint-{task.name}-{self.checkpoints_made}"
--- a/standins/world_workers.py
+++ b/standins/world_workers.py
@@ -112,6 +112,15 @@
             )
             for task in worker.tasks.values()
         ),
+        tuple(
+            task_messages.ServiceReport(
+                service.service,
+                _measure(service.reserved),
+                service.slowdown,
+                worker.now,
+            )
+            for service in worker.services
+        ),
     )
 
 
@@ -123,11 +132,11 @@
     sent_at: float,
 ) -> messages.Event:
     """Carries out a command on a running attempt."""
-    worker.admit(owner, effect.epoch, effect.expires_at)
+    worker.admit(owner, effect.epoch, effect.expires_at, effect.incarnation)
     name = str(getattr(effect, "name", ""))
     task = worker.find_running(name)
     if isinstance(effect, task_messages.CheckpointTask):
-        task.checkpoint = f"checkpoint-{name}"
+        worker.take_checkpoint(task)
     elif isinstance(effect, task_messages.StopTask):
         task.state = "stopped"
     elif isinstance(effect, task_messages.ThrottleTask):
@@ -145,7 +154,7 @@
     sent_at: float,
 ) -> messages.Event:
     expires_at = effect.expires_at if effect.renew else None
-    worker.admit(owner, effect.epoch, expires_at)
+    worker.admit(owner, effect.epoch, expires_at, effect.incarnation)
     for name in effect.renew:
         worker.renew(str(name), effect.lease_s)
     for name in effect.acknowledge:
@@ -166,7 +175,7 @@
     owner: str,
     sent_at: float,
 ) -> messages.Event:
-    worker.admit(owner, effect.epoch, effect.expires_at)
+    worker.admit(owner, effect.epoch, effect.expires_at, effect.incarnation)
     amount = effect.reserved
     worker.start(
         worker_model.Task(
@@ -177,6 +186,8 @@
             ),
             effect.run_s,
             worker.now + effect.lease_s,
-        )
+            checkpoint=effect.checkpoint,
+        ),
+        effect.expires_at,
     )
     return task_messages.CommandDone(effect.worker_id, sent_at, effect)
