Open listening sockets first and add a load tool

Cause: in one of two load runs the configuration status never became complete. The peer port of one instance had been taken by another process's outgoing connection; the failed bind ended a background task without a word, and the instance ran on deaf to its peers. Ruled out: lost heartbeats (the other two instances exchanged theirs), a broken instance-list timer (the list was read). Change: all sockets are opened before anything is served, and a failure ends the daemon with listen_failed, exit code 6.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo bench mutations clean
+.PHONY: setup format check test demo load bench mutations clean
 
 setup: $(STAMP)
 
@@ -31,3 +31,6 @@
 
 test: check
 	$(BIN)/python -m tools.verdict
+
+load: $(STAMP)
+	$(BIN)/python -m tools.load
--- a/packages/core/src/sapphirestall_core/errors.py
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -66,3 +66,10 @@
 
     code = "refused"
     exit_code = 5
+
+
+class ListenError(SapphirestallError):
+    """A listening socket could not be opened."""
+
+    code = "listen_failed"
+    exit_code = 6
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -85,16 +85,15 @@
         event_loop.add_signal_handler(
             number, context.feed, messages.ShutdownRequested()
         )
-    caller_server = servers.make_server(
-        context.callers.build_app(), settings.callers_listen
-    )
-    operator_server = servers.make_server(
-        context.operators.build_app(), settings.operators_listen
-    )
+    caller_socket = servers.open_socket(settings.callers_listen)
+    operator_socket = servers.open_socket(settings.operators_listen)
+    peer_socket = servers.open_socket(settings.peers_listen)
+    caller_server = servers.make_server(context.callers.build_app())
+    operator_server = servers.make_server(context.operators.build_app())
     running = [
-        event_loop.create_task(caller_server.serve()),
-        event_loop.create_task(operator_server.serve()),
-        event_loop.create_task(context.peers.serve()),
+        event_loop.create_task(caller_server.serve([caller_socket])),
+        event_loop.create_task(operator_server.serve([operator_socket])),
+        event_loop.create_task(context.peers.serve(peer_socket)),
     ]
     context.feed(messages.Started())
     await context.exit.wait()
--- a/packages/entry/src/sapphirestall_entry/peers.py
+++ b/packages/entry/src/sapphirestall_entry/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import socket
 
 import attrs
 from websockets import exceptions
@@ -47,11 +48,10 @@
     context: context_module.Context
     links: dict[str, Link] = attrs.field(factory=dict)
 
-    async def serve(self) -> None:
-        """Receives messages of peers until cancelled."""
-        host, _, port = self.context.settings.peers_listen.rpartition(":")
+    async def serve(self, listener: socket.socket) -> None:
+        """Receives messages of peers on a socket until cancelled."""
         async with server.serve(
-            self._receive, host, int(port), max_size=MAX_FRAME_BYTES
+            self._receive, sock=listener, max_size=MAX_FRAME_BYTES
         ) as running:
             await running.serve_forever()
 
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -2,10 +2,15 @@
 
 from collections.abc import Iterator
 import contextlib
+import socket
 
 from starlette import applications
 import uvicorn
 
+from sapphirestall_core import errors
+
+BACKLOG = 1024
+
 
 class Server(uvicorn.Server):
     """A server that leaves the process's signals alone."""
@@ -16,16 +21,27 @@
         yield
 
 
-def make_server(app: applications.Starlette, address: str) -> Server:
-    """Returns a server for an application; `serve()` runs it."""
+def open_socket(address: str) -> socket.socket:
+    """Returns a listening socket.
+
+    Sockets are opened before anything is served, so that a port that is taken
+    ends the process instead of leaving a part of it deaf.
+
+    Raises:
+        errors.ListenError: The address cannot be bound.
+    """
     host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=BACKLOG)
+    except OSError as error:
+        raise errors.ListenError(
+            str(error), step="listen", peer=address
+        ) from error
+
+
+def make_server(app: applications.Starlette) -> Server:
+    """Returns a server for an application; `serve(sockets=...)` runs it."""
     config = uvicorn.Config(
-        app,
-        host=host,
-        port=int(port),
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        ws="none",
+        app, lifespan="off", log_config=None, access_log=False, ws="none"
     )
     return Server(config)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,7 +1,9 @@
 """Starts stand-ins and entry instances as processes on the loopback range."""
 
 import asyncio
+import contextlib
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -17,11 +19,18 @@
 HOST = "127.0.0.1"
 
 
+# Below the range from which the kernel takes ports of outgoing connections;
+# a port from that range was taken between the check and the process's start.
+PORTS = range(20_000, 32_000)
+
+
 def find_port() -> int:
     """Returns a port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 @attrs.define
