Split control by job; bound patches, links and leaving marks

Cause: finish_patch retried without bound and reported a lost answer as a refusal; a body that the policy parser rejects raised in the loop; each watch event started another chain of periodic reads; a status without an instance list named a version as in force everywhere; heartbeats exceeded 5 KB/s. Ruled out: fewer links within a data centre, since slot shares and ownership candidates need the direct liveness of all its entry instances; passing the whole table of a data centre on in each heartbeat (540 B each at 27 entries). Change: control.py becomes heartbeats, links, liveness, instance_lists, spread, patches, status and shutdown. A patch ends within 7 s with a coded refusal or as unknown. Heartbeats are whole only when they changed, else a short Beat. Every pair within a data centre is linked, two links an instance to each other data centre; rosters carry the versions across. Leaving marks end after 600 s. Shutdown: notice, drain, release of the parts, exit, within drain_s.

--- a/packages/core/src/sapphirestall_core/configuration.py
+++ b/packages/core/src/sapphirestall_core/configuration.py
@@ -1,10 +1,13 @@
 """Numbered configuration document and the patches that amend it."""
 
 import copy
+import json
 
 import attrs
 
 PATCH_IDS_KEPT = 256
+# A store value may have 1 MB; the rest is left for the envelope.
+SIZE_LIMIT_BYTES = 900_000
 
 
 @attrs.frozen
@@ -45,16 +48,52 @@
     return Document(document.version + 1, body, kept)
 
 
+@attrs.frozen
+class Change:
+    """One value that a patch changes.
+
+    Attributes:
+        path: Names from the root, separated by dots.
+        before: Present value; `None` when there is none.
+        after: Value after the patch; `None` when it is removed.
+    """
+
+    path: str
+    before: object
+    after: object
+
+
+def list_changes(before: object, after: object, path: str = "") -> list[Change]:
+    """Returns the differences of two trees, ordered by path."""
+    if not (isinstance(before, dict) and isinstance(after, dict)):
+        return [] if before == after else [Change(path, before, after)]
+    changes = []
+    for name in sorted(before.keys() | after.keys()):
+        inner = f"{path}.{name}" if path else str(name)
+        changes += list_changes(before.get(name), after.get(name), inner)
+    return changes
+
+
 @attrs.define
 class Configuration:
     """The configuration in force at this instance.
 
     Attributes:
         stored_revision: Store revision after which a watch starts.
+        rejected_version: Highest version whose body the policy rejected.
+        asked_version: Version that a peer was last asked for.
+        asked_at: Time of that request.
+        read_failures: Reads in a row that the store did not answer.
+        watch_failures: Watches in a row that the store did not answer.
     """
 
     document: Document = attrs.field(factory=Document)
     stored_revision: int = 0
+    rejected_version: int = 0
+    asked_version: int = 0
+    asked_at: float = 0.0
+    read_failures: int = 0
+    watch_failures: int = 0
 
     def adopt(self, document: Document) -> bool:
         """Takes a document if its version is higher than the present one.
@@ -67,3 +106,8 @@
             return False
         self.document = document
         return True
+
+
+def measure_size(document: Document) -> int:
+    """Returns the size of a document as JSON, in bytes."""
+    return len(json.dumps(attrs.asdict(document)))
--- a/packages/core/src/sapphirestall_core/dispatch.py
+++ b/packages/core/src/sapphirestall_core/dispatch.py
@@ -1,6 +1,6 @@
 """Entry points of the core; the parts register their handlers here.
 
-All four functions dispatch on the type of their first argument and return the
+The functions dispatch on the type of their first argument and return the
 effects to perform, in order.
 """
 
@@ -70,8 +70,15 @@
     instance: state.Instance,
     now: float,
 ) -> Effects:
-    """Handles an operator's command."""
-    raise _reject(command)
+    """Handles an operator's command; refuses it where no part does."""
+    name = type(command).__name__
+    failure = operator_messages.Failure(
+        "not_supported", "dispatch", f"no part handles {name}", 501
+    )
+    return [
+        messages.CountRefusal("dispatch", failure.code),
+        operator_messages.AnswerOperator(call_id, failure),
+    ]
 
 
 @functools.singledispatch
@@ -85,6 +92,18 @@
     raise _reject(message)
 
 
+@functools.singledispatch
+def release(part: object, instance: state.Instance, now: float) -> Effects:
+    """Gives back what the state of a part holds, before the process ends."""
+    return []
+
+
+@functools.singledispatch
+def is_released(part: object, instance: state.Instance) -> bool:
+    """Tells whether a part has given back all that it held."""
+    return True
+
+
 @handle.register(store_messages.StoreReply)
 def _(
     event: store_messages.StoreReply, instance: state.Instance, now: float
--- a/packages/core/src/sapphirestall_core/errors.py
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -66,3 +66,24 @@
 
     code = "refused"
     exit_code = 5
+
+
+class UnknownOutcomeError(SapphirestallError):
+    """A command may or may not have taken effect."""
+
+    code = "outcome_unknown"
+    exit_code = 6
+
+
+class WaitEndedError(SapphirestallError):
+    """The awaited state was not reached in the time allowed."""
+
+    code = "wait_ended"
+    exit_code = 7
+
+
+class ListenError(SapphirestallError):
+    """The process cannot listen on one of its addresses."""
+
+    code = "listen_failed"
+    exit_code = 8
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/instance_lists.py
@@ -0,0 +1,71 @@
+"""Reading the platform's list of instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import dispatch
+from sapphirestall_core import links
+from sapphirestall_core import membership
+from sapphirestall_core import messages
+from sapphirestall_core import peer_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "membership"
+# An unchanged list costs a short answer; a whole one of 2,500 instances has
+# about 370 KB.
+INSTANCES_PERIOD_S = 2.0
+
+
+@attrs.frozen
+class InstancesDue(messages.Timer):
+    """Time to read the platform's instance list."""
+
+
+@dispatch.expire.register(InstancesDue)
+def read_instances(
+    timer: InstancesDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Reads the platform's list again."""
+    return [membership.ReadInstances()]
+
+
+@dispatch.handle.register(membership.InstancesListed)
+def take_instances(
+    event: membership.InstancesListed, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Takes a newer list; an empty one is taken for a fault of the platform."""
+    effects: dispatch.Effects = []
+    if event.listings:
+        instance.members.replace_listings(event.listings, now)
+    else:
+        effects.append(messages.CountRefusal(PART, "list_empty"))
+    return effects + _connect(instance, now)
+
+
+@dispatch.handle.register(membership.InstancesUnchanged)
+@dispatch.handle.register(membership.InstancesUnread)
+def keep_instances(
+    event: messages.Event, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Keeps the last list; peers may have been heard since."""
+    return _connect(instance, now)
+
+
+def _connect(instance: state.Instance, now: float) -> dispatch.Effects:
+    listings = instance.members.listings
+    seeds = instance.identity.seed_peers
+    addresses = {}
+    for peer_id in links.choose_links(instance, now):
+        entry = listings.get(peer_id)
+        address = entry.address if entry else seeds.get(peer_id, "")
+        if address:
+            addresses[peer_id] = address
+    return [
+        peer_messages.ConnectPeers(addresses),
+        messages.StartTimer(InstancesDue(), INSTANCES_PERIOD_S, 0.2),
+    ]
--- a/packages/core/src/sapphirestall_core/journal.py
+++ b/packages/core/src/sapphirestall_core/journal.py
@@ -6,6 +6,8 @@
 import attrs
 
 ENTRIES_KEPT = 4096
+# Bounds the memory of the journal to a few megabytes whatever peers send.
+TEXT_LIMIT = 256
 
 
 @attrs.frozen(slots=True)
@@ -37,8 +39,14 @@
         self, now: float, subject: str, action: str, reason: str
     ) -> None:
         """Records a decision and drops the oldest beyond the bound."""
-        self.entries.append(Entry(now, subject, action, reason))
+        self.entries.append(
+            Entry(now, subject[:TEXT_LIMIT], action, reason[:TEXT_LIMIT])
+        )
 
     def find(self, subject: str) -> Iterator[Entry]:
         """Yields the decisions about a subject, oldest first."""
-        return (entry for entry in self.entries if entry.subject == subject)
+        return (
+            entry
+            for entry in self.entries
+            if entry.subject == subject[:TEXT_LIMIT]
+        )
--- a/packages/core/src/sapphirestall_core/membership.py
+++ b/packages/core/src/sapphirestall_core/membership.py
@@ -50,9 +50,26 @@
     listings: tuple[Listing, ...]
 
 
+@attrs.frozen
+class InstancesUnchanged(messages.Event):
+    """The platform's list is the one that was read last."""
+
+
+@attrs.frozen
+class InstancesUnread(messages.Event):
+    """The platform's list could not be read."""
+
+
 @attrs.frozen
 class ReadInstances(messages.Effect):
-    """Asks for `InstancesListed`."""
+    """Asks for `InstancesListed`, `InstancesUnchanged` or `InstancesUnread`."""
+
+
+# Leaving marks are kept far longer than they are passed on, so that marks that
+# instances learn from each other end everywhere instead of circulating.
+LEAVING_KEPT_S = 600.0
+LEAVING_SHARED_S = 30.0
+LEAVING_LIMIT = 4096  # about twice the instances that leave on a bad day
 
 
 @attrs.define
@@ -61,25 +78,58 @@
 
     Attributes:
         listings: Newest list, by instance id.
-        leaving: Incarnations seen leaving by any sign. A leaving mark wins
-            over a live mark of the same incarnation.
+        listed: Whether the platform's list was read since the start.
+        leaving: Incarnations seen leaving by any sign, with the time at which
+            this instance learned it. A leaving mark wins over a live mark of
+            the same incarnation.
     """
 
     listings: dict[str, Listing] = attrs.field(factory=dict)
-    leaving: set[tuple[str, str]] = attrs.field(factory=set)
+    listed: bool = False
+    leaving: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
-    def replace_listings(self, listings: tuple[Listing, ...]) -> None:
+    def replace_listings(
+        self, listings: tuple[Listing, ...], now: float
+    ) -> None:
         """Takes a newer list from the platform."""
         self.listings = {entry.instance_id: entry for entry in listings}
+        self.listed = True
         for entry in listings:
             if entry.state is State.LEAVING:
-                self.leaving.add((entry.instance_id, entry.incarnation))
-
-    def mark_leaving(self, instance_id: str) -> None:
+                self.record_leaving(entry.instance_id, entry.incarnation, now)
+
+    def record_leaving(
+        self, instance_id: str, incarnation: str, now: float
+    ) -> None:
+        """Records that one incarnation is leaving; keeps the first time."""
+        self.leaving.setdefault((instance_id, incarnation), now)
+        if len(self.leaving) > LEAVING_LIMIT:
+            # Entries keep the order of arrival, so the first is the oldest.
+            del self.leaving[next(iter(self.leaving))]
+
+    def mark_leaving(self, instance_id: str, now: float) -> None:
         """Records that the present incarnation of an instance is leaving."""
         entry = self.listings.get(instance_id)
         incarnation = entry.incarnation if entry else ""
-        self.leaving.add((instance_id, incarnation))
+        self.record_leaving(instance_id, incarnation, now)
+
+    def drop_old_marks(self, now: float) -> None:
+        """Forgets marks of incarnations that are no longer listed."""
+        for mark, marked_at in list(self.leaving.items()):
+            entry = self.listings.get(mark[0])
+            present = entry is not None and entry.incarnation == mark[1]
+            if not present and now - marked_at >= LEAVING_KEPT_S:
+                del self.leaving[mark]
+
+    def find_new_marks(self, now: float) -> tuple[tuple[str, str], ...]:
+        """Returns the marks that are still passed on to peers."""
+        return tuple(
+            sorted(
+                mark
+                for mark, marked_at in self.leaving.items()
+                if now - marked_at < LEAVING_SHARED_S
+            )
+        )
 
     def is_leaving(self, entry: Listing) -> bool:
         """Tells whether an instance is known to be leaving."""
@@ -95,6 +145,13 @@
             and not self.is_leaving(entry)
         ]
 
+    def find_entries(self) -> dict[str, list[str]]:
+        """Returns the sorted ids of entry instances by data centre."""
+        groups: dict[str, list[str]] = {}
+        for entry in self.find(Kind.ENTRY):
+            groups.setdefault(entry.data_centre, []).append(entry.instance_id)
+        return groups
+
 
 def rank_candidates(subject: str, instance_ids: list[str]) -> list[str]:
     """Orders instances by rendezvous hash for a subject.
@@ -108,3 +165,9 @@
         return hashlib.blake2b(text, digest_size=8).digest()
 
     return sorted(instance_ids, key=weigh)
+
+
+def tag_text(text: str) -> int:
+    """Returns a number of 16 bits that tells short texts apart."""
+    digest = hashlib.blake2b(text.encode(), digest_size=2).digest()
+    return int.from_bytes(digest, "big")
--- a/packages/core/src/sapphirestall_core/operator_messages.py
+++ b/packages/core/src/sapphirestall_core/operator_messages.py
@@ -1,9 +1,42 @@
 """Commands of operators and their results."""
 
+import math
+from typing import Any
+
 import attrs
 
+from sapphirestall_core import configuration
 from sapphirestall_core import messages
 
+NAME_LIMIT = 200
+# A slice lists its tasks in memory at the owner; a larger job is split.
+TASKS_LIMIT = 100_000
+
+
+def _check_name(
+    instance: object, attribute: "attrs.Attribute[Any]", value: str
+) -> None:
+    good = 0 < len(value) <= NAME_LIMIT and value.isprintable()
+    if not good or "/" in value:
+        raise ValueError(
+            f"{attribute.name} must have 1 to {NAME_LIMIT} printable "
+            "characters without '/'"
+        )
+
+
+def _check_not_negative(
+    instance: object, attribute: "attrs.Attribute[Any]", value: float
+) -> None:
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError(f"{attribute.name} must be 0 or more")
+
+
+def _check_count(
+    instance: object, attribute: "attrs.Attribute[Any]", value: int
+) -> None:
+    if not 0 < value <= TASKS_LIMIT:
+        raise ValueError(f"{attribute.name} must be 1 to {TASKS_LIMIT}")
+
 
 @attrs.frozen
 class Command:
@@ -39,6 +72,22 @@
     peer: str = ""
 
 
+@attrs.frozen
+class OutcomeUnknown(Result):
+    """The command may or may not have taken effect.
+
+    Attributes:
+        code: Stable reason code.
+        detail: What the operator can do to learn the outcome.
+        status: HTTP status, used by HTTP front ends.
+    """
+
+    code: str
+    step: str
+    detail: str
+    status: int = 504
+
+
 @attrs.frozen
 class AnswerOperator(messages.Effect):
     """Hands the result of a command to the operator."""
@@ -55,10 +104,11 @@
         patch_id: Chosen by the sender; settles a lost answer.
         base_version: The version that the patch amends.
         patch: JSON merge patch (RFC 7396).
+        preview: Whether to show what would change and to write nothing.
     """
 
-    patch_id: str
-    base_version: int
+    patch_id: str = attrs.field(validator=_check_name)
+    base_version: int = attrs.field(validator=_check_not_negative)
     patch: dict[str, object]
     preview: bool = False
 
@@ -76,6 +126,36 @@
     body: dict[str, object]
 
 
+@attrs.frozen
+class ConfigurationPreviewed(Result):
+    """What a patch would change.
+
+    Attributes:
+        version: The version that the patch would make.
+    """
+
+    version: int
+    changes: list[configuration.Change]
+    body: dict[str, object]
+
+
+@attrs.frozen
+class ShowReadiness(Command):
+    """Asks whether this instance can take work."""
+
+
+@attrs.frozen
+class ReadinessShown(Result):
+    """Whether this instance can take work.
+
+    Attributes:
+        reasons: Why it is not ready; empty when it is.
+    """
+
+    ready: bool
+    reasons: list[str]
+
+
 @attrs.frozen
 class ShowConfigurationStatus(Command):
     """Asks where which version is in force."""
@@ -90,12 +170,17 @@
         lowest: Lowest version among reachable entry instances.
         in_force: Version by entry instance.
         unreachable: Entry instances whose version is not known at present.
+        instances_listed: Whether the platform's list of instances was read;
+            without it, instances may be missing from the other fields.
+        everywhere: Whether `version` is in force in every listed instance.
     """
 
     version: int
     lowest: int
     in_force: dict[str, int]
     unreachable: list[str]
+    instances_listed: bool
+    everywhere: bool
 
 
 @attrs.frozen
@@ -113,16 +198,16 @@
         urgency: 0 is the least urgent.
     """
 
-    job_id: str
-    data_centre: str
-    team: str
-    kind: str
-    task_count: int
-    cpu_millis: int
-    memory_mb: int
-    run_s: float
-    accelerators: int = 0
-    urgency: int = 0
+    job_id: str = attrs.field(validator=_check_name)
+    data_centre: str = attrs.field(validator=_check_name)
+    team: str = attrs.field(validator=_check_name)
+    kind: str = attrs.field(validator=_check_name)
+    task_count: int = attrs.field(validator=_check_count)
+    cpu_millis: int = attrs.field(validator=_check_not_negative)
+    memory_mb: int = attrs.field(validator=_check_not_negative)
+    run_s: float = attrs.field(validator=_check_not_negative)
+    accelerators: int = attrs.field(default=0, validator=_check_not_negative)
+    urgency: int = attrs.field(default=0, validator=_check_not_negative)
     checkpointable: bool = True
 
 
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/patches.py
@@ -0,0 +1,245 @@
+"""Operators' patches of the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import configuration
+from sapphirestall_core import dispatch
+from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from sapphirestall_core import policy
+from sapphirestall_core import spread
+from sapphirestall_core import store_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "configuration"
+# Ends before the front end's own limit of 10 s, which would hide the reason.
+PATCH_TERM_S = 7.0
+RETRY_FIRST_S = 0.1
+RETRY_LIMIT_S = 1.0
+RETRY_JITTER = 0.5
+
+
+@attrs.frozen
+class Attempt:
+    """Progress of one patch command.
+
+    Attributes:
+        ends_at: Time after which no further try starts.
+        tries: Tries that failed so far.
+        unsettled: Whether an earlier write may have taken effect.
+        code: Why the last try failed.
+    """
+
+    call_id: str
+    command: operator_messages.PatchConfiguration
+    ends_at: float
+    tries: int = 0
+    unsettled: bool = False
+    code: str = ""
+
+
+@attrs.frozen
+class ReadBeforePatch(store_messages.Purpose):
+    """Reads the configuration that a patch amends."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class WritePatch(store_messages.Purpose):
+    """Writes an amended configuration."""
+
+    attempt: Attempt
+    document: configuration.Document
+
+
+@attrs.frozen
+class PatchDue(messages.Timer):
+    """Time to try a patch again."""
+
+    attempt: Attempt
+
+
+@dispatch.execute.register(operator_messages.PatchConfiguration)
+def patch_configuration(
+    command: operator_messages.PatchConfiguration,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Reads the stored version before it is amended."""
+    return [_make_read(Attempt(call_id, command, now + PATCH_TERM_S))]
+
+
+def _make_read(attempt: Attempt) -> store_messages.StoreGet:
+    return store_messages.StoreGet(
+        ReadBeforePatch(attempt),
+        spread.CONFIGURATION_KEY,
+        configuration.Document,
+    )
+
+
+@dispatch.expire.register(PatchDue)
+def read_again(
+    timer: PatchDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Reads the stored version again after a failed try."""
+    return [_make_read(timer.attempt)]
+
+
+@dispatch.resume.register(ReadBeforePatch)
+def write_patch(
+    purpose: ReadBeforePatch,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Amends the version that was read, or reports why that is impossible."""
+    attempt = purpose.attempt
+    match reply.outcome:
+        case store_messages.Found(value=configuration.Document() as current):
+            stored_version = reply.outcome.version
+        case store_messages.Absent():
+            current, stored_version = configuration.Document(), 0
+        case _:
+            return _retry(attempt, "store_unavailable", now)
+    if attempt.command.patch_id in current.patch_ids:
+        return _confirm(attempt.call_id, current, instance, now)
+    failure = _find_conflict(attempt.command, current, instance)
+    if failure:
+        return _fail(attempt.call_id, failure)
+    return _amend(attempt, current, stored_version)
+
+
+def _find_conflict(
+    command: operator_messages.PatchConfiguration,
+    current: configuration.Document,
+    instance: state.Instance,
+) -> operator_messages.Failure | None:
+    in_force = instance.configuration.document.version
+    if current.version < in_force:
+        # A store restored from an old copy: its next versions would be lower
+        # than the one in force and no instance would adopt them.
+        detail = f"the store has {current.version}, in force is {in_force}"
+        return _make_failure("store_reverted", 503, detail)
+    if command.base_version != current.version:
+        detail = f"the current version is {current.version}"
+        return _make_failure("version_conflict", 409, detail)
+    return None
+
+
+def _amend(
+    attempt: Attempt, current: configuration.Document, stored_version: int
+) -> dispatch.Effects:
+    command = attempt.command
+    document = configuration.amend(current, command.patch_id, command.patch)
+    faults = policy.list_faults(document.body)
+    if faults:
+        detail = "; ".join(faults)
+        failure = _make_failure("configuration_invalid", 422, detail)
+        return _fail(attempt.call_id, failure)
+    if configuration.measure_size(document) > configuration.SIZE_LIMIT_BYTES:
+        detail = f"allowed: {configuration.SIZE_LIMIT_BYTES} bytes"
+        failure = _make_failure("configuration_too_large", 413, detail)
+        return _fail(attempt.call_id, failure)
+    if command.preview:
+        changes = configuration.list_changes(current.body, document.body)
+        preview = operator_messages.ConfigurationPreviewed(
+            document.version, changes, document.body
+        )
+        return [operator_messages.AnswerOperator(attempt.call_id, preview)]
+    return [
+        store_messages.StorePut(
+            WritePatch(attempt, document),
+            spread.CONFIGURATION_KEY,
+            document,
+            stored_version,
+        )
+    ]
+
+
+@dispatch.resume.register(WritePatch)
+def finish_patch(
+    purpose: WritePatch,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Confirms an accepted patch; settles anything else by re-reading.
+
+    A write whose answer was lost may still land. The next try either finds
+    its patch id, or writes with the same expected version, so that only one
+    of the two can take effect.
+    """
+    attempt = purpose.attempt
+    match reply.outcome:
+        case store_messages.Written():
+            return _confirm(attempt.call_id, purpose.document, instance, now)
+        case store_messages.Unavailable(ambiguous=True):
+            unsettled = attrs.evolve(attempt, unsettled=True)
+            return _retry(unsettled, "store_unavailable", now)
+        case store_messages.Unavailable():
+            return _retry(attempt, "store_unavailable", now)
+        case _:
+            return _retry(attempt, "write_conflict", now)
+
+
+def _retry(attempt: Attempt, code: str, now: float) -> dispatch.Effects:
+    delay_s = min(RETRY_LIMIT_S, RETRY_FIRST_S * 2.0**attempt.tries)
+    if now + delay_s >= attempt.ends_at:
+        return _give_up(attempt, code)
+    later = attrs.evolve(attempt, tries=attempt.tries + 1, code=code)
+    return [
+        messages.CountRetry(PART, code),
+        messages.StartTimer(PatchDue(later), delay_s, RETRY_JITTER),
+    ]
+
+
+def _give_up(attempt: Attempt, code: str) -> dispatch.Effects:
+    if not attempt.unsettled:
+        detail = f"no try succeeded within {PATCH_TERM_S} s"
+        return _fail(attempt.call_id, _make_failure(code, 503, detail))
+    unknown = operator_messages.OutcomeUnknown(
+        "patch_unsettled",
+        "configuration",
+        "a write got no answer; repeat the patch with the same patch id "
+        f"{attempt.command.patch_id!r} to learn its outcome",
+    )
+    return [
+        messages.CountRefusal(PART, unknown.code),
+        operator_messages.AnswerOperator(attempt.call_id, unknown),
+    ]
+
+
+def _confirm(
+    call_id: str,
+    document: configuration.Document,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    shown = operator_messages.ConfigurationShown(
+        document.version, document.body
+    )
+    return [
+        operator_messages.AnswerOperator(call_id, shown),
+        *spread.adopt_document(document, instance, now, "patch"),
+    ]
+
+
+def _make_failure(
+    code: str, status: int, detail: str
+) -> operator_messages.Failure:
+    return operator_messages.Failure(code, "configuration", detail, status)
+
+
+def _fail(call_id: str, failure: operator_messages.Failure) -> dispatch.Effects:
+    return [
+        messages.CountRefusal(PART, failure.code),
+        operator_messages.AnswerOperator(call_id, failure),
+    ]
--- a/packages/core/src/sapphirestall_core/peer_messages.py
+++ b/packages/core/src/sapphirestall_core/peer_messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from sapphirestall_core import membership
 from sapphirestall_core import messages
 
 
@@ -12,10 +13,9 @@
 
 @attrs.frozen
 class Heartbeat(PeerMessage):
-    """Periodic state of an entry instance.
+    """Whole state of an entry instance; sent when it changed.
 
     Attributes:
-        state: `live` or `leaving`.
         configuration_version: Highest version in force there.
         slot_demand: Slots that the sender could use beyond its share.
         leaving: Ids and incarnations of instances that the sender saw leaving.
@@ -24,12 +24,52 @@
     instance_id: str
     incarnation: str
     data_centre: str
-    state: str
+    state: membership.State
     configuration_version: int
     slot_demand: int = 0
     leaving: tuple[tuple[str, str], ...] = ()
 
 
+@attrs.frozen
+class Beat(PeerMessage):
+    """Periodic short form of a heartbeat whose other fields did not change.
+
+    Attributes:
+        tag: `membership.tag_text` of the sender's incarnation.
+        version: Highest configuration version in force there.
+        demand: Slots that the sender could use beyond its share.
+    """
+
+    tag: int
+    version: int
+    demand: int = 0
+
+
+@attrs.frozen
+class HeartbeatRequested(PeerMessage):
+    """Asks for a `Heartbeat`, after a `Beat` of an unknown incarnation."""
+
+
+@attrs.frozen
+class Roster(PeerMessage):
+    """Versions in force in the sender's data centre.
+
+    Every listed entry instance that is named in neither field has `version`.
+
+    Attributes:
+        digest: `membership.tag_text` of the ids that the sender has listed.
+        version: Highest version in force there.
+        behind: Lower versions, by instance id.
+        unreachable: Ids that the sender has not heard.
+    """
+
+    data_centre: str
+    digest: int
+    version: int
+    behind: dict[str, int] = attrs.field(factory=dict)
+    unreachable: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class ConfigurationRequested(PeerMessage):
     """Asks for the receiver's configuration document."""
--- a/packages/core/src/sapphirestall_core/requests.py
+++ b/packages/core/src/sapphirestall_core/requests.py
@@ -61,7 +61,7 @@
     if request is None:
         return [messages.CountRefusal(PART, "late_failure")]
     if event.leaving:
-        instance.members.mark_leaving(event.executor_id)
+        instance.members.mark_leaving(event.executor_id, now)
     _record_failure(request, event)
     operation = _find_operation(request.arrived, instance)
     if operation and _may_retry(request, operation, now):
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/spread.py
@@ -0,0 +1,255 @@
+"""Bringing the configuration into force: reads, watches, peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import configuration
+from sapphirestall_core import dispatch
+from sapphirestall_core import heartbeats
+from sapphirestall_core import liveness
+from sapphirestall_core import membership
+from sapphirestall_core import messages
+from sapphirestall_core import peer_messages
+from sapphirestall_core import policy
+from sapphirestall_core import store_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "configuration"
+CONFIGURATION_KEY = "configuration"
+CONFIGURATION_PERIOD_S = 30.0
+WATCHERS_PER_DATA_CENTRE = 2
+STORE_RETRY_S = 0.5
+STORE_RETRY_LIMIT_S = 4.0
+
+
+@attrs.frozen
+class ConfigurationDue(messages.Timer):
+    """Time to read the configuration from the store."""
+
+
+@attrs.frozen
+class WatchDue(messages.Timer):
+    """Time to decide whether to hold a watch on the configuration."""
+
+
+@attrs.frozen
+class ReadConfiguration(store_messages.Purpose):
+    """Reads the configuration to adopt it, periodically."""
+
+
+@attrs.frozen
+class ReadAfterChange(store_messages.Purpose):
+    """Reads the configuration after a watch saw a change.
+
+    Attributes:
+        revision: Store revision after which to watch on.
+    """
+
+    revision: int
+
+
+@attrs.frozen
+class WatchConfiguration(store_messages.Purpose):
+    """Waits for the next version."""
+
+
+def back_off(failures: int) -> float:
+    """Returns the delay after a number of failures in a row, in seconds."""
+    doublings = min(failures - 1, 10)
+    return min(STORE_RETRY_LIMIT_S, STORE_RETRY_S * 2.0**doublings)
+
+
+def adopt_document(
+    document: configuration.Document,
+    instance: state.Instance,
+    now: float,
+    source: str,
+) -> dispatch.Effects:
+    """Brings a newer document into force and tells the peers.
+
+    A body that the policy rejects is counted and not adopted: it comes from a
+    newer release or was written past the patches.
+    """
+    held = instance.configuration
+    if document.version <= held.document.version:
+        return []
+    faults = policy.list_faults(document.body)
+    if faults:
+        return _reject(document, faults, instance, now, source)
+    held.adopt(document)
+    instance.policy = policy.parse(document.body)
+    instance.journal.record(
+        now, CONFIGURATION_KEY, "adopt", f"version {document.version}: {source}"
+    )
+    text = f"version {document.version} is in force"
+    return [
+        messages.Log(PART, text, {"source": source}),
+        *heartbeats.announce(instance, now),
+    ]
+
+
+def _reject(
+    document: configuration.Document,
+    faults: list[str],
+    instance: state.Instance,
+    now: float,
+    source: str,
+) -> dispatch.Effects:
+    held = instance.configuration
+    if document.version <= held.rejected_version:
+        return [messages.CountRefusal(PART, "body_rejected")]
+    held.rejected_version = document.version
+    reason = f"version {document.version} from {source}: {faults[0]}"
+    instance.journal.record(now, CONFIGURATION_KEY, "reject", reason)
+    return [
+        messages.CountRefusal(PART, "body_rejected"),
+        messages.Log(PART, "rejected a version", {"reason": reason}),
+    ]
+
+
+@dispatch.receive.register(peer_messages.ConfigurationRequested)
+def send_configuration(
+    message: peer_messages.ConfigurationRequested,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Sends the configuration in force here."""
+    document = instance.configuration.document
+    answer = peer_messages.ConfigurationSent(
+        document.version, document.body, document.patch_ids
+    )
+    return [peer_messages.SendPeer(peer_id, answer)]
+
+
+@dispatch.receive.register(peer_messages.ConfigurationSent)
+def take_configuration(
+    message: peer_messages.ConfigurationSent,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Adopts a peer's configuration if it is newer."""
+    document = configuration.Document(
+        message.version, message.body, message.patch_ids
+    )
+    return adopt_document(document, instance, now, f"peer {peer_id}")
+
+
+@dispatch.expire.register(ConfigurationDue)
+def read_configuration(
+    timer: ConfigurationDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Reads the configuration from the store."""
+    return [_make_read(ReadConfiguration())]
+
+
+def _make_read(purpose: store_messages.Purpose) -> store_messages.StoreGet:
+    return store_messages.StoreGet(
+        purpose, CONFIGURATION_KEY, configuration.Document
+    )
+
+
+@dispatch.resume.register(ReadConfiguration)
+def take_stored_configuration(
+    purpose: ReadConfiguration,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Adopts the stored configuration and plans the next read."""
+    effects: dispatch.Effects = []
+    held = instance.configuration
+    delay_s = CONFIGURATION_PERIOD_S
+    match reply.outcome:
+        case store_messages.Found(value=configuration.Document() as document):
+            held.read_failures = 0
+            effects += adopt_document(document, instance, now, "store")
+        case store_messages.Unavailable():
+            held.read_failures += 1
+            effects.append(messages.CountRetry(PART, "store_unavailable"))
+            delay_s = back_off(held.read_failures)
+        case _:
+            held.read_failures = 0
+    effects.append(messages.StartTimer(ConfigurationDue(), delay_s, 0.2))
+    return effects
+
+
+@dispatch.expire.register(WatchDue)
+def watch_configuration(
+    timer: WatchDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Holds a watch if this instance is among the first of its data centre."""
+    live = liveness.find_live_entries(instance, now)
+    ranked = membership.rank_candidates(CONFIGURATION_KEY, live)
+    own_id = instance.identity.instance_id
+    if own_id not in ranked[:WATCHERS_PER_DATA_CENTRE]:
+        return [messages.StartTimer(WatchDue(), liveness.PEER_DEAD_S, 0.2)]
+    return [
+        store_messages.StoreWatch(
+            WatchConfiguration(),
+            CONFIGURATION_KEY,
+            instance.configuration.stored_revision,
+        )
+    ]
+
+
+@dispatch.resume.register(WatchConfiguration)
+def take_watch(
+    purpose: WatchConfiguration,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Reads the configuration after a change, or watches on."""
+    held = instance.configuration
+    match reply.outcome:
+        case store_messages.Changed(revision=revision):
+            return [_make_read(ReadAfterChange(revision))]
+        case store_messages.Unchanged(revision=revision):
+            held.watch_failures = 0
+            held.stored_revision = revision
+            return [messages.StartTimer(WatchDue(), 0.0)]
+        case _:
+            return _retry_watch(instance)
+
+
+@dispatch.resume.register(ReadAfterChange)
+def take_changed_configuration(
+    purpose: ReadAfterChange,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Adopts the changed configuration and watches on.
+
+    After a failed read the watch starts at the old revision again, so that
+    the change is not missed.
+    """
+    held = instance.configuration
+    effects: dispatch.Effects = []
+    match reply.outcome:
+        case store_messages.Found(value=configuration.Document() as document):
+            effects += adopt_document(document, instance, now, "store")
+        case store_messages.Absent():
+            pass
+        case _:
+            return _retry_watch(instance)
+    held.watch_failures = 0
+    held.stored_revision = purpose.revision
+    return [*effects, messages.StartTimer(WatchDue(), 0.0)]
+
+
+def _retry_watch(instance: state.Instance) -> dispatch.Effects:
+    held = instance.configuration
+    held.watch_failures += 1
+    delay_s = back_off(held.watch_failures)
+    return [
+        messages.CountRetry(PART, "store_unavailable"),
+        messages.StartTimer(WatchDue(), delay_s, 0.5),
+    ]
--- a/packages/core/src/sapphirestall_core/state.py
+++ b/packages/core/src/sapphirestall_core/state.py
@@ -8,6 +8,7 @@
 from sapphirestall_core import journal
 from sapphirestall_core import membership
 from sapphirestall_core import messages
+from sapphirestall_core import peer_messages
 from sapphirestall_core import policy
 from sapphirestall_core import requests_state
 from sapphirestall_core import tasks_state
@@ -20,6 +21,8 @@
     Attributes:
         incarnation: Differs for each start of the process.
         wall_offset: Wall clock less monotonic clock, in seconds.
+        seed_peers: Addresses of entry instances by id, used until the
+            platform's list was read.
     """
 
     instance_id: str
@@ -27,6 +30,7 @@
     data_centre: str
     address: str
     wall_offset: float = 0.0
+    seed_peers: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -35,6 +39,7 @@
 
     Attributes:
         heard_at: Time of its last heartbeat.
+        superseded: Earlier incarnations, newest last; bounded.
     """
 
     heard_at: float
@@ -43,6 +48,56 @@
     state: membership.State
     configuration_version: int
     slot_demand: int = 0
+    superseded: tuple[str, ...] = ()
+
+
+@attrs.define
+class RosterView:
+    """Newest roster of another data centre.
+
+    Attributes:
+        heard_at: Time of its arrival.
+    """
+
+    heard_at: float
+    roster: peer_messages.Roster
+
+
+@attrs.define
+class Links:
+    """What this instance sends to its peers.
+
+    Attributes:
+        ticks: Number of heartbeat periods since the start.
+        content: The heartbeat last sent, less the fields of a `Beat`.
+        changed_at: Time at which `content` changed.
+        greeted: Time of the last whole heartbeat, by peer.
+        rosters: Newest roster, by data centre.
+    """
+
+    ticks: int = 0
+    content: peer_messages.Heartbeat | None = None
+    changed_at: float = 0.0
+    greeted: dict[str, float] = attrs.field(factory=dict)
+    rosters: dict[str, RosterView] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Shutdown:
+    """Progress of a graceful shutdown.
+
+    Attributes:
+        limit_s: Longest time that it may take, in seconds.
+        notice_s: Time in which requests are still accepted, so that load
+            balancers see the readiness before requests are refused.
+        requested_at: Time of the first signal.
+        released: Whether the parts were asked to give back what they hold.
+    """
+
+    limit_s: float = 30.0
+    notice_s: float = 0.0
+    requested_at: float | None = None
+    released: bool = False
 
 
 @attrs.define
@@ -51,6 +106,7 @@
 
     Attributes:
         start_timers: Timers of the parts that fire when the process starts.
+        draining: Whether new work is refused.
     """
 
     identity: Identity
@@ -60,6 +116,8 @@
     policy: policy.Policy = attrs.field(factory=policy.Policy)
     members: membership.Members = attrs.field(factory=membership.Members)
     peers: dict[str, Peer] = attrs.field(factory=dict)
+    links: Links = attrs.field(factory=Links)
+    shutdown: Shutdown = attrs.field(factory=Shutdown)
     journal: journal.Journal = attrs.field(factory=journal.Journal)
     requests: requests_state.Requests = attrs.field(
         factory=requests_state.Requests
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/status.py
@@ -0,0 +1,138 @@
+"""Operators' view of the configuration and of this instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import dispatch
+from sapphirestall_core import liveness
+from sapphirestall_core import membership
+from sapphirestall_core import operator_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+# Rosters come every 2 s; three missed ones end their validity.
+ROSTER_TERM_S = 6.5
+
+
+@dispatch.execute.register(operator_messages.ShowConfiguration)
+def show_configuration(
+    command: operator_messages.ShowConfiguration,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Shows the configuration in force here."""
+    document = instance.configuration.document
+    shown = operator_messages.ConfigurationShown(
+        document.version, document.body
+    )
+    return [operator_messages.AnswerOperator(call_id, shown)]
+
+
+@dispatch.execute.register(operator_messages.ShowConfigurationStatus)
+def show_configuration_status(
+    command: operator_messages.ShowConfigurationStatus,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Shows which entry instance has which version."""
+    own_id = instance.identity.instance_id
+    version = instance.configuration.document.version
+    in_force = {own_id: version, **_find_heard(instance, now)}
+    unreachable = []
+    for data_centre, entries in instance.members.find_entries().items():
+        told = _read_roster(data_centre, entries, instance, now)
+        for entry_id in entries:
+            if entry_id in in_force or _has_left(entry_id, instance):
+                continue
+            if entry_id in told:
+                in_force[entry_id] = told[entry_id]
+            else:
+                unreachable.append(entry_id)
+    newest, lowest = max(in_force.values()), min(in_force.values())
+    listed = instance.members.listed
+    status = operator_messages.ConfigurationStatus(
+        version=newest,
+        lowest=lowest,
+        in_force=in_force,
+        unreachable=sorted(unreachable),
+        instances_listed=listed,
+        everywhere=listed and not unreachable and lowest == newest,
+    )
+    return [operator_messages.AnswerOperator(call_id, status)]
+
+
+def _find_heard(instance: state.Instance, now: float) -> dict[str, int]:
+    return {
+        peer_id: peer.configuration_version
+        for peer_id, peer in sorted(instance.peers.items())
+        if not liveness.is_dead(peer_id, instance, now)
+    }
+
+
+def _has_left(entry_id: str, instance: state.Instance) -> bool:
+    # The platform's list lags; who said that it leaves is not missed.
+    peer = instance.peers.get(entry_id)
+    return peer is not None and peer.state is membership.State.LEAVING
+
+
+def _read_roster(
+    data_centre: str, entries: list[str], instance: state.Instance, now: float
+) -> dict[str, int]:
+    view = instance.links.rosters.get(data_centre)
+    if view is None or now - view.heard_at >= ROSTER_TERM_S:
+        return {}
+    roster = view.roster
+    # A roster made from another list says nothing about its other members.
+    if roster.digest != membership.tag_text("\n".join(entries)):
+        return {}
+    return {
+        entry_id: roster.behind.get(entry_id, roster.version)
+        for entry_id in entries
+        if entry_id not in roster.unreachable
+    }
+
+
+@dispatch.execute.register(operator_messages.ShowReadiness)
+def show_readiness(
+    command: operator_messages.ShowReadiness,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Shows whether this instance can take work, and why not."""
+    reasons = []
+    if instance.configuration.document.version == 0:
+        reasons.append("no configuration is in force")
+    if not instance.members.listings:
+        reasons.append("the list of instances was not read")
+    if instance.shutdown.requested_at is not None:
+        reasons.append("the instance is shutting down")
+    shown = operator_messages.ReadinessShown(not reasons, reasons)
+    return [operator_messages.AnswerOperator(call_id, shown)]
+
+
+@dispatch.execute.register(operator_messages.Explain)
+def explain(
+    command: operator_messages.Explain,
+    call_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Shows the decisions of this instance about a subject."""
+    identity = instance.identity
+    decisions = [
+        operator_messages.Decision(
+            entry.at + identity.wall_offset,
+            identity.instance_id,
+            entry.subject,
+            entry.action,
+            entry.reason,
+        )
+        for entry in instance.journal.find(command.subject)
+    ]
+    explanation = operator_messages.Explanation(command.subject, decisions)
+    return [operator_messages.AnswerOperator(call_id, explanation)]
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,12 +1,15 @@
 """Stand-in for the platform's key-value store and instance list.
 
 One process, state in memory. `POST /faults` sets the faults to show:
-`down` (every call fails), `slow_s` (delay before each answer) and
-`lose_answers` (number of writes whose answer is lost after they took effect).
+`down` (every call fails), `slow_s` (delay before each answer), `lose_answers`
+(number of writes whose answer is lost after they took effect) and `body` (sent
+instead of every answer, to show truncated or wrong JSON).
 """
 
 import asyncio
 import collections
+import hashlib
+import json
 import time
 
 from aiohttp import web
@@ -26,6 +29,7 @@
     down: bool = False
     slow_s: float = 0.0
     lose_answers: int = 0
+    body: str = ""
 
 
 @attrs.define
@@ -68,6 +72,8 @@
         return web.json_response({"version": error.version}, status=409)
     except store_model.LeaseLostError as error:
         return web.json_response({"lease_id": str(error)}, status=410)
+    if faults.body:
+        return web.Response(text=faults.body, content_type="application/json")
     if request.method in ("PUT", "DELETE") and faults.lose_answers > 0:
         faults.lose_answers -= 1
         if request.transport:
@@ -151,8 +157,17 @@
 
 
 async def list_instances(request: web.Request) -> web.Response:
-    """Reads the instance list."""
-    return web.json_response(request.app[PLATFORM].instances)
+    """Reads the instance list, unless the client has it already."""
+    text = json.dumps(request.app[PLATFORM].instances)
+    tag = f'"{hashlib.blake2b(text.encode(), digest_size=8).hexdigest()}"'
+    headers = {"ETag": tag}
+    if request.headers.get("If-None-Match") == tag:
+        return web.Response(status=304, headers=headers)
+    response = web.Response(
+        text=text, content_type="application/json", headers=headers
+    )
+    response.enable_compression()
+    return response
 
 
 async def set_instances(request: web.Request) -> web.Response:
--- a/standins/world.py
+++ b/standins/world.py
@@ -296,8 +296,9 @@
 def _(effect: membership.ReadInstances, node: Node, world: World) -> None:
     node_id = node.state.identity.instance_id
     failed = world.faults.store_down or world.is_cut(node_id, STORE)
-    listings = () if failed else tuple(world.listings.values())
-    event = membership.InstancesListed(listings)
+    event: messages.Event = membership.InstancesUnread()
+    if not failed:
+        event = membership.InstancesListed(tuple(world.listings.values()))
     world.at(STORE_DELAY_S, lambda: world.feed(node, event))
 
 
