--- a/packages/entry/src/sapphirestall_entry/codec.py
+++ b/packages/entry/src/sapphirestall_entry/codec.py
@@ -1,5 +1,8 @@
 """CBOR encoding of the messages between entry instances."""
 
+import functools
+from typing import Any
+
 import cattrs
 import cbor2
 
@@ -7,36 +10,47 @@
 from sapphirestall_core import peer_messages
 from sapphirestall_entry import converters
 
-_TYPES: dict[str, type[peer_messages.PeerMessage]] = {
-    subclass.__name__: subclass
-    for subclass in peer_messages.PeerMessage.__subclasses__()
-}
-_converter = converters.make_converter(forbid_extra_keys=True)
+# Fields with their default are left out: most frames are short heartbeats.
+_converter = converters.make_converter(
+    forbid_extra_keys=True, omit_if_default=True
+)
+
+
+@functools.cache
+def _list_types() -> dict[str, type[peer_messages.PeerMessage]]:
+    return {
+        subclass.__name__: subclass
+        for subclass in peer_messages.PeerMessage.__subclasses__()
+    }
 
 
 def encode(message: peer_messages.PeerMessage) -> bytes:
     """Returns one frame: a map with the message's type and fields."""
-    fields = _converter.unstructure(message)
-    return cbor2.dumps({"type": type(message).__name__, "fields": fields})
+    fields: dict[str, Any] = _converter.unstructure(message)
+    return cbor2.dumps({"type": type(message).__name__, **fields})
 
 
 def decode(frame: bytes, peer: str) -> peer_messages.PeerMessage:
     """Returns the message in a frame.
 
     Raises:
-        errors.InvalidMessageError: The frame is truncated, of an unknown type
-            or has wrong fields.
+        errors.InvalidMessageError: The frame is truncated, is followed by
+            other bytes, is of an unknown type or has wrong fields.
     """
     try:
         tree = cbor2.loads(frame)
-        return _converter.structure(tree["fields"], _TYPES[tree["type"]])
+        message_type = _list_types()[tree.pop("type")]
+        return _converter.structure(tree, message_type)
     except (
         cbor2.CBORError,
         cattrs.BaseValidationError,
-        KeyError,
+        AttributeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
         TypeError,
         ValueError,
     ) as error:
         raise errors.InvalidMessageError(
-            f"invalid frame: {error!r}", step="decode", peer=peer
+            f"invalid frame: {error!r:.200}", step="decode", peer=peer
         ) from error
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -16,6 +16,7 @@
 from sapphirestall_entry import counters
 from sapphirestall_entry import executors
 from sapphirestall_entry import loop
+from sapphirestall_entry import middleware
 from sapphirestall_entry import operators
 from sapphirestall_entry import peers
 from sapphirestall_entry import servers
@@ -35,6 +36,7 @@
         data_centre=settings.data_centre,
         address=settings.peers_listen,
         wall_offset=time.time() - time.monotonic(),
+        seed_peers=dict(settings.seed_peers),
     )
 
 
@@ -45,14 +47,16 @@
 ) -> context_module.Context:
     """Returns the wired adapters of a process."""
     identity = make_identity(settings)
-    runner = loop.Loop(instance.build(identity), time.monotonic)
+    core = instance.build(identity)
+    core.shutdown = state.Shutdown(settings.drain_s, settings.notice_s)
+    runner = loop.Loop(core, time.monotonic)
     context = context_module.Context(
         settings, identity, runner.feed, time.monotonic, counters.Counters()
     )
     runner.context = context
     converter = converters.make_converter()
     context.callers = callers.Callers(context)
-    context.operators = operators.Operators(context, converter)
+    context.operators = operators.Operators(context)
     context.executors = executors.Executors(context, executor_session)
     context.workers = workers.Workers(context, session, converter)
     context.store = store.Store(
@@ -80,26 +84,40 @@
 
 async def _serve(context: context_module.Context) -> None:
     settings = context.settings
+    listeners = [
+        servers.open_listener(address)
+        for address in (
+            settings.callers_listen,
+            settings.operators_listen,
+            settings.peers_listen,
+        )
+    ]
     event_loop = asyncio.get_running_loop()
+    event_loop.set_exception_handler(
+        lambda _, details: context.report_fault(
+            "callback", details.get("exception") or RuntimeError(str(details))
+        )
+    )
     for number in (signal.SIGTERM, signal.SIGINT):
         event_loop.add_signal_handler(
             number, context.feed, messages.ShutdownRequested()
         )
-    caller_server = servers.make_server(
-        context.callers.build_app(), settings.callers_listen
-    )
-    operator_server = servers.make_server(
-        context.operators.build_app(), settings.operators_listen
+    callers_app = middleware.Timer(
+        context.callers.build_app(), context.counters, context.clock
     )
+    web = [
+        servers.make_server(callers_app),
+        servers.make_server(context.operators.build_app()),
+    ]
     running = [
-        event_loop.create_task(caller_server.serve()),
-        event_loop.create_task(operator_server.serve()),
-        event_loop.create_task(context.peers.serve()),
+        context.spawn(server.serve(sockets=[listener]))
+        for server, listener in zip(web, listeners[:2], strict=True)
     ]
+    accepting = context.spawn(context.peers.serve(listeners[2]))
     context.feed(messages.Started())
     await context.exit.wait()
-    caller_server.should_exit = True
-    operator_server.should_exit = True
-    running[2].cancel()
+    for server in web:
+        server.should_exit = True
     await asyncio.gather(*running, return_exceptions=True)
     context.peers.connect({})
+    accepting.cancel()
--- a/packages/entry/src/sapphirestall_entry/context.py
+++ b/packages/entry/src/sapphirestall_entry/context.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import logging
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -23,6 +24,8 @@
     from sapphirestall_entry import store
     from sapphirestall_entry import workers
 
+logger = logging.getLogger("process")
+
 
 @attrs.define
 class Context:
@@ -48,8 +51,22 @@
     exit: asyncio.Event = attrs.field(factory=asyncio.Event)
     background: set[asyncio.Task[Any]] = attrs.field(factory=set)
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine in the background and keeps a reference to it."""
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs a coroutine in the background; logs and counts its failure."""
         task = asyncio.get_running_loop().create_task(work)
         self.background.add(task)
-        task.add_done_callback(self.background.discard)
+        task.add_done_callback(self._finish)
+        return task
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self.background.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self.report_fault("background", error)
+
+    def report_fault(self, place: str, error: BaseException) -> None:
+        """Logs and counts an exception that nothing else handles."""
+        self.counters.count_fault(place)
+        logger.error("process: fault in %s", place, exc_info=error)
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -1,12 +1,63 @@
 """Conversion between attrs classes and trees of JSON or CBOR values."""
 
+from typing import Any
+
 import cattrs
 
 
-def make_converter(*, forbid_extra_keys: bool = False) -> cattrs.Converter:
-    """Returns a converter that passes untyped values through unchanged."""
-    converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
+def make_converter(
+    *, forbid_extra_keys: bool = False, omit_if_default: bool = False
+) -> cattrs.Converter:
+    """Returns a converter that takes no value of another type.
+
+    Untyped values pass unchanged. Without the strict hooks, cattrs would turn
+    a number into text and text into a number without a word.
+
+    Args:
+        forbid_extra_keys: Whether unknown fields are errors.
+        omit_if_default: Whether fields with their default are left out.
+    """
+    converter = cattrs.Converter(
+        forbid_extra_keys=forbid_extra_keys, omit_if_default=omit_if_default
+    )
     converter.register_structure_hook_func(
         lambda target: target is object, lambda value, _: value
     )
+    converter.register_structure_hook(str, _read_text)
+    converter.register_structure_hook(int, _read_integer)
+    converter.register_structure_hook(float, _read_number)
+    converter.register_structure_hook(bool, _read_truth)
+    converter.register_structure_hook_func(
+        lambda target: target == tuple[str, str], _read_pair
+    )
     return converter
+
+
+def _read_text(value: Any, _: type) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r:.80} is not text")
+    return value
+
+
+def _read_integer(value: Any, _: type) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is not an integer")
+    return value
+
+
+def _read_number(value: Any, _: type) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is not a number")
+    return float(value)
+
+
+def _read_truth(value: Any, _: type) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is neither true nor false")
+    return value
+
+
+def _read_pair(value: Any, _: type) -> tuple[str, str]:
+    if not isinstance(value, list | tuple) or len(value) != 2:
+        raise TypeError(f"{value!r:.80} is not a pair of texts")
+    return _read_text(value[0], str), _read_text(value[1], str)
--- a/packages/entry/src/sapphirestall_entry/counters.py
+++ b/packages/entry/src/sapphirestall_entry/counters.py
@@ -1,36 +1,71 @@
-"""Metrics of the process."""
+"""Metrics of the process; docs/metrics.md lists them."""
+
+import math
 
 import aioprometheus
 import attrs
 
-
-def _make_counter(
-    registry: aioprometheus.Registry, name: str, text: str
-) -> aioprometheus.Counter:
-    return aioprometheus.Counter(name, text, registry=registry)
+# Upper bounds in seconds. Events are handled in microseconds; the loop must
+# not be held longer than a few milliseconds.
+EVENT_BUCKETS_S = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 1.0, math.inf)
+REQUEST_BUCKETS_S = (
+    0.001,
+    0.003,
+    0.01,
+    0.03,
+    0.1,
+    0.3,
+    1.0,
+    3.0,
+    10.0,
+    math.inf,
+)
 
 
 @attrs.define
 class Counters:
-    """Counters of refusals and retries, by part and reason code."""
+    """Counters and histograms, by part, reason code or event type."""
 
     registry: aioprometheus.Registry = attrs.field(
         factory=aioprometheus.Registry
     )
     refusals: aioprometheus.Counter = attrs.field(init=False)
     retries: aioprometheus.Counter = attrs.field(init=False)
+    faults: aioprometheus.Counter = attrs.field(init=False)
+    requests: aioprometheus.Histogram = attrs.field(init=False)
+    events: aioprometheus.Histogram = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Registers the metrics."""
-        self.refusals = _make_counter(
-            self.registry,
-            "sapphirestall_refusals_total",
-            "Refusals by part and reason code",
+        self.refusals = self._make_counter(
+            "sapphirestall_refusals_total", "Refusals by part and reason code"
+        )
+        self.retries = self._make_counter(
+            "sapphirestall_retries_total", "Retries by part and reason code"
         )
-        self.retries = _make_counter(
-            self.registry,
-            "sapphirestall_retries_total",
-            "Retries by part and reason code",
+        self.faults = self._make_counter(
+            "sapphirestall_faults_total",
+            "Exceptions that nothing handled, by place",
+        )
+        self.requests = self._make_histogram(
+            "sapphirestall_request_seconds",
+            "Time from a caller's request to its answer, by status",
+            REQUEST_BUCKETS_S,
+        )
+        self.events = self._make_histogram(
+            "sapphirestall_event_seconds",
+            "Time in which the loop handled one event, by event type",
+            EVENT_BUCKETS_S,
+        )
+
+    def _make_counter(self, name: str, text: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, text, registry=self.registry)
+
+    def _make_histogram(
+        self, name: str, text: str, buckets: tuple[float, ...]
+    ) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            name, text, buckets=list(buckets), registry=self.registry
         )
 
     def count_refusal(self, part: str, code: str) -> None:
@@ -40,3 +75,15 @@
     def count_retry(self, part: str, code: str) -> None:
         """Adds one retry."""
         self.retries.inc({"part": part, "code": code})
+
+    def count_fault(self, place: str) -> None:
+        """Adds one exception that nothing handled."""
+        self.faults.inc({"place": place})
+
+    def observe_request(self, status: int, seconds: float) -> None:
+        """Adds the time of one caller's request."""
+        self.requests.observe({"status": str(status)}, seconds)
+
+    def observe_event(self, event: str, seconds: float) -> None:
+        """Adds the time in which the loop handled one event."""
+        self.events.observe({"event": event}, seconds)
--- a/packages/entry/src/sapphirestall_entry/loop.py
+++ b/packages/entry/src/sapphirestall_entry/loop.py
@@ -1,19 +1,15 @@
 """Feeds events to the core and performs the effects."""
 
 from collections.abc import Callable
-import logging
 
 import attrs
 
-from sapphirestall_core import errors
 from sapphirestall_core import instance
 from sapphirestall_core import messages
 from sapphirestall_core import state
 from sapphirestall_entry import context
 from sapphirestall_entry import performer
 
-logger = logging.getLogger("loop")
-
 
 @attrs.define
 class Loop:
@@ -24,11 +20,22 @@
     context: "context.Context" = attrs.field(init=False)
 
     def feed(self, event: messages.Event) -> None:
-        """Handles one event and performs its effects in order."""
+        """Handles one event and performs its effects in order.
+
+        A fault in a handler or adapter is logged and counted and ends only
+        this event or effect: the process goes on with all other work.
+        """
+        started = self.clock()
         try:
-            effects = instance.handle(event, self.state, self.clock())
-        except errors.SapphirestallError as error:
-            logger.error("loop: rejected an event: %s", error)
+            effects = instance.handle(event, self.state, started)
+        except Exception as error:  # noqa: BLE001
+            self.context.report_fault(type(event).__name__, error)
             return
         for effect in effects:
-            performer.perform(effect, self.context)
+            try:
+                performer.perform(effect, self.context)
+            except Exception as error:  # noqa: BLE001
+                self.context.report_fault(type(effect).__name__, error)
+        self.context.counters.observe_event(
+            type(event).__name__, self.clock() - started
+        )
--- a/packages/entry/src/sapphirestall_entry/main.py
+++ b/packages/entry/src/sapphirestall_entry/main.py
@@ -11,15 +11,34 @@
 from sapphirestall_entry import logs
 from sapphirestall_entry import settings
 
-
-@click.command()
+EXIT_CODES = """
+\b
+Exit codes:
+  0  ended by SIGTERM or SIGINT, after a graceful shutdown
+  1  internal error
+  2  wrong use of the command line
+  3  the settings file has faults; all of them are printed
+  8  an address cannot be listened on
+"""
+
+
+@click.command(epilog=EXIT_CODES)
 @click.argument(
     "settings_file",
     type=click.Path(path_type=pathlib.Path, dir_okay=False),
 )
-def serve(settings_file: pathlib.Path) -> None:
-    """Runs an entry instance with the settings in SETTINGS_FILE."""
+@click.option(
+    "--check", is_flag=True, help="Only checks the settings; starts nothing."
+)
+def serve(settings_file: pathlib.Path, check: bool) -> None:
+    """Runs an entry instance with the YAML settings in SETTINGS_FILE.
+
+    SIGTERM starts a graceful shutdown; a second one ends the process at once.
+    """
     loaded = settings.load(settings_file)
+    if check:
+        click.echo("the settings are valid")
+        return
     logs.configure(loaded.log_level)
     asyncio.run(composition.run(loaded))
 
@@ -34,6 +53,8 @@
     except click.ClickException as error:
         error.show()
         sys.exit(error.exit_code)
+    except click.Abort:
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/packages/entry/src/sapphirestall_entry/operators.py
+++ b/packages/entry/src/sapphirestall_entry/operators.py
@@ -1,6 +1,9 @@
 """HTTP front end for operators, health, readiness and metrics."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
 from typing import Any
 import uuid
 
@@ -8,14 +11,29 @@
 import attrs
 import cattrs
 from starlette import applications
+from starlette import exceptions
 from starlette import requests
 from starlette import responses
 from starlette import routing
 
+from sapphirestall_core import errors
 from sapphirestall_core import operator_messages
+from sapphirestall_entry import bodies
 from sapphirestall_entry import context as context_module
+from sapphirestall_entry import converters
 
 CALL_TIMEOUT_S = 10.0
+PROBLEM_TYPE = "application/problem+json"
+PART = "operators"
+
+# Commands that change state; without a result their outcome is unknown.
+CHANGING = (
+    operator_messages.SubmitJob,
+    operator_messages.CancelJob,
+    operator_messages.PatchConfiguration,
+)
+
+Handler = Callable[[requests.Request], Awaitable[responses.Response]]
 
 
 @attrs.define
@@ -23,33 +41,53 @@
     """Operators' calls that wait for a result, by call id."""
 
     context: context_module.Context
-    converter: cattrs.Converter
+    converter: cattrs.Converter = attrs.field(
+        factory=functools.partial(
+            converters.make_converter, forbid_extra_keys=True
+        )
+    )
     waiting: dict[str, asyncio.Future[operator_messages.Result]] = attrs.field(
         factory=dict
     )
 
     def build_app(self) -> applications.Starlette:
         """Returns the application."""
-        route = routing.Route
         return applications.Starlette(
             routes=[
-                route("/v1/jobs", self.submit_job, methods=["POST"]),
-                route("/v1/jobs/{data_centre}/{job_id}", self.show_job),
-                route("/v1/configuration", self.show_configuration),
-                route(
-                    "/v1/configuration",
-                    self.patch_configuration,
-                    methods=["PATCH"],
+                self._route("/v1/jobs", self.submit_job, "POST"),
+                self._route("/v1/jobs", self.list_jobs),
+                self._route("/v1/jobs/{data_centre}", self.list_jobs),
+                self._route("/v1/jobs/{data_centre}/{job_id}", self.show_job),
+                self._route(
+                    "/v1/jobs/{data_centre}/{job_id}", self.cancel_job, "DELETE"
                 ),
-                route("/v1/configuration/status", self.show_status),
-                route("/healthz", self.show_health),
-                route("/metrics", self.show_metrics),
-            ]
+                self._route("/v1/workers", self.list_workers),
+                self._route("/v1/partitions", self.list_partitions),
+                self._route("/v1/configuration", self.show_configuration),
+                self._route(
+                    "/v1/configuration", self.patch_configuration, "PATCH"
+                ),
+                self._route("/v1/configuration/status", self.show_status),
+                self._route("/v1/explain/{subject:path}", self.explain),
+                self._route("/healthz", self.show_health),
+                self._route("/readyz", self.show_readiness),
+                self._route("/metrics", self.show_metrics),
+            ],
+            exception_handlers={
+                errors.InvalidMessageError: self._reject,
+                exceptions.HTTPException: self._reject_path,
+                Exception: self._report_fault,
+            },
         )
 
+    def _route(
+        self, path: str, handler: Handler, method: str = "GET"
+    ) -> routing.Route:
+        return routing.Route(path, handler, methods=[method])
+
     async def call(
         self, command: operator_messages.Command
-    ) -> responses.Response:
+    ) -> operator_messages.Result:
         """Hands a command to the core and waits for its result."""
         call_id = uuid.uuid4().hex
         future = asyncio.get_running_loop().create_future()
@@ -58,14 +96,20 @@
             self.context.feed(
                 operator_messages.OperatorCalled(call_id, command)
             )
-            result = await asyncio.wait_for(future, CALL_TIMEOUT_S)
+            return await asyncio.wait_for(future, CALL_TIMEOUT_S)
         except TimeoutError:
-            result = operator_messages.Failure(
-                "timeout", "operators", "no result in time", 504
-            )
+            return self._miss_result(command)
         finally:
             self.waiting.pop(call_id, None)
-        return self._render(result)
+
+    def _miss_result(
+        self, command: operator_messages.Command
+    ) -> operator_messages.Result:
+        self.context.counters.count_refusal(PART, "timeout")
+        detail = f"no result within {CALL_TIMEOUT_S} s"
+        if isinstance(command, CHANGING):
+            return operator_messages.OutcomeUnknown("timeout", PART, detail)
+        return operator_messages.Failure("timeout", PART, detail, 504)
 
     def answer(self, effect: operator_messages.AnswerOperator) -> None:
         """Hands a result to the operator that waits for it."""
@@ -73,69 +117,125 @@
         if future is not None and not future.done():
             future.set_result(effect.result)
 
-    def _render(self, result: operator_messages.Result) -> responses.Response:
-        body = self.converter.unstructure(result)
-        if isinstance(result, operator_messages.Failure):
-            return responses.JSONResponse(
-                body, result.status, media_type="application/problem+json"
-            )
-        return responses.JSONResponse(body)
+    async def _serve(
+        self, command: operator_messages.Command
+    ) -> responses.Response:
+        return render(await self.call(command), self.converter)
+
+    def _reject(
+        self, request: requests.Request, error: Exception
+    ) -> responses.Response:
+        assert isinstance(error, errors.InvalidMessageError)
+        status = 413 if isinstance(error, bodies.TooLargeError) else 400
+        return self._refuse(error.code, error.step, error.detail, status)
+
+    def _reject_path(
+        self, request: requests.Request, error: Exception
+    ) -> responses.Response:
+        assert isinstance(error, exceptions.HTTPException)
+        codes = {404: "unknown_path", 405: "method_not_allowed"}
+        code = codes.get(error.status_code, "invalid_request")
+        return self._refuse(code, "route", error.detail, error.status_code)
+
+    def _report_fault(
+        self, request: requests.Request, error: Exception
+    ) -> responses.Response:
+        self.context.report_fault(PART, error)
+        return self._refuse("internal", PART, type(error).__name__, 500)
+
+    def _refuse(
+        self, code: str, step: str, detail: str, status: int
+    ) -> responses.Response:
+        self.context.counters.count_refusal(PART, code)
+        failure = operator_messages.Failure(code, step, detail, status)
+        return render(failure, self.converter)
 
     async def _decode(
         self,
         request: requests.Request,
         command: type[operator_messages.Command],
-    ) -> operator_messages.Command | operator_messages.Failure:
+    ) -> operator_messages.Command:
+        limit = self.context.settings.max_body_bytes
+        tree = bodies.parse(await bodies.read(request, limit))
+        return self._structure(tree, command)
+
+    def _structure(
+        self, tree: dict[str, Any], command: type[operator_messages.Command]
+    ) -> operator_messages.Command:
         try:
-            tree: Any = await request.json()
             return self.converter.structure(tree, command)
-        except (ValueError, cattrs.BaseValidationError) as error:
-            return operator_messages.Failure(
-                "invalid_command", "operators", repr(error)
-            )
+        except cattrs.BaseValidationError as error:
+            faults = "; ".join(cattrs.transform_error(error, path="body"))
+            raise errors.InvalidMessageError(
+                faults[:2000], step="decode"
+            ) from error
 
-    async def _call_with_body(
-        self,
-        request: requests.Request,
-        command: type[operator_messages.Command],
-    ) -> responses.Response:
-        decoded = await self._decode(request, command)
-        if isinstance(decoded, operator_messages.Failure):
-            return self._render(decoded)
-        return await self.call(decoded)
+    def _read_data_centre(self, request: requests.Request) -> str:
+        named: str = request.path_params.get("data_centre", "")
+        own = self.context.identity.data_centre
+        return named or request.query_params.get("data_centre", own)
 
     async def submit_job(self, request: requests.Request) -> responses.Response:
         """Submits a job."""
-        return await self._call_with_body(request, operator_messages.SubmitJob)
+        command = await self._decode(request, operator_messages.SubmitJob)
+        return await self._serve(command)
+
+    async def list_jobs(self, request: requests.Request) -> responses.Response:
+        """Lists the jobs of a data centre, by default of the own one."""
+        data_centre = self._read_data_centre(request)
+        return await self._serve(operator_messages.ListJobs(data_centre))
 
     async def show_job(self, request: requests.Request) -> responses.Response:
         """Shows a job."""
-        return await self.call(
-            operator_messages.ShowJob(
-                request.path_params["job_id"],
-                request.path_params["data_centre"],
-            )
+        names = request.path_params
+        return await self._serve(
+            operator_messages.ShowJob(names["job_id"], names["data_centre"])
+        )
+
+    async def cancel_job(self, request: requests.Request) -> responses.Response:
+        """Cancels a job."""
+        names = request.path_params
+        return await self._serve(
+            operator_messages.CancelJob(names["job_id"], names["data_centre"])
         )
 
+    async def list_workers(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Lists the workers that this instance owns."""
+        return await self._serve(operator_messages.ListWorkers())
+
+    async def list_partitions(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Lists the partitions of the data centre and their owners."""
+        return await self._serve(operator_messages.ListPartitions())
+
     async def patch_configuration(
         self, request: requests.Request
     ) -> responses.Response:
-        """Patches the configuration."""
-        return await self._call_with_body(
+        """Patches the configuration, or previews a patch."""
+        command = await self._decode(
             request, operator_messages.PatchConfiguration
         )
+        return await self._serve(command)
 
     async def show_configuration(
         self, request: requests.Request
     ) -> responses.Response:
         """Shows the configuration in force here."""
-        return await self.call(operator_messages.ShowConfiguration())
+        return await self._serve(operator_messages.ShowConfiguration())
 
     async def show_status(
         self, request: requests.Request
     ) -> responses.Response:
         """Shows where which version is in force."""
-        return await self.call(operator_messages.ShowConfigurationStatus())
+        return await self._serve(operator_messages.ShowConfigurationStatus())
+
+    async def explain(self, request: requests.Request) -> responses.Response:
+        """Shows what this instance decided about a subject."""
+        subject = request.path_params["subject"]
+        return await self._serve(operator_messages.Explain(subject))
 
     async def show_health(
         self, request: requests.Request
@@ -143,6 +243,12 @@
         """Answers while the process runs."""
         return responses.PlainTextResponse("ok\n")
 
+    async def show_readiness(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Answers 200 while this instance can take work, else 503."""
+        return await self._serve(operator_messages.ShowReadiness())
+
     async def show_metrics(
         self, request: requests.Request
     ) -> responses.Response:
@@ -152,3 +258,35 @@
             request.headers.getlist("accept"),
         )
         return responses.Response(content, headers=headers)
+
+
+@functools.singledispatch
+def render(
+    result: operator_messages.Result, converter: cattrs.Converter
+) -> responses.Response:
+    """Returns the HTTP form of a result."""
+    return responses.JSONResponse(converter.unstructure(result))
+
+
+@render.register
+def _(
+    result: operator_messages.Failure, converter: cattrs.Converter
+) -> responses.Response:
+    body = converter.unstructure(result) | {"outcome": "refused"}
+    return responses.JSONResponse(body, result.status, media_type=PROBLEM_TYPE)
+
+
+@render.register
+def _(
+    result: operator_messages.OutcomeUnknown, converter: cattrs.Converter
+) -> responses.Response:
+    body = converter.unstructure(result) | {"outcome": "unknown"}
+    return responses.JSONResponse(body, result.status, media_type=PROBLEM_TYPE)
+
+
+@render.register
+def _(
+    result: operator_messages.ReadinessShown, converter: cattrs.Converter
+) -> responses.Response:
+    status = 200 if result.ready else 503
+    return responses.JSONResponse(converter.unstructure(result), status)
--- a/packages/entry/src/sapphirestall_entry/peers.py
+++ b/packages/entry/src/sapphirestall_entry/peers.py
@@ -1,15 +1,21 @@
 """WebSocket links between entry instances.
 
-Each instance sends on the connections that it opened and receives on those
-that the others opened, so that no link needs to be negotiated.
+Each instance opens links to the peers that the core names. A link carries
+messages in both directions, so that an instance that is in nobody's list yet
+can be answered.
 """
 
 import asyncio
+from collections.abc import AsyncIterable
 import logging
+import random
+import socket
 
 import attrs
 from websockets import exceptions
+from websockets import frames
 from websockets.asyncio import client
+from websockets.asyncio import connection as websocket
 from websockets.asyncio import server
 
 from sapphirestall_core import errors
@@ -18,7 +24,9 @@
 from sapphirestall_entry import context as context_module
 
 RECONNECT_S = 0.5
+RECONNECT_LIMIT_S = 2.0
 OPEN_TIMEOUT_S = 1.0
+# A link that is stuck holds this many messages; heartbeats repeat anyway.
 QUEUE_LIMIT = 256
 MAX_FRAME_BYTES = 2_000_000
 ID_HEADER = "X-Instance-Id"
@@ -26,48 +34,93 @@
 logger = logging.getLogger("peers")
 
 
+def _make_queue() -> asyncio.Queue[bytes]:
+    return asyncio.Queue(QUEUE_LIMIT)
+
+
 @attrs.define
 class Link:
-    """An outgoing connection to one peer.
+    """An outgoing link to one peer.
 
     Attributes:
-        queue: Frames to send; the oldest is dropped when it is full.
+        queue: Frames to send while the link is open.
     """
 
     peer_id: str
     address: str
-    queue: asyncio.Queue[bytes]
+    queue: asyncio.Queue[bytes] | None = None
     task: asyncio.Task[None] | None = None
 
 
 @attrs.define
 class Peers:
-    """All links of this instance."""
+    """All links of this instance.
+
+    Attributes:
+        incoming: Frames to send on links that peers opened, by peer id.
+    """
 
     context: context_module.Context
     links: dict[str, Link] = attrs.field(factory=dict)
+    incoming: dict[str, asyncio.Queue[bytes]] = attrs.field(factory=dict)
 
-    async def serve(self) -> None:
+    async def serve(self, listener: socket.socket) -> None:
         """Receives messages of peers until cancelled."""
-        host, _, port = self.context.settings.peers_listen.rpartition(":")
+        # Compression would take about 300 KB for each link.
         async with server.serve(
-            self._receive, host, int(port), max_size=MAX_FRAME_BYTES
+            self._accept,
+            sock=listener,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
         ) as running:
             await running.serve_forever()
 
-    async def _receive(self, connection: server.ServerConnection) -> None:
+    async def _accept(self, connection: server.ServerConnection) -> None:
         assert connection.request is not None
         peer_id = connection.request.headers.get(ID_HEADER, "")
+        if not peer_id:
+            self.context.counters.count_refusal("peers", "no_instance_id")
+            return
+        queue = _make_queue()
+        self.incoming[peer_id] = queue
+        try:
+            await self._exchange(connection, peer_id, queue)
+        finally:
+            if self.incoming.get(peer_id) is queue:
+                del self.incoming[peer_id]
+            self.context.feed(peer_messages.PeerLost(peer_id))
+
+    async def _exchange(
+        self,
+        connection: websocket.Connection,
+        peer_id: str,
+        queue: asyncio.Queue[bytes],
+    ) -> None:
+        """Sends and receives until the connection ends."""
+        loop = asyncio.get_running_loop()
+        sender = loop.create_task(_send_all(connection, queue))
         try:
-            async for frame in connection:
-                if isinstance(frame, bytes):
-                    self._take(frame, peer_id)
-        except exceptions.ConnectionClosed:
-            pass
-        self.context.feed(peer_messages.PeerLost(peer_id))
-
-    def _take(self, frame: bytes, peer_id: str) -> None:
+            await self._receive_all(connection, peer_id)
+        except exceptions.ConnectionClosed as error:
+            sent = error.sent
+            if sent and sent.code == frames.CloseCode.MESSAGE_TOO_BIG:
+                self.context.counters.count_refusal("peers", "frame_too_long")
+                logger.warning("peers: frame too long peer=%s", peer_id)
+        finally:
+            sender.cancel()
+
+    async def _receive_all(
+        self, received: AsyncIterable[str | bytes], peer_id: str
+    ) -> None:
+        async for frame in received:
+            self._take(frame, peer_id)
+
+    def _take(self, frame: str | bytes, peer_id: str) -> None:
         try:
+            if isinstance(frame, str):
+                raise errors.InvalidMessageError(
+                    "text frame", step="decode", peer=peer_id
+                )
             message = codec.decode(frame, peer_id)
         except errors.InvalidMessageError as error:
             self.context.counters.count_refusal("peers", error.code)
@@ -85,8 +138,8 @@
                 continue
             if link:
                 self._close(link)
-            link = Link(peer_id, address, asyncio.Queue(QUEUE_LIMIT))
-            link.task = asyncio.get_running_loop().create_task(self._run(link))
+            link = Link(peer_id, address)
+            link.task = self.context.spawn(self._run(link))
             self.links[peer_id] = link
 
     def _close(self, link: Link) -> None:
@@ -94,14 +147,18 @@
             link.task.cancel()
 
     async def _run(self, link: Link) -> None:
+        delay_s = RECONNECT_S
         while True:
             try:
-                await self._send_all(link)
+                await self._open(link)
+                delay_s = RECONNECT_S
             except (OSError, TimeoutError, exceptions.WebSocketException):
                 self.context.counters.count_retry("peers", "connect_failed")
-            await asyncio.sleep(RECONNECT_S)
+                delay_s = min(RECONNECT_LIMIT_S, delay_s * 2)
+            # Spreads the reconnections of all peers of a restarted instance.
+            await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
 
-    async def _send_all(self, link: Link) -> None:
+    async def _open(self, link: Link) -> None:
         identity = self.context.identity
         async with client.connect(
             f"ws://{link.address}",
@@ -109,16 +166,35 @@
             open_timeout=OPEN_TIMEOUT_S,
             proxy=None,
             max_size=MAX_FRAME_BYTES,
+            compression=None,
         ) as connection:
-            while True:
-                await connection.send(await link.queue.get())
+            link.queue = _make_queue()
+            try:
+                await self._exchange(connection, link.peer_id, link.queue)
+            finally:
+                link.queue = None
 
     def send(self, effect: peer_messages.SendPeer) -> None:
-        """Queues a message; drops the oldest when the queue is full."""
+        """Queues a message if the peer is linked; drops it otherwise."""
         link = self.links.get(effect.peer_id)
-        if link is None:
+        queue = link.queue if link else None
+        if queue is None:
+            queue = self.incoming.get(effect.peer_id)
+        if queue is None:
+            self.context.counters.count_refusal("peers", "not_linked")
             return
-        if link.queue.full():
-            link.queue.get_nowait()
+        if queue.full():
+            queue.get_nowait()
             self.context.counters.count_refusal("peers", "queue_full")
-        link.queue.put_nowait(codec.encode(effect.message))
+        queue.put_nowait(codec.encode(effect.message))
+
+
+async def _send_all(
+    connection: websocket.Connection, queue: asyncio.Queue[bytes]
+) -> None:
+    try:
+        while True:
+            await connection.send(await queue.get())
+    except exceptions.ConnectionClosed:
+        # The receiving side sees the same end and closes the link.
+        return
--- a/packages/entry/src/sapphirestall_entry/performer.py
+++ b/packages/entry/src/sapphirestall_entry/performer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import logging
 import random
 
 from sapphirestall_core import errors
@@ -14,6 +13,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core import task_messages
 from sapphirestall_entry import context as context_module
+from sapphirestall_entry import logs
 
 
 @functools.singledispatch
@@ -56,12 +56,7 @@
 
 @perform.register
 def _(effect: messages.Log, context: context_module.Context) -> None:
-    fields = " ".join(
-        f"{name}={value}" for name, value in effect.fields.items()
-    )
-    logging.getLogger(effect.part).info(
-        "%s: %s %s", effect.part, effect.text, fields
-    )
+    logs.write(effect.part, effect.text, effect.fields)
 
 
 @perform.register
--- a/packages/entry/src/sapphirestall_entry/settings.py
+++ b/packages/entry/src/sapphirestall_entry/settings.py
@@ -1,10 +1,10 @@
 """YAML settings of the daemon, validated as a whole."""
 
+from collections.abc import Callable
 import pathlib
 from typing import Any
 
 import attrs
-import cattrs
 import yaml
 
 from sapphirestall_core import errors
@@ -12,64 +12,118 @@
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
-def _check_address(
-    instance: object, attribute: "attrs.Attribute[str]", value: str
-) -> None:
+@attrs.frozen
+class Rule:
+    """What a setting may hold.
+
+    Attributes:
+        accepts: Tells whether a value is allowed.
+        allowed: The allowed values in words.
+    """
+
+    accepts: Callable[[Any], bool]
+    allowed: str
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(
-            f"{value!r} is not an address; allowed: host:port, port 1 to 65535"
-        )
+    return bool(host) and port.isdecimal() and 0 < int(port) < 65536
+
+
+def _is_name(value: object) -> bool:
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= 200
+        and value.isprintable()
+        and "/" not in value
+    )
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _is_peers(value: object) -> bool:
+    return isinstance(value, dict) and all(
+        _is_name(name) and _is_address(address)
+        for name, address in value.items()
+    )
+
+
+def _make_range(low: float, high: float, unit: str) -> Rule:
+    def accept(value: Any) -> bool:
+        return _is_number(value) and low <= value <= high
+
+    return Rule(accept, f"a number from {low:g} to {high:g} ({unit})")
 
 
-def _check_name(
-    instance: object, attribute: "attrs.Attribute[str]", value: str
-) -> None:
-    if not value or "/" in value:
-        raise ValueError(
-            f"{value!r} is not a name; allowed: non-empty text without '/'"
-        )
+def _accept_size(value: Any) -> bool:
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    return whole and 1_000 <= value <= 100_000_000
 
 
-def _check_level(
-    instance: object, attribute: "attrs.Attribute[str]", value: str
-) -> None:
-    if value not in LOG_LEVELS:
-        allowed = ", ".join(LOG_LEVELS)
-        raise ValueError(f"{value!r} is not a level; allowed: {allowed}")
+_ADDRESS = Rule(_is_address, "host:port, port 1 to 65535")
+_NAME = Rule(_is_name, "1 to 200 printable characters without '/'")
+_LEVEL = Rule(LOG_LEVELS.__contains__, ", ".join(LOG_LEVELS))
+_SIZE = Rule(_accept_size, "an integer from 1000 to 100000000 (bytes)")
+_PEERS = Rule(_is_peers, "a map from instance id to host:port")
 
 
-def _check_positive(
-    instance: object, attribute: "attrs.Attribute[Any]", value: float
-) -> None:
-    if value <= 0:
-        raise ValueError(f"{value!r} is too small; allowed: above 0")
+def _add(rule: Rule, **options: Any) -> Any:
+    return attrs.field(metadata={"rule": rule}, **options)
 
 
 @attrs.frozen(kw_only=True)
 class Settings:
-    """Settings of one entry instance.
+    """Settings of one entry instance; docs/operators.md lists them.
 
     Attributes:
+        instance_id: Name of this instance, unique in the deployment.
+        data_centre: Data centre that it runs in.
         callers_listen: Address for callers' requests.
         operators_listen: Address for operators, health and metrics.
         peers_listen: Address for other entry instances.
         store_address: Address of the platform's key-value store.
+        seed_peers: Addresses of peers by instance id, used until the
+            platform's list was read.
+        log_level: Lowest level of the log lines that are written.
         max_body_bytes: Largest request or answer body.
         drain_s: Longest time for a graceful shutdown, in seconds.
+        notice_s: Part of `drain_s` in which requests are still accepted, so
+            that load balancers notice the readiness, in seconds.
     """
 
-    instance_id: str = attrs.field(validator=_check_name)
-    data_centre: str = attrs.field(validator=_check_name)
-    callers_listen: str = attrs.field(validator=_check_address)
-    operators_listen: str = attrs.field(validator=_check_address)
-    peers_listen: str = attrs.field(validator=_check_address)
-    store_address: str = attrs.field(validator=_check_address)
-    log_level: str = attrs.field(default="info", validator=_check_level)
-    max_body_bytes: int = attrs.field(
-        default=1_000_000, validator=_check_positive
-    )
-    drain_s: float = attrs.field(default=30.0, validator=_check_positive)
+    instance_id: str = _add(_NAME)
+    data_centre: str = _add(_NAME)
+    callers_listen: str = _add(_ADDRESS)
+    operators_listen: str = _add(_ADDRESS)
+    peers_listen: str = _add(_ADDRESS)
+    store_address: str = _add(_ADDRESS)
+    seed_peers: dict[str, str] = _add(_PEERS, factory=dict)
+    log_level: str = _add(_LEVEL, default="info")
+    max_body_bytes: int = _add(_SIZE, default=1_000_000)
+    drain_s: float = _add(_make_range(0.1, 3600, "seconds"), default=30.0)
+    notice_s: float = _add(_make_range(0, 60, "seconds"), default=2.0)
+
+
+@attrs.frozen
+class Fault:
+    """One fault of a settings file.
+
+    Attributes:
+        path: Name of the setting.
+        problem: What is wrong, with the value.
+        allowed: What is allowed.
+    """
+
+    path: str
+    problem: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.problem}; allowed: {self.allowed}"
 
 
 def load(path: pathlib.Path) -> Settings:
@@ -81,7 +135,7 @@
     """
     try:
         tree = yaml.safe_load(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+    except (OSError, ValueError, RecursionError, yaml.YAMLError) as error:
         raise errors.SettingsError(str(error), step="settings") from error
     return check(tree)
 
@@ -92,41 +146,43 @@
     Raises:
         errors.SettingsError: The tree has faults; the detail lists them all.
     """
-    converter = cattrs.Converter(forbid_extra_keys=True)
-    converter.register_structure_hook(str, _read_text)
-    converter.register_structure_hook(int, _read_integer)
-    converter.register_structure_hook(float, _read_number)
-    try:
-        return converter.structure(tree, Settings)
-    except cattrs.BaseValidationError as error:
-        faults = cattrs.transform_error(error, format_exception=_describe)
-        raise errors.SettingsError(
-            "\n".join(faults), step="settings"
-        ) from error
-
-
-def _read_text(value: object, target: type) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not text; allowed: text")
-    return value
-
-
-def _read_integer(value: object, target: type) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"{value!r} is not an integer; allowed: an integer")
-    return value
-
-
-def _read_number(value: object, target: type) -> float:
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise ValueError(f"{value!r} is not a number; allowed: a number")
-    return float(value)
-
-
-def _describe(error: BaseException, target: type | None) -> str:
-    if isinstance(error, cattrs.ForbiddenExtraKeysError):
-        names = ", ".join(sorted(error.extra_fields))
-        return f"unknown keys: {names}; allowed: the documented settings"
-    if isinstance(error, KeyError):
-        return "required key is missing"
-    return str(error)
+    if not isinstance(tree, dict):
+        kind = type(tree).__name__
+        fault = Fault("settings", f"the file holds {kind}", "a map of settings")
+        raise errors.SettingsError(str(fault), step="settings")
+    faults = list_faults(tree)
+    if faults:
+        detail = "\n".join(str(fault) for fault in faults)
+        raise errors.SettingsError(detail, step="settings")
+    return Settings(**tree)
+
+
+def list_faults(tree: dict[Any, object]) -> list[Fault]:
+    """Returns every fault of a tree, in the order of the settings."""
+    faults = []
+    fields = attrs.fields_dict(Settings)
+    for name, field in fields.items():
+        rule: Rule = field.metadata["rule"]
+        if name not in tree:
+            if field.default is attrs.NOTHING:
+                faults.append(Fault(name, "is missing", rule.allowed))
+        elif not rule.accepts(tree[name]):
+            faults.append(Fault(name, f"is {tree[name]!r:.80}", rule.allowed))
+    known = ", ".join(fields)
+    for name in tree:
+        if name not in fields:
+            faults.append(Fault(str(name), "is unknown", known))
+    if not faults:
+        faults += _compare(tree)
+    return faults
+
+
+def _compare(tree: dict[Any, Any]) -> list[Fault]:
+    names = ("callers_listen", "operators_listen", "peers_listen")
+    faults = []
+    for index, name in enumerate(names):
+        for other in names[:index]:
+            if tree[name] == tree[other]:
+                problem = f"is {tree[name]!r}, like {other}"
+                faults.append(Fault(name, problem, "an address of its own"))
+    return faults
