Merge tasks and control

The shutdown of control bounds the hand-over of partitions, so tasks no longer keeps a limit of its own.

--- a/packages/core/src/sapphirestall_core/answers.py
+++ b/packages/core/src/sapphirestall_core/answers.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from sapphirestall_core import control
 from sapphirestall_core import dispatch
+from sapphirestall_core import liveness
 from sapphirestall_core import messages
 from sapphirestall_core import operator_messages
 from sapphirestall_core import peer_messages
@@ -55,7 +55,7 @@
         peer_id
         for peer_id, peer in instance.peers.items()
         if peer.data_centre == data_centre
-        and now - peer.heard_at < control.PEER_DEAD_S
+        and now - peer.heard_at < liveness.PEER_DEAD_S
     )
 
 
--- a/packages/core/src/sapphirestall_core/errors.py
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -68,8 +68,22 @@
     exit_code = 5
 
 
+class UnknownOutcomeError(SapphirestallError):
+    """A command may or may not have taken effect."""
+
+    code = "outcome_unknown"
+    exit_code = 6
+
+
+class WaitEndedError(SapphirestallError):
+    """The awaited state was not reached in the time allowed."""
+
+    code = "wait_ended"
+    exit_code = 7
+
+
 class ListenError(SapphirestallError):
-    """A listening socket could not be opened."""
+    """The process cannot listen on one of its addresses."""
 
     code = "listen_failed"
-    exit_code = 6
+    exit_code = 8
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -280,8 +280,6 @@
     Attributes:
         store_failed_at: Own time of the last failed store call.
         started_at: Own time at which the partitions were first looked at.
-        drain_until: Own time after which a shutdown no longer waits for the
-            hand-over; negative while there is none.
         unread: Jobs whose records are to be read.
         forwarded: Number of commands handed to other instances.
         rooms: Partitions of peers by name.
@@ -293,7 +291,6 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     store_failed_at: float = -1000.0
     started_at: float = -1.0
-    drain_until: float = -1.0
     unread: set[str] = attrs.field(factory=set)
     rooms: dict[str, Room] = attrs.field(factory=dict)
     queries: dict[str, Query] = attrs.field(factory=dict)
@@ -303,10 +300,9 @@
         """Returns the partitions that this instance owns."""
         return [p for p in self.partitions.values() if p.epoch]
 
-    def is_idle(self, now: float) -> bool:
-        """Tells whether a shutdown need not wait for batch work."""
-        held = any(
+    def is_idle(self) -> bool:
+        """Tells whether no partition is held or being acquired."""
+        return not any(
             p.epoch or p.pending_epoch or p.acquiring
             for p in self.partitions.values()
         )
-        return not held or 0 <= self.drain_until <= now
