--- a/packages/core/src/sapphirestall_core/peer_messages.py
+++ b/packages/core/src/sapphirestall_core/peer_messages.py
@@ -17,7 +17,8 @@
 
     Attributes:
         configuration_version: Highest version in force there.
-        slot_demand: Slots that the sender could use beyond its share.
+        slot_demand: Slots that the sender could use beyond its share, by
+            service.
         leaving: Ids and incarnations of instances that the sender saw leaving.
     """
 
@@ -26,7 +27,7 @@
     data_centre: str
     state: membership.State
     configuration_version: int
-    slot_demand: int = 0
+    slot_demand: dict[str, int] = attrs.field(factory=dict)
     leaving: tuple[tuple[str, str], ...] = ()
 
 
@@ -37,12 +38,12 @@
     Attributes:
         tag: `membership.tag_text` of the sender's incarnation.
         version: Highest configuration version in force there.
-        demand: Slots that the sender could use beyond its share.
+        demand: Slots that the sender could use beyond its share, by service.
     """
 
     tag: int
     version: int
-    demand: int = 0
+    demand: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/packages/core/src/sapphirestall_core/state.py
+++ b/packages/core/src/sapphirestall_core/state.py
@@ -47,7 +47,7 @@
     data_centre: str
     state: membership.State
     configuration_version: int
-    slot_demand: int = 0
+    slot_demand: dict[str, int] = attrs.field(factory=dict)
     superseded: tuple[str, ...] = ()
 
 
@@ -91,13 +91,11 @@
         notice_s: Time in which requests are still accepted, so that load
             balancers see the readiness before requests are refused.
         requested_at: Time of the first signal.
-        released: Whether the parts were asked to give back what they hold.
     """
 
     limit_s: float = 30.0
     notice_s: float = 0.0
     requested_at: float | None = None
-    released: bool = False
 
 
 @attrs.define
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -85,7 +85,7 @@
 async def _serve(context: context_module.Context) -> None:
     settings = context.settings
     listeners = [
-        servers.open_listener(address)
+        servers.open_socket(address)
         for address in (
             settings.callers_listen,
             settings.operators_listen,
