--- a/features/servers.feature
+++ b/features/servers.feature
@@ -5,4 +5,4 @@
     looked healthy, and its configuration status never became complete.
     Given an entry daemon whose peer port is taken
     When the daemon is started
-    Then it exits with code 8 and names the error "listen_failed"
+    Then it exits with code 6 and names the error "listen_failed"
--- a/packages/core/src/sapphirestall_core/instance_lists.py
+++ b/packages/core/src/sapphirestall_core/instance_lists.py
@@ -41,7 +41,7 @@
     """Takes a newer list; an empty one is taken for a fault of the platform."""
     effects: dispatch.Effects = []
     if event.listings:
-        instance.members.replace_listings(event.listings, now)
+        instance.members.replace_listings(event.listings)
     else:
         effects.append(messages.CountRefusal(PART, "list_empty"))
     return effects + _connect(instance, now)
--- a/packages/core/src/sapphirestall_core/shutdown.py
+++ b/packages/core/src/sapphirestall_core/shutdown.py
@@ -20,8 +20,6 @@
 
 PART = "shutdown"
 DRAIN_CHECK_S = 0.1
-# Share of the limit that is left for giving back partitions.
-RELEASE_SHARE = 0.2
 
 
 @attrs.frozen
@@ -64,24 +62,16 @@
 
 
 @dispatch.expire.register(DrainDue)
-def go_on(
+def exit_when_idle(
     timer: DrainDue, instance: state.Instance, now: float
 ) -> dispatch.Effects:
-    """Gives back partitions once no request is in flight, then exits."""
+    """Exits once nothing is in flight, or at the end of the time."""
     shutdown = instance.shutdown
     assert shutdown.requested_at is not None
-    ends_at = shutdown.requested_at + shutdown.limit_s
-    release_at = ends_at - RELEASE_SHARE * shutdown.limit_s
-    again = messages.StartTimer(timer, DRAIN_CHECK_S)
     left = len(instance.requests.in_flight)
-    if not shutdown.released:
-        if left and now < release_at:
-            return [again]
-        shutdown.released = True
-        released = dispatch.release(instance.tasks, instance, now)
-        return [*released, again]
-    if not dispatch.is_released(instance.tasks, instance) and now < ends_at:
-        return [again]
+    busy = left or not instance.tasks.is_idle()
+    if busy and now < shutdown.requested_at + shutdown.limit_s:
+        return [messages.StartTimer(timer, DRAIN_CHECK_S)]
     return [
         messages.Log(PART, "ended", {"requests_left": left}),
         messages.Exit(),
--- a/packages/entry/src/sapphirestall_entry/main.py
+++ b/packages/entry/src/sapphirestall_entry/main.py
@@ -18,7 +18,7 @@
   1  internal error
   2  wrong use of the command line
   3  the settings file has faults; all of them are printed
-  8  an address cannot be listened on
+  6  an address cannot be listened on
 """
 
 
