--- /dev/null
+++ b/packages/core/src/sapphirestall_core/answers.py
@@ -0,0 +1,144 @@
+"""How a request ends: its outcome, its claim, and the repeats that joined."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import admission
+from sapphirestall_core import claims
+from sapphirestall_core import dispatch
+from sapphirestall_core import messages
+from sapphirestall_core import outcomes
+from sapphirestall_core import request_messages
+from sapphirestall_core import requests_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "requests"
+
+
+@attrs.frozen
+class RequestDue(messages.Timer):
+    """Time at which a request that still waits can no longer be served."""
+
+    request_id: str
+
+
+def refuse(
+    request_id: str, code: outcomes.Code, *, retry: bool
+) -> dispatch.Effects:
+    """Refuses a request before it is accepted."""
+    outcome = make_unsent(code, retry=retry)
+    return [
+        messages.CountRefusal(PART, code),
+        request_messages.AnswerCaller(request_id, outcome),
+    ]
+
+
+def make_unsent(code: outcomes.Code, *, retry: bool) -> outcomes.NotRun:
+    """Returns the outcome of a request that was never sent."""
+    return outcomes.NotRun(
+        proof=outcomes.NeverSent(),
+        code=code,
+        step="admission",
+        peer="",
+        retry=retry,
+        detail=f"refused before it was sent: {code}",
+    )
+
+
+def make_failed(
+    request: requests_state.Request, code: outcomes.Code
+) -> outcomes.Outcome:
+    """Returns the outcome of a request that ends without an answer.
+
+    It is `NotRun` only if every attempt has a proof.
+
+    Args:
+        request: The request; none of its attempts is under way.
+        code: Reason if it was never sent; a sent one has that of its failure.
+    """
+    failure = request.failure
+    if failure is None:
+        return make_unsent(code, retry=True)
+    if request.unproven:
+        return outcomes.Unknown(
+            failure.code, "executor", failure.executor_id, True, failure.detail
+        )
+    return outcomes.NotRun(
+        proof=request.proofs[-1],
+        code=failure.code,
+        step="executor",
+        peer=failure.executor_id,
+        retry=True,
+        detail=failure.detail,
+    )
+
+
+def arm(
+    request: requests_state.Request, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Starts the timer of a request that has to wait."""
+    event = request.arrived
+    if request.armed or event.request_id not in instance.requests.in_flight:
+        return []
+    request.armed = True
+    service = instance.requests.services[event.service]
+    needed_s = admission.estimate(service, event.operation, now)
+    delay_s = max(0.0, event.deadline - needed_s - now)
+    return [messages.StartTimer(RequestDue(event.request_id), delay_s)]
+
+
+def conclude(
+    request: requests_state.Request,
+    outcome: outcomes.Outcome,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Ends a request; a claim of a request that did not run goes first.
+
+    Any other outcome goes to the caller first and then into the claim.
+    """
+    if not request.claimed:
+        return give(request, outcome, instance)
+    request.claimed = False
+    if isinstance(outcome, outcomes.NotRun):
+        request.phase = requests_state.Phase.RELEASING
+        request.outcome = outcome
+        step = claims.release(request.arrived, instance)
+        return [*step.effects, *arm(request, instance, now)]
+    answered = give(request, outcome, instance)
+    step = claims.record(request.arrived, outcome, instance)
+    return [*answered, *step.effects]
+
+
+def give(
+    request: requests_state.Request,
+    outcome: outcomes.Outcome,
+    instance: state.Instance,
+) -> dispatch.Effects:
+    """Gives an outcome to the caller and to the repeats that joined."""
+    effects: dispatch.Effects = []
+    own = instance.requests
+    if not isinstance(outcome, outcomes.Answered):
+        effects += _count(outcome)
+    scope = claims.name_scope(request.arrived)
+    if own.claims.by_scope.get(scope) == request.arrived.request_id:
+        del own.claims.by_scope[scope]
+    for request_id in (request.arrived.request_id, *request.joined):
+        ended = own.in_flight.pop(request_id)
+        if not ended.caller_gone:
+            effects.append(request_messages.AnswerCaller(request_id, outcome))
+    return effects
+
+
+def _count(outcome: outcomes.Outcome) -> dispatch.Effects:
+    match outcome:
+        case outcomes.NotRun(code=code) | outcomes.Unknown(code=code):
+            return [messages.CountRefusal(PART, code)]
+        case outcomes.AlreadyRun(code=code):
+            return [messages.CountRefusal(PART, code)]
+    return []
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/attempts.py
@@ -0,0 +1,272 @@
+"""Which waiting request is claimed or sent next, and its attempts."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import admission
+from sapphirestall_core import answers
+from sapphirestall_core import buckets
+from sapphirestall_core import claims
+from sapphirestall_core import dispatch
+from sapphirestall_core import membership
+from sapphirestall_core import messages
+from sapphirestall_core import outcomes
+from sapphirestall_core import request_messages
+from sapphirestall_core import requests_state
+from sapphirestall_core import retries
+from sapphirestall_core import slots
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+Phase = requests_state.Phase
+Code = outcomes.Code
+
+
+def pump(name: str, instance: state.Instance, now: float) -> dispatch.Effects:
+    """Claims and sends as many waiting requests of a service as may go."""
+    service = instance.requests.services.get(name)
+    if service is None or not admission.count_waiting(service):
+        return []
+    slots.refresh_if_stale(instance, now)
+    capacity = slots.count_capacity(name, instance, now)
+    return [
+        *_claim_all(service, capacity, instance, now),
+        *_send_all(name, service, capacity, instance, now),
+    ]
+
+
+def _claim_all(
+    service: requests_state.Service,
+    capacity: int,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    effects: dispatch.Effects = []
+    classes = instance.policy.request_classes
+    while request := admission.pick_claimable(service, classes, capacity):
+        if _is_late(request, service, now):
+            effects += shed(request, Code.DEADLINE_UNMEETABLE, instance, now)
+            continue
+        request.phase = Phase.CLAIMING
+        admission.find_queue(service, request).claiming += 1
+        step = claims.take(request.arrived, instance, now)
+        effects += step.effects
+        effects += settle_all(step.verdicts, instance, now)
+    return effects
+
+
+def _send_all(
+    name: str,
+    service: requests_state.Service,
+    capacity: int,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    effects: dispatch.Effects = []
+    classes = instance.policy.request_classes
+    while slots.choose(name, set(), instance, now) is not None:
+        request = admission.pick_sendable(service, classes, capacity)
+        if request is None:
+            break
+        if _is_late(request, service, now):
+            effects += shed(request, Code.DEADLINE_UNMEETABLE, instance, now)
+            continue
+        executor = slots.choose(name, request.tried, instance, now)
+        assert executor is not None
+        effects += _send(request, executor, instance, now)
+    return effects
+
+
+def _is_late(
+    request: requests_state.Request,
+    service: requests_state.Service,
+    now: float,
+) -> bool:
+    event = request.arrived
+    needed_s = admission.estimate(service, event.operation, now)
+    return now + needed_s >= event.deadline
+
+
+def shed(
+    request: requests_state.Request,
+    code: outcomes.Code,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Ends a request that waits; it gets no further attempt."""
+    service = instance.requests.services[request.arrived.service]
+    admission.remove(request, service)
+    outcome = answers.make_failed(request, code)
+    return answers.conclude(request, outcome, instance, now)
+
+
+def _send(
+    request: requests_state.Request,
+    executor: membership.Listing,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    own = instance.requests
+    event = request.arrived
+    service = own.services[event.service]
+    if request.attempts_made == 0:
+        retries.earn(service)
+    request.attempts_made += 1
+    request.phase = Phase.SENDING
+    request.tried.add(executor.instance_id)
+    attempt_id = f"{event.request_id}.{request.attempts_made}"
+    request.attempt = requests_state.Attempt(
+        attempt_id, executor.instance_id, now
+    )
+    used = slots.find_executor(executor.instance_id, instance)
+    used.in_use += 1
+    admission.find_queue(service, request).in_use += 1
+    own.by_attempt[attempt_id] = event.request_id
+    return [
+        request_messages.SendAttempt(
+            attempt_id=attempt_id,
+            request_id=event.request_id,
+            executor_id=executor.instance_id,
+            address=executor.address,
+            operation=event.operation,
+            body=event.body,
+            content_type=event.content_type,
+            timeout_s=min(request.operation.timeout_s, event.deadline - now),
+            connect_timeout_s=slots.take_connect_timeout(used),
+        )
+    ]
+
+
+def close(
+    attempt_id: str, instance: state.Instance
+) -> requests_state.Request | None:
+    """Frees the slot of an attempt that ended; None if it is not known."""
+    own = instance.requests
+    request_id = own.by_attempt.pop(attempt_id, None)
+    if request_id is None:
+        return None
+    request = own.in_flight[request_id]
+    assert request.attempt is not None
+    executor = slots.find_executor(request.attempt.executor_id, instance)
+    executor.in_use -= 1
+    service = own.services[request.arrived.service]
+    admission.find_queue(service, request).in_use -= 1
+    request.attempt = None
+    return request
+
+
+def make_ready(
+    request: requests_state.Request, instance: state.Instance
+) -> None:
+    """Puts a claimed or retried request ahead of those that wait."""
+    request.phase = Phase.READY
+    service = instance.requests.services[request.arrived.service]
+    queue = admission.find_queue(service, request)
+    queue.ready[request.arrived.request_id] = request
+
+
+def fail(
+    request: requests_state.Request,
+    event: request_messages.AttemptFailed,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Plans the next attempt of a request, or ends it."""
+    request.failure = event
+    _record_proof(request, event)
+    own_service = instance.requests.services[request.arrived.service]
+    needed_s = admission.estimate(own_service, request.arrived.operation, now)
+    obstacle = retries.spend(request, own_service, needed_s, now)
+    if obstacle is not None:
+        outcome = answers.make_failed(request, event.code)
+        count = messages.CountRefusal("retries", obstacle)
+        return [count, *answers.conclude(request, outcome, instance, now)]
+    request.phase = Phase.BACKOFF
+    delay_s = retries.delay(request.attempts_made)
+    timer = retries.RetryDue(request.arrived.request_id)
+    return [
+        messages.CountRetry(answers.PART, event.code),
+        messages.StartTimer(timer, delay_s, retries.BACKOFF_JITTER),
+        *answers.arm(request, instance, now),
+    ]
+
+
+def _record_proof(
+    request: requests_state.Request, event: request_messages.AttemptFailed
+) -> None:
+    match event.stage:
+        case request_messages.FailureStage.CONNECT:
+            request.proofs.append(outcomes.ConnectionRefused(event.executor_id))
+        case request_messages.FailureStage.REFUSED:
+            request.proofs.append(outcomes.RefusedByExecutor(event.executor_id))
+        case request_messages.FailureStage.SENT:
+            request.unproven = True
+
+
+def settle_all(
+    verdicts: list[buckets.Verdict], instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Continues the requests whose claims were decided."""
+    effects: dispatch.Effects = []
+    for verdict in verdicts:
+        request = instance.requests.in_flight.get(verdict.request_id)
+        if request is not None:
+            effects += settle(verdict, request, instance, now)
+    return effects
+
+
+@functools.singledispatch
+def settle(
+    verdict: buckets.Verdict,
+    request: requests_state.Request,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Continues a request after a verdict on its claim."""
+    raise NotImplementedError(type(verdict).__name__)
+
+
+@settle.register(buckets.ClaimMade)
+def _(
+    verdict: buckets.ClaimMade,
+    request: requests_state.Request,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    end_claiming(request, instance)
+    request.claimed = True
+    make_ready(request, instance)
+    return []
+
+
+@settle.register(buckets.ClaimRefused)
+def _(
+    verdict: buckets.ClaimRefused,
+    request: requests_state.Request,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    end_claiming(request, instance)
+    return answers.conclude(request, verdict.outcome, instance, now)
+
+
+@settle.register(buckets.ReleaseEnded)
+def _(
+    verdict: buckets.ReleaseEnded,
+    request: requests_state.Request,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    assert request.outcome is not None
+    return answers.give(request, request.outcome, instance)
+
+
+def end_claiming(
+    request: requests_state.Request, instance: state.Instance
+) -> None:
+    """Counts a claim as no longer under way."""
+    service = instance.requests.services[request.arrived.service]
+    admission.find_queue(service, request).claiming -= 1
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/buckets.py
@@ -0,0 +1,253 @@
+"""One bucket of claims: how waiting changes apply to it (docs/design.md, 7)."""
+
+from __future__ import annotations
+
+import functools
+
+import attrs
+
+from sapphirestall_core import outcomes
+from sapphirestall_core import requests_state
+
+BODY_LIMIT_BYTES = 4096
+BUCKET_LIMIT_BYTES = 900_000
+# Field names, times and digest of one claim in JSON, without the texts below.
+CLAIM_OVERHEAD_BYTES = 220
+RETENTION_S = 24 * 3600.0
+
+
+@attrs.frozen
+class Verdict:
+    """What became of a change that a request waits for."""
+
+    request_id: str
+
+
+@attrs.frozen
+class ClaimMade(Verdict):
+    """The key is claimed; the request may be sent."""
+
+
+@attrs.frozen
+class ClaimRefused(Verdict):
+    """The key is not claimed; the outcome is final."""
+
+    outcome: outcomes.Outcome
+
+
+@attrs.frozen
+class ReleaseEnded(Verdict):
+    """The claim no longer exists, or will be released later."""
+
+
+@attrs.define
+class Plan:
+    """A bucket with waiting changes applied.
+
+    Attributes:
+        changed: Whether the bucket must be written.
+        batch: Changes that the write confirms.
+        verdicts: Verdicts that need no write.
+    """
+
+    claims: dict[str, requests_state.Claim]
+    now_wall: float
+    size: int = 0
+    changed: bool = False
+    batch: list[requests_state.Change] = attrs.field(factory=list)
+    verdicts: list[Verdict] = attrs.field(factory=list)
+
+    def keep(self, change: requests_state.Change) -> None:
+        """Keeps a change until the write is confirmed."""
+        self.changed = True
+        self.batch.append(change)
+
+
+def plan_write(
+    document: requests_state.ClaimDocument,
+    changes: list[requests_state.Change],
+    now_wall: float,
+) -> Plan:
+    """Applies changes in order to the claims that are still retained."""
+    kept = {
+        scope: claim
+        for scope, claim in document.claims.items()
+        if now_wall - claim.at < RETENTION_S
+    }
+    plan = Plan(kept, now_wall)
+    plan.size = sum(_measure(scope, claim) for scope, claim in kept.items())
+    for change in changes:
+        apply(change, plan)
+    return plan
+
+
+def _measure(scope: str, claim: requests_state.Claim) -> int:
+    body = len(claim.body) * 4 // 3 if claim.body else 0
+    texts = len(scope.encode()) + len(claim.token) + len(claim.content_type)
+    return CLAIM_OVERHEAD_BYTES + texts + body
+
+
+@functools.singledispatch
+def apply(change: requests_state.Change, plan: Plan) -> None:
+    """Applies one change to a bucket, or reaches a verdict without a write."""
+    raise NotImplementedError(type(change).__name__)
+
+
+@apply.register
+def _(change: requests_state.Take, plan: Plan) -> None:
+    found = plan.claims.get(change.scope)
+    if found is not None and found.token == change.token:
+        plan.verdicts.append(ClaimMade(change.request_id))
+        return
+    if found is not None:
+        plan.verdicts.append(_judge_repeat(change, found))
+        return
+    claim = requests_state.Claim(change.token, plan.now_wall, change.digest)
+    size = _measure(change.scope, claim)
+    if plan.size + size > BUCKET_LIMIT_BYTES:
+        code = outcomes.Code.CLAIMS_FULL
+        detail = "no room is left to claim the key"
+        plan.verdicts.append(_refuse(change.request_id, code, True, detail))
+        return
+    plan.claims[change.scope] = claim
+    plan.size += size
+    plan.keep(change)
+
+
+@apply.register
+def _(change: requests_state.Record, plan: Plan) -> None:
+    found = plan.claims.get(change.scope)
+    if found is None or found.token != change.token:
+        return
+    claim = attrs.evolve(
+        found,
+        state=change.state,
+        status=change.status,
+        content_type=change.content_type,
+        body=change.body,
+    )
+    growth = _measure(change.scope, claim) - _measure(change.scope, found)
+    if plan.size + growth > BUCKET_LIMIT_BYTES:
+        claim = attrs.evolve(claim, body=None)
+        growth = 0
+    plan.claims[change.scope] = claim
+    plan.size += growth
+    plan.keep(change)
+
+
+@apply.register
+def _(change: requests_state.Release, plan: Plan) -> None:
+    # The write happens even when the claim is absent: the new version keeps a
+    # delayed write of the claim from taking effect later.
+    found = plan.claims.get(change.scope)
+    if found is not None and found.token == change.token:
+        del plan.claims[change.scope]
+    plan.keep(change)
+
+
+def _judge_repeat(
+    change: requests_state.Take, found: requests_state.Claim
+) -> ClaimRefused:
+    code = outcomes.Code
+    if found.digest != change.digest:
+        detail = "the key was used with another request body"
+        return _refuse(change.request_id, code.KEY_REUSED, False, detail)
+    if found.state is requests_state.ClaimState.ANSWERED:
+        return ClaimRefused(change.request_id, _replay(found))
+    if found.state is requests_state.ClaimState.UNKNOWN:
+        detail = "the request with this key may have run"
+        unknown = outcomes.Unknown(
+            code.OUTCOME_UNKNOWN, "claim", "", False, detail
+        )
+        return ClaimRefused(change.request_id, unknown)
+    return ClaimRefused(change.request_id, make_in_progress())
+
+
+def _replay(found: requests_state.Claim) -> outcomes.Outcome:
+    if found.body is None:
+        return outcomes.AlreadyRun(found.status)
+    return outcomes.Answered(found.status, found.content_type, found.body, True)
+
+
+def make_in_progress() -> outcomes.Unknown:
+    """Returns the outcome of a repeat whose first request has not ended."""
+    detail = "the request with this key has not ended"
+    code = outcomes.Code.KEY_IN_PROGRESS
+    return outcomes.Unknown(code, "claim", "", True, detail)
+
+
+@functools.singledispatch
+def confirm(change: requests_state.Change) -> list[Verdict]:
+    """Returns the verdicts that a confirmed change reaches."""
+    return []
+
+
+@confirm.register
+def _(change: requests_state.Take) -> list[Verdict]:
+    return [ClaimMade(change.request_id)]
+
+
+@confirm.register
+def _(change: requests_state.Release) -> list[Verdict]:
+    return [ReleaseEnded(change.request_id)] if change.request_id else []
+
+
+def _refuse(
+    request_id: str, code: outcomes.Code, retry: bool, detail: str
+) -> ClaimRefused:
+    outcome = outcomes.NotRun(
+        proof=outcomes.ClaimNotMade(),
+        code=code,
+        step="claim",
+        peer="store",
+        retry=retry,
+        detail=detail,
+    )
+    return ClaimRefused(request_id, outcome)
+
+
+def refuse_outage(request_id: str) -> ClaimRefused:
+    """Returns the verdict on a claim that the store cannot confirm."""
+    code = outcomes.Code.STORE_UNAVAILABLE
+    detail = "the store did not confirm a claim of the key"
+    return _refuse(request_id, code, True, detail)
+
+
+@functools.singledispatch
+def give_up(change: requests_state.Change) -> list[Verdict]:
+    """Returns the verdicts on a change while the store is unavailable."""
+    return []
+
+
+@give_up.register
+def _(change: requests_state.Take) -> list[Verdict]:
+    return [refuse_outage(change.request_id)]
+
+
+@give_up.register
+def _(change: requests_state.Release) -> list[Verdict]:
+    return [ReleaseEnded(change.request_id)] if change.request_id else []
+
+
+@functools.singledispatch
+def defer(
+    change: requests_state.Change, *, uncertain: bool
+) -> list[requests_state.Change]:
+    """Returns what remains of a change after `give_up`."""
+    return [change]
+
+
+@defer.register
+def _(
+    change: requests_state.Take, *, uncertain: bool
+) -> list[requests_state.Change]:
+    if not uncertain:
+        return []
+    return [requests_state.Release(change.scope, change.token)]
+
+
+@defer.register
+def _(
+    change: requests_state.Release, *, uncertain: bool
+) -> list[requests_state.Change]:
+    return [requests_state.Release(change.scope, change.token)]
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/claims.py
@@ -0,0 +1,310 @@
+"""Group-committed claims of idempotency keys (docs/design.md, 4.5 and 7).
+
+All changes that wait for a bucket go into one compare-and-swap; at most one
+store call per bucket is under way. A lost answer is settled by re-reading: the
+token shows whether a claim was recorded.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import buckets
+from sapphirestall_core import messages
+from sapphirestall_core import outcomes
+from sapphirestall_core import request_messages
+from sapphirestall_core import requests_state
+from sapphirestall_core import store_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "claims"
+# Outcomes wait this long so that several share one write of their bucket.
+RECORD_DELAY_S = 0.2
+RETRY_BASE_S = 0.01
+RETRY_LIMIT_S = 5.0
+# After a failed store call, claims are refused for this time.
+OUTAGE_PAUSE_S = 0.5
+
+
+@attrs.frozen
+class ReadBucket(store_messages.Purpose):
+    """Reads a bucket before it is changed."""
+
+    number: int
+
+
+@attrs.frozen
+class WriteBucket(store_messages.Purpose):
+    """Writes a changed bucket."""
+
+    number: int
+    document: requests_state.ClaimDocument
+
+
+@attrs.frozen
+class BucketDue(messages.Timer):
+    """Time to write the changes that wait for a bucket."""
+
+    number: int
+
+
+@attrs.frozen
+class Step:
+    """Effects of a step and the verdicts that it reached."""
+
+    effects: list[messages.Effect] = attrs.field(factory=list)
+    verdicts: list[buckets.Verdict] = attrs.field(factory=list)
+
+
+def name_scope(event: request_messages.RequestArrived) -> str:
+    """Returns the scope of a key: service, operation and key."""
+    return f"{event.service}/{event.operation}/{event.key}"
+
+
+def digest_body(event: request_messages.RequestArrived) -> str:
+    """Returns the digest by which a repeat is told from a reused key."""
+    return hashlib.blake2b(event.body, digest_size=16).hexdigest()
+
+
+def _name_token(request_id: str, instance: state.Instance) -> str:
+    return f"{instance.identity.instance_id}/{request_id}"
+
+
+def _find_number(scope: str, instance: state.Instance) -> int:
+    digest = hashlib.blake2b(scope.encode(), digest_size=8).digest()
+    count = instance.requests.claims.bucket_count
+    return int.from_bytes(digest, "big") % count
+
+
+def _add_change(change: requests_state.Change, instance: state.Instance) -> int:
+    number = _find_number(change.scope, instance)
+    bucket = instance.requests.claims.buckets.setdefault(
+        number, requests_state.Bucket()
+    )
+    bucket.waiting.append(change)
+    return number
+
+
+def take(
+    event: request_messages.RequestArrived,
+    instance: state.Instance,
+    now: float,
+) -> Step:
+    """Starts to claim the key of a request; a verdict follows."""
+    state_of_claims = instance.requests.claims
+    if now < state_of_claims.refused_until:
+        return Step(verdicts=[buckets.refuse_outage(event.request_id)])
+    change = requests_state.Take(
+        name_scope(event),
+        _name_token(event.request_id, instance),
+        event.request_id,
+        digest_body(event),
+    )
+    return _start_call(_add_change(change, instance), instance)
+
+
+def abandon(
+    event: request_messages.RequestArrived, instance: state.Instance
+) -> Step:
+    """Gives up a claim whose verdict has not come; nothing was sent.
+
+    A claim that may have been written is released later by its token.
+    """
+    token = _name_token(event.request_id, instance)
+    number = _find_number(name_scope(event), instance)
+    bucket = instance.requests.claims.buckets.get(number)
+    if bucket is None:
+        return Step()
+    written = token in bucket.uncertain or any(
+        change.token == token for change in bucket.batch
+    )
+    bucket.waiting = [c for c in bucket.waiting if c.token != token]
+    bucket.batch = [c for c in bucket.batch if c.token != token]
+    if written:
+        bucket.waiting.append(requests_state.Release(name_scope(event), token))
+    return _start_call(number, instance)
+
+
+def record(
+    event: request_messages.RequestArrived,
+    outcome: outcomes.Outcome,
+    instance: state.Instance,
+) -> Step:
+    """Writes the outcome of a claimed request into its claim, soon."""
+    scope = name_scope(event)
+    token = _name_token(event.request_id, instance)
+    change = requests_state.Record(
+        scope, token, requests_state.ClaimState.UNKNOWN
+    )
+    if isinstance(outcome, outcomes.Answered):
+        kept = len(outcome.body) <= buckets.BODY_LIMIT_BYTES
+        change = requests_state.Record(
+            scope,
+            token,
+            requests_state.ClaimState.ANSWERED,
+            outcome.status,
+            outcome.content_type,
+            outcome.body if kept else None,
+        )
+    number = _add_change(change, instance)
+    return Step(_start_timer(number, RECORD_DELAY_S, instance))
+
+
+def release(
+    event: request_messages.RequestArrived, instance: state.Instance
+) -> Step:
+    """Releases the claim of a request that did not run; a verdict follows."""
+    change = requests_state.Release(
+        name_scope(event),
+        _name_token(event.request_id, instance),
+        event.request_id,
+    )
+    return _start_call(_add_change(change, instance), instance)
+
+
+def write_due(timer: BucketDue, instance: state.Instance) -> Step:
+    """Starts the store call that a timer delayed."""
+    bucket = instance.requests.claims.buckets.get(timer.number)
+    if bucket is None:
+        return Step()
+    bucket.timer = False
+    return _start_call(timer.number, instance)
+
+
+def _start_timer(
+    number: int, delay_s: float, instance: state.Instance
+) -> list[messages.Effect]:
+    bucket = instance.requests.claims.buckets[number]
+    if bucket.timer or bucket.busy:
+        return []
+    bucket.timer = True
+    return [messages.StartTimer(BucketDue(number), delay_s, 0.5)]
+
+
+def _start_call(number: int, instance: state.Instance) -> Step:
+    bucket = instance.requests.claims.buckets[number]
+    if bucket.busy or (bucket.failures and bucket.timer):
+        return Step()
+    if not bucket.waiting:
+        del instance.requests.claims.buckets[number]
+        return Step()
+    bucket.busy = True
+    call = store_messages.StoreGet(
+        ReadBucket(number), _name_key(number), requests_state.ClaimDocument
+    )
+    return Step([call])
+
+
+def _name_key(number: int) -> str:
+    return f"claims/{number}"
+
+
+def take_read(
+    purpose: ReadBucket,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> Step:
+    """Applies the waiting changes to the bucket as it was read."""
+    match reply.outcome:
+        case store_messages.Found(
+            value=requests_state.ClaimDocument() as document, version=version
+        ):
+            return _write(purpose.number, document, version, instance, now)
+        case store_messages.Absent():
+            document = requests_state.ClaimDocument()
+            return _write(purpose.number, document, 0, instance, now)
+        case _:
+            return _fail(purpose.number, instance, now)
+
+
+def take_written(
+    purpose: WriteBucket,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> Step:
+    """Confirms the changes of a write, or settles it by re-reading."""
+    bucket = instance.requests.claims.buckets[purpose.number]
+    batch, bucket.batch = bucket.batch, []
+    match reply.outcome:
+        case store_messages.Written(version=version):
+            bucket.failures = 0
+            bucket.uncertain.difference_update(c.token for c in batch)
+            verdicts = [v for change in batch for v in buckets.confirm(change)]
+            step = _write(
+                purpose.number, purpose.document, version, instance, now
+            )
+            return Step(step.effects, verdicts + step.verdicts)
+        case store_messages.VersionMismatch():
+            bucket.waiting = batch + bucket.waiting
+            return _read_again(purpose.number, "claim_conflict", instance)
+        case store_messages.Unavailable(ambiguous=True):
+            bucket.waiting = batch + bucket.waiting
+            bucket.uncertain.update(c.token for c in batch)
+            return _read_again(purpose.number, "claim_answer_lost", instance)
+        case _:
+            bucket.waiting = batch + bucket.waiting
+            return _fail(purpose.number, instance, now)
+
+
+def _read_again(number: int, reason: str, instance: state.Instance) -> Step:
+    bucket = instance.requests.claims.buckets[number]
+    bucket.busy = False
+    step = _start_call(number, instance)
+    return Step([messages.CountRetry(PART, reason), *step.effects])
+
+
+def _fail(number: int, instance: state.Instance, now: float) -> Step:
+    """Refuses claims and repeats everything else with growing delays."""
+    all_claims = instance.requests.claims
+    all_claims.refused_until = now + OUTAGE_PAUSE_S
+    bucket = all_claims.buckets[number]
+    bucket.busy = False
+    verdicts: list[buckets.Verdict] = []
+    kept: list[requests_state.Change] = []
+    for change in bucket.waiting:
+        uncertain = change.token in bucket.uncertain
+        verdicts += buckets.give_up(change)
+        kept += buckets.defer(change, uncertain=uncertain)
+    bucket.waiting = kept
+    if not kept:
+        del all_claims.buckets[number]
+        return Step(verdicts=verdicts)
+    bucket.failures += 1
+    delay_s = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**bucket.failures)
+    effects = _start_timer(number, delay_s, instance)
+    count = messages.CountRetry(PART, "store_unavailable")
+    return Step([count, *effects], verdicts)
+
+
+def _write(
+    number: int,
+    document: requests_state.ClaimDocument,
+    version: int,
+    instance: state.Instance,
+    now: float,
+) -> Step:
+    bucket = instance.requests.claims.buckets[number]
+    bucket.busy = False
+    if not bucket.waiting:
+        del instance.requests.claims.buckets[number]
+        return Step()
+    now_wall = now + instance.identity.wall_offset
+    plan = buckets.plan_write(document, bucket.waiting, now_wall)
+    bucket.waiting = []
+    if not plan.changed:
+        del instance.requests.claims.buckets[number]
+        return Step(verdicts=plan.verdicts)
+    bucket.batch = plan.batch
+    bucket.busy = True
+    written = requests_state.ClaimDocument(plan.claims)
+    call = store_messages.StorePut(
+        WriteBucket(number, written), _name_key(number), written, version
+    )
+    return Step([call], plan.verdicts)
--- a/packages/core/src/sapphirestall_core/control.py
+++ b/packages/core/src/sapphirestall_core/control.py
@@ -150,6 +150,7 @@
         data_centre=identity.data_centre,
         state=own_state.value,
         configuration_version=instance.configuration.document.version,
+        slot_demand=dict(instance.requests.slots.demand),
         leaving=tuple(sorted(instance.members.leaving)),
     )
 
@@ -483,7 +484,7 @@
 def exit_when_idle(
     timer: DrainDue, instance: state.Instance, now: float
 ) -> dispatch.Effects:
-    """Exits once no request is in flight."""
-    if instance.requests.in_flight:
+    """Exits once no request is in flight and no claim has to be written."""
+    if not instance.requests.is_idle():
         return [messages.StartTimer(timer, DRAIN_CHECK_S)]
     return [messages.Exit()]
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/health.py
@@ -0,0 +1,65 @@
+"""Health polls of executors, one entry instance each (docs/design.md, 4.9)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sapphirestall_core import control
+from sapphirestall_core import dispatch
+from sapphirestall_core import membership
+from sapphirestall_core import messages
+from sapphirestall_core import request_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+PART = "health"
+PERIOD_S = 1.0
+
+
+@attrs.frozen
+class HealthDue(messages.Timer):
+    """Time to poll executors."""
+
+
+@dispatch.expire.register(HealthDue)
+def poll_executors(
+    timer: HealthDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Polls the executors that this instance comes first for."""
+    identity = instance.identity
+    live = control.find_live_entries(instance, now)
+    executors = instance.members.find(
+        membership.Kind.EXECUTOR, identity.data_centre
+    )
+    effects: dispatch.Effects = [
+        request_messages.PollHealth(entry.instance_id, entry.address)
+        for entry in executors
+        if membership.rank_candidates(entry.instance_id, live)[:1]
+        == [identity.instance_id]
+    ]
+    effects.append(messages.StartTimer(timer, PERIOD_S, 0.1))
+    return effects
+
+
+@dispatch.handle.register(request_messages.HealthRead)
+def take_health(
+    event: request_messages.HealthRead, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Marks an executor that says it is leaving; heartbeats pass it on."""
+    if not event.leaving:
+        return []
+    instance.members.mark_leaving(event.executor_id)
+    instance.journal.record(now, event.executor_id, "leave", "health reply")
+    text = f"executor {event.executor_id} is leaving"
+    return [messages.Log(PART, text)]
+
+
+@dispatch.handle.register(request_messages.HealthUnread)
+def miss_health(
+    event: request_messages.HealthUnread, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Counts a poll without an answer; that alone is no sign of leaving."""
+    return [messages.CountRetry(PART, "health_unread")]
--- a/packages/core/src/sapphirestall_core/instance.py
+++ b/packages/core/src/sapphirestall_core/instance.py
@@ -2,18 +2,25 @@
 
 from sapphirestall_core import control
 from sapphirestall_core import dispatch
+from sapphirestall_core import health
 from sapphirestall_core import messages
 from sapphirestall_core import requests
+from sapphirestall_core import slots
 from sapphirestall_core import state
 from sapphirestall_core import tasks
 
 # Importing a part registers its handlers with `dispatch`.
-PARTS = (control, requests, tasks)
+PARTS = (control, health, requests, tasks)
 
 
 def build(identity: state.Identity) -> state.Instance:
     """Returns the state of a new entry instance."""
-    timers = (tasks.LeaseDue(), tasks.OwnersDue())
+    timers = (
+        tasks.LeaseDue(),
+        tasks.OwnersDue(),
+        slots.SlotsDue(),
+        health.HealthDue(),
+    )
     return state.Instance(identity, start_timers=timers)
 
 
--- a/packages/core/src/sapphirestall_core/outcomes.py
+++ b/packages/core/src/sapphirestall_core/outcomes.py
@@ -4,9 +4,46 @@
 only where that is certain.
 """
 
+import enum
+
 import attrs
 
 
+class Code(enum.StrEnum):
+    """Stable reason codes that callers see; docs/callers.md explains them."""
+
+    ALREADY_RUN = "already_run"
+    ANSWER_TOO_LONG = "answer_too_long"
+    BAD_DEADLINE = "bad_deadline"
+    BAD_KEY = "bad_key"
+    BAD_REQUEST_ID = "bad_request_id"
+    BODY_TOO_LARGE = "body_too_large"
+    CALLER_GONE = "caller_gone"
+    CLAIM_UNCONFIRMED = "claim_unconfirmed"
+    CLAIMS_FULL = "claims_full"
+    CONNECT_FAILED = "connect_failed"
+    CONNECT_TIMEOUT = "connect_timeout"
+    CONNECTION_LOST = "connection_lost"
+    CROSSED_ANSWER = "crossed_answer"
+    DEADLINE_UNMEETABLE = "deadline_unmeetable"
+    DRAINING = "draining"
+    EXECUTOR_BUSY = "executor_busy"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_REUSED = "key_reused"
+    MALFORMED_REQUEST = "malformed_request"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    MISSING_KEY = "missing_key"
+    NO_EXECUTOR = "no_executor"
+    NOT_FOUND = "not_found"
+    NOT_READY = "not_ready"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    QUEUE_FULL = "queue_full"
+    STORE_UNAVAILABLE = "store_unavailable"
+    TIMEOUT = "timeout"
+    TRUNCATED_ANSWER = "truncated_answer"
+    UNKNOWN_OPERATION = "unknown_operation"
+
+
 @attrs.frozen
 class Proof:
     """Evidence that a request was not run; base of the closed set below."""
@@ -43,11 +80,33 @@
 
 @attrs.frozen
 class Answered(Outcome):
-    """The executor's whole answer."""
+    """The executor's whole answer.
+
+    Attributes:
+        recorded: Whether it is the recorded answer of an earlier request with
+            the same idempotency key.
+    """
 
     status: int
     content_type: str
     body: bytes
+    recorded: bool = False
+
+
+@attrs.frozen
+class AlreadyRun(Outcome):
+    """An earlier request with the key ran; its answer was not kept.
+
+    Attributes:
+        status: Status of the executor's answer to the earlier request.
+    """
+
+    status: int
+    code: Code = Code.ALREADY_RUN
+    step: str = "claim"
+    peer: str = ""
+    retry: bool = False
+    detail: str = "the request with this key ran; its answer was not kept"
 
 
 @attrs.frozen
@@ -64,7 +123,7 @@
     """
 
     proof: Proof = attrs.field(validator=attrs.validators.instance_of(Proof))
-    code: str
+    code: Code
     step: str
     peer: str
     retry: bool
@@ -75,7 +134,7 @@
 class Unknown(Outcome):
     """The request may or may not have run."""
 
-    code: str
+    code: Code
     step: str
     peer: str
     retry: bool
--- a/packages/core/src/sapphirestall_core/peer_messages.py
+++ b/packages/core/src/sapphirestall_core/peer_messages.py
@@ -17,7 +17,8 @@
     Attributes:
         state: `live` or `leaving`.
         configuration_version: Highest version in force there.
-        slot_demand: Slots that the sender could use beyond its share.
+        slot_demand: Slots that the sender could use beyond its share, by
+            service.
         leaving: Ids and incarnations of instances that the sender saw leaving.
     """
 
@@ -26,7 +27,7 @@
     data_centre: str
     state: str
     configuration_version: int
-    slot_demand: int = 0
+    slot_demand: dict[str, int] = attrs.field(factory=dict)
     leaving: tuple[tuple[str, str], ...] = ()
 
 
@@ -53,6 +54,19 @@
     partition: str
 
 
+@attrs.frozen
+class SlotLoan(PeerMessage):
+    """Lends slots of one executor; a later loan replaces an earlier one.
+
+    Attributes:
+        term_s: How long the loan lasts, in seconds.
+    """
+
+    executor_id: str
+    count: int
+    term_s: float
+
+
 @attrs.frozen
 class SendPeer(messages.Effect):
     """Sends a message to one peer; lost when the peer is not connected."""
--- a/packages/core/src/sapphirestall_core/request_messages.py
+++ b/packages/core/src/sapphirestall_core/request_messages.py
@@ -41,6 +41,8 @@
     Attributes:
         attempt_id: Unique for each send; the executor repeats it.
         timeout_s: After this time the shell closes the connection.
+        connect_timeout_s: Longest time to set up a connection; the shell
+            varies it at random so that entry instances do not act in step.
     """
 
     attempt_id: str
@@ -51,17 +53,23 @@
     body: bytes
     content_type: str
     timeout_s: float
+    connect_timeout_s: float
 
 
 @attrs.frozen
 class AttemptAnswered(messages.Event):
-    """The executor's whole answer to an attempt arrived."""
+    """The executor's whole answer to an attempt arrived.
+
+    Attributes:
+        leaving: Whether the executor said that it is leaving.
+    """
 
     attempt_id: str
     executor_id: str
     status: int
     content_type: str
     body: bytes
+    leaving: bool = False
 
 
 class FailureStage(enum.Enum):
@@ -85,7 +93,7 @@
     attempt_id: str
     executor_id: str
     stage: FailureStage
-    code: str
+    code: outcomes.Code
     detail: str
     leaving: bool = False
 
@@ -96,3 +104,26 @@
 
     request_id: str
     outcome: outcomes.Outcome
+
+
+@attrs.frozen
+class PollHealth(messages.Effect):
+    """Asks an executor whether it is leaving."""
+
+    executor_id: str
+    address: str
+
+
+@attrs.frozen
+class HealthRead(messages.Event):
+    """An executor stated whether it is leaving."""
+
+    executor_id: str
+    leaving: bool
+
+
+@attrs.frozen
+class HealthUnread(messages.Event):
+    """An executor did not answer a health poll."""
+
+    executor_id: str
--- a/packages/core/src/sapphirestall_core/requests.py
+++ b/packages/core/src/sapphirestall_core/requests.py
@@ -1,22 +1,31 @@
-"""Request life cycle: admit, send, retry, answer."""
+"""Handlers of the request path: arrival, attempts, timers, claims, slots."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from sapphirestall_core import admission
+from sapphirestall_core import answers
+from sapphirestall_core import attempts
+from sapphirestall_core import buckets
+from sapphirestall_core import claims
 from sapphirestall_core import dispatch
-from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import outcomes
+from sapphirestall_core import peer_messages
 from sapphirestall_core import policy
 from sapphirestall_core import request_messages
 from sapphirestall_core import requests_state
+from sapphirestall_core import retries
+from sapphirestall_core import slots
+from sapphirestall_core import store_messages
 
 if TYPE_CHECKING:
     from sapphirestall_core import state
 
-PART = "requests"
-MAX_ATTEMPTS = 3
+PART = answers.PART
+Phase = requests_state.Phase
+Code = outcomes.Code
 
 
 @dispatch.handle.register(request_messages.RequestArrived)
@@ -25,15 +34,91 @@
     instance: state.Instance,
     now: float,
 ) -> dispatch.Effects:
-    """Admits a request and sends its first attempt, or refuses it."""
+    """Accepts a request, or refuses it before it changes any state."""
     operation = _find_operation(event, instance)
     if operation is None:
-        return _refuse(event.request_id, "unknown_operation", retry=False)
+        ready = instance.configuration.document.version > 0
+        code = Code.UNKNOWN_OPERATION if ready else Code.NOT_READY
+        return answers.refuse(event.request_id, code, retry=not ready)
+    slots.refresh_if_stale(instance, now)
+    obstacle = _find_obstacle(event, operation, instance, now)
+    if obstacle is not None:
+        retry = obstacle is not Code.MISSING_KEY
+        return answers.refuse(event.request_id, obstacle, retry=retry)
+    own = instance.requests
+    own.services.setdefault(event.service, requests_state.Service())
+    own.sequence += 1
+    request = requests_state.Request(event, operation, own.sequence)
+    if not operation.repeatable:
+        scope = claims.name_scope(event)
+        if scope in own.claims.by_scope:
+            return _join(request, own.claims.by_scope[scope], instance, now)
+        own.claims.by_scope[scope] = event.request_id
+    return _admit(request, instance, now)
+
+
+def _find_operation(
+    event: request_messages.RequestArrived, instance: state.Instance
+) -> policy.Operation | None:
+    service = instance.policy.services.get(event.service)
+    return service.operations.get(event.operation) if service else None
+
+
+def _find_obstacle(
+    event: request_messages.RequestArrived,
+    operation: policy.Operation,
+    instance: state.Instance,
+    now: float,
+) -> outcomes.Code | None:
     if instance.draining:
-        return _refuse(event.request_id, "draining", retry=True)
-    request = requests_state.Request(event)
+        return Code.DRAINING
+    if not operation.repeatable and not event.key:
+        return Code.MISSING_KEY
+    if not slots.has_executor(event.service, instance):
+        return Code.NO_EXECUTOR
+    service = instance.requests.services.get(event.service)
+    needed_s = 0.0
+    if service is not None:
+        needed_s = admission.estimate(service, event.operation, now)
+    if now + needed_s >= event.deadline:
+        return Code.DEADLINE_UNMEETABLE
+    return None
+
+
+def _admit(
+    request: requests_state.Request, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    own = instance.requests
+    event = request.arrived
+    own.in_flight[event.request_id] = request
+    service = own.services[event.service]
+    surplus = admission.enqueue(
+        request, service, instance.policy.request_classes
+    )
+    effects: dispatch.Effects = []
+    if surplus is not None:
+        effects += attempts.shed(surplus, Code.QUEUE_FULL, instance, now)
+    effects += attempts.pump(event.service, instance, now)
+    if request.phase is not Phase.SENDING:
+        effects += answers.arm(request, instance, now)
+    return effects
+
+
+def _join(
+    request: requests_state.Request,
+    first_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Lets a repeat wait for the outcome of the first request."""
+    first = instance.requests.in_flight[first_id]
+    event = request.arrived
+    if claims.digest_body(event) != claims.digest_body(first.arrived):
+        return answers.refuse(event.request_id, Code.KEY_REUSED, retry=False)
+    request.phase = Phase.JOINED
+    first.joined.append(event.request_id)
     instance.requests.in_flight[event.request_id] = request
-    return _send(request, operation, instance, now)
+    return answers.arm(request, instance, now)
 
 
 @dispatch.handle.register(request_messages.AttemptAnswered)
@@ -43,11 +128,31 @@
     now: float,
 ) -> dispatch.Effects:
     """Answers the caller; an answer to an ended attempt is dropped."""
-    request = _close_attempt(event.attempt_id, instance)
-    if request is None:
+    if event.leaving:
+        instance.members.mark_leaving(event.executor_id)
+    sent = _find_attempt(event.attempt_id, instance)
+    request = attempts.close(event.attempt_id, instance)
+    if request is None or sent is None:
         return [messages.CountRefusal(PART, "late_answer")]
+    slots.record_success(event.executor_id, instance)
+    name = request.arrived.service
+    service = instance.requests.services[name]
+    operation = request.arrived.operation
+    admission.observe(service, operation, now - sent.sent_at, now)
     outcome = outcomes.Answered(event.status, event.content_type, event.body)
-    return _answer(request, outcome, instance)
+    return [
+        *answers.conclude(request, outcome, instance, now),
+        *attempts.pump(name, instance, now),
+    ]
+
+
+def _find_attempt(
+    attempt_id: str, instance: state.Instance
+) -> requests_state.Attempt | None:
+    request_id = instance.requests.by_attempt.get(attempt_id)
+    if request_id is None:
+        return None
+    return instance.requests.in_flight[request_id].attempt
 
 
 @dispatch.handle.register(request_messages.AttemptFailed)
@@ -57,145 +162,194 @@
     now: float,
 ) -> dispatch.Effects:
     """Retries a failed attempt where that is safe, or answers the caller."""
-    request = _close_attempt(event.attempt_id, instance)
-    if request is None:
-        return [messages.CountRefusal(PART, "late_failure")]
     if event.leaving:
         instance.members.mark_leaving(event.executor_id)
-    _record_failure(request, event)
-    operation = _find_operation(request.arrived, instance)
-    if operation and _may_retry(request, operation, now):
-        sent = _send(request, operation, instance, now)
-        return [messages.CountRetry(PART, event.code), *sent]
-    return _answer(request, _conclude(request, event), instance)
+    request = attempts.close(event.attempt_id, instance)
+    if request is None:
+        return [messages.CountRefusal(PART, "late_failure")]
+    effects: dispatch.Effects = []
+    if event.stage is request_messages.FailureStage.CONNECT:
+        effects += slots.record_connect_failure(event.executor_id, instance)
+    return [
+        *effects,
+        *attempts.fail(request, event, instance, now),
+        *attempts.pump(request.arrived.service, instance, now),
+    ]
 
 
-def _find_operation(
-    event: request_messages.RequestArrived, instance: state.Instance
-) -> policy.Operation | None:
-    service = instance.policy.services.get(event.service)
-    return service.operations.get(event.operation) if service else None
+@dispatch.expire.register(retries.RetryDue)
+def end_backoff(
+    timer: retries.RetryDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Makes a request ready for its next attempt."""
+    request = instance.requests.in_flight.get(timer.request_id)
+    if request is None or request.phase is not Phase.BACKOFF:
+        return []
+    attempts.make_ready(request, instance)
+    return attempts.pump(request.arrived.service, instance, now)
 
 
-def _refuse(request_id: str, code: str, *, retry: bool) -> dispatch.Effects:
-    outcome = outcomes.NotRun(
-        proof=outcomes.NeverSent(),
-        code=code,
-        step="admission",
-        peer="",
-        retry=retry,
-        detail=f"refused before it was sent: {code}",
-    )
-    return [
-        messages.CountRefusal(PART, code),
-        request_messages.AnswerCaller(request_id, outcome),
-    ]
+@dispatch.expire.register(answers.RequestDue)
+def end_waiting(
+    timer: answers.RequestDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Ends a request that waited too long; one that is sent goes on."""
+    request = instance.requests.in_flight.get(timer.request_id)
+    if request is None:
+        return []
+    request.armed = False
+    return _stop(request, Code.DEADLINE_UNMEETABLE, instance, now)
 
 
-def _send(
+@dispatch.handle.register(request_messages.CallerGone)
+def drop_request(
+    event: request_messages.CallerGone, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Ends a request that was not sent yet, as nobody waits for it."""
+    request = instance.requests.in_flight.get(event.request_id)
+    if request is None:
+        return []
+    request.caller_gone = True
+    if request.joined:
+        return []
+    return _stop(request, Code.CALLER_GONE, instance, now)
+
+
+def _stop(
     request: requests_state.Request,
-    operation: policy.Operation,
+    code: outcomes.Code,
     instance: state.Instance,
     now: float,
 ) -> dispatch.Effects:
-    event = request.arrived
-    executor = _choose_executor(event.service, instance)
-    if executor is None:
-        instance.requests.in_flight.pop(event.request_id, None)
-        return _refuse(event.request_id, "no_executor", retry=True)
-    request.attempts_made += 1
-    attempt_id = f"{event.request_id}.{request.attempts_made}"
-    request.attempt = requests_state.Attempt(attempt_id, executor.instance_id)
-    in_use = instance.requests.in_use
-    in_use[executor.instance_id] = in_use.get(executor.instance_id, 0) + 1
-    instance.requests.by_attempt[attempt_id] = event.request_id
+    """Ends a request according to what it waits for."""
+    match request.phase:
+        case Phase.SENDING:
+            return []
+        case Phase.RELEASING:
+            # The release goes on; until it took effect a repeat gets unknown.
+            assert request.outcome is not None
+            return answers.give(request, request.outcome, instance)
+        case Phase.JOINED:
+            return _leave(request, instance)
+        case Phase.CLAIMING:
+            return _abandon(request, instance, now)
     return [
-        request_messages.SendAttempt(
-            attempt_id=attempt_id,
-            request_id=event.request_id,
-            executor_id=executor.instance_id,
-            address=executor.address,
-            operation=event.operation,
-            body=event.body,
-            content_type=event.content_type,
-            timeout_s=min(operation.timeout_s, event.deadline - now),
-        )
+        *attempts.shed(request, code, instance, now),
+        *attempts.pump(request.arrived.service, instance, now),
     ]
 
 
-def _choose_executor(
-    service: str, instance: state.Instance
-) -> membership.Listing | None:
-    candidates = [
-        entry
-        for entry in instance.members.find(
-            membership.Kind.EXECUTOR, instance.identity.data_centre
-        )
-        if entry.service == service
+def _leave(
+    request: requests_state.Request, instance: state.Instance
+) -> dispatch.Effects:
+    first_id = instance.requests.claims.by_scope[
+        claims.name_scope(request.arrived)
     ]
-    in_use = instance.requests.in_use
-    return min(
-        candidates,
-        key=lambda entry: in_use.get(entry.instance_id, 0),
-        default=None,
-    )
+    first = instance.requests.in_flight[first_id]
+    first.joined.remove(request.arrived.request_id)
+    return answers.give(request, buckets.make_in_progress(), instance)
 
 
-def _close_attempt(
-    attempt_id: str, instance: state.Instance
-) -> requests_state.Request | None:
-    request_id = instance.requests.by_attempt.pop(attempt_id, None)
-    if request_id is None:
-        return None
-    request = instance.requests.in_flight[request_id]
-    assert request.attempt is not None
-    instance.requests.in_use[request.attempt.executor_id] -= 1
-    request.attempt = None
-    return request
-
-
-def _record_failure(
-    request: requests_state.Request, event: request_messages.AttemptFailed
-) -> None:
-    match event.stage:
-        case request_messages.FailureStage.CONNECT:
-            request.proofs.append(outcomes.ConnectionRefused(event.executor_id))
-        case request_messages.FailureStage.REFUSED:
-            request.proofs.append(outcomes.RefusedByExecutor(event.executor_id))
-        case request_messages.FailureStage.SENT:
-            request.unproven = True
-
-
-def _may_retry(
-    request: requests_state.Request, operation: policy.Operation, now: float
-) -> bool:
-    safe = operation.repeatable or not request.unproven
-    in_time = now < request.arrived.deadline
-    return safe and in_time and request.attempts_made < MAX_ATTEMPTS
-
-
-def _conclude(
-    request: requests_state.Request, event: request_messages.AttemptFailed
-) -> outcomes.Outcome:
-    if request.unproven:
-        return outcomes.Unknown(
-            event.code, "executor", event.executor_id, True, event.detail
-        )
-    return outcomes.NotRun(
-        proof=request.proofs[-1],
-        code=event.code,
-        step="executor",
-        peer=event.executor_id,
+def _abandon(
+    request: requests_state.Request, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    attempts.end_claiming(request, instance)
+    step = claims.abandon(request.arrived, instance)
+    outcome = outcomes.NotRun(
+        proof=outcomes.ClaimNotMade(),
+        code=Code.CLAIM_UNCONFIRMED,
+        step="claim",
+        peer="store",
         retry=True,
-        detail=event.detail,
+        detail="no claim was confirmed in time",
     )
+    return [*step.effects, *answers.give(request, outcome, instance)]
 
 
-def _answer(
-    request: requests_state.Request,
-    outcome: outcomes.Outcome,
+def _proceed(
+    step: claims.Step, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Performs a step of the claims and lets its requests go on."""
+    effects = [*step.effects]
+    effects += attempts.settle_all(step.verdicts, instance, now)
+    if step.verdicts:
+        for name in instance.requests.services:
+            effects += attempts.pump(name, instance, now)
+    return effects
+
+
+@dispatch.resume.register(claims.ReadBucket)
+def read_bucket(
+    purpose: claims.ReadBucket,
+    reply: store_messages.StoreReply,
     instance: state.Instance,
+    now: float,
 ) -> dispatch.Effects:
-    request_id = request.arrived.request_id
-    del instance.requests.in_flight[request_id]
-    return [request_messages.AnswerCaller(request_id, outcome)]
+    """Applies the waiting changes to a bucket that was read."""
+    return _proceed(
+        claims.take_read(purpose, reply, instance, now), instance, now
+    )
+
+
+@dispatch.resume.register(claims.WriteBucket)
+def write_bucket(
+    purpose: claims.WriteBucket,
+    reply: store_messages.StoreReply,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Confirms the changes of a bucket that was written."""
+    return _proceed(
+        claims.take_written(purpose, reply, instance, now), instance, now
+    )
+
+
+@dispatch.expire.register(claims.BucketDue)
+def write_waiting_changes(
+    timer: claims.BucketDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Starts a store call that a timer delayed."""
+    return _proceed(claims.write_due(timer, instance), instance, now)
+
+
+@dispatch.expire.register(slots.TrialDue)
+def try_executor(
+    timer: slots.TrialDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Lets one request go to an executor that could not be reached."""
+    slots.find_executor(timer.executor_id, instance).suspended = False
+    return _pump_all(instance, now)
+
+
+@dispatch.expire.register(slots.SlotsDue)
+def manage_slots(
+    timer: slots.SlotsDue, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Computes shares and demand, lends, and uses what became free."""
+    slots.refresh(instance, now)
+    slots.update_demand(instance, now)
+    return [
+        *slots.lend(instance, now),
+        *_pump_all(instance, now),
+        messages.StartTimer(timer, slots.PERIOD_S, 0.1),
+    ]
+
+
+@dispatch.receive.register(peer_messages.SlotLoan)
+def take_loan(
+    message: peer_messages.SlotLoan,
+    peer_id: str,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Uses slots that a peer lent."""
+    slots.borrow(message, peer_id, instance, now)
+    return _pump_all(instance, now)
+
+
+def _pump_all(instance: state.Instance, now: float) -> dispatch.Effects:
+    return [
+        effect
+        for name in instance.requests.services
+        for effect in attempts.pump(name, instance, now)
+    ]
--- a/packages/core/src/sapphirestall_core/state.py
+++ b/packages/core/src/sapphirestall_core/state.py
@@ -42,7 +42,7 @@
     data_centre: str
     state: membership.State
     configuration_version: int
-    slot_demand: int = 0
+    slot_demand: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/packages/entry/src/sapphirestall_entry/performer.py
+++ b/packages/entry/src/sapphirestall_entry/performer.py
@@ -71,6 +71,13 @@
     context.spawn(context.executors.send(effect))
 
 
+@perform.register
+def _(
+    effect: request_messages.PollHealth, context: context_module.Context
+) -> None:
+    context.spawn(context.executors.poll(effect))
+
+
 @perform.register
 def _(
     effect: request_messages.AnswerCaller, context: context_module.Context
--- a/standins/world.py
+++ b/standins/world.py
@@ -51,14 +51,16 @@
 
 @attrs.define
 class Executor:
-    """An executor; `work_s` is the time that one request takes.
+    """An executor; `work_s` is the mean time that one request takes.
 
     Attributes:
+        spread: Share of that time that is drawn at random, exponentially.
         runs: Start times by request id.
     """
 
     slots: int = 8
     work_s: float = 0.01
+    spread: float = 0.0
     running: int = 0
     alive: bool = True
     leaving: bool = False
@@ -66,6 +68,13 @@
         factory=lambda: collections.defaultdict(list)
     )
 
+    def draw_work(self, rng: random.Random) -> float:
+        """Returns the time that the next request takes, in seconds."""
+        if not self.spread:
+            return self.work_s
+        drawn = rng.expovariate(1.0)
+        return self.work_s * (1 - self.spread + self.spread * drawn)
+
 
 @attrs.define
 class Faults:
--- a/standins/world_executors.py
+++ b/standins/world_executors.py
@@ -1,61 +1,131 @@
 """Executors in virtual time."""
 
+from __future__ import annotations
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import outcomes
 from sapphirestall_core import request_messages
 from standins import world as world_module
 
+Stage = request_messages.FailureStage
+Code = outcomes.Code
 
-@world_module.perform.register
-def _(
-    effect: request_messages.SendAttempt,
-    node: world_module.Node,
-    world: world_module.World,
-) -> None:
-    own_id = node.state.identity.instance_id
-    stage = request_messages.FailureStage
-    ends_at = world.now + effect.timeout_s
 
-    def fail(
-        at_stage: request_messages.FailureStage, code: str, delay_s: float
-    ) -> None:
-        executor = world.executors.get(effect.executor_id)
+@attrs.define
+class Exchange:
+    """One attempt on its way.
+
+    Attributes:
+        ended: Whether the entry instance has closed the connection.
+    """
+
+    effect: request_messages.SendAttempt
+    node: world_module.Node
+    world: world_module.World
+    ended: bool = False
+
+    def start(self) -> None:
+        """Sends the attempt and starts its timeout."""
+        world = self.world
+        world.at(self.effect.timeout_s, self._time_out)
+        world.at(world.draw_delay(), self._arrive)
+
+    def _is_cut(self) -> bool:
+        own_id = self.node.state.identity.instance_id
+        return self.world.is_cut(own_id, self.effect.executor_id)
+
+    def _fail(self, stage: Stage, code: outcomes.Code, delay_s: float) -> None:
+        executor = self.world.executors.get(self.effect.executor_id)
         event = request_messages.AttemptFailed(
-            effect.attempt_id,
-            effect.executor_id,
-            at_stage,
-            code,
+            self.effect.attempt_id,
+            self.effect.executor_id,
+            stage,
             code,
+            code.value,
             bool(executor and executor.leaving),
         )
-        world.at(delay_s, lambda: world.feed(node, event))
-
-    def arrive() -> None:
-        executor = world.executors.get(effect.executor_id)
-        if executor is None or not executor.alive:
-            fail(stage.CONNECT, "connect_failed", world_module.LINK_DELAY_S)
-        elif world.is_cut(own_id, effect.executor_id):
-            fail(stage.CONNECT, "connect_timeout", 1.0)
+        self._end_with(event, delay_s)
+
+    def _end_with(self, event: messages.Event, delay_s: float) -> None:
+        def end() -> None:
+            # An answer after the timeout is handed over on purpose: the core
+            # must drop it.
+            late_failure = self.ended and isinstance(
+                event, request_messages.AttemptFailed
+            )
+            self.ended = True
+            if not late_failure:
+                self.world.feed(self.node, event)
+
+        self.world.at(delay_s, end)
+
+    def _time_out(self) -> None:
+        if not self.ended:
+            self._fail(Stage.SENT, Code.TIMEOUT, 0.0)
+
+    def _arrive(self) -> None:
+        link_s = world_module.LINK_DELAY_S
+        executor = self.world.executors.get(self.effect.executor_id)
+        if self._is_cut():
+            delay_s = self.effect.connect_timeout_s
+            self._fail(Stage.CONNECT, Code.CONNECT_TIMEOUT, delay_s)
+        elif executor is None or not executor.alive:
+            self._fail(Stage.CONNECT, Code.CONNECT_FAILED, link_s)
         elif executor.running >= executor.slots:
-            fail(stage.REFUSED, "executor_busy", world_module.LINK_DELAY_S)
+            self._fail(Stage.REFUSED, Code.EXECUTOR_BUSY, link_s)
         else:
             executor.running += 1
-            executor.runs[effect.request_id].append(world.now)
-            world.at(executor.work_s, lambda: finish(executor))
+            request_id = self.effect.request_id
+            executor.runs[request_id].append(self.world.now)
+            work_s = executor.draw_work(self.world.rng)
+            self.world.at(work_s, lambda: self._finish(executor))
 
-    def finish(executor: world_module.Executor) -> None:
+    def _finish(self, executor: world_module.Executor) -> None:
         executor.running -= 1
+        if not executor.alive or self._is_cut():
+            link_s = world_module.LINK_DELAY_S
+            self._fail(Stage.SENT, Code.CONNECTION_LOST, link_s)
+            return
         answer = request_messages.AttemptAnswered(
-            effect.attempt_id,
-            effect.executor_id,
+            self.effect.attempt_id,
+            self.effect.executor_id,
             200,
-            effect.content_type,
-            effect.body,
+            self.effect.content_type,
+            self.effect.body,
+            executor.leaving,
         )
-        lost = not executor.alive or world.is_cut(own_id, effect.executor_id)
-        if lost:
-            fail(stage.SENT, "connection_lost", world_module.LINK_DELAY_S)
-        elif world.now > ends_at:
-            fail(stage.SENT, "timeout", 0.0)
-        else:
-            world.at(world.draw_delay(), lambda: world.feed(node, answer))
+        self._end_with(answer, self.world.draw_delay())
+
+
+@world_module.perform.register
+def _(
+    effect: request_messages.SendAttempt,
+    node: world_module.Node,
+    world: world_module.World,
+) -> None:
+    Exchange(effect, node, world).start()
+
+
+@world_module.perform.register
+def _(
+    effect: request_messages.PollHealth,
+    node: world_module.Node,
+    world: world_module.World,
+) -> None:
+    own_id = node.state.identity.instance_id
+
+    def feed(event: messages.Event) -> None:
+        world.at(2 * world.draw_delay(), lambda: world.feed(node, event))
 
-    world.at(world.draw_delay(), arrive)
+    executor = world.executors.get(effect.executor_id)
+    world.counts["health polls"] += 1
+    if (
+        executor is None
+        or not executor.alive
+        or world.is_cut(own_id, effect.executor_id)
+    ):
+        feed(request_messages.HealthUnread(effect.executor_id))
+    else:
+        feed(request_messages.HealthRead(effect.executor_id, executor.leaving))
