Replay recorded traces against monitored invariants

Ruled out: reading the entry instances' own view; the monitor reads the stand-ins and the outcomes, so that a wrong view cannot hide a violation. Virtual executors now fail an attempt at its timeout and can answer late, twice, truncated or under an earlier attempt's id.

--- /dev/null
+++ b/standins/trace_steps.py
@@ -0,0 +1,399 @@
+"""Steps of a trace: what happens to the world, and when."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from sapphirestall_core import request_messages
+from standins import trace_outcomes
+from standins import trace_run
+from standins import world as world_module
+
+
+@attrs.frozen
+class Step:
+    """Something that happens.
+
+    Attributes:
+        at: Seconds after the fleet was ready.
+        after: Condition that is awaited from `at` on, see `holds`.
+    """
+
+    at: float = attrs.field(default=0.0, kw_only=True)
+    after: str = attrs.field(default="", kw_only=True)
+
+
+@attrs.frozen
+class Request(Step):
+    """A caller sends a request through an entry instance."""
+
+    id: str
+    through: str
+    operation: str = trace_run.REPEATABLE
+    key: str = ""
+    body: str = ""
+    deadline_s: float = 5.0
+
+
+@attrs.frozen
+class Load(Step):
+    """Callers send requests at a rate, each through the next live instance.
+
+    Attributes:
+        id: Prefix of the ids and keys.
+        through: Entry instances; all of them when empty.
+    """
+
+    id: str
+    rate: float
+    for_s: float
+    through: list[str] = attrs.field(factory=list)
+    operation: str = trace_run.REPEATABLE
+
+
+@attrs.frozen
+class Submit(Step):
+    """An operator submits a job."""
+
+    job: str
+    through: str
+    tasks: int = 1
+    run_s: float = 10.0
+    cpu_millis: int = 1000
+    memory_mb: int = 100
+    urgency: int = 0
+    checkpointable: bool = True
+    kind: str = "tally"
+    team: str = "press"
+
+
+@attrs.frozen
+class Cancel(Step):
+    """An operator cancels a job."""
+
+    job: str
+    through: str
+    id: str = "cancel"
+
+
+@attrs.frozen
+class Patch(Step):
+    """An operator sends a patch; without `base` it amends what is in force."""
+
+    id: str
+    through: str
+    base: int | None = None
+    patch: dict[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Kill(Step):
+    """An entry instance, executor or worker ends without notice."""
+
+    who: str
+
+
+@attrs.frozen
+class Start(Step):
+    """An entry instance, executor or worker starts again with empty state."""
+
+    who: str
+
+
+@attrs.frozen
+class Shutdown(Step):
+    """An entry instance is asked to drain and exit."""
+
+    who: str
+
+
+@attrs.frozen
+class Pause(Step):
+    """An entry instance or worker is frozen for a time."""
+
+    who: str
+    for_s: float
+
+
+@attrs.frozen
+class Leave(Step):
+    """An executor says from now on that it is leaving."""
+
+    who: str
+
+
+@attrs.frozen
+class Cut(Step):
+    """Nothing arrives between two groups; `others` is everything else."""
+
+    one: list[str]
+    other: list[str] = attrs.field(factory=lambda: ["others"])
+
+
+@attrs.frozen
+class Heal(Step):
+    """All cuts end, or those of some instances."""
+
+    who: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class SetFaults(Step):
+    """Sets faults of the network and the store; the others stay."""
+
+    store_down: bool | None = None
+    loss: float | None = None
+    duplication: float | None = None
+    extra_delay_s: float | None = None
+    lost_answers: float | None = None
+    slow_store_s: float | None = None
+
+
+@attrs.frozen
+class SetExecutor(Step):
+    """Sets how an executor behaves."""
+
+    who: str
+    work_s: float | None = None
+    slots: int | None = None
+    fault: str | None = None
+
+
+@attrs.frozen
+class ExpireLease(Step):
+    """The store ends the lease of an owner, which lives on."""
+
+    partition: str
+
+
+@attrs.frozen
+class Expect(Step):
+    """An expectation is checked in the middle of a trace."""
+
+    that: trace_outcomes.Expectation
+
+
+def holds(condition: str, run: trace_run.Run) -> bool:
+    """Tells whether a condition of the form `<kind> <subject>` holds.
+
+    `ran <request>`, `answered <request>`, `running <job>.<task>`, `finished`,
+    `stopped` or `failed <job>.<task>` (at a worker), `stored <prefix>`,
+    `owned <partition>` and `unowned <partition>`.
+    """
+    kind, _, subject = condition.partition(" ")
+    world = run.world
+    match kind:
+        case "ran":
+            return run.monitor.count_runs(subject) > 0
+        case "answered":
+            return bool(world.answers.get(subject))
+        case "running":
+            return bool(run.find_holder(subject))
+        case "finished" | "stopped" | "failed":
+            return any(
+                name.startswith(f"{subject}.") and task.state == kind
+                for worker in world.workers.values()
+                for name, task in worker.tasks.items()
+            )
+        case "stored":
+            return bool(world.store.find(subject))
+        case "owned":
+            return bool(run.find_owner(subject))
+        case "unowned":
+            return not run.find_owner(subject)
+    raise ValueError(f"condition {condition!r} is not known")
+
+
+@functools.singledispatch
+def apply(step: Step, run: trace_run.Run) -> None:
+    """Carries out a step."""
+    raise NotImplementedError(type(step).__name__)
+
+
+@apply.register
+def _(step: Request, run: trace_run.Run) -> None:
+    node = run.world.nodes[run.resolve(step.through)]
+    if not node.alive:
+        return
+    body = (step.body or f"body of {step.key or step.id}").encode()
+    arrived = request_messages.RequestArrived(
+        step.id,
+        trace_run.SERVICE,
+        step.operation,
+        step.key,
+        run.world.now + step.deadline_s,
+        body,
+    )
+    repeatable = step.operation == trace_run.REPEATABLE
+    run.monitor.note_request(arrived, repeatable, node)
+    run.world.feed(node, arrived)
+
+
+@apply.register
+def _(step: Load, run: trace_run.Run) -> None:
+    def send(number: int) -> None:
+        names = set(run.expand(step.through) or run.world.nodes)
+        live = [n for n in run.world.nodes if n in names and run.accepts(n)]
+        if not live:
+            return
+        request = Request(
+            f"{step.id}-{number}",
+            live[number % len(live)],
+            step.operation,
+            key=f"{step.id}-{number}",
+        )
+        apply(request, run)
+
+    end = run.world.now + step.for_s
+    run.loaded_until = max(run.loaded_until, end)
+    for number in range(int(step.rate * step.for_s)):
+        run.world.at(number / step.rate, functools.partial(send, number))
+
+
+@apply.register
+def _(step: Submit, run: trace_run.Run) -> None:
+    through = run.resolve(step.through)
+    command = operator_messages.SubmitJob(
+        job_id=step.job,
+        data_centre=run.world.listings[through].data_centre,
+        team=step.team,
+        kind=step.kind,
+        task_count=step.tasks,
+        cpu_millis=step.cpu_millis,
+        memory_mb=step.memory_mb,
+        run_s=step.run_s,
+        urgency=step.urgency,
+        checkpointable=step.checkpointable,
+    )
+    _call(run, step.job, through, command)
+
+
+@apply.register
+def _(step: Cancel, run: trace_run.Run) -> None:
+    through = run.resolve(step.through)
+    data_centre = run.world.listings[through].data_centre
+    command = operator_messages.CancelJob(step.job, data_centre)
+    _call(run, step.id, through, command)
+
+
+@apply.register
+def _(step: Patch, run: trace_run.Run) -> None:
+    through = run.resolve(step.through)
+    base = step.base
+    if base is None:
+        state = run.world.nodes[through].state
+        base = state.configuration.document.version
+    command = operator_messages.PatchConfiguration(step.id, base, step.patch)
+    _call(run, step.id, through, command)
+
+
+def _call(
+    run: trace_run.Run,
+    name: str,
+    through: str,
+    command: operator_messages.Command,
+) -> None:
+    if run.world.nodes[through].alive:
+        run.calls[name] = run.world.call_operator(through, command)
+
+
+@apply.register
+def _(step: Kill, run: trace_run.Run) -> None:
+    who, world = run.resolve(step.who), run.world
+    if who in world.nodes:
+        world.kill(who)
+    elif who in world.executors:
+        world.executors[who].alive = False
+    else:
+        world.dead_workers.add(who)
+        world.workers[who].tasks.clear()
+
+
+@apply.register
+def _(step: Start, run: trace_run.Run) -> None:
+    who, world = run.resolve(step.who), run.world
+    if who in world.nodes:
+        world.kill(who)
+        world.start_entry(who)
+    elif who in world.executors:
+        world.executors[who].alive = True
+        world.executors[who].leaving = False
+    else:
+        world.restart_worker(who)
+        world.dead_workers.discard(who)
+
+
+@apply.register
+def _(step: Shutdown, run: trace_run.Run) -> None:
+    node = run.world.nodes[run.resolve(step.who)]
+    run.world.feed(node, messages.ShutdownRequested())
+
+
+@apply.register
+def _(step: Pause, run: trace_run.Run) -> None:
+    who, world = run.resolve(step.who), run.world
+    if who in world.nodes:
+        world.pause(who, step.for_s)
+        return
+    world.dead_workers.add(who)
+    world.at(step.for_s, lambda: world.dead_workers.discard(who))
+
+
+@apply.register
+def _(step: Leave, run: trace_run.Run) -> None:
+    run.world.executors[run.resolve(step.who)].leaving = True
+
+
+@apply.register
+def _(step: Cut, run: trace_run.Run) -> None:
+    one = run.expand(step.one)
+    if step.other == ["others"]:
+        others = [name for name in run.list_everything() if name not in one]
+    else:
+        others = run.expand(step.other)
+    run.world.cut_all(one, others)
+
+
+@apply.register
+def _(step: Heal, run: trace_run.Run) -> None:
+    cut, who = run.world.faults.cut, set(run.expand(step.who))
+    ended = {pair for pair in cut if not who or pair & who}
+    cut -= ended
+
+
+@apply.register
+def _(step: SetFaults, run: trace_run.Run) -> None:
+    _set_given(step, run.world.faults)
+
+
+@apply.register
+def _(step: SetExecutor, run: trace_run.Run) -> None:
+    _set_given(step, run.world.executors[run.resolve(step.who)])
+
+
+def _set_given(
+    step: Step, target: world_module.Faults | world_module.Executor
+) -> None:
+    for name, value in attrs.asdict(step).items():
+        if value is not None and name not in ("at", "after", "who"):
+            setattr(target, name, value)
+
+
+@apply.register
+def _(step: ExpireLease, run: trace_run.Run) -> None:
+    data_centre = step.partition.rsplit("-rack-", 1)[0]
+    item = run.world.store.items[f"owners/{data_centre}/{step.partition}"]
+    run.world.store.leases[str(item.lease_id)].ends_at = run.world.now
+    run.world.store.expire_leases(run.world.now)
+
+
+@apply.register
+def _(step: Expect, run: trace_run.Run) -> None:
+    failure = trace_outcomes.check(step.that, run)
+    if failure:
+        run.failures.append(f"at {step.at}: {failure}")
--- a/standins/world.py
+++ b/standins/world.py
@@ -28,6 +28,7 @@
 from standins import worker_model
 
 STORE = "store"
+EVENTS_KEPT = 200
 STORE_DELAY_S = 0.003
 LINK_DELAY_S = 0.0015
 CALL_TIMEOUT_S = 2.0
@@ -54,6 +55,8 @@
     """An executor; `work_s` is the time that one request takes.
 
     Attributes:
+        fault: `late` (answers after the timeout as well), `truncate`,
+            `duplicate` or `crossed` (answers under an earlier attempt's id).
         runs: Start times by request id.
     """
 
@@ -62,6 +65,8 @@
     running: int = 0
     alive: bool = True
     leaving: bool = False
+    fault: str = ""
+    last_attempt: str = ""
     runs: dict[str, list[float]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
@@ -90,7 +95,12 @@
 
 @attrs.define
 class World:
-    """Entry instances, stand-ins, the network and the clock."""
+    """Entry instances, stand-ins, the network and the clock.
+
+    Attributes:
+        history: Newest events that instances were given, with the time and
+            the instance.
+    """
 
     seed: int = 0
     now: float = 1000.0
@@ -106,6 +116,9 @@
     results: dict[str, operator_messages.Result] = attrs.field(factory=dict)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
     dead_workers: set[str] = attrs.field(factory=set)
+    history: collections.deque[tuple[float, str, messages.Event]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=EVENTS_KEPT)
+    )
     observers: list[Callable[[World], None]] = attrs.field(factory=list)
     queue: list[tuple[float, int, Callable[[], None]]] = attrs.field(
         factory=list
@@ -189,12 +202,19 @@
         """Advances virtual time; observers run after each event."""
         end = self.now + duration_s
         while self.queue and self.queue[0][0] <= end:
-            self.now, _, action = heapq.heappop(self.queue)
-            action()
-            for observe in self.observers:
-                observe(self)
+            self.step()
         self.now = end
 
+    def step(self) -> bool:
+        """Runs the next action and the observers; tells if there was one."""
+        if not self.queue:
+            return False
+        self.now, _, action = heapq.heappop(self.queue)
+        action()
+        for observe in self.observers:
+            observe(self)
+        return True
+
     def run_until(self, check: Callable[[], bool], limit_s: float) -> bool:
         """Advances until a check holds; tells whether it did in time."""
         end = self.now + limit_s
@@ -211,6 +231,7 @@
         if self.now < node.paused_until:
             node.held.append(event)
             return
+        self.history.append((self.now, node.state.identity.instance_id, event))
         for effect in instance.handle(event, node.state, self.now):
             perform(effect, node, self)
 
