--- a/standins/trace_steps.py
+++ b/standins/trace_steps.py
@@ -47,6 +47,8 @@
     Attributes:
         id: Prefix of the ids and keys.
         through: Entry instances; all of them when empty.
+        repeats: How often each request is sent again with the same key, each
+            time a second later and through the next instance.
     """
 
     id: str
@@ -54,6 +56,7 @@
     for_s: float
     through: list[str] = attrs.field(factory=list)
     operation: str = trace_run.REPEATABLE
+    repeats: int = 0
 
 
 @attrs.frozen
@@ -236,23 +239,26 @@
 
 @apply.register
 def _(step: Load, run: trace_run.Run) -> None:
-    def send(number: int) -> None:
-        names = set(run.expand(step.through) or run.world.nodes)
-        live = [n for n in run.world.nodes if n in names and run.accepts(n)]
-        if not live:
-            return
-        request = Request(
-            f"{step.id}-{number}",
-            live[number % len(live)],
-            step.operation,
-            key=f"{step.id}-{number}",
-        )
-        apply(request, run)
-
     end = run.world.now + step.for_s
-    run.loaded_until = max(run.loaded_until, end)
+    run.loaded_until = max(run.loaded_until, end + step.repeats)
     for number in range(int(step.rate * step.for_s)):
-        run.world.at(number / step.rate, functools.partial(send, number))
+        for turn in range(1 + step.repeats):
+            send = functools.partial(_send_load, step, number, turn, run)
+            run.world.at(number / step.rate + turn, send)
+
+
+def _send_load(step: Load, number: int, turn: int, run: trace_run.Run) -> None:
+    names = set(run.expand(step.through) or run.world.nodes)
+    live = [n for n in run.world.nodes if n in names and run.accepts(n)]
+    if not live:
+        return
+    request = Request(
+        f"{step.id}-{number}" + (f"-{turn}" if turn else ""),
+        live[(number + turn) % len(live)],
+        step.operation,
+        key=f"{step.id}-{number}",
+    )
+    apply(request, run)
 
 
 @apply.register
