Search for sequences of faults that break an invariant

Cause: recorded traces cover only faults that someone thought of. Ruled out: hypothesis's own shortening, which ran for over 270 s on the first find; leaving out steps of the recorded trace needs one run per step.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo load bench mutations clean
+.PHONY: setup format check test demo load bench mutations fuzz clean
 
 setup: $(STAMP)
 
@@ -34,3 +34,7 @@
 
 load: $(STAMP)
 	$(BIN)/python -m tools.load
+
+# Random sequences of work and faults; prints its seed. SEED=N repeats a run.
+fuzz: $(STAMP)
+	$(BIN)/python -m standins.fuzz $(if $(SEED),--seed $(SEED)) $(if $(EXAMPLES),--examples $(EXAMPLES))
--- a/standins/invariants.py
+++ b/standins/invariants.py
@@ -17,6 +17,8 @@
 from standins import worker_model
 from standins import world as world_module
 
+# Callers' deadlines are kept by the instance; store timeouts may exceed them.
+ANSWER_TERM_S = 5.0
 LEAVING_TERM_S = 5.0
 CONFIGURATION_TERM_S = 10.0
 EVENTS_SHOWN = 12
@@ -129,9 +131,15 @@
         self._observe_configuration()
 
     def finish(self) -> None:
-        """Checks all requests once more, also for late runs and answers."""
-        for request_id in self.sent:
+        """Checks all requests once more, also for late or missing answers."""
+        for request_id, sent in self.sent.items():
             self._check_request(request_id)
+            due = sent.arrived.deadline + ANSWER_TERM_S
+            late = sent.instance.alive and self.world.now > max(
+                due, sent.instance.paused_until + ANSWER_TERM_S
+            )
+            if late and not self.world.answers.get(request_id):
+                self.record("I4", request_id, "got no answer")
 
     def record(self, invariant: str, subject: str, detail: str) -> None:
         """Records a violation once for each subject."""
--- a/standins/trace.py
+++ b/standins/trace.py
@@ -103,16 +103,25 @@
     try:
         for step in trace.steps:
             play_step(step, run)
-        run.world.run(max(0.0, run.loaded_until - run.world.now) + trace.end_s)
     except Exception as error:
         # A process would end here; the rest of the trace says nothing.
         run.failures.append(f"{type(error).__name__}: {error}")
+        return run
+    finish(trace, run)
+    return run
+
+
+def finish(trace: Trace, run: trace_run.Run) -> None:
+    """Waits for the end of a trace and checks its outcome."""
+    try:
+        run.world.run(max(0.0, run.loaded_until - run.world.now) + trace.end_s)
+    except Exception as error:
+        run.failures.append(f"{type(error).__name__}: {error}")
     run.monitor.finish()
     for expectation in trace.outcome:
         failure = trace_outcomes.check(expectation, run)
         if failure:
             run.failures.append(f"in the end: {failure}")
-    return run
 
 
 def play_step(step: trace_steps.Step, run: trace_run.Run) -> None:
--- a/standins/trace_outcomes.py
+++ b/standins/trace_outcomes.py
@@ -218,7 +218,8 @@
     return _bound(name, running, expectation.at_least, expectation.at_most)
 
 
-def _describe(call: str, run: trace_run.Run) -> str:
+def describe_result(call: str, run: trace_run.Run) -> str:
+    """Returns `ok`, a refusal's code, or `none` for an operator's command."""
     result = run.world.results.get(run.calls.get(call, ""))
     if result is None:
         return "none"
@@ -229,13 +230,13 @@
 
 @check.register
 def _(expectation: Result, run: trace_run.Run) -> str:
-    found = _describe(expectation.call, run)
+    found = describe_result(expectation.call, run)
     return "" if found in expectation.is_in else f"{expectation.call}: {found}"
 
 
 @check.register
 def _(expectation: Accepted, run: trace_run.Run) -> str:
-    found = [_describe(call, run) for call in expectation.calls]
+    found = [describe_result(call, run) for call in expectation.calls]
     times = expectation.times
     return _bound(f"accepted of {found}", found.count("ok"), times, times)
 
