--- a/packages/core/src/sapphirestall_core/takeover.py
+++ b/packages/core/src/sapphirestall_core/takeover.py
@@ -8,9 +8,9 @@
 
 from sapphirestall_core import amendments
 from sapphirestall_core import commits
-from sapphirestall_core import control
 from sapphirestall_core import dispatch
 from sapphirestall_core import jobs
+from sapphirestall_core import liveness
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import ownership
@@ -212,7 +212,7 @@
 ) -> float:
     """Returns how long after the key's absence this candidate waits."""
     tasks = instance.tasks
-    live = control.find_live_entries(instance, now)
+    live = liveness.find_live_entries(instance, now)
     ranked = membership.rank_candidates(partition.name, live)
     wait_s = CANDIDATE_STEP_S * ranked.index(instance.identity.instance_id)
     if now - tasks.store_failed_at < STORE_FAILURE_MEMORY_S:
