--- a/packages/core/src/sapphirestall_core/commits.py
+++ b/packages/core/src/sapphirestall_core/commits.py
@@ -284,12 +284,6 @@
     return [store_messages.StoreDelete(purpose, key, 1)]
 
 
-@dispatch.is_released.register(tasks_state.Tasks)
-def is_handed_over(part: tasks_state.Tasks, instance: state.Instance) -> bool:
-    """Tells whether every partition was handed over."""
-    return part.is_idle()
-
-
 @dispatch.resume.register(Release)
 def finish_release(
     purpose: Release,
--- a/packages/core/src/sapphirestall_core/dispatch.py
+++ b/packages/core/src/sapphirestall_core/dispatch.py
@@ -92,18 +92,6 @@
     raise _reject(message)
 
 
-@functools.singledispatch
-def release(part: object, instance: state.Instance, now: float) -> Effects:
-    """Gives back what the state of a part holds, before the process ends."""
-    return []
-
-
-@functools.singledispatch
-def is_released(part: object, instance: state.Instance) -> bool:
-    """Tells whether a part has given back all that it held."""
-    return True
-
-
 @handle.register(store_messages.StoreReply)
 def _(
     event: store_messages.StoreReply, instance: state.Instance, now: float
--- a/packages/core/src/sapphirestall_core/heartbeats.py
+++ b/packages/core/src/sapphirestall_core/heartbeats.py
@@ -41,7 +41,7 @@
     """Sends heartbeats and, less often, rosters to the linked peers."""
     instance.links.ticks += 1
     liveness.drop_dead_peers(instance, now)
-    instance.members.drop_old_marks(now)
+    instance.members.advance(now)
     effects: dispatch.Effects = []
     ticks = instance.links.ticks
     for peer_id in links.choose_links(instance, now):
@@ -78,7 +78,7 @@
 ) -> peer_messages.SendPeer:
     whole = make_heartbeat(instance, now)
     sent = instance.links
-    content = attrs.evolve(whole, configuration_version=0, slot_demand=0)
+    content = attrs.evolve(whole, configuration_version=0, slot_demand={})
     if content != sent.content:
         sent.content, sent.changed_at = content, now
     greeted_at = sent.greeted.get(peer_id)
@@ -110,7 +110,7 @@
         data_centre=identity.data_centre,
         state=own_state,
         configuration_version=instance.configuration.document.version,
-        leaving=instance.members.find_new_marks(now),
+        leaving=instance.members.find_new_marks(),
     )
 
 
@@ -166,7 +166,7 @@
         superseded=superseded,
     )
     for instance_id, incarnation in message.leaving:
-        instance.members.record_leaving(instance_id, incarnation, now)
+        instance.members.record_leaving(instance_id, incarnation)
     return request_configuration(
         message.configuration_version, peer_id, instance, now
     )
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -23,27 +23,26 @@
         yield
 
 
-def open_listener(address: str) -> socket.socket:
+def open_socket(address: str) -> socket.socket:
     """Returns a listening socket.
 
+    Sockets are opened before anything is served, so that a port that is taken
+    ends the process instead of leaving a part of it deaf.
+
     Raises:
-        errors.ListenError: The address is in use or not of this machine.
+        errors.ListenError: The address cannot be bound.
     """
     host, _, port = address.rpartition(":")
     try:
-        return socket.create_server(
-            (host.strip("[]"), int(port)),
-            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
-            backlog=BACKLOG,
-        )
+        return socket.create_server((host, int(port)), backlog=BACKLOG)
     except OSError as error:
         raise errors.ListenError(
-            f"cannot listen on {address}: {error}", step="start", peer=address
+            str(error), step="listen", peer=address
         ) from error
 
 
 def make_server(app: types.ASGIApp) -> Server:
-    """Returns a server for an application; `serve()` runs it."""
+    """Returns a server for an application; `serve(sockets=...)` runs it."""
     config = uvicorn.Config(
         app,
         lifespan="off",
