--- a/standins/world_executors.py
+++ b/standins/world_executors.py
@@ -88,8 +88,22 @@
             link_s = world_module.LINK_DELAY_S
             self._fail(Stage.SENT, Code.CONNECTION_LOST, link_s)
             return
+        if executor.fault == "truncate":
+            self._fail(Stage.SENT, Code.TRUNCATED_ANSWER, 0.0)
+            return
+        attempt_id = self.effect.attempt_id
+        if executor.fault == "crossed":
+            attempt_id = executor.last_attempt
+            link_s = world_module.LINK_DELAY_S
+            self._fail(Stage.SENT, Code.CROSSED_ANSWER, link_s)
+        executor.last_attempt = self.effect.attempt_id
+        self._answer(executor, attempt_id)
+        if executor.fault == "duplicate":
+            self._answer(executor, attempt_id)
+
+    def _answer(self, executor: world_module.Executor, attempt_id: str) -> None:
         answer = request_messages.AttemptAnswered(
-            self.effect.attempt_id,
+            attempt_id,
             self.effect.executor_id,
             200,
             self.effect.content_type,
