Add the scheduling policy as pure modules

Cause: placement knew only free processors, so it could not protect services, teams or urgent work, and a worker that fails everything attracted tasks. Ruled out: policy inside the handlers of batch work, since it could not be measured without them. Not wired yet.

--- a/packages/core/src/sapphirestall_core/placement.py
+++ b/packages/core/src/sapphirestall_core/placement.py
@@ -1,10 +1,16 @@
 """Which worker takes which task, and the terms of commands and leases."""
 
 from collections.abc import Iterable
+import functools
 
+import attrs
+
+from sapphirestall_core import interference
 from sapphirestall_core import jobs
+from sapphirestall_core import policy
 from sapphirestall_core import resources
 from sapphirestall_core import tasks_state
+from sapphirestall_core import views
 
 COMMAND_TERM_S = 5.0
 TASK_LEASE_S = 20.0
@@ -16,6 +22,139 @@
     return epoch * ATTEMPTS_PER_EPOCH + counter
 
 
+@attrs.frozen
+class Demand:
+    """What one task needs.
+
+    Attributes:
+        reserved: Declared size or, if larger, the learned one.
+        cpu: Processors that the task is expected to use.
+    """
+
+    kind: str
+    team: str
+    urgency: int
+    reserved: resources.Vector
+    cpu: float
+
+
+@attrs.frozen
+class Decision:
+    """Outcome of a search for a worker."""
+
+
+@attrs.frozen
+class Chosen(Decision):
+    """The worker that takes the task."""
+
+    worker_id: str
+
+
+@attrs.frozen
+class NotPlaced(Decision):
+    """No worker takes the task now.
+
+    Attributes:
+        reason: `no_room`, `slowdown`, `probation`, `quota` or `floor`.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class Outlook:
+    """What a strategy may take into account."""
+
+    estimator: interference.Estimator
+    rules: policy.Policy
+
+
+@attrs.frozen
+class Strategy:
+    """A way to choose a worker among those with room."""
+
+
+@attrs.frozen
+class Predicted(Strategy):
+    """Least predicted slowdown, within the limits of the services."""
+
+
+@functools.singledispatch
+def choose(
+    strategy: Strategy,
+    demand: Demand,
+    candidates: list[views.WorkerView],
+    outlook: Outlook,
+    now: float,
+) -> Decision:
+    """Returns one of the candidates, all of which have room."""
+    raise NotImplementedError(type(strategy).__name__)
+
+
+@choose.register
+def _(
+    strategy: Predicted,
+    demand: Demand,
+    candidates: list[views.WorkerView],
+    outlook: Outlook,
+    now: float,
+) -> Decision:
+    best, least = "", float("inf")
+    for view in candidates:
+        cost = compute_cost(demand, view, outlook, now)
+        if cost is not None and cost < least:
+            best, least = view.worker_id, cost
+    return Chosen(best) if best else NotPlaced("slowdown")
+
+
+def compute_cost(
+    demand: Demand, view: views.WorkerView, outlook: Outlook, now: float
+) -> float | None:
+    """Returns the cost of a placement, or None if it breaks a limit.
+
+    Pressure is the predicted excess slowdown over the accepted one. Its square
+    makes the cost of more load rise with the load that is there. Urgent work
+    may use the whole limit, other work only `Sharing.margin` of it.
+    """
+    sharing = outlook.rules.sharing
+    urgent = demand.urgency >= sharing.urgent_from
+    highest = 1.0 if urgent else sharing.margin
+    cost = 0.0
+    for service in view.services:
+        before, added = predict_pressure(
+            service.service, demand, view, outlook, now
+        )
+        if before + added > highest and added > 0.0:
+            return None
+        cost += added * (2.0 * before + added)
+    free = view.ledger.compute_free().cpu_millis - demand.reserved.cpu_millis
+    unused = free / max(1, view.ledger.capacity.cpu_millis)
+    weights = sharing.weights
+    return weights.slowdown * cost + weights.packing * unused
+
+
+def predict_pressure(
+    service: str,
+    demand: Demand,
+    view: views.WorkerView,
+    outlook: Outlook,
+    now: float,
+) -> tuple[float, float]:
+    """Returns the pressure on a service without a task, and what it adds."""
+    accepted = get_accepted_excess(outlook.rules, service)
+    gain = view.history.get_gain(service)
+    present = outlook.estimator.predict(service, view.loads, now)
+    added = outlook.estimator.estimate(service, demand.kind, now) * demand.cpu
+    return gain * present / accepted, max(1.0, gain) * added / accepted
+
+
+def get_accepted_excess(rules: policy.Policy, service: str) -> float:
+    """Returns the excess slowdown that a service accepts."""
+    stated = rules.services.get(service)
+    limit = stated.slowdown_limit if stated else policy.DEFAULT_SLOWDOWN_LIMIT
+    return max(1e-6, limit - 1.0)
+
+
 def choose_worker(
     workers: Iterable[tasks_state.Worker], amount: resources.Vector
 ) -> tasks_state.Worker | None:
--- a/packages/core/src/sapphirestall_core/policy.py
+++ b/packages/core/src/sapphirestall_core/policy.py
@@ -6,6 +6,7 @@
 import cattrs
 
 DEFAULT_TIMEOUT_S = 2.0
+DEFAULT_SLOWDOWN_LIMIT = 1.1
 
 
 @attrs.frozen
@@ -32,7 +33,7 @@
     """
 
     operations: dict[str, Operation] = attrs.field(factory=dict)
-    slowdown_limit: float = 1.1
+    slowdown_limit: float = DEFAULT_SLOWDOWN_LIMIT
 
 
 @attrs.frozen
@@ -59,6 +60,46 @@
     accelerators: int = 0
 
 
+@attrs.frozen
+class Weights:
+    """What a placement is worth avoiding, relative to each other.
+
+    Attributes:
+        slowdown: Predicted slowdown, as a share of the service's limit.
+        packing: Processors left unused on a worker that already has load.
+        eviction: Evicting one task, in processor-seconds of lost work.
+    """
+
+    slowdown: float = 1.0
+    packing: float = 0.2
+    eviction: float = 60.0
+
+
+# Belkadi's measure is tail latency; Magnolia's are evictions and throughput.
+TAIL_LATENCY = Weights(slowdown=2.0, packing=0.1, eviction=30.0)
+THROUGHPUT = Weights(slowdown=1.0, packing=0.5, eviction=300.0)
+
+
+@attrs.frozen
+class Sharing:
+    """How services and batch work share workers.
+
+    Attributes:
+        margin: Share of the slowdown limit that placement may use up.
+        evictions_per_minute: Evictions per worker and minute for the sake of
+            services.
+        urgent_from: Lowest urgency that may evict tasks of lower urgency.
+        lower_floor: Share of the processors that work below `urgent_from`
+            keeps while it has demand.
+    """
+
+    weights: Weights = attrs.field(factory=Weights)
+    margin: float = 0.8
+    evictions_per_minute: int = 2
+    urgent_from: int = 5
+    lower_floor: float = 0.3
+
+
 @attrs.frozen
 class Policy:
     """What operators state about services, teams and sharing."""
@@ -66,6 +107,7 @@
     services: dict[str, Service] = attrs.field(factory=dict)
     request_classes: dict[str, RequestClass] = attrs.field(factory=dict)
     teams: dict[str, Team] = attrs.field(factory=dict)
+    sharing: Sharing = attrs.field(factory=Sharing)
 
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/preemption.py
@@ -0,0 +1,151 @@
+"""Which tasks to evict for urgent work."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from sapphirestall_core import placement
+from sapphirestall_core import policy
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+from sapphirestall_core import views
+
+# Work that a checkpointable task repeats: from its checkpoint to its stop.
+CHECKPOINT_LOSS_S = 2.0
+
+
+@attrs.frozen
+class Plan:
+    """Tasks whose eviction makes room on one worker.
+
+    Attributes:
+        cost: Lost work, in processor-seconds, with the weight of each
+            eviction added.
+    """
+
+    worker_id: str
+    victims: tuple[task_messages.AttemptName, ...]
+    cost: float
+
+
+def compute_lost_work(task: views.Running, now: float) -> float:
+    """Returns the processor-seconds that an eviction of a task loses."""
+    if task.checkpointable:
+        return task.cpu * min(CHECKPOINT_LOSS_S, now - task.started_at)
+    return task.cpu * max(0.0, now - task.saved_at)
+
+
+def find_plan(
+    demand: placement.Demand,
+    workers: Sequence[views.WorkerView],
+    outlook: placement.Outlook,
+    spare_cpu: int,
+    now: float,
+) -> Plan | None:
+    """Returns the cheapest plan on any one worker, if there is one.
+
+    Args:
+        demand: Urgent task.
+        workers: Workers that may take it.
+        outlook: Estimates and rules; the limits of services hold.
+        spare_cpu: Processors, in thousandths, that work of lower urgency may
+            lose without falling below its floor.
+        now: Own time.
+    """
+    best: Plan | None = None
+    for view in workers:
+        plan = _plan_worker(demand, view, outlook, spare_cpu, now)
+        if plan and (best is None or plan.cost < best.cost):
+            best = plan
+    return best
+
+
+def _plan_worker(
+    demand: placement.Demand,
+    view: views.WorkerView,
+    outlook: placement.Outlook,
+    spare_cpu: int,
+    now: float,
+) -> Plan | None:
+    if not demand.reserved.fits(view.ledger.capacity):
+        return None
+    weight = outlook.rules.sharing.weights.eviction
+    priced = [
+        (compute_lost_work(task, now) + weight, task)
+        for task in view.tasks.values()
+        if _is_evictable(task, demand, outlook.rules.sharing)
+    ]
+    room = view.ledger.compute_free()
+    # Room that another eviction is about to free belongs to the work that
+    # asked for it, so that it is not counted here.
+    missing = demand.reserved.minus(room)
+    priced.sort(key=lambda item: item[0] / _count_relief(item[1], missing))
+    chosen = _choose_victims(demand.reserved, room, priced)
+    if not chosen:
+        return None
+    if sum(task.reserved.cpu_millis for _, task in chosen) > spare_cpu:
+        return None
+    if not _is_bearable(demand, view, chosen, outlook, now):
+        return None
+    cost = sum(price for price, _ in chosen)
+    return Plan(view.worker_id, tuple(task.name for _, task in chosen), cost)
+
+
+def _is_evictable(
+    task: views.Running, demand: placement.Demand, sharing: policy.Sharing
+) -> bool:
+    below = task.urgency < min(demand.urgency, sharing.urgent_from)
+    return below and not task.evicting
+
+
+def _count_relief(task: views.Running, missing: resources.Vector) -> float:
+    """Returns which part of the missing room a task would free, summed."""
+    parts = (
+        (task.reserved.cpu_millis, missing.cpu_millis),
+        (task.reserved.memory_mb, missing.memory_mb),
+        (task.reserved.accelerators, missing.accelerators),
+    )
+    return 1e-6 + sum(
+        min(1.0, freed / needed) for freed, needed in parts if needed > 0
+    )
+
+
+def _choose_victims(
+    reserved: resources.Vector,
+    room: resources.Vector,
+    priced: list[tuple[float, views.Running]],
+) -> list[tuple[float, views.Running]]:
+    """Takes victims by price until the task fits, then drops needless ones."""
+    chosen: list[tuple[float, views.Running]] = []
+    for item in priced:
+        if reserved.fits(room):
+            break
+        chosen.append(item)
+        room = room.plus(item[1].reserved)
+    if not reserved.fits(room):
+        return []
+    for item in sorted(chosen, key=lambda entry: -entry[0]):
+        less = room.minus(item[1].reserved)
+        if reserved.fits(less):
+            chosen.remove(item)
+            room = less
+    return chosen
+
+
+def _is_bearable(
+    demand: placement.Demand,
+    view: views.WorkerView,
+    chosen: list[tuple[float, views.Running]],
+    outlook: placement.Outlook,
+    now: float,
+) -> bool:
+    """Tells whether the services bear the task after the evictions."""
+    gone = {task.name for _, task in chosen}
+    rest = views.WorkerView(
+        view.worker_id,
+        resources.Ledger(view.ledger.capacity),
+        services=view.services,
+        history=view.history,
+    )
+    rest.replace(t for t in view.tasks.values() if t.name not in gone)
+    return placement.compute_cost(demand, rest, outlook, now) is not None
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/scheduling.py
@@ -0,0 +1,393 @@
+"""The scheduling policy of one owner, as the handlers of batch work use it.
+
+`observe` takes a worker's report, `find_worker` places a task, `find_plan`
+names tasks to evict for urgent work, and the `record_*` functions tell what
+became of a task. None of them sends anything.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+
+from sapphirestall_core import controller
+from sapphirestall_core import interference
+from sapphirestall_core import jobs
+from sapphirestall_core import placement
+from sapphirestall_core import policy
+from sapphirestall_core import preemption
+from sapphirestall_core import probation
+from sapphirestall_core import quotas
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+from sapphirestall_core import usage
+from sapphirestall_core import views
+
+# A start that was sent this long before a poll may be missing in its answer.
+START_GRACE_S = 2.0
+# A task is measured only after it has run this long; it may still be loading.
+SETTLED_AFTER_S = 5.0
+
+FindRecord = Callable[[str], jobs.JobRecord | None]
+
+
+@attrs.define
+class Scheduling:
+    """State of the policy; rebuilt from reports after a takeover.
+
+    Attributes:
+        quota_share: This owner's part of the deployment's capacity.
+        lower_waiting: Whether work below `Sharing.urgent_from` waits.
+    """
+
+    strategy: placement.Strategy = attrs.field(factory=placement.Predicted)
+    views: dict[str, views.WorkerView] = attrs.field(factory=dict)
+    estimator: interference.Estimator = attrs.field(
+        factory=interference.Estimator
+    )
+    usage: usage.Usage = attrs.field(factory=usage.Usage)
+    probation: probation.Probation = attrs.field(factory=probation.Probation)
+    quotas: quotas.Quotas = attrs.field(factory=quotas.Quotas)
+    quota_share: float = 1.0
+    lower_waiting: bool = False
+
+
+def make_demand(
+    scheduling: Scheduling, record: jobs.JobRecord
+) -> placement.Demand:
+    """Returns what one task of a job needs, with what was learned."""
+    largest = resources.Vector()
+    for view in scheduling.views.values():
+        largest = largest.maximum(view.ledger.capacity)
+    learned = scheduling.usage
+    return placement.Demand(
+        record.kind,
+        record.team,
+        record.urgency,
+        learned.compute_reservation(record.kind, record.declared, largest),
+        learned.predict_cpu(record.kind, record.declared),
+    )
+
+
+def find_worker(
+    scheduling: Scheduling,
+    demand: placement.Demand,
+    worker_ids: Iterable[str],
+    rules: policy.Policy,
+    now: float,
+) -> placement.Decision:
+    """Chooses a worker for a task, or says why none takes it."""
+    allowed = scheduling.quotas.allows(
+        demand.team, demand.reserved, rules.teams, scheduling.quota_share
+    )
+    if not allowed:
+        return placement.NotPlaced("quota")
+    if _breaks_floor(scheduling, demand, rules):
+        return placement.NotPlaced("floor")
+    known = [scheduling.views.get(worker_id) for worker_id in worker_ids]
+    fitting = [
+        view
+        for view in known
+        if view and demand.reserved.fits(view.ledger.compute_free())
+    ]
+    if not fitting:
+        return placement.NotPlaced("no_room")
+    trusted = [
+        view
+        for view in fitting
+        if scheduling.probation.count_room(view.worker_id, now) > 0
+    ]
+    if not trusted:
+        return placement.NotPlaced("probation")
+    outlook = placement.Outlook(scheduling.estimator, rules)
+    return placement.choose(scheduling.strategy, demand, trusted, outlook, now)
+
+
+def _breaks_floor(
+    scheduling: Scheduling, demand: placement.Demand, rules: policy.Policy
+) -> bool:
+    """Tells whether urgent work would take what lower work keeps."""
+    sharing = rules.sharing
+    if demand.urgency < sharing.urgent_from or not scheduling.lower_waiting:
+        return False
+    workers = scheduling.views.values()
+    urgent = views.sum_reserved_cpu(workers, sharing.urgent_from, 2**31)
+    ceiling = (1.0 - sharing.lower_floor) * views.sum_cpu(workers)
+    return urgent + demand.reserved.cpu_millis > ceiling
+
+
+def find_plan(
+    scheduling: Scheduling,
+    demand: placement.Demand,
+    worker_ids: Iterable[str],
+    rules: policy.Policy,
+    now: float,
+) -> preemption.Plan | None:
+    """Returns what to evict for an urgent task that found no worker."""
+    sharing = rules.sharing
+    if demand.urgency < sharing.urgent_from:
+        return None
+    everywhere = scheduling.views.values()
+    lower = views.sum_reserved_cpu(everywhere, -(2**31), sharing.urgent_from)
+    floor = sharing.lower_floor * views.sum_cpu(everywhere)
+    trusted = [
+        scheduling.views[worker_id]
+        for worker_id in worker_ids
+        if worker_id in scheduling.views
+        and scheduling.probation.count_room(worker_id, now) > 0
+    ]
+    outlook = placement.Outlook(scheduling.estimator, rules)
+    spare = int(lower - floor)
+    return preemption.find_plan(demand, trusted, outlook, spare, now)
+
+
+def record_start(
+    scheduling: Scheduling,
+    worker_id: str,
+    name: task_messages.AttemptName,
+    record: jobs.JobRecord,
+    demand: placement.Demand,
+    now: float,
+) -> None:
+    """Records that a task was given to a worker."""
+    view = scheduling.views[worker_id]
+    view.add(_make_running(name, record, demand, now))
+    scheduling.quotas.add(record.team, demand.reserved)
+    scheduling.probation.record_start(worker_id, name, now)
+
+
+def _make_running(
+    name: task_messages.AttemptName,
+    record: jobs.JobRecord,
+    demand: placement.Demand,
+    now: float,
+) -> views.Running:
+    return views.Running(
+        name,
+        record.kind,
+        record.team,
+        record.urgency,
+        demand.reserved,
+        demand.cpu,
+        now,
+        now,
+        record.checkpointable,
+    )
+
+
+def record_finish(
+    scheduling: Scheduling,
+    worker_id: str,
+    name: task_messages.AttemptName,
+    now: float,
+) -> None:
+    """Records that a task finished."""
+    task = _remove(scheduling, worker_id, name)
+    scheduling.probation.record_success(worker_id, name)
+    if task is not None and task.share >= 1.0:
+        scheduling.usage.record_run(task.kind, now - task.started_at)
+
+
+def record_failure(
+    scheduling: Scheduling,
+    worker_id: str,
+    name: task_messages.AttemptName,
+    now: float,
+) -> bool:
+    """Records that a task failed; tells whether the worker is put aside."""
+    _remove(scheduling, worker_id, name)
+    return scheduling.probation.record_failure(worker_id, name, now)
+
+
+def record_withdrawal(
+    scheduling: Scheduling, worker_id: str, name: task_messages.AttemptName
+) -> None:
+    """Records that a task was evicted, cancelled, refused or lost."""
+    _remove(scheduling, worker_id, name)
+    scheduling.probation.record_withdrawal(worker_id, name)
+
+
+def record_eviction(
+    scheduling: Scheduling, worker_id: str, name: task_messages.AttemptName
+) -> None:
+    """Records that the eviction of a task has begun."""
+    view = scheduling.views.get(worker_id)
+    if view and name in view.tasks:
+        view.tasks[name].evicting = True
+
+
+def forget_worker(scheduling: Scheduling, worker_id: str) -> None:
+    """Drops a worker that left or belongs to another owner now."""
+    view = scheduling.views.pop(worker_id, None)
+    scheduling.probation.records.pop(worker_id, None)
+    if view is not None:
+        for task in view.tasks.values():
+            scheduling.quotas.remove(task.team, task.reserved)
+
+
+def _remove(
+    scheduling: Scheduling, worker_id: str, name: task_messages.AttemptName
+) -> views.Running | None:
+    view = scheduling.views.get(worker_id)
+    task = view.remove(name) if view else None
+    if task is not None:
+        scheduling.quotas.remove(task.team, task.reserved)
+    return task
+
+
+def observe(
+    scheduling: Scheduling,
+    worker_id: str,
+    report: task_messages.WorkerReport,
+    ledger: resources.Ledger,
+    find_record: FindRecord,
+    rules: policy.Policy,
+    sent_at: float,
+    now: float,
+) -> list[controller.Action]:
+    """Takes a worker's report and returns what the controller wants done.
+
+    Args:
+        scheduling: State; changed in place.
+        worker_id: Worker that reported.
+        report: Its report.
+        ledger: Reservations that the handlers computed from the report.
+        find_record: Returns the record of a job by its id, if it is known.
+        rules: Rules in force.
+        sent_at: Own time at which the poll was sent.
+        now: Own time.
+    """
+    view = scheduling.views.get(worker_id)
+    if view is None:
+        view = views.WorkerView(worker_id, ledger)
+        scheduling.views[worker_id] = view
+    view.ledger = ledger
+    view.services = report.services
+    _take_tasks(scheduling, view, report, find_record, sent_at, now)
+    view.history.record(
+        report.clock, {k: v for k, v in view.loads.items() if v > 0.0}
+    )
+    for service in report.services:
+        interference.take_measurement(
+            scheduling.estimator,
+            view.history,
+            service.service,
+            service.slowdown,
+            service.measured_at,
+            now,
+        )
+    return _control(scheduling, view, report.clock, rules, now)
+
+
+def _take_tasks(
+    scheduling: Scheduling,
+    view: views.WorkerView,
+    report: task_messages.WorkerReport,
+    find_record: FindRecord,
+    sent_at: float,
+    now: float,
+) -> None:
+    before = view.tasks
+    after: list[views.Running] = []
+    reported = set()
+    for shown in report.tasks:
+        reported.add(shown.name)
+        if shown.state is not task_messages.TaskState.RUNNING:
+            continue
+        record = find_record(shown.name.job_id)
+        task = before.get(shown.name) or _adopt(shown, record, now)
+        _measure(scheduling, task, shown, now)
+        after.append(task)
+    for name, task in before.items():
+        if name not in reported and task.started_at > sent_at - START_GRACE_S:
+            after.append(task)
+    for task in before.values():
+        scheduling.quotas.remove(task.team, task.reserved)
+    for task in after:
+        scheduling.quotas.add(task.team, task.reserved)
+    view.replace(after)
+
+
+def _adopt(
+    shown: task_messages.TaskReport,
+    record: jobs.JobRecord | None,
+    now: float,
+) -> views.Running:
+    """Returns a task that another owner started."""
+    return views.Running(
+        shown.name,
+        shown.kind,
+        record.team if record else "",
+        record.urgency if record else 0,
+        shown.reserved,
+        shown.usage.cpu_millis / 1000.0,
+        now,
+        now,
+        record.checkpointable if record else False,
+    )
+
+
+def _measure(
+    scheduling: Scheduling,
+    task: views.Running,
+    shown: task_messages.TaskReport,
+    now: float,
+) -> None:
+    task.measured = True
+    task.share = shown.throttle
+    task.reserved = shown.reserved
+    settled = now - task.started_at >= SETTLED_AFTER_S
+    if settled and shown.usage.cpu_millis > 0:
+        task.cpu = shown.usage.cpu_millis / 1000.0
+        if task.share >= 1.0:
+            scheduling.usage.record_use(task.kind, shown.usage)
+
+
+def _control(
+    scheduling: Scheduling,
+    view: views.WorkerView,
+    clock: float,
+    rules: policy.Policy,
+    now: float,
+) -> list[controller.Action]:
+    """Runs the controller of a worker on its newest measurements."""
+    if not isinstance(scheduling.strategy, placement.Predicted):
+        return []
+    readings = [
+        controller.Reading(
+            service.service,
+            service.slowdown,
+            1.0 + placement.get_accepted_excess(rules, service.service),
+            service.measured_at,
+        )
+        for service in view.services
+    ]
+    outlook = placement.Outlook(scheduling.estimator, rules)
+    suspects = [
+        _suspect(task, view, outlook, now)
+        for task in view.tasks.values()
+        if not task.evicting
+    ]
+    budget = rules.sharing.evictions_per_minute
+    return controller.decide(
+        view.controller, readings, suspects, budget, clock, now
+    )
+
+
+def _suspect(
+    task: views.Running,
+    view: views.WorkerView,
+    outlook: placement.Outlook,
+    now: float,
+) -> controller.Suspect:
+    pressure = max(
+        (
+            task.cpu
+            * outlook.estimator.estimate(service.service, task.kind, now)
+            / placement.get_accepted_excess(outlook.rules, service.service)
+            for service in view.services
+        ),
+        default=0.0,
+    )
+    urgent = task.urgency >= outlook.rules.sharing.urgent_from
+    return controller.Suspect(task.name, task.share, pressure, urgent)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/views.py
@@ -0,0 +1,101 @@
+"""What an owner's scheduling policy knows about each of its workers."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from sapphirestall_core import controller
+from sapphirestall_core import interference
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+
+
+@attrs.define
+class Running:
+    """A batch task on a worker.
+
+    Attributes:
+        cpu: Processors in use, measured or predicted.
+        started_at: Own time at which the start was sent or first reported.
+        saved_at: Own time of the newest checkpoint, or `started_at`.
+        share: Throttle.
+        measured: Whether a report has shown the task.
+        evicting: Whether an eviction has begun.
+    """
+
+    name: task_messages.AttemptName
+    kind: str
+    team: str
+    urgency: int
+    reserved: resources.Vector
+    cpu: float
+    started_at: float
+    saved_at: float
+    checkpointable: bool = True
+    share: float = 1.0
+    measured: bool = False
+    evicting: bool = False
+
+
+@attrs.define
+class WorkerView:
+    """One worker.
+
+    Attributes:
+        ledger: Reservations; shared with the handlers of batch work.
+        loads: Processors in use by kind.
+    """
+
+    worker_id: str
+    ledger: resources.Ledger
+    tasks: dict[task_messages.AttemptName, Running] = attrs.field(factory=dict)
+    services: tuple[task_messages.ServiceReport, ...] = ()
+    loads: dict[str, float] = attrs.field(factory=dict)
+    history: interference.History = attrs.field(factory=interference.History)
+    controller: controller.Controller = attrs.field(
+        factory=controller.Controller
+    )
+
+    def add(self, task: Running) -> None:
+        """Adds a task and its load."""
+        self.tasks[task.name] = task
+        self.loads[task.kind] = self.loads.get(task.kind, 0.0) + task.cpu
+
+    def remove(self, name: task_messages.AttemptName) -> Running | None:
+        """Removes a task and its load."""
+        task = self.tasks.pop(name, None)
+        if task is not None:
+            left = self.loads.get(task.kind, 0.0) - task.cpu
+            self.loads[task.kind] = max(0.0, left)
+        return task
+
+    def replace(self, tasks: Iterable[Running]) -> None:
+        """Takes all tasks of a report."""
+        self.tasks, self.loads = {}, {}
+        for task in tasks:
+            self.add(task)
+
+
+def sum_cpu(views: Iterable[WorkerView]) -> int:
+    """Returns the processors of some workers, in thousandths."""
+    return sum(view.ledger.capacity.cpu_millis for view in views)
+
+
+def sum_reserved_cpu(
+    views: Iterable[WorkerView], lowest: int, highest: int
+) -> int:
+    """Returns what tasks of some urgencies hold, in thousandths.
+
+    Tasks under eviction do not count.
+
+    Args:
+        views: Workers to look at.
+        lowest: Lowest urgency that counts.
+        highest: First urgency that no longer counts.
+    """
+    return sum(
+        task.reserved.cpu_millis
+        for view in views
+        for task in view.tasks.values()
+        if lowest <= task.urgency < highest and not task.evicting
+    )
