Add a bench model of workers, jobs and one owner, and baselines

Cause: no figure said what the policy does to services and batch work. Ruled out: measuring through the handlers of batch work for now, since they are being rewritten; the driver asks scheduling.py for every decision. Room that evictions free is kept for the urgent task that asked for it.

--- /dev/null
+++ b/bench/owner.py
@@ -0,0 +1,546 @@
+"""Drives the scheduling policy of one data centre against modelled workers.
+
+It stands in for the handlers of batch work: it polls, starts, evicts and
+requeues, and asks `scheduling` for every decision. Links have no delay here
+and no command is lost; the failure tests cover those.
+"""
+
+import collections
+import functools
+import itertools
+import random
+
+import attrs
+
+from bench import baselines
+from bench import measures
+from bench import model
+from sapphirestall_core import controller
+from sapphirestall_core import jobs
+from sapphirestall_core import ownership
+from sapphirestall_core import placement
+from sapphirestall_core import policy
+from sapphirestall_core import preemption
+from sapphirestall_core import resources
+from sapphirestall_core import scheduling
+from sapphirestall_core import task_messages
+from sapphirestall_core import views
+from standins import worker_model
+from standins import world_workers
+
+POLL_PERIOD_S = 2.0
+EPOCH = 1
+OWNER = "bench"
+# Section 7 of the design: when tasks of a silent worker are placed again.
+SILENT_WAIT_S = (placement.COMMAND_TERM_S + placement.TASK_LEASE_S) * (
+    1 + ownership.MAX_DRIFT
+)
+CHECKPOINT_RANGE_S = (0.2, 1.5)
+MAX_PLANS = 16
+
+
+@attrs.define
+class Waiting:
+    """A task that waits for a worker.
+
+    Attributes:
+        work_left_s: Run time that is left after a checkpoint; None when the
+            task starts from the beginning.
+    """
+
+    record: jobs.JobRecord
+    task: int
+    since: float
+    work_left_s: float | None = None
+    seen: bool = False
+
+
+@attrs.define
+class Host:
+    """A worker and its place in the poll round."""
+
+    place: model.Place
+    worker: worker_model.Worker
+    poll_at: float
+    alive: bool = True
+    heard_at: float = 0.0
+
+
+@attrs.define
+class Eviction:
+    """An eviction between checkpoint and stop."""
+
+    host: Host
+    name: task_messages.AttemptName
+    ends_at: float
+
+
+@attrs.define
+class Owner:
+    """One data centre under one policy."""
+
+    hosts: dict[str, Host]
+    rules: policy.Policy
+    scheduling: scheduling.Scheduling
+    measures: measures.Measures
+    rng: random.Random
+    queues: dict[tuple[int, str, str, int], collections.deque[Waiting]] = (
+        attrs.field(factory=dict)
+    )
+    records: dict[str, jobs.JobRecord] = attrs.field(factory=dict)
+    cancelled: set[str] = attrs.field(factory=set)
+    running: dict[task_messages.AttemptName, Waiting] = attrs.field(
+        factory=dict
+    )
+    evictions: list[Eviction] = attrs.field(factory=list)
+    failures: dict[str, set[str]] = attrs.field(factory=dict)
+    attempts: int = 0
+
+    def get_strategy(self) -> placement.Strategy:
+        """Returns the policy that is measured."""
+        return self.scheduling.strategy
+
+    def list_responding(self, now: float) -> list[str]:
+        """Returns the workers that answered the newest poll."""
+        return [
+            worker_id
+            for worker_id, host in self.hosts.items()
+            if host.alive and now - host.heard_at <= 2 * POLL_PERIOD_S
+        ]
+
+    def submit(self, record: jobs.JobRecord, now: float) -> None:
+        """Takes a job, or refuses it when no worker could ever hold a task."""
+        if not any(
+            record.declared.fits(compute_batch_room(host.worker))
+            for host in self.hosts.values()
+        ):
+            self.measures.refusals["job_too_large"] += 1
+            return
+        self.records[record.job_id] = record
+        for task in range(record.task_count):
+            self.enqueue(Waiting(record, task, now))
+
+    def enqueue(self, waiting: Waiting) -> None:
+        """Adds a task to the queue of its equals."""
+        record = waiting.record
+        key = (
+            -record.urgency,
+            record.kind,
+            record.team,
+            record.declared.cpu_millis,
+        )
+        self.queues.setdefault(key, collections.deque()).append(waiting)
+
+    def cancel(self, job_id: str, now: float) -> None:
+        """Stops the tasks of a job and forgets those that wait."""
+        self.cancelled.add(job_id)
+        for queue in self.queues.values():
+            for waiting in [w for w in queue if w.record.job_id == job_id]:
+                queue.remove(waiting)
+        for host in self.hosts.values():
+            for name in list(self.scheduling.views[host.place.worker_id].tasks):
+                if name.job_id == job_id and host.alive:
+                    self.stop(host, name, now)
+
+    def step(self, now: float) -> None:
+        """Polls the workers that are due, then places what waits."""
+        for host in self.hosts.values():
+            if now >= host.poll_at:
+                host.poll_at += POLL_PERIOD_S
+                self._poll(host, now)
+        self._finish_evictions(now)
+        self._place(now)
+
+    def _poll(self, host: Host, now: float) -> None:
+        worker_id = host.place.worker_id
+        if not host.alive:
+            self._consider_lost(host, now)
+            return
+        host.heard_at = now
+        ended = [
+            task
+            for task in host.worker.tasks.values()
+            if task.state != "running"
+        ]
+        for task in ended:
+            self._take_end(host, task, now)
+            host.worker.acknowledge(task.name)
+        for task in host.worker.tasks.values():
+            task.lease_until = now + placement.TASK_LEASE_S
+        report = world_workers.make_report(host.worker)
+        actions = scheduling.observe(
+            self.scheduling,
+            worker_id,
+            report,
+            make_ledger(report),
+            self.records.get,
+            self.rules,
+            now,
+            now,
+        )
+        actions += react(self.get_strategy(), self, host, report)
+        for action in actions:
+            act(action, self, host, now)
+
+    def _consider_lost(self, host: Host, now: float) -> None:
+        view = self.scheduling.views.get(host.place.worker_id)
+        if view is None or now - host.heard_at < SILENT_WAIT_S:
+            return
+        for name in list(view.tasks):
+            waiting = self.running.pop(name, None)
+            if waiting is not None:
+                self.measures.lost_to_faults += view.tasks[name].cpu * (
+                    now - view.tasks[name].started_at
+                )
+                self.enqueue(attrs.evolve(waiting, since=now, seen=True))
+        scheduling.forget_worker(self.scheduling, host.place.worker_id)
+
+    def _take_end(
+        self, host: Host, task: worker_model.Task, now: float
+    ) -> None:
+        name = parse_name(task.name)
+        waiting = self.running.pop(name, None)
+        worker_id = host.place.worker_id
+        if task.state == "finished":
+            scheduling.record_finish(self.scheduling, worker_id, name, now)
+            self.measures.finished[
+                waiting.record.urgency if waiting else 0
+            ] += 1
+        elif task.state == "failed" and waiting is not None:
+            self._fail(host, name, waiting, now)
+        else:
+            scheduling.record_withdrawal(self.scheduling, worker_id, name)
+
+    def _fail(
+        self,
+        host: Host,
+        name: task_messages.AttemptName,
+        waiting: Waiting,
+        now: float,
+    ) -> None:
+        worker_id = host.place.worker_id
+        aside = scheduling.record_failure(self.scheduling, worker_id, name, now)
+        self.measures.record_failure(worker_id, aside)
+        self.enqueue(attrs.evolve(waiting, since=now, seen=True))
+
+    def _place(self, now: float) -> None:
+        """Places by urgency; one refusal speaks for all equal tasks."""
+        self.scheduling.lower_waiting = any(
+            queue and -key[0] < self.rules.sharing.urgent_from
+            for key, queue in self.queues.items()
+        )
+        for key in sorted(self.queues):
+            queue = self.queues[key]
+            while queue and self._place_one(queue[0], now):
+                queue.popleft()
+            if -key[0] >= self.rules.sharing.urgent_from:
+                for waiting in itertools.islice(queue, MAX_PLANS):
+                    self._preempt(waiting, now)
+        self.queues = {key: q for key, q in self.queues.items() if q}
+
+    def _place_one(self, waiting: Waiting, now: float) -> bool:
+        strategy = self.get_strategy()
+        demand = make_demand(strategy, self, waiting.record)
+        decision = find_worker(strategy, self, demand, now)
+        match decision:
+            case placement.Chosen(worker_id=worker_id):
+                self._start(waiting, demand, worker_id, now)
+                return True
+            case placement.NotPlaced(reason=reason):
+                self.measures.refusals[reason if waiting.record.urgency < 5 else "urgent_"+reason] += 1
+        return False
+
+    def _preempt(self, waiting: Waiting, now: float) -> None:
+        strategy = self.get_strategy()
+        demand = make_demand(strategy, self, waiting.record)
+        plan = plan_eviction(strategy, self, waiting, demand, now)
+        if plan is not None:
+            for name in plan.victims:
+                self.evict(self.hosts[plan.worker_id], name, now)
+
+    def _start(
+        self,
+        waiting: Waiting,
+        demand: placement.Demand,
+        worker_id: str,
+        now: float,
+    ) -> None:
+        self.attempts += 1
+        record = waiting.record
+        attempt = placement.number_attempt(EPOCH, self.attempts)
+        name = task_messages.AttemptName(record.job_id, waiting.task, attempt)
+        host = self.hosts[worker_id]
+        effect = task_messages.StartTask(
+            worker_id,
+            worker_id,
+            EPOCH,
+            now + placement.COMMAND_TERM_S,
+            name,
+            record.kind,
+            demand.reserved,
+            record.run_s,
+            placement.TASK_LEASE_S,
+        )
+        scheduling.record_start(
+            self.scheduling, worker_id, name, record, demand, now
+        )
+        try:
+            world_workers.carry_out(effect, host.worker, OWNER, now)
+        except worker_model.RefusalError as error:
+            self.measures.refusals[error.code] += 1
+            aside = scheduling.record_failure(
+                self.scheduling, worker_id, name, now
+            )
+            self.measures.record_failure(worker_id, aside)
+            self.enqueue(waiting)
+            return
+        if waiting.work_left_s is not None:
+            host.worker.tasks[str(name)].work_left_s = waiting.work_left_s
+        view = self.scheduling.views[worker_id]
+        view.ledger.reserve(name, demand.reserved)
+        self.running[name] = waiting
+        self.measures.record_start(worker_id, waiting, now)
+
+    def evict(
+        self, host: Host, name: task_messages.AttemptName, now: float
+    ) -> None:
+        """Begins an eviction: a checkpoint, then a stop."""
+        scheduling.record_eviction(self.scheduling, host.place.worker_id, name)
+        record = self.records[name.job_id]
+        delay_s = self.rng.uniform(*CHECKPOINT_RANGE_S)
+        if not record.checkpointable:
+            delay_s = 0.0
+        self.evictions.append(Eviction(host, name, now + delay_s))
+
+    def _finish_evictions(self, now: float) -> None:
+        due = [item for item in self.evictions if item.ends_at <= now]
+        self.evictions = [i for i in self.evictions if i.ends_at > now]
+        for item in due:
+            task = item.host.worker.tasks.get(str(item.name))
+            waiting = self.running.get(item.name)
+            if task is None or waiting is None or task.state != "running":
+                continue
+            self.stop(item.host, item.name, now)
+            left_s = None
+            if waiting.record.checkpointable:
+                left_s = task.work_left_s
+            lost = task.count_cpu() * (
+                item.host.worker.truths[task.kind].run_s - task.work_left_s
+            )
+            self.measures.record_eviction(lost if left_s is None else 0.0)
+            self.enqueue(
+                attrs.evolve(waiting, since=now, work_left_s=left_s, seen=True)
+            )
+
+    def stop(
+        self, host: Host, name: task_messages.AttemptName, now: float
+    ) -> None:
+        """Stops a task and frees its room."""
+        effect = task_messages.StopTask(
+            host.place.worker_id, "", EPOCH, now + 5.0, name
+        )
+        try:
+            world_workers.carry_out(effect, host.worker, OWNER, now)
+        except worker_model.RefusalError:
+            return
+        host.worker.acknowledge(str(name))
+        self.scheduling.views[host.place.worker_id].ledger.release(name)
+        scheduling.record_withdrawal(
+            self.scheduling, host.place.worker_id, name
+        )
+        if name.job_id in self.cancelled:
+            self.running.pop(name, None)
+
+
+def parse_name(name: str) -> task_messages.AttemptName:
+    """Returns the attempt that a worker's task name stands for."""
+    job_id, task, attempt = name.rsplit(".", 2)
+    return task_messages.AttemptName(job_id, int(task), int(attempt))
+
+
+def make_ledger(report: task_messages.WorkerReport) -> resources.Ledger:
+    """Returns the reservations in a report, as the handlers compute them."""
+    ledger = resources.Ledger(report.capacity)
+    for service in report.services:
+        ledger.record(("service", service.service), service.reserved)
+    for task in report.tasks:
+        if task.state is task_messages.TaskState.RUNNING:
+            ledger.record(task.name, task.reserved)
+    return ledger
+
+
+def compute_batch_room(worker: worker_model.Worker) -> resources.Vector:
+    """Returns what services leave to batch work."""
+    room = resources.Vector(
+        worker.capacity.cpu_millis,
+        worker.capacity.memory_mb,
+        worker.capacity.accelerators,
+    )
+    for service in worker.services.values():
+        taken = service.reserved
+        room = room.minus(resources.Vector(taken.cpu_millis, taken.memory_mb))
+    return room
+
+
+@functools.singledispatch
+def act(
+    action: controller.Action, owner: Owner, host: Host, now: float
+) -> None:
+    """Carries out what the controller wants done."""
+    raise NotImplementedError(type(action).__name__)
+
+
+@act.register
+def _(
+    action: controller.Throttle, owner: Owner, host: Host, now: float
+) -> None:
+    task = host.worker.tasks.get(str(action.name))
+    if task is not None:
+        task.throttle = action.share
+        owner.measures.throttles += 1
+
+
+@act.register
+def _(action: controller.Evict, owner: Owner, host: Host, now: float) -> None:
+    owner.evict(host, action.name, now)
+
+
+@functools.singledispatch
+def make_demand(
+    strategy: placement.Strategy, owner: Owner, record: jobs.JobRecord
+) -> placement.Demand:
+    """Returns what a task needs, according to the policy."""
+    return scheduling.make_demand(owner.scheduling, record)
+
+
+@make_demand.register
+def _(
+    strategy: baselines.Baseline, owner: Owner, record: jobs.JobRecord
+) -> placement.Demand:
+    cpu = record.declared.cpu_millis / 1000.0
+    return placement.Demand(
+        record.kind, record.team, record.urgency, record.declared, cpu
+    )
+
+
+@functools.singledispatch
+def find_worker(
+    strategy: placement.Strategy,
+    owner: Owner,
+    demand: placement.Demand,
+    now: float,
+) -> placement.Decision:
+    """Chooses a worker by the policy."""
+    return scheduling.find_worker(
+        owner.scheduling,
+        demand,
+        owner.list_responding(now),
+        owner.rules,
+        now,
+    )
+
+
+@find_worker.register
+def _(
+    strategy: baselines.Baseline,
+    owner: Owner,
+    demand: placement.Demand,
+    now: float,
+) -> placement.Decision:
+    fitting = [
+        view
+        for view in list_views(owner, now)
+        if demand.reserved.fits(view.ledger.compute_free())
+    ]
+    if not fitting:
+        return placement.NotPlaced("no_room")
+    outlook = placement.Outlook(owner.scheduling.estimator, owner.rules)
+    return placement.choose(strategy, demand, fitting, outlook, now)
+
+
+@functools.singledispatch
+def plan_eviction(
+    strategy: placement.Strategy,
+    owner: Owner,
+    waiting: Waiting,
+    demand: placement.Demand,
+    now: float,
+) -> preemption.Plan | None:
+    """Names tasks to evict for an urgent task."""
+    return scheduling.claim_room(
+        owner.scheduling,
+        waiting.record.job_id,
+        waiting.task,
+        demand,
+        owner.list_responding(now),
+        owner.rules,
+        now,
+    )
+
+
+@plan_eviction.register
+def _(
+    strategy: baselines.Baseline,
+    owner: Owner,
+    waiting: Waiting,
+    demand: placement.Demand,
+    now: float,
+) -> preemption.Plan | None:
+    return None
+
+
+@plan_eviction.register
+def _(
+    strategy: baselines.Preempting,
+    owner: Owner,
+    waiting: Waiting,
+    demand: placement.Demand,
+    now: float,
+) -> preemption.Plan | None:
+    """Evicts lower tasks in any order until the task fits."""
+    for view in list_views(owner, now):
+        room, victims = view.ledger.compute_free(), []
+        for task in view.tasks.values():
+            if task.urgency < demand.urgency and not task.evicting:
+                victims.append(task.name)
+                room = room.plus(task.reserved)
+            if demand.reserved.fits(room) and victims:
+                return preemption.Plan(view.worker_id, tuple(victims), 0.0)
+    return None
+
+
+@functools.singledispatch
+def react(
+    strategy: placement.Strategy,
+    owner: Owner,
+    host: Host,
+    report: task_messages.WorkerReport,
+) -> list[controller.Action]:
+    """Returns what a policy does about a report beyond the controller."""
+    return []
+
+
+@react.register
+def _(
+    strategy: baselines.Preempting,
+    owner: Owner,
+    host: Host,
+    report: task_messages.WorkerReport,
+) -> list[controller.Action]:
+    """Evicts the task with most processors while a service suffers."""
+    view = owner.scheduling.views[host.place.worker_id]
+    tasks = [task for task in view.tasks.values() if not task.evicting]
+    for service in report.services:
+        limit = 1.0 + placement.get_accepted_excess(
+            owner.rules, service.service
+        )
+        if service.slowdown > limit and tasks:
+            largest = max(tasks, key=lambda task: task.reserved.cpu_millis)
+            return [controller.Evict(largest.name)]
+    return []
+
+
+def list_views(owner: Owner, now: float) -> list[views.WorkerView]:
+    """Returns the policy's view of the workers that respond."""
+    known = owner.scheduling.views
+    return [known[i] for i in owner.list_responding(now) if i in known]
--- a/packages/core/src/sapphirestall_core/scheduling.py
+++ b/packages/core/src/sapphirestall_core/scheduling.py
@@ -40,6 +40,7 @@
     Attributes:
         quota_share: This owner's part of the deployment's capacity.
         lower_waiting: Whether work below `Sharing.urgent_from` waits.
+        claims: Room that is being freed, by job id and task.
     """
 
     strategy: placement.Strategy = attrs.field(factory=placement.Predicted)
@@ -52,6 +53,7 @@
     quotas: quotas.Quotas = attrs.field(factory=quotas.Quotas)
     quota_share: float = 1.0
     lower_waiting: bool = False
+    claims: dict[tuple[str, int], preemption.Claim] = attrs.field(factory=dict)
 
 
 def make_demand(
@@ -90,7 +92,8 @@
     fitting = [
         view
         for view in known
-        if view and demand.reserved.fits(view.ledger.compute_free())
+        if view
+        and demand.reserved.fits(_find_room(scheduling, view, demand, now))
     ]
     if not fitting:
         return placement.NotPlaced("no_room")
@@ -105,6 +108,21 @@
     return placement.choose(scheduling.strategy, demand, trusted, outlook, now)
 
 
+def _find_room(
+    scheduling: Scheduling,
+    view: views.WorkerView,
+    demand: placement.Demand,
+    now: float,
+) -> resources.Vector:
+    free = view.ledger.compute_free()
+    if not scheduling.claims:
+        return free
+    claims = scheduling.claims.values()
+    return free.minus(
+        preemption.sum_claims(claims, view.worker_id, demand.urgency, now)
+    )
+
+
 def _breaks_floor(
     scheduling: Scheduling, demand: placement.Demand, rules: policy.Policy
 ) -> bool:
@@ -118,16 +136,26 @@
     return urgent + demand.reserved.cpu_millis > ceiling
 
 
-def find_plan(
+def claim_room(
     scheduling: Scheduling,
+    job_id: str,
+    task: int,
     demand: placement.Demand,
     worker_ids: Iterable[str],
     rules: policy.Policy,
     now: float,
 ) -> preemption.Plan | None:
-    """Returns what to evict for an urgent task that found no worker."""
+    """Returns what to evict for an urgent task that found no worker.
+
+    The room is kept for urgent work until the task starts or the claim ends;
+    until then the same task gets no second plan.
+    """
     sharing = rules.sharing
-    if demand.urgency < sharing.urgent_from:
+    claim = scheduling.claims.get((job_id, task))
+    pending = claim is not None and claim.until > now
+    if demand.urgency < sharing.urgent_from or pending:
+        return None
+    if _breaks_floor(scheduling, demand, rules):
         return None
     everywhere = scheduling.views.values()
     lower = views.sum_reserved_cpu(everywhere, -(2**31), sharing.urgent_from)
@@ -140,7 +168,15 @@
     ]
     outlook = placement.Outlook(scheduling.estimator, rules)
     spare = int(lower - floor)
-    return preemption.find_plan(demand, trusted, outlook, spare, now)
+    plan = preemption.find_plan(demand, trusted, outlook, spare, now)
+    if plan is not None:
+        scheduling.claims[job_id, task] = preemption.Claim(
+            plan.worker_id,
+            demand.urgency,
+            demand.reserved,
+            now + preemption.CLAIM_TERM_S,
+        )
+    return plan
 
 
 def record_start(
@@ -152,6 +188,7 @@
     now: float,
 ) -> None:
     """Records that a task was given to a worker."""
+    scheduling.claims.pop((name.job_id, name.task), None)
     view = scheduling.views[worker_id]
     view.add(_make_running(name, record, demand, now))
     scheduling.quotas.add(record.team, demand.reserved)
