Confirm measurements near the limit; raise several throttles at once

Cause: with 10 % noise, single measurements above the limit throttled tasks that did no harm; raising one task per lag recovered slowly. Change: a measurement counts alone only above 1.2 of the accepted excess; all throttles that fit are raised in one step; urgent work that adds little pressure starts beside a service at its limit.

--- a/packages/core/src/sapphirestall_core/controller.py
+++ b/packages/core/src/sapphirestall_core/controller.py
@@ -11,6 +11,10 @@
 # Throttles are raised only below this share of the accepted excess.
 RAISE_BELOW = 0.8
 RAISE_STEP = 0.25
+RAISE_UP_TO = 0.95
+# A single measurement is noisy: it counts alone only when it is far above the
+# limit, otherwise the next one has to confirm it.
+ALARM = 1.2
 # A task throttled further than this makes too little progress to keep its
 # reservation; it is evicted instead.
 MIN_SHARE = 0.25
@@ -77,10 +81,12 @@
 
     Attributes:
         acted_at: Reading of the worker's clock at the last action.
+        warned: Whether the newest measurement was above the limit.
         evicted_at: Own times of the evictions within the budget's period.
     """
 
     acted_at: float = -math.inf
+    warned: bool = False
     evicted_at: collections.deque[float] = attrs.field(
         factory=collections.deque
     )
@@ -117,10 +123,12 @@
     if not fresh:
         return []
     worst = max(reading.compute_pressure() for reading in fresh)
-    if worst > 1.0:
+    confirmed = worst > ALARM or (worst > 1.0 and controller.warned)
+    controller.warned = worst > 1.0
+    if confirmed:
         actions = _relieve(controller, worst, suspects, budget, now)
     elif worst < RAISE_BELOW and len(fresh) == len(readings):
-        actions = _raise_one(worst, suspects)
+        actions = _raise(worst, suspects)
     else:
         actions = []
     if actions:
@@ -162,14 +170,15 @@
     return actions
 
 
-def _raise_one(worst: float, suspects: Sequence[Suspect]) -> list[Action]:
-    """Raises the throttle that costs the service least."""
+def _raise(worst: float, suspects: Sequence[Suspect]) -> list[Action]:
+    """Raises throttles stepwise, those that cost the service least first."""
     throttled = [task for task in suspects if task.share < 1.0]
-    if not throttled:
-        return []
-    task = min(throttled, key=lambda item: item.pressure / item.share)
-    share = min(1.0, task.share + RAISE_STEP)
-    added = task.pressure / task.share * (share - task.share)
-    if worst + added > 1.0:
-        return []
-    return [Throttle(task.name, round(share, 2))]
+    throttled.sort(key=lambda item: item.pressure / item.share)
+    actions: list[Action] = []
+    for task in throttled:
+        share = min(1.0, task.share + RAISE_STEP)
+        worst += task.pressure / task.share * (share - task.share)
+        if worst > RAISE_UP_TO:
+            break
+        actions.append(Throttle(task.name, round(share, 2)))
+    return actions
--- a/packages/core/src/sapphirestall_core/interference.py
+++ b/packages/core/src/sapphirestall_core/interference.py
@@ -27,6 +27,8 @@
 GAIN_STEP = 0.3
 MAX_GAIN = 3.0
 HISTORY_LENGTH = 16
+# Doubt grows slowly, so that a cautious coefficient is kept this long.
+CAUTION_TERM_S = 5.0
 
 Loads = Mapping[str, float]
 
@@ -39,11 +41,13 @@
         products: Sum of products of the loads of two kinds.
         targets: Sum of products of a kind's load and the measured excess.
         coefficients: Estimated excess per processor in use by a kind.
+        cautious: Coefficients with the doubt added, and until when they hold.
     """
 
     products: dict[str, dict[str, float]] = attrs.field(factory=dict)
     targets: dict[str, float] = attrs.field(factory=dict)
     coefficients: dict[str, float] = attrs.field(factory=dict)
+    cautious: dict[str, tuple[float, float]] = attrs.field(factory=dict)
 
     def add(self, loads: Loads, excess: float, weight: float) -> None:
         """Adds one measurement."""
@@ -73,6 +77,8 @@
                 rest = (self.targets[kind] - explained) / weight
                 found = (rest + RIDGE * last) / (evidence + RIDGE)
                 self.coefficients[kind] = max(0.0, found)
+        for kind in kinds:
+            self.cautious.pop(kind, None)
 
     def scale(self, factor: float) -> None:
         """Multiplies all sums."""
@@ -111,9 +117,14 @@
         fit = self.fits.get(service)
         if fit is None or kind not in fit.products:
             return PRIOR + UNCERTAINTY / math.sqrt(RIDGE)
+        kept = fit.cautious.get(kind)
+        if kept is not None and now < kept[1]:
+            return kept[0]
         evidence = fit.products[kind][kind] / self._weigh(now)
         doubt = UNCERTAINTY / math.sqrt(evidence + RIDGE)
-        return fit.coefficients[kind] + doubt
+        cautious = fit.coefficients[kind] + doubt
+        fit.cautious[kind] = (cautious, now + CAUTION_TERM_S)
+        return cautious
 
     def predict(self, service: str, loads: Loads, now: float) -> float:
         """Returns the cautious excess slowdown beside some batch work."""
--- a/packages/core/src/sapphirestall_core/placement.py
+++ b/packages/core/src/sapphirestall_core/placement.py
@@ -15,6 +15,9 @@
 COMMAND_TERM_S = 5.0
 TASK_LEASE_S = 20.0
 ATTEMPTS_PER_EPOCH = 2**20
+# Urgent work that adds no more pressure than this starts even beside a service
+# at its limit; the controller then takes the room from other work.
+URGENT_TOLERANCE = 0.1
 
 
 def number_attempt(epoch: int, counter: int) -> int:
@@ -119,12 +122,13 @@
     sharing = outlook.rules.sharing
     urgent = demand.urgency >= sharing.urgent_from
     highest = 1.0 if urgent else sharing.margin
+    tolerance = URGENT_TOLERANCE if urgent else 0.0
     cost = 0.0
     for service in view.services:
         before, added = predict_pressure(
             service.service, demand, view, outlook, now
         )
-        if before + added > highest and added > 0.0:
+        if before + added > highest and added > tolerance:
             return None
         cost += added * (2.0 * before + added)
     free = view.ledger.compute_free().cpu_millis - demand.reserved.cpu_millis
--- a/packages/core/src/sapphirestall_core/scheduling.py
+++ b/packages/core/src/sapphirestall_core/scheduling.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -23,7 +24,7 @@
 from sapphirestall_core import resources
 from sapphirestall_core import task_messages
 from sapphirestall_core import usage
-from sapphirestall_core import views
+from sapphirestall_core import views as views_module
 
 # A start that was sent this long before a poll may be missing in its answer.
 START_GRACE_S = 2.0
@@ -39,12 +40,16 @@
 
     Attributes:
         quota_share: This owner's part of the deployment's capacity.
+        largest: Largest capacity of a worker in each part.
         lower_waiting: Whether work below `Sharing.urgent_from` waits.
         claims: Room that is being freed, by job id and task.
+        held_cpu: Processors in thousandths that tasks of each urgency hold;
+            tasks under eviction do not count.
+        capacity_cpu: Processors in thousandths of all workers.
     """
 
     strategy: placement.Strategy = attrs.field(factory=placement.Predicted)
-    views: dict[str, views.WorkerView] = attrs.field(factory=dict)
+    views: dict[str, views_module.WorkerView] = attrs.field(factory=dict)
     estimator: interference.Estimator = attrs.field(
         factory=interference.Estimator
     )
@@ -54,15 +59,42 @@
     quota_share: float = 1.0
     lower_waiting: bool = False
     claims: dict[tuple[str, int], preemption.Claim] = attrs.field(factory=dict)
+    held_cpu: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
+    capacity_cpu: int = 0
+    largest: resources.Vector = attrs.field(factory=resources.Vector)
+
+    def hold(self, task: views_module.Running) -> None:
+        """Counts what a task holds."""
+        self.quotas.add(task.team, task.reserved)
+        if not task.evicting:
+            self.held_cpu[task.urgency] += task.reserved.cpu_millis
+
+    def release(self, task: views_module.Running) -> None:
+        """Reverses `hold`."""
+        self.quotas.remove(task.team, task.reserved)
+        if not task.evicting:
+            self.held_cpu[task.urgency] -= task.reserved.cpu_millis
+
+    def sum_lower_cpu(self, urgent_from: int) -> int:
+        """Returns what work below an urgency holds, in thousandths."""
+        return sum(
+            cpu for level, cpu in self.held_cpu.items() if level < urgent_from
+        )
+
+    def sum_urgent_cpu(self, urgent_from: int) -> int:
+        """Returns what work from an urgency on holds, in thousandths."""
+        return sum(
+            cpu for level, cpu in self.held_cpu.items() if level >= urgent_from
+        )
 
 
 def make_demand(
     scheduling: Scheduling, record: jobs.JobRecord
 ) -> placement.Demand:
     """Returns what one task of a job needs, with what was learned."""
-    largest = resources.Vector()
-    for view in scheduling.views.values():
-        largest = largest.maximum(view.ledger.capacity)
+    largest = scheduling.largest
     learned = scheduling.usage
     return placement.Demand(
         record.kind,
@@ -110,7 +142,7 @@
 
 def _find_room(
     scheduling: Scheduling,
-    view: views.WorkerView,
+    view: views_module.WorkerView,
     demand: placement.Demand,
     now: float,
 ) -> resources.Vector:
@@ -130,9 +162,8 @@
     sharing = rules.sharing
     if demand.urgency < sharing.urgent_from or not scheduling.lower_waiting:
         return False
-    workers = scheduling.views.values()
-    urgent = views.sum_reserved_cpu(workers, sharing.urgent_from, 2**31)
-    ceiling = (1.0 - sharing.lower_floor) * views.sum_cpu(workers)
+    urgent = scheduling.sum_urgent_cpu(sharing.urgent_from)
+    ceiling = (1.0 - sharing.lower_floor) * scheduling.capacity_cpu
     return urgent + demand.reserved.cpu_millis > ceiling
 
 
@@ -157,9 +188,10 @@
         return None
     if _breaks_floor(scheduling, demand, rules):
         return None
-    everywhere = scheduling.views.values()
-    lower = views.sum_reserved_cpu(everywhere, -(2**31), sharing.urgent_from)
-    floor = sharing.lower_floor * views.sum_cpu(everywhere)
+    lower = scheduling.sum_lower_cpu(sharing.urgent_from)
+    spare = int(lower - sharing.lower_floor * scheduling.capacity_cpu)
+    if spare <= 0:
+        return None
     trusted = [
         scheduling.views[worker_id]
         for worker_id in worker_ids
@@ -167,7 +199,6 @@
         and scheduling.probation.count_room(worker_id, now) > 0
     ]
     outlook = placement.Outlook(scheduling.estimator, rules)
-    spare = int(lower - floor)
     plan = preemption.find_plan(demand, trusted, outlook, spare, now)
     if plan is not None:
         scheduling.claims[job_id, task] = preemption.Claim(
@@ -190,8 +221,9 @@
     """Records that a task was given to a worker."""
     scheduling.claims.pop((name.job_id, name.task), None)
     view = scheduling.views[worker_id]
-    view.add(_make_running(name, record, demand, now))
-    scheduling.quotas.add(record.team, demand.reserved)
+    task = _make_running(name, record, demand, now)
+    view.add(task)
+    scheduling.hold(task)
     scheduling.probation.record_start(worker_id, name, now)
 
 
@@ -200,8 +232,8 @@
     record: jobs.JobRecord,
     demand: placement.Demand,
     now: float,
-) -> views.Running:
-    return views.Running(
+) -> views_module.Running:
+    return views_module.Running(
         name,
         record.kind,
         record.team,
@@ -251,8 +283,11 @@
 ) -> None:
     """Records that the eviction of a task has begun."""
     view = scheduling.views.get(worker_id)
-    if view and name in view.tasks:
-        view.tasks[name].evicting = True
+    task = view.tasks.get(name) if view else None
+    if task is not None and not task.evicting:
+        scheduling.release(task)
+        task.evicting = True
+        scheduling.hold(task)
 
 
 def forget_worker(scheduling: Scheduling, worker_id: str) -> None:
@@ -260,17 +295,18 @@
     view = scheduling.views.pop(worker_id, None)
     scheduling.probation.records.pop(worker_id, None)
     if view is not None:
+        scheduling.capacity_cpu -= view.ledger.capacity.cpu_millis
         for task in view.tasks.values():
-            scheduling.quotas.remove(task.team, task.reserved)
+            scheduling.release(task)
 
 
 def _remove(
     scheduling: Scheduling, worker_id: str, name: task_messages.AttemptName
-) -> views.Running | None:
+) -> views_module.Running | None:
     view = scheduling.views.get(worker_id)
     task = view.remove(name) if view else None
     if task is not None:
-        scheduling.quotas.remove(task.team, task.reserved)
+        scheduling.release(task)
     return task
 
 
@@ -298,8 +334,13 @@
     """
     view = scheduling.views.get(worker_id)
     if view is None:
-        view = views.WorkerView(worker_id, ledger)
+        view = views_module.WorkerView(
+            worker_id, resources.Ledger(resources.Vector())
+        )
         scheduling.views[worker_id] = view
+    grown = ledger.capacity.cpu_millis - view.ledger.capacity.cpu_millis
+    scheduling.capacity_cpu += grown
+    scheduling.largest = scheduling.largest.maximum(ledger.capacity)
     view.ledger = ledger
     view.services = report.services
     _take_tasks(scheduling, view, report, find_record, sent_at, now)
@@ -320,14 +361,16 @@
 
 def _take_tasks(
     scheduling: Scheduling,
-    view: views.WorkerView,
+    view: views_module.WorkerView,
     report: task_messages.WorkerReport,
     find_record: FindRecord,
     sent_at: float,
     now: float,
 ) -> None:
     before = view.tasks
-    after: list[views.Running] = []
+    for task in before.values():
+        scheduling.release(task)
+    after: list[views_module.Running] = []
     reported = set()
     for shown in report.tasks:
         reported.add(shown.name)
@@ -340,10 +383,8 @@
     for name, task in before.items():
         if name not in reported and task.started_at > sent_at - START_GRACE_S:
             after.append(task)
-    for task in before.values():
-        scheduling.quotas.remove(task.team, task.reserved)
     for task in after:
-        scheduling.quotas.add(task.team, task.reserved)
+        scheduling.hold(task)
     view.replace(after)
 
 
@@ -351,9 +392,9 @@
     shown: task_messages.TaskReport,
     record: jobs.JobRecord | None,
     now: float,
-) -> views.Running:
+) -> views_module.Running:
     """Returns a task that another owner started."""
-    return views.Running(
+    return views_module.Running(
         shown.name,
         shown.kind,
         record.team if record else "",
@@ -368,7 +409,7 @@
 
 def _measure(
     scheduling: Scheduling,
-    task: views.Running,
+    task: views_module.Running,
     shown: task_messages.TaskReport,
     now: float,
 ) -> None:
@@ -384,7 +425,7 @@
 
 def _control(
     scheduling: Scheduling,
-    view: views.WorkerView,
+    view: views_module.WorkerView,
     clock: float,
     rules: policy.Policy,
     now: float,
@@ -414,8 +455,8 @@
 
 
 def _suspect(
-    task: views.Running,
-    view: views.WorkerView,
+    task: views_module.Running,
+    view: views_module.WorkerView,
     outlook: placement.Outlook,
     now: float,
 ) -> controller.Suspect:
--- a/packages/core/src/sapphirestall_core/views.py
+++ b/packages/core/src/sapphirestall_core/views.py
@@ -76,28 +76,3 @@
         self.tasks, self.loads = {}, {}
         for task in tasks:
             self.add(task)
-
-
-def sum_cpu(views: Iterable[WorkerView]) -> int:
-    """Returns the processors of some workers, in thousandths."""
-    return sum(view.ledger.capacity.cpu_millis for view in views)
-
-
-def sum_reserved_cpu(
-    views: Iterable[WorkerView], lowest: int, highest: int
-) -> int:
-    """Returns what tasks of some urgencies hold, in thousandths.
-
-    Tasks under eviction do not count.
-
-    Args:
-        views: Workers to look at.
-        lowest: Lowest urgency that counts.
-        highest: First urgency that no longer counts.
-    """
-    return sum(
-        task.reserved.cpu_millis
-        for view in views
-        for task in view.tasks.values()
-        if lowest <= task.urgency < highest and not task.evicting
-    )
