--- a/bench/owner.py
+++ b/bench/owner.py
@@ -15,6 +15,7 @@
 from bench import baselines
 from bench import measures
 from bench import model
+from sapphirestall_core import attempts
 from sapphirestall_core import controller
 from sapphirestall_core import jobs
 from sapphirestall_core import ownership
@@ -32,7 +33,7 @@
 EPOCH = 1
 OWNER = "bench"
 # Section 7 of the design: when tasks of a silent worker are placed again.
-SILENT_WAIT_S = (placement.COMMAND_TERM_S + placement.TASK_LEASE_S) * (
+SILENT_WAIT_S = (ownership.COMMAND_TERM_S + ownership.TASK_LEASE_S) * (
     1 + ownership.MAX_DRIFT
 )
 CHECKPOINT_RANGE_S = (0.2, 1.5)
@@ -170,7 +171,7 @@
             self._take_end(host, task, now)
             host.worker.acknowledge(task.name)
         for task in host.worker.tasks.values():
-            task.lease_until = now + placement.TASK_LEASE_S
+            task.lease_until = now + ownership.TASK_LEASE_S
         report = world_workers.make_report(host.worker)
         actions = scheduling.observe(
             self.scheduling,
@@ -179,7 +180,7 @@
             make_ledger(report),
             self.records.get,
             self.rules,
-            now,
+            (),
             now,
         )
         actions += react(self.get_strategy(), self, host, report)
@@ -275,19 +276,19 @@
     ) -> None:
         self.attempts += 1
         record = waiting.record
-        attempt = placement.number_attempt(EPOCH, self.attempts)
+        attempt = attempts.number_attempt(EPOCH, self.attempts)
         name = task_messages.AttemptName(record.job_id, waiting.task, attempt)
         host = self.hosts[worker_id]
         effect = task_messages.StartTask(
             worker_id,
             worker_id,
             EPOCH,
-            now + placement.COMMAND_TERM_S,
+            now + ownership.COMMAND_TERM_S,
             name,
             record.kind,
             demand.reserved,
             record.run_s,
-            placement.TASK_LEASE_S,
+            ownership.TASK_LEASE_S,
         )
         scheduling.record_start(
             self.scheduling, worker_id, name, record, demand, now
--- a/packages/core/src/sapphirestall_core/placement.py
+++ b/packages/core/src/sapphirestall_core/placement.py
@@ -1,30 +1,19 @@
-"""Which worker takes which task, and the terms of commands and leases."""
+"""Which worker takes which task."""
 
-from collections.abc import Iterable
 import functools
 
 import attrs
 
 from sapphirestall_core import interference
-from sapphirestall_core import jobs
 from sapphirestall_core import policy
 from sapphirestall_core import resources
-from sapphirestall_core import tasks_state
 from sapphirestall_core import views
 
-COMMAND_TERM_S = 5.0
-TASK_LEASE_S = 20.0
-ATTEMPTS_PER_EPOCH = 2**20
 # Urgent work that adds no more pressure than this starts even beside a service
 # at its limit; the controller then takes the room from other work.
 URGENT_TOLERANCE = 0.1
 
 
-def number_attempt(epoch: int, counter: int) -> int:
-    """Returns an attempt number that rises across owners."""
-    return epoch * ATTEMPTS_PER_EPOCH + counter
-
-
 @attrs.frozen
 class Demand:
     """What one task needs.
@@ -157,37 +146,3 @@
     stated = rules.services.get(service)
     limit = stated.slowdown_limit if stated else policy.DEFAULT_SLOWDOWN_LIMIT
     return max(1e-6, limit - 1.0)
-
-
-def choose_worker(
-    workers: Iterable[tasks_state.Worker], amount: resources.Vector
-) -> tasks_state.Worker | None:
-    """Returns the reporting worker with the most free processors."""
-    candidates = [
-        worker
-        for worker in workers
-        if worker.ledger is not None
-        and amount.fits(worker.ledger.compute_free())
-    ]
-    return max(candidates, key=_count_free_cpu, default=None)
-
-
-def _count_free_cpu(worker: tasks_state.Worker) -> int:
-    assert worker.ledger is not None
-    return worker.ledger.compute_free().cpu_millis
-
-
-def add_to_ranges(
-    ranges: tuple[jobs.Range, ...], number: int
-) -> tuple[jobs.Range, ...]:
-    """Returns sorted, merged ranges that include one more number."""
-    merged: list[jobs.Range] = []
-    for part in sorted(
-        (*ranges, jobs.Range(number, number)), key=lambda item: item.first
-    ):
-        if merged and part.first <= merged[-1].last + 1:
-            last = max(merged[-1].last, part.last)
-            merged[-1] = jobs.Range(merged[-1].first, last)
-        else:
-            merged.append(part)
-    return tuple(merged)
--- a/packages/core/src/sapphirestall_core/scheduling.py
+++ b/packages/core/src/sapphirestall_core/scheduling.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 
 import attrs
@@ -26,8 +27,6 @@
 from sapphirestall_core import usage
 from sapphirestall_core import views as views_module
 
-# A start that was sent this long before a poll may be missing in its answer.
-START_GRACE_S = 2.0
 # A task is measured only after it has run this long; it may still be loading.
 SETTLED_AFTER_S = 5.0
 
@@ -41,6 +40,8 @@
     Attributes:
         quota_share: This owner's part of the deployment's capacity.
         largest: Largest capacity of a worker in each part.
+        quota_due_at: Own time at which the part is computed again.
+        quota_views: Workers for which it was computed.
         lower_waiting: Whether work below `Sharing.urgent_from` waits.
         claims: Room that is being freed, by job id and task.
         held_cpu: Processors in thousandths that tasks of each urgency hold;
@@ -57,6 +58,8 @@
     probation: probation.Probation = attrs.field(factory=probation.Probation)
     quotas: quotas.Quotas = attrs.field(factory=quotas.Quotas)
     quota_share: float = 1.0
+    quota_due_at: float = 0.0
+    quota_views: int = 0
     lower_waiting: bool = False
     claims: dict[tuple[str, int], preemption.Claim] = attrs.field(factory=dict)
     held_cpu: collections.Counter[int] = attrs.field(
@@ -279,14 +282,17 @@
 
 
 def record_eviction(
-    scheduling: Scheduling, worker_id: str, name: task_messages.AttemptName
+    scheduling: Scheduling,
+    worker_id: str,
+    name: task_messages.AttemptName,
+    evicting: bool = True,
 ) -> None:
-    """Records that the eviction of a task has begun."""
+    """Records that the eviction of a task has begun or was abandoned."""
     view = scheduling.views.get(worker_id)
     task = view.tasks.get(name) if view else None
-    if task is not None and not task.evicting:
+    if task is not None and task.evicting != evicting:
         scheduling.release(task)
-        task.evicting = True
+        task.evicting = evicting
         scheduling.hold(task)
 
 
@@ -317,7 +323,7 @@
     ledger: resources.Ledger,
     find_record: FindRecord,
     rules: policy.Policy,
-    sent_at: float,
+    expected: Container[task_messages.AttemptName],
     now: float,
 ) -> list[controller.Action]:
     """Takes a worker's report and returns what the controller wants done.
@@ -329,7 +335,8 @@
         ledger: Reservations that the handlers computed from the report.
         find_record: Returns the record of a job by its id, if it is known.
         rules: Rules in force.
-        sent_at: Own time at which the poll was sent.
+        expected: Tasks that the handlers count as held although the report
+            may not show them yet.
         now: Own time.
     """
     view = scheduling.views.get(worker_id)
@@ -343,7 +350,7 @@
     scheduling.largest = scheduling.largest.maximum(ledger.capacity)
     view.ledger = ledger
     view.services = report.services
-    _take_tasks(scheduling, view, report, find_record, sent_at, now)
+    _take_tasks(scheduling, view, report, find_record, expected, now)
     view.history.record(
         report.clock, {k: v for k, v in view.loads.items() if v > 0.0}
     )
@@ -364,7 +371,7 @@
     view: views_module.WorkerView,
     report: task_messages.WorkerReport,
     find_record: FindRecord,
-    sent_at: float,
+    expected: Container[task_messages.AttemptName],
     now: float,
 ) -> None:
     before = view.tasks
@@ -381,7 +388,7 @@
         _measure(scheduling, task, shown, now)
         after.append(task)
     for name, task in before.items():
-        if name not in reported and task.started_at > sent_at - START_GRACE_S:
+        if name not in reported and name in expected:
             after.append(task)
     for task in after:
         scheduling.hold(task)
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -33,6 +33,8 @@
         work_left_s: Run time that is left at full share.
         usage: What the task really uses; its reservation if not stated.
         fails_in_s: Fault: time until the task fails.
+        checkpoint: Newest checkpoint, or the one that it was started from.
+        start_expires_at: Reading after which its start can no longer arrive.
     """
 
     name: str
@@ -45,6 +47,7 @@
     throttle: float = 1.0
     usage: Amount | None = None
     fails_in_s: float | None = None
+    start_expires_at: float = 0.0
 
     def count_cpu(self) -> float:
         """Returns the processors that the task uses under its throttle."""
@@ -111,7 +114,11 @@
         fail_after_s: Fault: every task that is started fails after this time.
         truths: How the kinds really behave; as declared if not stated.
         report_lag_s: Age of the newest measurement in a report.
+        fail_checkpoints: Fault: every checkpoint fails.
         started: Names of all attempts ever started, in order.
+        seen: Names of start commands by the reading until which they could
+            arrive again; a name is never started twice.
+        checkpoints_made: Number of checkpoints taken.
         now: Time up to which the tasks have advanced.
     """
 
@@ -121,7 +128,10 @@
     owner: str = ""
     tasks: dict[str, Task] = attrs.field(factory=dict)
     fail_starts: bool = False
+    fail_checkpoints: bool = False
     started: list[str] = attrs.field(factory=list)
+    seen: dict[str, float] = attrs.field(factory=dict)
+    checkpoints_made: int = 0
     now: float = 0.0
     services: dict[str, Service] = attrs.field(factory=dict)
     truths: dict[str, Truth] = attrs.field(factory=dict)
@@ -183,15 +193,23 @@
                 task.state = "stopped"
         self.now = now
 
-    def admit(self, owner: str, epoch: int, expires_at: float | None) -> None:
+    def admit(
+        self,
+        owner: str,
+        epoch: int,
+        expires_at: float | None,
+        incarnation: str = "",
+    ) -> None:
         """Checks the fence of a command and remembers its epoch.
 
         Raises:
-            RefusalError: `stale_epoch` or `expired`.
+            RefusalError: `stale_epoch`, `wrong_incarnation` or `expired`.
         """
         other = epoch == self.highest_epoch and owner != self.owner
         if epoch < self.highest_epoch or (other and self.owner):
             raise RefusalError("stale_epoch")
+        if incarnation and incarnation != self.incarnation:
+            raise RefusalError("wrong_incarnation")
         if expires_at is not None and expires_at < self.now:
             raise RefusalError("expired")
         self.highest_epoch = epoch
@@ -212,12 +230,18 @@
     def start(self, task: Task) -> None:
         """Starts an attempt.
 
+        A start that fails leaves a `failed` task.
+
         Raises:
             RefusalError: `duplicate`, `start_failed` or `no_room`.
         """
-        if task.name in self.tasks:
+        self.seen = {n: at for n, at in self.seen.items() if at >= self.now}
+        if task.name in self.tasks or task.name in self.seen:
             raise RefusalError("duplicate")
+        self.seen[task.name] = task.start_expires_at
         if self.fail_starts:
+            task.state = "failed"
+            self.tasks[task.name] = task
             raise RefusalError("start_failed")
         running = [
             t.reserved for t in self.tasks.values() if t.state == "running"
@@ -246,3 +270,14 @@
         if task is None or task.state != "running":
             raise RefusalError("unknown_task")
         return task
+
+    def take_checkpoint(self, task: Task) -> None:
+        """Takes a checkpoint of a running attempt.
+
+        Raises:
+            RefusalError: `checkpoint_failed`.
+        """
+        if self.fail_checkpoints:
+            raise RefusalError("checkpoint_failed")
+        self.checkpoints_made += 1
+        task.checkpoint = f"checkpoint-{task.name}-{self.checkpoints_made}"
