--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,12 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
 test: check
 	$(BIN)/python -m tools.verdict
 
--- /dev/null
+++ b/features/quotas.feature
@@ -0,0 +1,13 @@
+Feature: Quotas of teams
+
+  Scenario Outline: A team holds no more than this owner's part of its quota
+    Guards against one team that takes the room of the other 72.
+    Given a team quota of 8 processors of which this owner enforces <share>
+    When the team asks for 2 processors until it is refused
+    Then it holds <held> processors
+
+    Examples:
+      | share | held |
+      | 1.0   | 8    |
+      | 0.5   | 4    |
+      | 0.3   | 2    |
--- /dev/null
+++ b/features/steps/controller_steps.py
@@ -0,0 +1,81 @@
+"""Steps for controller.feature."""
+
+import behave
+
+from sapphirestall_core import controller
+from sapphirestall_core import task_messages
+
+LAG_S = 4.0
+
+
+def make_suspects(shares, urgent):
+    """Returns tasks of which each of the first harms the service most."""
+    return [
+        controller.Suspect(
+            task_messages.AttemptName("job", index, 1),
+            float(share),
+            0.8 * float(share) / (index + 1),
+            urgent,
+        )
+        for index, share in enumerate(shares.split())
+    ]
+
+
+def report(context, slowdown, limit, measured_at):
+    reading = controller.Reading("rota", slowdown, limit, measured_at)
+    context.actions = controller.decide(
+        context.controller,
+        [reading],
+        context.suspects,
+        2,
+        measured_at + LAG_S,
+        measured_at + LAG_S,
+    )
+
+
+@behave.given("a slowdown controller with the task shares {shares}")
+def step(context, shares):
+    context.controller = controller.Controller()
+    context.suspects = make_suspects(shares, False)
+
+
+@behave.given("a slowdown controller with the urgent task shares {shares}")
+def step(context, shares):
+    context.controller = controller.Controller()
+    context.suspects = make_suspects(shares, True)
+
+
+@behave.when(
+    "it is told of a slowdown of {slowdown:f}, limit {limit:f}, measured at"
+    " {at:d} s"
+)
+def step(context, slowdown, limit, at):
+    report(context, slowdown, limit, float(at))
+
+
+@behave.when(
+    "a slowdown of {slowdown:f} is reported {times:d} times, each after the"
+    " last action"
+)
+def step(context, slowdown, times):
+    context.evicted = 0
+    for index in range(times):
+        report(context, slowdown, 1.1, 10.0 + 2.5 * index)
+        context.evicted += sum(
+            isinstance(action, controller.Evict) for action in context.actions
+        )
+
+
+@behave.then("it acts with {expected}")
+def step(context, expected):
+    done = [
+        f"{type(action).__name__.lower()} {action.name.task}"
+        for action in context.actions
+    ]
+    wanted = [] if expected == "nothing" else [expected]
+    assert done[:1] == wanted, context.actions
+
+
+@behave.then("it evicted {count:d} tasks")
+def step(context, count):
+    assert context.evicted == count, context.evicted
--- /dev/null
+++ b/features/steps/preemption_steps.py
@@ -0,0 +1,82 @@
+"""Steps for preemption.feature."""
+
+import behave
+
+from sapphirestall_core import interference
+from sapphirestall_core import placement
+from sapphirestall_core import policy
+from sapphirestall_core import preemption
+from sapphirestall_core import resources
+from sapphirestall_core import task_messages
+from sapphirestall_core import views
+
+NOW = 1000.0
+URGENT = 7
+
+
+@behave.given("a full worker with the running batch tasks")
+def step(context):
+    total = sum(int(row["cores"]) for row in context.table) * 1000
+    ledger = resources.Ledger(resources.Vector(total, 1000))
+    context.view = views.WorkerView("worker-1", ledger)
+    context.spare = 10**9
+    for row in context.table:
+        reserved = resources.Vector(int(row["cores"]) * 1000)
+        started_at = NOW - float(row["run_s"])
+        name = task_messages.AttemptName("job", int(row["task"]), 1)
+        ledger.record(name, reserved)
+        task = views.Running(
+            name,
+            "compute",
+            "press",
+            int(row["urgency"]),
+            reserved,
+            reserved.cpu_millis / 1000,
+            started_at,
+            started_at,
+            row["checkpoint"] == "yes",
+        )
+        context.view.add(task)
+
+
+@behave.when("lower work may lose only {cores:d} processors")
+def step(context, cores):
+    context.spare = cores * 1000
+
+
+@behave.then("urgent work of {cores:d} processors evicts {victims}")
+def step(context, cores, victims):
+    amount = resources.Vector(cores * 1000)
+    demand = placement.Demand("rota", "press", URGENT, amount, cores)
+    outlook = placement.Outlook(interference.Estimator(), policy.Policy())
+    plan = preemption.find_plan(
+        demand, [context.view], outlook, context.spare, NOW
+    )
+    found = sorted(name.task for name in plan.victims) if plan else []
+    wanted = [] if victims == "nothing" else [int(v) for v in victims.split()]
+    assert found == wanted, found
+
+
+@behave.when("room of {cores:d} processors is claimed for an urgent task")
+def step(context, cores):
+    until = NOW + preemption.CLAIM_TERM_S
+    amount = resources.Vector(cores * 1000)
+    context.claims = [preemption.Claim("worker-1", URGENT, amount, until)]
+
+
+@behave.then(
+    "a claim of {cores:d} processors counts for urgency {urgency:d} until"
+    " {term:d} s have passed"
+)
+def step(context, cores, urgency, term):
+    for passed, expected in ((term - 0.1, cores * 1000), (term, 0)):
+        found = preemption.sum_claims(
+            context.claims, "worker-1", urgency, NOW + passed
+        )
+        assert found.cpu_millis == expected, found
+
+
+@behave.then("no claim counts for urgency {urgency:d}")
+def step(context, urgency):
+    found = preemption.sum_claims(context.claims, "worker-1", urgency, NOW)
+    assert found == resources.Vector()
--- /dev/null
+++ b/features/steps/probation_steps.py
@@ -0,0 +1,89 @@
+"""Steps for probation.feature."""
+
+import behave
+
+from sapphirestall_core import probation
+from sapphirestall_core import task_messages
+
+WORKER = "worker-1"
+STEP_S = 0.5
+
+
+def name_attempt(context):
+    context.attempts += 1
+    return task_messages.AttemptName("job", context.attempts, 1)
+
+
+def run_one(context, fails):
+    name = name_attempt(context)
+    context.probation.record_start(WORKER, name, context.now)
+    if fails:
+        context.probation.record_failure(WORKER, name, context.now)
+    else:
+        context.probation.record_success(WORKER, name)
+
+
+@behave.given("a worker on watch with {count:d} finished tasks")
+def step(context, count):
+    context.probation = probation.Probation()
+    context.now = 1000.0
+    context.attempts = 0
+    for _ in range(count):
+        context.now += STEP_S
+        run_one(context, fails=False)
+
+
+@behave.when(
+    "it is given all tasks that it may have and each fails after {delay:f} s"
+)
+def step(context, delay):
+    running = []
+    context.failures_seen = 0
+    for _ in range(100):
+        context.now += STEP_S
+        for name, due in list(running):
+            if due <= context.now:
+                running.remove((name, due))
+                context.failures_seen += 1
+                context.probation.record_failure(WORKER, name, context.now)
+        if context.probation.is_on_probation(WORKER) and not running:
+            return
+        while context.probation.count_room(WORKER, context.now) > 0:
+            name = name_attempt(context)
+            context.probation.record_start(WORKER, name, context.now)
+            running.append((name, context.now + delay))
+            if not delay:
+                break
+    raise AssertionError("the worker was never put aside")
+
+
+@behave.then("it failed fewer than 10 tasks before it was put aside")
+def step(context):
+    assert 0 < context.failures_seen < 10, context.failures_seen
+
+
+@behave.then("its trials come after {a:d}, {b:d}, {c:d} and {d:d} s")
+def step(context, a, b, c, d):
+    for delay_s in (a, b, c, d):
+        context.now += delay_s - 1
+        assert context.probation.count_room(WORKER, context.now) == 0
+        context.now += 1
+        assert context.probation.count_room(WORKER, context.now) == 1
+        run_one(context, fails=True)
+
+
+@behave.then("it takes {count:d} tasks again after a trial that finishes")
+def step(context, count):
+    context.now += probation.MAX_DELAY_S
+    run_one(context, fails=False)
+    assert context.probation.count_room(WORKER, context.now) == count
+
+
+@behave.when("the job of these tasks is found to fail everywhere")
+def step(context):
+    context.probation.forgive("job")
+
+
+@behave.then("the worker is not on probation")
+def step(context):
+    assert not context.probation.is_on_probation(WORKER)
