--- a/packages/core/src/sapphirestall_core/starts.py
+++ b/packages/core/src/sapphirestall_core/starts.py
@@ -40,6 +40,7 @@
         for worker in partition.workers.values()
         if is_usable(worker, partition, instance, now)
     ]
+    policy_calls.note_queues(instance)
     effects: dispatch.Effects = []
     for key in sorted(partition.queues, key=_rank):
         effects += _place_queue(key, usable, partition, instance, now)
@@ -85,12 +86,20 @@
         task = share.waiting.get_first()
         failed_on = share.failures.get(task, {})
         others = [w for w in usable if w.worker_id not in failed_on]
-        worker = placement.choose_worker(others or usable, key.declared)
-        if worker is None:
+        demand = policy_calls.make_demand(share, instance)
+        found = policy_calls.find_worker(
+            demand, others or usable, instance, now
+        )
+        if isinstance(found, str):
             share.waiting_since = share.waiting_since or now
-            effects += policy_calls.make_room(share, partition, instance, now)
+            share.waiting_reason = found
+            effects += policy_calls.make_room(
+                share, usable, partition, instance, now
+            )
             break
-        effects.append(_start(share, task, worker, partition, now))
+        effects.append(
+            _start(share, task, found, demand, partition, instance, now)
+        )
     return effects
 
 
@@ -98,7 +107,9 @@
     share: tasks_state.Share,
     task: int,
     worker: tasks_state.Worker,
+    demand: placement.Demand,
     partition: tasks_state.Partition,
+    instance: state.Instance,
     now: float,
 ) -> task_messages.StartTask:
     record = share.job.record
@@ -108,7 +119,7 @@
     attempt = tasks_state.Attempt(
         task_messages.AttemptName(record.job_id, task, number),
         worker.worker_id,
-        record.declared,
+        demand.reserved,
         tasks_state.Phase.STARTING,
         share,
         worker.clock + ownership.COMMAND_TERM_S,
@@ -117,10 +128,11 @@
         checkpoint=known.checkpoint if known else "",
     )
     assert worker.ledger is not None
-    worker.ledger.reserve(attempt.name, record.declared)
+    worker.ledger.reserve(attempt.name, demand.reserved)
     attempts.add(attempt, worker, partition)
-    share.waiting_since = 0.0
-    return commands.start(attempt, record.declared, worker, partition)
+    share.waiting_since, share.waiting_reason = 0.0, ""
+    policy_calls.note_started(worker, attempt, demand, instance, now)
+    return commands.start(attempt, demand.reserved, worker, partition)
 
 
 @eviction.finish.register(task_messages.StartTask)
@@ -160,5 +172,6 @@
         effects += failures.note(command.name, worker, partition, instance, now)
     else:
         worker.out_of_room = event.code == "no_room"
+        policy_calls.note_start_refused(worker, command.name, instance)
         attempts.requeue(attempt, partition)
     return effects + place(partition, instance, now)
--- a/packages/core/src/sapphirestall_core/takeover.py
+++ b/packages/core/src/sapphirestall_core/takeover.py
@@ -14,6 +14,7 @@
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import ownership
+from sapphirestall_core import policy_calls
 from sapphirestall_core import polling
 from sapphirestall_core import reading
 from sapphirestall_core import store_messages
@@ -368,6 +369,7 @@
         epoch,
     )
     if not continues:
+        policy_calls.note_lost(partition, instance)
         partition.reset()
     partition.epoch, partition.pending_epoch = epoch, 0
     partition.lease_id = lease_id
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -130,6 +130,7 @@
         checkpoints: Checkpoints of stopped tasks.
         failures: Workers on which a task failed and when, by task.
         waiting_since: Own time since which tasks wait without a start.
+        waiting_reason: Why the policy placed none of them last.
     """
 
     job: Job
@@ -141,6 +142,7 @@
     checkpoints: dict[int, jobs.Checkpoint] = attrs.field(factory=dict)
     failures: dict[int, dict[str, float]] = attrs.field(factory=dict)
     waiting_since: float = 0.0
+    waiting_reason: str = ""
 
     @property
     def is_active(self) -> bool:
