Measure processor share and memory of idle entry instances

Cause: the control budget of 2.3% of a core and 64 MB was never measured on real processes. Ruled out: measuring in virtual time, which shows neither the libraries nor the event loop.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo load bench mutations fuzz clean
+.PHONY: setup format check test demo load budget bench mutations clean
 
 setup: $(STAMP)
 
@@ -44,3 +44,6 @@
 # Random sequences of work and faults; prints its seed. SEED=N repeats a run.
 fuzz: $(STAMP)
 	$(BIN)/python -m standins.fuzz $(if $(SEED),--seed $(SEED)) $(if $(EXAMPLES),--examples $(EXAMPLES))
+
+budget: $(STAMP)
+	$(BIN)/python -m tools.budget
