Keep committed tasks through a takeover; mark slices of a former owner

Cause: a new owner's first commit could come before it had read the job records; it then took every job for ended and pruned its finished tasks. And an owner that took over after the last commit never marked the slice as done, so the job stayed active. Ruled out: the fencing write (it kept the content) and lost acknowledgements (the workers' records were gone only after the commit). Change: jobs are pruned only once the records were read; an owner checks every committed job once after its takeover. Tests for ownership.

--- /dev/null
+++ b/features/batch.py
@@ -0,0 +1,169 @@
+"""Batch work in virtual time, as the steps of several features use it."""
+
+from sapphirestall_core import eviction
+from sapphirestall_core import jobs
+from sapphirestall_core import messages
+from sapphirestall_core import operator_messages
+from standins import virtual
+from standins import worker_model
+from standins import world as world_module
+
+DATA_CENTRE = "sefrou"
+
+
+class Batch:
+    """A world whose workers are observed for I1 and I2 after each event."""
+
+    def __init__(self, entries, workers, racks=1, seed=1, cpu_millis=4000):
+        """Starts instances and waits until they own the partitions."""
+        self.world = virtual.make_world(seed)
+        self.faults = self.world.faults
+        self.violations = []
+        self.read = {}
+        self.workers = []
+        for rack in range(racks):
+            for number in range(workers):
+                name = f"w{rack}{number}"
+                capacity = worker_model.Amount(cpu_millis, 8000)
+                self.world.add_worker(
+                    name, DATA_CENTRE, f"rack{rack}", capacity
+                )
+                self.workers.append(name)
+        self.entries = [f"e{number}" for number in range(entries)]
+        for name in self.entries:
+            self.world.add_entry(name, DATA_CENTRE)
+        self.world.observers.append(lambda _: self.observe())
+        self.world.run(6)
+
+    def observe(self):
+        """Checks each new start for room and for another running attempt."""
+        for name, worker in self.world.workers.items():
+            new = worker.started[self.read.get(name, 0) :]
+            if not new:
+                continue
+            self.read[name] = len(worker.started)
+            used = sum(
+                task.reserved.cpu_millis for task in self.find_running(worker)
+            )
+            if used > worker.capacity.cpu_millis:
+                self.violations.append(f"{name} holds {used} thousandths")
+            for started in new:
+                self.check_alone(started)
+
+    def find_running(self, worker):
+        """Returns the attempts that run on a worker now."""
+        passed_s = self.world.now - worker.now
+        return [
+            task
+            for task in worker.tasks.values()
+            if task.state == "running"
+            and task.lease_until > self.world.now
+            and task.work_left_s > passed_s
+        ]
+
+    def check_alone(self, started):
+        """Records a violation if another attempt of the task runs."""
+        subject = started.rsplit(".", 1)[0]
+        others = [
+            task.name
+            for worker in self.world.workers.values()
+            for task in self.find_running(worker)
+            if task.name != started and task.name.rsplit(".", 1)[0] == subject
+        ]
+        if others:
+            self.violations.append(f"{started} runs beside {others}")
+
+    def submit(self, job_id, tasks, run_s, through="", **options):
+        """Submits a job and returns the result."""
+        command = operator_messages.SubmitJob(
+            job_id=job_id,
+            data_centre=options.pop("data_centre", DATA_CENTRE),
+            team=options.pop("team", "press"),
+            kind=options.pop("kind", "tally"),
+            task_count=tasks,
+            cpu_millis=options.pop("cpu_millis", 1000),
+            memory_mb=500,
+            run_s=run_s,
+            **options,
+        )
+        return self.call(command, through)
+
+    def call(self, command, through=""):
+        """Executes a command at a live instance and returns the result."""
+        call_id = self.world.call_operator(
+            through or self.find_live()[0], command
+        )
+        self.world.run_until(lambda: call_id in self.world.results, 9)
+        return self.world.results[call_id]
+
+    def find_live(self):
+        """Returns the ids of the live entry instances."""
+        return [e for e in self.entries if self.world.nodes[e].alive]
+
+    def find_owner(self, rack="rack0"):
+        """Returns the id of the instance that owns a rack in the store."""
+        key = jobs.make_owner_key(DATA_CENTRE, rack)
+        item = self.world.store.items.get(key)
+        return item.value.instance_id if item else ""
+
+    def get_partition(self, rack="rack0"):
+        """Returns the owner's view of a rack."""
+        node = self.world.nodes[self.find_owner(rack)]
+        return node.state.tasks.partitions[rack]
+
+    def get_record(self, job_id):
+        """Returns a job's record in the store, if it exists."""
+        item = self.world.store.items.get(
+            jobs.make_job_key(DATA_CENTRE, job_id)
+        )
+        return item.value if item else None
+
+    def has_ended(self, job_id, state="finished"):
+        """Tells whether a job's record has a final state."""
+        record = self.get_record(job_id)
+        return record is not None and record.state.value == state
+
+    def list_starts(self, job_id):
+        """Returns the names of all started attempts of a job."""
+        return [
+            name
+            for worker in self.world.workers.values()
+            for name in worker.started
+            if name.startswith(f"{job_id}.")
+        ]
+
+    def list_tasks(self, job_id, state):
+        """Returns what the workers hold of a job in one state."""
+        return [
+            task
+            for worker in self.world.workers.values()
+            for task in worker.tasks.values()
+            if task.name.startswith(f"{job_id}.") and task.state == state
+        ]
+
+    def shut_down(self, name):
+        """Asks an instance to drain."""
+        node = self.world.nodes[name]
+        self.world.feed(node, messages.ShutdownRequested())
+
+    def evict(self, job_id, limit=1):
+        """Lets the owner evict running attempts; returns their names."""
+        evicted = []
+        node = self.world.nodes[self.find_owner()]
+        partition = self.get_partition()
+        for worker in list(partition.workers.values()):
+            found = eviction.list_candidates(worker, self.world.now)
+            for candidate in found:
+                if candidate.name.job_id != job_id or len(evicted) == limit:
+                    continue
+                evicted.append(str(candidate.name))
+                effects = eviction.start(
+                    candidate.name,
+                    partition,
+                    node.state,
+                    self.world.now,
+                    "test",
+                )
+                for effect in effects:
+                    world_module.perform(effect, node, self.world)
+        return evicted
--- /dev/null
+++ b/features/ownership.feature
@@ -0,0 +1,79 @@
+Feature: Ownership of partitions
+
+  Scenario Outline: Another instance continues after <loss>
+    Guards against tasks that are lost, or run twice, with their owner.
+    Given a batch world of 3 entry instances and 4 workers
+    When batch job "j1" of 40 tasks of 5 s is submitted
+    And batch time passes for 7 s
+    And the batch owner <loss>
+    Then batch job "j1" finishes within <limit> s
+    And no batch task ran in two places and no worker was overfilled
+
+    Examples:
+      | loss                              | limit |
+      | is killed                         | 60    |
+      | shuts down                        | 45    |
+      | is paused for 30 s                | 60    |
+      | is cut off from store and peers   | 60    |
+      | is cut off from everything        | 90    |
+
+  Scenario: A shutdown hands the partition over at once
+    Guards against a wait for the store lease at every restart.
+    Given a batch world of 2 entry instances and 3 workers
+    When batch job "j1" of 30 tasks of 5 s is submitted
+    And batch time passes for 3 s
+    And the batch owner shuts down
+    And batch time passes for 4.5 s
+    Then the batch owner is another instance
+    And the former batch owner has exited
+
+  Scenario: A create whose answer is lost is found again
+    Guards against an owner key that its owner does not know of.
+    Given a batch world of 2 entry instances and 3 workers
+    When the batch store loses every answer for 20 s
+    And the batch owner is killed
+    And batch time passes for 40 s
+    Then batch job "j1" can be submitted and finishes within 30 s
+    And no batch task ran in two places and no worker was overfilled
+
+  Scenario: An outage of the store does not stop batch work
+    Guards against owners that stop at the end of their store lease.
+    Given a batch world of 2 entry instances and 4 workers
+    When batch job "j1" of 200 tasks of 10 s is submitted
+    And the batch store is down for 300 s
+    Then at least 150 tasks of batch job "j1" were started
+    And batch job "j1" finishes within 200 s
+    And no batch task ran in two places and no worker was overfilled
+
+  Scenario: An owner without store and majority starts nothing
+    Guards against two owners that both start tasks.
+    Given a batch world of 1 entry instances and 4 workers
+    When batch job "j1" of 200 tasks of 1 s is submitted
+    And batch time passes for 2 s
+    And the batch owner is cut off from the store and 3 workers
+    And batch time passes for 20 s
+    Then no batch task starts within 20 s
+
+  Scenario: An owner whose lease expired re-creates its key and continues
+    Guards against restarts of tasks that never stopped.
+    Given a batch world of 1 entry instances and 3 workers
+    When batch job "j1" of 12 tasks of 60 s is submitted
+    And batch time passes for 5 s
+    And the batch store loses the lease of the owner
+    Then batch job "j1" finishes within 90 s
+    And batch job "j1" was started 12 times
+
+  Scenario: A commit before the job records were read keeps what is committed
+    Guards against finished tasks that run again after a takeover.
+    Given a batch world of 1 entry instances and 3 workers
+    When batch job "j1" of 20 tasks of 3 s is submitted
+    And batch time passes for 6 s
+    Then a batch commit without job records keeps finished tasks
+
+  Scenario: A new owner marks what the former one finished
+    Guards against jobs that stay active after their last commit.
+    Given a batch world of 2 entry instances and 3 workers
+    When batch job "j1" of 6 tasks of 3 s is submitted
+    And the batch owner is killed after the last commit
+    Then batch job "j1" finishes within 40 s
+    And batch job "j1" was started 6 times
--- /dev/null
+++ b/features/steps/ownership_steps.py
@@ -0,0 +1,164 @@
+"""Steps for ownership.feature, also used by other features of batch work."""
+
+import behave
+
+from features import batch
+from sapphirestall_core import commits
+from standins import world as world_module
+
+
+@behave.given(
+    "a batch world of {entries:d} entry instances and {workers:d} workers"
+)
+def step(context, entries, workers):
+    context.batch = batch.Batch(entries, workers)
+
+
+@behave.given(
+    "a batch world of {entries:d} entry instances and {racks:d} racks of"
+    " {workers:d} workers"
+)
+def step(context, entries, racks, workers):
+    context.batch = batch.Batch(entries, workers, racks)
+
+
+@behave.when(
+    'batch job "{job_id}" of {tasks:d} tasks of {run_s:g} s is submitted'
+)
+def step(context, job_id, tasks, run_s):
+    result = context.batch.submit(job_id, tasks, run_s)
+    assert getattr(result, "state", "") == "waiting", result
+
+
+@behave.when("batch time passes for {duration_s:g} s")
+def step(context, duration_s):
+    context.batch.world.run(duration_s)
+
+
+@behave.when("the batch owner is killed")
+def step(context):
+    context.former = context.batch.find_owner()
+    context.batch.world.kill(context.former)
+
+
+@behave.when("the batch owner shuts down")
+def step(context):
+    context.former = context.batch.find_owner()
+    context.batch.shut_down(context.former)
+
+
+@behave.when("the batch owner is paused for {duration_s:g} s")
+def step(context, duration_s):
+    context.former = context.batch.find_owner()
+    context.batch.world.pause(context.former, duration_s)
+
+
+@behave.when("the batch owner is cut off from {what}")
+def step(context, what):
+    owner = context.batch.find_owner()
+    others = [e for e in context.batch.entries if e != owner]
+    workers = context.batch.workers
+    ids = {
+        "store and peers": [world_module.STORE, *others],
+        "everything": [world_module.STORE, *others, *workers],
+        "the store and 3 workers": [world_module.STORE, *workers[:3]],
+    }[what]
+    context.batch.world.cut_all([owner], ids)
+
+
+@behave.when("the batch store loses every answer for {duration_s:g} s")
+def step(context, duration_s):
+    faults = context.batch.faults
+    faults.lost_answers = 1.0
+    context.batch.world.at(
+        duration_s, lambda: setattr(faults, "lost_answers", 0.0)
+    )
+
+
+@behave.when("the batch store is down for {duration_s:g} s")
+def step(context, duration_s):
+    context.batch.faults.store_down = True
+    context.batch.world.run(duration_s)
+    context.batch.faults.store_down = False
+
+
+@behave.when("the batch store loses the lease of the owner")
+def step(context):
+    for lease in context.batch.world.store.leases.values():
+        lease.ends_at = context.batch.world.now
+
+
+@behave.when("the batch owner is killed after the last commit")
+def step(context):
+    run = context.batch
+
+    def is_committed():
+        item = run.world.store.items["progress/sefrou/rack0"]
+        return any(r.last == 5 for r in item.value.finished.get("j1", ()))
+
+    while not is_committed():
+        run.world.run(0.0005)
+    assert not run.has_ended("j1")
+    run.world.kill(run.find_owner())
+
+
+@behave.then('batch job "{job_id}" finishes within {limit_s:g} s')
+def step(context, job_id, limit_s):
+    run = context.batch
+    done = run.world.run_until(lambda: run.has_ended(job_id), limit_s)
+    assert done, run.get_record(job_id)
+
+
+@behave.then(
+    'batch job "{job_id}" can be submitted and finishes within {limit_s:g} s'
+)
+def step(context, job_id, limit_s):
+    run = context.batch
+    run.submit(job_id, 10, 2)
+    assert run.world.run_until(lambda: run.has_ended(job_id), limit_s)
+
+
+@behave.then("no batch task ran in two places and no worker was overfilled")
+def step(context):
+    assert not context.batch.violations, context.batch.violations
+
+
+@behave.then("the batch owner is another instance")
+def step(context):
+    assert context.batch.find_owner() not in ("", context.former)
+
+
+@behave.then("the former batch owner has exited")
+def step(context):
+    assert not context.batch.world.nodes[context.former].alive
+
+
+@behave.then('at least {count:d} tasks of batch job "{job_id}" were started')
+def step(context, count, job_id):
+    assert len(context.batch.list_starts(job_id)) >= count
+
+
+@behave.then('batch job "{job_id}" was started {count:d} times')
+def step(context, job_id, count):
+    assert len(context.batch.list_starts(job_id)) == count
+
+
+@behave.then("no batch task starts within {duration_s:g} s")
+def step(context, duration_s):
+    before = len(context.batch.list_starts("j1"))
+    context.batch.world.run(duration_s)
+    assert len(context.batch.list_starts("j1")) == before > 0
+
+
+@behave.then("a batch commit without job records keeps finished tasks")
+def step(context):
+    run = context.batch
+    partition = run.get_partition()
+    committed = partition.progress.finished["j1"]
+    partition.reset()
+    item = run.world.store.items["progress/sefrou/rack0"]
+    partition.epoch, partition.progress = 99, item.value
+    partition.dirty.add("j1")
+    node = run.world.nodes[run.find_owner() or run.entries[0]]
+    composed = commits.compose(partition, node.state, run.world.now)
+    assert composed.finished["j1"] == committed
--- a/packages/core/src/sapphirestall_core/commits.py
+++ b/packages/core/src/sapphirestall_core/commits.py
@@ -78,8 +78,8 @@
         return [again]
     progress = compose(partition, instance, now)
     if progress == partition.progress and not partition.ended:
-        partition.dirty.clear()
-        return [again, *hand_over(partition, instance, now)]
+        finished = _finish_committed(partition, instance, now)
+        return [again, *finished, *hand_over(partition, instance, now)]
     partition.commit_in_flight = True
     purpose = CommitProgress(
         partition.name,
@@ -88,19 +88,34 @@
         tuple(partition.ended),
         tuple(partition.dirty),
     )
-    partition.dirty.clear()
+    if partition.listed:
+        partition.dirty.clear()
     key = jobs.make_progress_key(instance.identity.data_centre, partition.name)
     version = partition.progress_version
     return [again, store_messages.StorePut(purpose, key, progress, version)]
 
 
+def _finish_committed(
+    partition: tasks_state.Partition, instance: state.Instance, now: float
+) -> dispatch.Effects:
+    """Marks slices whose last commit was made by an earlier owner or epoch."""
+    if not partition.listed:
+        return []
+    effects: dispatch.Effects = []
+    for job_id in partition.dirty:
+        effects += finish_share(job_id, partition, instance, now)
+    partition.dirty.clear()
+    return effects
+
+
 def compose(
     partition: tasks_state.Partition, instance: state.Instance, now: float
 ) -> jobs.Progress:
     """Returns the committed state with everything that is new."""
     base = partition.progress
     finished, checkpoints = dict(base.finished), dict(base.checkpoints)
-    for job_id in partition.dirty:
+    # Before the job records were read, a job without a share may be active.
+    for job_id in partition.dirty if partition.listed else ():
         finished.pop(job_id, None)
         checkpoints.pop(job_id, None)
         share = partition.shares.get(job_id)
--- a/packages/core/src/sapphirestall_core/records.py
+++ b/packages/core/src/sapphirestall_core/records.py
@@ -155,6 +155,7 @@
             attempts.bind(attempt, share)
             if not share.waiting.count:
                 attempts.dequeue(partition, share)
-    for job_id in partition.progress.finished:
-        if job_id not in partition.shares:
-            partition.dirty.add(job_id)
+    # The next commit removes the jobs that ended and marks the slices that an
+    # earlier owner finished.
+    partition.dirty.update(partition.progress.finished)
+    partition.dirty.update(partition.progress.checkpoints)
--- a/packages/core/src/sapphirestall_core/takeover.py
+++ b/packages/core/src/sapphirestall_core/takeover.py
@@ -375,8 +375,9 @@
     partition.progress_version = reply.outcome.version
     partition.commit_in_flight = False
     partition.round_valid_until = 0.0
-    # A commit of the former epoch may be in flight; its answer is ignored.
-    partition.dirty.update(partition.shares, partition.progress.finished)
+    if continues:
+        # A commit of the former epoch may be in flight; its answer is ignored.
+        partition.dirty.update(partition.shares, partition.progress.finished)
     return _announce(partition, instance, now)
 
 
