Move tasks that find no worker; test jobs

Cause: tasks waited behind a full or dead rack while others had room. Ruled out: writing the job record alone; a former owner could then move tasks that the next owner has placed. Change: a move is committed in the fenced progress first, then written to the job record; a new owner finishes the moves that it finds. Tests for jobs: refusals, cancellation, forwarding, failing tasks, moves, reasons. Figures: a job of 16 tasks of 20 s with half of its workers dead finishes within 200 s in virtual time; 60 cancellations at once take at most 3 calls to the store each.

--- /dev/null
+++ b/features/jobs.feature
@@ -0,0 +1,111 @@
+Feature: Jobs
+
+  Scenario Outline: A submission with <fault> is refused as <code>
+    Guards against jobs that can never run or that replace another job.
+    Given a batch world of 1 entry instances and 2 workers
+    When a job with <fault> is submitted
+    Then the job command fails with <code> and the store has 0 job records
+
+    Examples:
+      | fault                  | code                |
+      | too many processors    | job_too_large       |
+      | an unknown team        | unknown_team        |
+      | an unknown data centre | unknown_data_centre |
+      | no tasks               | invalid_job         |
+      | no size                | invalid_job         |
+      | a slash in its id      | invalid_job         |
+      | the store down         | store_unavailable   |
+
+  Scenario: A job id is taken only once
+    Guards against a second job under the id of another.
+    Given a batch world of 2 entry instances and 2 workers
+    When batch job "j1" of 2 tasks of 1 s is submitted
+    And the job "j1" is submitted again
+    Then the job command fails with duplicate_job and the store has 1 job records
+
+  Scenario: A submission whose answer is lost is accepted once
+    Guards against "duplicate" as the answer to one's own submission.
+    Given a batch world of 2 entry instances and 2 workers
+    When the batch store loses every answer for 1 s
+    And batch job "j1" of 2 tasks of 1 s is submitted
+    Then batch job "j1" finishes within 30 s
+    And batch job "j1" was started 2 times
+
+  Scenario Outline: A job is cancelled through <who>
+    Guards against cancellations that only the owner understands.
+    Given a batch world of 3 entry instances and 2 workers
+    When batch job "j1" of 40 tasks of 30 s is submitted
+    And batch time passes for 4 s
+    And the job "j1" is cancelled through <who>
+    And batch time passes for 6 s
+    Then the job command shows state cancelled
+    And no worker runs a task of job "j1"
+    And the owner has forgotten job "j1"
+
+    Examples:
+      | who           |
+      | its owner     |
+      | an other one  |
+
+  Scenario Outline: Cancelling <job> fails with <code>
+    Guards against cancellations that seem to work.
+    Given a batch world of 2 entry instances and 2 workers
+    When batch job "short" of 1 tasks of 1 s is submitted
+    And batch time passes for 10 s
+    And the job "<job>" is cancelled through an other one
+    Then the job command fails with <code> and the store has 1 job records
+
+    Examples:
+      | job   | code        |
+      | short | job_ended   |
+      | none  | unknown_job |
+
+  Scenario: A wave of cancellations
+    Guards against one read of the store for each cancelled job and owner.
+    Given a batch world of 2 entry instances and 3 workers
+    When 60 jobs are submitted and all are cancelled at once
+    And batch time passes for 15 s
+    Then all 60 jobs are cancelled and no worker runs a task
+    And the cancellations took at most 3 store calls for each job
+
+  Scenario: Every instance shows the whole job
+    Guards against counts of one partition only.
+    Given a batch world of 3 entry instances and 3 racks of 2 workers
+    When batch job "j1" of 60 tasks of 30 s is submitted
+    And batch time passes for 5 s
+    Then every instance shows 24 running and 36 waiting tasks of job "j1"
+
+  Scenario: A command is forwarded to the job's data centre
+    Guards against refusals because the wrong instance was asked.
+    Given a batch world of 1 entry instances and 2 workers
+    And an entry instance in another data centre
+    When a job is submitted, shown and cancelled through the other data centre
+    Then each of these job commands succeeded
+
+  Scenario Outline: A task that fails on <workers> workers
+    Guards against endless attempts at a task that cannot run, and against
+    jobs that fail because of bad workers.
+    Given a batch world of 1 entry instances and 4 workers
+    And <workers> batch workers fail every start
+    When batch job "j1" of 1 tasks of 1 s is submitted
+    And batch time passes for 30 s
+    Then the job "j1" is <state>
+
+    Examples:
+      | workers | state    |
+      | 2       | finished |
+      | 4       | failed   |
+
+  Scenario: Tasks that find no room move to another partition
+    Guards against work that waits behind a full or dead rack.
+    Given a batch world of 2 entry instances and 2 racks of 2 workers
+    When a job of 16 tasks of 20 s is submitted and rack 1 dies
+    Then batch job "j1" finishes within 200 s
+    And no batch task ran in two places and no worker was overfilled
+
+  Scenario: A waiting job says why
+    Guards against jobs that wait without a reason.
+    Given a batch world of 1 entry instances and 2 workers
+    When batch job "j1" of 40 tasks of 30 s is submitted
+    And batch time passes for 5 s
+    Then the reason of job "j1" is "rack0: no worker has room"
--- a/packages/core/src/sapphirestall_core/records.py
+++ b/packages/core/src/sapphirestall_core/records.py
@@ -95,8 +95,9 @@
     job_id = share.job.record.job_id
     share.waiting = ranges.build(share.slices)
     share.waiting.remove_all(share.finished)
-    moving = [m for m in partition.progress.moves if m.job_id == job_id]
-    for move in moving:
+    for move in partition.moving.union(partition.progress.moves):
+        if move.job_id != job_id:
+            continue
         leaving = ranges.build([jobs.Range(move.first, move.last)])
         share.waiting.remove_all(leaving)
     for name in partition.attempts:
--- a/packages/core/src/sapphirestall_core/submission.py
+++ b/packages/core/src/sapphirestall_core/submission.py
@@ -128,8 +128,8 @@
     Partitions without a worker that could ever hold a task get none. When
     nothing fits now, every other partition gets an equal part.
     """
-    able = [room for room in rooms if _could_hold(declared, room)]
-    weights = [_count_fitting(declared, room.free) for room in able]
+    able = [room for room in rooms if could_hold(declared, room)]
+    weights = [count_fitting(declared, room.free) for room in able]
     if not any(weights):
         weights = [1] * len(able)
     total = sum(weights)
@@ -144,13 +144,15 @@
     return tuple(slices)
 
 
-def _could_hold(
+def could_hold(
     declared: resources.Vector, room: peer_messages.PartitionRoom
 ) -> bool:
+    """Tells whether a worker of a partition could ever hold a task."""
     return any(declared.fits(capacity) for capacity in room.capacities)
 
 
-def _count_fitting(declared: resources.Vector, free: resources.Vector) -> int:
+def count_fitting(declared: resources.Vector, free: resources.Vector) -> int:
+    """Returns about how many tasks fit into what is free in a partition."""
     counts = [
         max(0, there) // needed
         for needed, there in (
--- a/packages/core/src/sapphirestall_core/tasks.py
+++ b/packages/core/src/sapphirestall_core/tasks.py
@@ -12,6 +12,7 @@
 from sapphirestall_core import eviction
 from sapphirestall_core import job_views
 from sapphirestall_core import messages
+from sapphirestall_core import moves
 from sapphirestall_core import polling
 from sapphirestall_core import reading
 from sapphirestall_core import starts
@@ -24,6 +25,7 @@
     commits,
     eviction,
     job_views,
+    moves,
     polling,
     reading,
     starts,
@@ -35,4 +37,5 @@
     takeover.OwnersDue(),
     reading.JobsDue(),
     submission.RoomsDue(),
+    moves.MovesDue(),
 )
