--- a/features/batch.py
+++ b/features/batch.py
@@ -75,7 +75,12 @@
 
     def submit(self, job_id, tasks, run_s, through="", **options):
         """Submits a job and returns the result."""
-        command = operator_messages.SubmitJob(
+        command = self.make_job(job_id, tasks, run_s, **options)
+        return self.call(command, through)
+
+    def make_job(self, job_id, tasks, run_s, **options):
+        """Returns the command that submits a job."""
+        return operator_messages.SubmitJob(
             job_id=job_id,
             data_centre=options.pop("data_centre", DATA_CENTRE),
             team=options.pop("team", "press"),
@@ -86,7 +91,6 @@
             run_s=run_s,
             **options,
         )
-        return self.call(command, through)
 
     def call(self, command, through=""):
         """Executes a command at a live instance and returns the result."""
@@ -150,7 +154,9 @@
         """Lets the owner evict running attempts; returns their names."""
         evicted = []
         node = self.world.nodes[self.find_owner()]
-        partition = self.get_partition()
+        partition = node.state.tasks.partitions.get("rack0")
+        if partition is None:
+            return evicted  # The owner restarted and its key has not expired.
         for worker in list(partition.workers.values()):
             found = eviction.list_candidates(worker, self.world.now)
             for candidate in found:
--- /dev/null
+++ b/features/eviction.feature
@@ -0,0 +1,54 @@
+Feature: Eviction
+
+  Scenario Outline: Evicted work resumes once when <event>
+    Guards against evicted work that is lost, doubled or restarted from an
+    older state because an acknowledgement is late, lost or crossed.
+    Given a batch world of 2 entry instances and 3 workers
+    When batch job "j1" of 12 tasks of 20 s is submitted
+    And batch time passes for 6 s
+    And 4 tasks of batch job "j1" are evicted while <event>
+    Then batch job "j1" finishes within <limit> s
+    And every batch task of "j1" that was started again has a checkpoint
+    And no batch task ran in two places and no worker was overfilled
+
+    Examples:
+      | event                         | limit |
+      | nothing else happens          | 60    |
+      | they are evicted a second time | 60   |
+      | commands arrive twice         | 60    |
+      | a third of the messages is lost | 150 |
+      | the owner is killed           | 90    |
+      | the owner is paused           | 90    |
+      | the owner shuts down          | 90    |
+      | the store loses answers       | 90    |
+      | a worker restarts             | 90    |
+
+  Scenario: A completion that crosses an eviction counts
+    Guards against finished work that runs again.
+    Given a batch world of 1 entry instances and 3 workers
+    When batch job "j1" of 12 tasks of 6.005 s is submitted
+    And batch time passes for 6 s
+    And 12 tasks of batch job "j1" are evicted while nothing else happens
+    Then batch job "j1" finishes within 60 s
+    And every batch task of "j1" that finished was started last
+
+  Scenario: A cancellation that crosses an eviction ends the task
+    Guards against evicted tasks of a cancelled job that start again.
+    Given a batch world of 2 entry instances and 3 workers
+    When batch job "j1" of 12 tasks of 60 s is submitted
+    And batch time passes for 6 s
+    And 4 tasks of batch job "j1" are evicted while nothing else happens
+    And the job "j1" is cancelled through an other one
+    And batch time passes for 10 s
+    Then no worker runs a task of job "j1"
+    And the owner has forgotten job "j1"
+
+  Scenario: A checkpoint that fails leaves the task running
+    Guards against work that is thrown away for nothing.
+    Given a batch world of 1 entry instances and 2 workers
+    And every batch checkpoint fails
+    When batch job "j1" of 4 tasks of 20 s is submitted
+    And batch time passes for 6 s
+    And 4 tasks of batch job "j1" are evicted while nothing else happens
+    Then batch job "j1" finishes within 40 s
+    And batch job "j1" was started 4 times
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/partitioning.py
@@ -0,0 +1,38 @@
+"""Which workers belong to which partition."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import membership
+from sapphirestall_core import tasks_state
+
+if TYPE_CHECKING:
+    from sapphirestall_core import state
+
+
+def refresh(instance: state.Instance) -> None:
+    """Takes the workers of the data centre from the platform's list."""
+    partitions = instance.tasks.partitions
+    listed = instance.members.find(
+        membership.Kind.WORKER, instance.identity.data_centre
+    )
+    if not listed:
+        return
+    present = set()
+    for entry in listed:
+        present.add((entry.rack, entry.instance_id))
+        partition = partitions.get(entry.rack)
+        if partition is None:
+            partition = tasks_state.Partition(entry.rack)
+            partitions[entry.rack] = partition
+        worker = partition.workers.get(entry.instance_id)
+        if worker is None:
+            worker = tasks_state.Worker(
+                entry.instance_id, entry.address, entry.rack
+            )
+            partition.workers[entry.instance_id] = worker
+        worker.address = entry.address
+    for partition in partitions.values():
+        for worker in partition.workers.values():
+            worker.listed = (partition.name, worker.worker_id) in present
--- a/packages/core/src/sapphirestall_core/polling.py
+++ b/packages/core/src/sapphirestall_core/polling.py
@@ -93,14 +93,27 @@
             for attempt in worker.attempts.values()
             if attempt.phase is not tasks_state.Phase.STOPPING
         )
-    fence = commands.make_fence(worker, partition)
     if not renew:
-        fence["incarnation"] = ""
+        return _make_bare_poll(worker, partition)
     return task_messages.PollWorker(
         round_number=partition.round_number,
         lease_s=ownership.TASK_LEASE_S,
         renew=renew,
         acknowledge=tuple(worker.acknowledge),
+        **commands.make_fence(worker, partition),
+    )
+
+
+def _make_bare_poll(
+    worker: tasks_state.Worker, partition: tasks_state.Partition
+) -> task_messages.PollWorker:
+    """Returns a poll that renews nothing and suits every incarnation."""
+    fence = commands.make_fence(worker, partition)
+    fence["incarnation"] = ""
+    return task_messages.PollWorker(
+        round_number=partition.round_number,
+        lease_s=ownership.TASK_LEASE_S,
+        acknowledge=tuple(worker.acknowledge),
         **fence,
     )
 
@@ -193,11 +206,21 @@
 def take_failed_poll(
     event: task_messages.WorkerFailed, instance: state.Instance, now: float
 ) -> dispatch.Effects:
-    """Gives the partition up if the worker knows a newer owner."""
+    """Gives the partition up if the worker knows a newer owner.
+
+    A poll that renews leases is refused by a restarted worker; it is repeated
+    at once without renewals, to learn what the worker lost.
+    """
     found = find_worker(event.worker_id, event.epoch, instance)
-    if found is None or event.code != "stale_epoch":
+    if found is None:
         return []
-    return lose(found[1], instance, now, f"{event.worker_id} refused the epoch")
+    worker, partition = found
+    if event.code == "stale_epoch":
+        reason = f"{event.worker_id} refused the epoch"
+        return lose(partition, instance, now, reason)
+    if event.code in ("wrong_incarnation", "expired"):
+        return [_make_bare_poll(worker, partition)]
+    return []
 
 
 @dispatch.handle.register(task_messages.CommandDone)
--- a/packages/core/src/sapphirestall_core/takeover.py
+++ b/packages/core/src/sapphirestall_core/takeover.py
@@ -14,6 +14,7 @@
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import ownership
+from sapphirestall_core import partitioning
 from sapphirestall_core import polling
 from sapphirestall_core import reading
 from sapphirestall_core import store_messages
@@ -141,7 +142,7 @@
     now: float,
 ) -> dispatch.Effects:
     """Notes the owners and plans to acquire partitions that have none."""
-    refresh_partitions(instance)
+    partitioning.refresh(instance)
     if not isinstance(reply.outcome, store_messages.Listed):
         instance.tasks.store_failed_at = now
         return []
@@ -165,33 +166,6 @@
     return effects
 
 
-def refresh_partitions(instance: state.Instance) -> None:
-    """Takes the workers of the data centre from the platform's list."""
-    partitions = instance.tasks.partitions
-    listed = instance.members.find(
-        membership.Kind.WORKER, instance.identity.data_centre
-    )
-    if not listed:
-        return
-    present = set()
-    for entry in listed:
-        present.add((entry.rack, entry.instance_id))
-        partition = partitions.get(entry.rack)
-        if partition is None:
-            partition = tasks_state.Partition(entry.rack)
-            partitions[entry.rack] = partition
-        worker = partition.workers.get(entry.instance_id)
-        if worker is None:
-            worker = tasks_state.Worker(
-                entry.instance_id, entry.address, entry.rack
-            )
-            partition.workers[entry.instance_id] = worker
-        worker.address = entry.address
-    for partition in partitions.values():
-        for worker in partition.workers.values():
-            worker.listed = (partition.name, worker.worker_id) in present
-
-
 def _plan_acquisition(
     partition: tasks_state.Partition, instance: state.Instance, now: float
 ) -> dispatch.Effects:
