Divide a job over as few partitions as it needs

Ruled out: the fewest partitions for every job. Change: partitions are taken in an order that the job id gives, until the tasks fit and no slice needs more than 128 tasks; what fits nowhere waits in equal parts. Room given to new jobs is taken off what peers reported.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -109,3 +109,17 @@
     When batch job "j1" of 40 tasks of 30 s is submitted
     And batch time passes for 5 s
     Then the reason of job "j1" is "rack0: no worker has room"
+
+  Scenario Outline: <tasks> tasks go to <slices> of 4 partitions
+    Guards against a write of the job record for every partition of a data
+    centre when a job needs only one, and against work that waits in one.
+    When <tasks> tasks are divided over 4 partitions with room for <room> each
+    Then the job has <slices> slices of at most <largest> tasks
+
+    Examples:
+      | tasks | room | slices | largest |
+      | 10    | 20   | 1      | 10      |
+      | 50    | 20   | 3      | 17      |
+      | 400   | 20   | 4      | 101     |
+      | 10    | 0    | 1      | 10      |
+      | 100   | 0    | 4      | 25      |
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -3,7 +3,10 @@
 import behave
 
 from sapphirestall_core import operator_messages
+from sapphirestall_core import peer_messages
 from sapphirestall_core import policy
+from sapphirestall_core import resources
+from sapphirestall_core import submission
 
 OTHER = "imouzzer"
 
@@ -173,3 +176,30 @@
     command = operator_messages.ShowJob(job_id, "sefrou")
     shown = context.batch.call(command)
     assert shown.reason == reason, shown
+
+
+@behave.when(
+    "{tasks:d} tasks are divided over {count:d} partitions with room for"
+    " {room:d} each"
+)
+def step(context, tasks, count, room):
+    capacity = resources.Vector(100_000, 100_000)
+    rooms = [
+        peer_messages.PartitionRoom(
+            f"rack{number}",
+            resources.Vector(room * 1000, 100_000),
+            (capacity,),
+        )
+        for number in range(count)
+    ]
+    size = resources.Vector(1000, 100)
+    context.tasks = tasks
+    context.slices = submission.divide("j1", tasks, size, rooms)
+
+
+@behave.then("the job has {count:d} slices of at most {largest:d} tasks")
+def step(context, count, largest):
+    sizes = [part.last - part.first + 1 for part in context.slices]
+    assert len(sizes) == count and max(sizes) <= largest, sizes
+    firsts = sorted(part.first for part in context.slices)
+    assert firsts[0] == 0 and sum(sizes) == context.tasks
--- a/packages/core/src/sapphirestall_core/submission.py
+++ b/packages/core/src/sapphirestall_core/submission.py
@@ -10,6 +10,7 @@
 from sapphirestall_core import answers
 from sapphirestall_core import dispatch
 from sapphirestall_core import jobs
+from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import operator_messages
 from sapphirestall_core import peer_messages
@@ -26,6 +27,11 @@
 # An owner that was not heard for three periods is left out of new jobs.
 ROOM_KEPT_S = 3 * ROOMS_PERIOD_S
 STEP = "submit"
+# Tasks that fit nowhere now are divided into slices of at least this size.
+TASKS_PER_SLICE = 16
+# A larger job takes more partitions than it needs, so that jobs that are
+# submitted at once do not fill the same ones; see bench/batch_scale.py.
+LARGEST_SLICE = 128
 
 
 @attrs.frozen
@@ -119,27 +125,42 @@
 
 
 def divide(
+    job_id: str,
     task_count: int,
     declared: resources.Vector,
     rooms: list[peer_messages.PartitionRoom],
 ) -> tuple[jobs.Slice, ...]:
     """Divides tasks over partitions by the number that fits now.
 
-    Partitions without a worker that could ever hold a task get none. When
-    nothing fits now, every other partition gets an equal part.
+    Each slice costs a write of the job record, so a job gets as few partitions
+    as it needs. The job id decides which come first, so that many small jobs
+    spread. Partitions without a worker that could ever hold a task get none.
     """
-    able = [room for room in rooms if could_hold(declared, room)]
-    weights = [count_fitting(declared, room.free) for room in able]
-    if not any(weights):
-        weights = [1] * len(able)
-    total = sum(weights)
+    able = {r.partition: r for r in rooms if could_hold(declared, r)}
+    ranked = membership.rank_candidates(job_id, sorted(able))
+    fitting = {
+        name: count_fitting(declared, able[name].free) for name in ranked
+    }
+    chosen: dict[str, int] = {}
+    for name in ranked:
+        enough = len(chosen) * LARGEST_SLICE >= task_count
+        if fitting[name] and (not enough or sum(chosen.values()) < task_count):
+            chosen[name] = fitting[name]
+    short = task_count - sum(chosen.values())
+    if short > 0:
+        # What fits nowhere now waits in equal parts.
+        waiting = ranked[: -(-short // TASKS_PER_SLICE)]
+        for name in waiting:
+            part = max(1, short // len(waiting))
+            chosen[name] = chosen.get(name, 0) + part
+    total = sum(chosen.values())
     slices = []
     first = reached = 0
-    for room, weight in zip(able, weights, strict=True):
-        reached += weight
+    for name in sorted(chosen):
+        reached += chosen[name]
         last = task_count * reached // total - 1
         if last >= first:
-            slices.append(jobs.Slice(room.partition, first, last))
+            slices.append(jobs.Slice(name, first, last))
             first = last + 1
     return tuple(slices)
 
@@ -187,7 +208,7 @@
         command.cpu_millis, command.memory_mb, command.accelerators
     )
     rooms = collect_rooms(instance, now)
-    slices = divide(command.task_count, declared, rooms)
+    slices = divide(command.job_id, command.task_count, declared, rooms)
     if not slices:
         return _refuse_size(call_id, rooms, instance)
     record = jobs.JobRecord(
@@ -304,6 +325,7 @@
     now: float,
 ) -> dispatch.Effects:
     effects = records.take(record, version, create_revision, instance, now)
+    _deduct(record, instance)
     shown = operator_messages.JobShown(
         record.job_id,
         record.data_centre,
@@ -318,3 +340,24 @@
         if record.job_id in partition.shares:
             effects += starts.place(partition, instance, now)
     return effects
+
+
+def _deduct(record: jobs.JobRecord, instance: state.Instance) -> None:
+    """Takes new tasks off the room of peers until they report again.
+
+    Otherwise all jobs of one period would go to the same partitions.
+    """
+    needed = record.declared
+    for part in record.slices:
+        room = instance.tasks.rooms.get(part.partition)
+        if room is None:
+            continue
+        count = part.last - part.first + 1
+        free = room.free.minus(
+            resources.Vector(
+                needed.cpu_millis * count,
+                needed.memory_mb * count,
+                needed.accelerators * count,
+            )
+        )
+        instance.tasks.rooms[part.partition] = attrs.evolve(room, free=free)
