Test configuration and membership in virtual time

A preview lists leaf values. Greetings of peers that are no longer linked are dropped: the test of replaced peers found them kept.

--- a/bench/control.py
+++ b/bench/control.py
@@ -6,12 +6,9 @@
 """
 
 import collections
-from collections.abc import Callable
-import functools
 
 import attrs
 
-from sapphirestall_core import instance
 from sapphirestall_core import operator_messages
 from sapphirestall_core import peer_messages
 from sapphirestall_entry import codec
@@ -101,54 +98,58 @@
     return Spread(entries, outage, world.now - start, calls)
 
 
-def watch_frames(
-    world: world_module.World, note: Callable[[str, str, int], None]
-) -> None:
-    """Reports sender, message type and size of each frame of the peers."""
-    handle = instance.handle
-
-    def observe(event, state, now):  # type: ignore[no-untyped-def]
-        effects = handle(event, state, now)
-        for effect in effects:
-            if isinstance(effect, peer_messages.SendPeer):
-                size = len(codec.encode(effect.message))
-                name = type(effect.message).__name__
-                note(state.identity.instance_id, name, size)
-        return effects
-
-    world_module.instance.handle = observe  # type: ignore[attr-defined]
-    world_module.restore = functools.partial(  # type: ignore[attr-defined]
-        setattr, world_module.instance, "handle", handle
-    )
+@attrs.frozen
+class Traffic:
+    """Encoded peer frames that one instance sends in a second.
 
+    Attributes:
+        most_bytes: Of the instance that sends most.
+        parts: Mean bytes by message type.
+    """
 
-def measure_links(entries: int, data_centres: tuple[str, ...]) -> str:
+    entries: int
+    data_centres: int
+    mean_bytes: float
+    most_bytes: float
+    frames: float
+    parts: dict[str, int]
+
+
+def measure_links(
+    entries: int, data_centres: tuple[str, ...], duration_s: float = SETTLE_S
+) -> Traffic:
     """Measures encoded peer frames per instance in steady state."""
     world = build(entries, data_centres, 1)
     sizes: collections.Counter[str] = collections.Counter()
-    frames: collections.Counter[str] = collections.Counter()
     senders: collections.Counter[str] = collections.Counter()
-
-    def note(sender: str, name: str, size: int) -> None:
-        sizes[name] += size
-        frames[name] += 1
-        senders[sender] += size
-
-    watch_frames(world, note)
+    frames = 0
+    send = world_module.perform.dispatch(peer_messages.SendPeer)
+
+    def observe(
+        effect: peer_messages.SendPeer,
+        node: world_module.Node,
+        world: world_module.World,
+    ) -> None:
+        nonlocal frames
+        size = len(codec.encode(effect.message))
+        frames += 1
+        sizes[type(effect.message).__name__] += size
+        senders[node.state.identity.instance_id] += size
+        send(effect, node, world)
+
+    world_module.perform.register(peer_messages.SendPeer, observe)
     try:
-        world.run(SETTLE_S)
+        world.run(duration_s)
     finally:
-        world_module.restore()  # type: ignore[attr-defined]
-    mean = sum(sizes.values()) / entries / SETTLE_S
-    most = max(senders.values()) / SETTLE_S
-    rate = sum(frames.values()) / entries / SETTLE_S
-    parts = {
-        name: round(size / entries / SETTLE_S) for name, size in sizes.items()
-    }
-    return (
-        f"links: {entries} entries in {len(data_centres)} data centres: "
-        f"mean {mean:.0f} B/s, most {most:.0f} B/s, "
-        f"{rate:.1f} frames/s, {parts}"
+        world_module.perform.register(peer_messages.SendPeer, send)
+    share = entries * duration_s
+    return Traffic(
+        entries,
+        len(data_centres),
+        round(sum(sizes.values()) / share),
+        round(max(senders.values()) / duration_s),
+        round(frames / share, 1),
+        {name: round(size / share) for name, size in sizes.items()},
     )
 
 
--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,136 @@
+Feature: Configuration
+
+  Scenario Outline: An accepted patch is in force everywhere in time
+    Guards against I9 (in force everywhere within seconds) and against store
+    calls that grow with the number of instances.
+    Given a configured world of <entries> entry instances, seed <seed>
+    When the configuration is patched while <fault>
+    Then the configuration is in force everywhere within <limit> s
+    And the patch took at most <calls> store calls
+
+    Examples:
+      | entries | fault                     | limit | calls | seed |
+      | 8       | nothing fails             | 2     | 20    | 1    |
+      | 48      | nothing fails             | 2     | 20    | 2    |
+      | 8       | the store was down        | 10    | 30    | 3    |
+      | 48      | the store was down        | 10    | 30    | 4    |
+      | 48      | messages are lost         | 10    | 30    | 5    |
+      | 48      | a data centre was cut off | 10    | 30    | 6    |
+      | 48      | watches are cut           | 10    | 60    | 7    |
+
+  Scenario Outline: Of racing operators exactly one amends a version
+    Guards against two patches accepted on one version, and against a lost
+    answer reported as a refusal.
+    Given a configured world of 8 entry instances, seed <seed>
+    And the configuration store loses <share> of its answers
+    When 6 operators race to patch version 0 at once
+    Then the racing operators got one acceptance and no false refusal
+    And version 1 holds the patch of the accepted operator
+
+    Examples:
+      | share | seed |
+      | 0.0   | 1    |
+      | 0.5   | 2    |
+      | 0.5   | 3    |
+      | 0.9   | 4    |
+
+  Scenario Outline: A patch ends with a code within its bound
+    Guards against endless retries, and against an outcome that is reported as
+    refused although the write may have landed.
+    Given a configured world of 3 entry instances, seed 1
+    When a patch is sent while <fault>
+    Then the patch ends within 10 s as <result> with code <code>
+
+    Examples:
+      | fault                          | result         | code                    |
+      | the store stays down           | Failure        | store_unavailable       |
+      | every write answer is lost and reads fail | OutcomeUnknown | patch_unsettled |
+      | every write meets a conflict   | Failure        | write_conflict          |
+      | the store was reverted         | Failure        | store_reverted          |
+      | the base version is old        | Failure        | version_conflict        |
+      | the body breaks the policy     | Failure        | configuration_invalid   |
+      | the body is too large          | Failure        | configuration_too_large |
+
+  Scenario: A repeated patch id is confirmed and not applied again
+    Guards against a patch that counts twice after a lost answer.
+    Given a configured world of 3 entry instances, seed 1
+    When one patch is sent twice with the same patch id
+    Then both sendings are answered with version 1
+    And the configuration stays at version 1
+
+  Scenario: A preview shows the changes and writes nothing
+    Guards against a preview with effects.
+    Given a configured world of 3 entry instances, seed 1
+    When a patch that adds a team is previewed
+    Then the preview names the path "teams.press.cpu_millis"
+    And the configuration stays at version 0
+
+  Scenario Outline: A version never reverts
+    Guards against a stale read after an outage or a healed partition.
+    Given a configured world of 3 entry instances, seed 1
+    And version 5 is in force in all of them
+    When version <version> arrives from <source>
+    Then every instance has version 5 in force
+
+    Examples:
+      | version | source    |
+      | 4       | a peer    |
+      | 4       | the store |
+      | 5       | a peer    |
+
+  Scenario Outline: A body that the policy rejects does not stop an instance
+    Guards against a document of a newer release, or written past the patches,
+    that raises in the loop.
+    Given a configured world of 3 entry instances, seed 1
+    When version 7 with an unknown key arrives from <source>
+    Then every instance has version 0 in force
+    And the rejected body was counted and explained
+    And a valid version 8 is adopted from a peer
+
+    Examples:
+      | source    |
+      | a peer    |
+      | the store |
+
+  Scenario: An instance that starts during an outage learns from its peers
+    Guards against an instance that is not ready as long as the store is down.
+    Given a configured world of 3 entry instances, seed 1
+    And version 5 is in force in all of them
+    When the store goes down and an unlisted instance with seed peers starts
+    Then the new instance has version 5 within 2 s
+    And the new instance is not ready because the list was not read
+
+  Scenario: Healed partitions agree on the higher version
+    Guards against a data centre that keeps its older version after a cut.
+    Given a configured world of 8 entry instances, seed 1
+    When a data centre is cut off for 60 s and version 1 is accepted elsewhere
+    Then after the cut heals all instances have version 1 within 5 s
+
+  Scenario: Changes do not add periodic reads
+    Guards against a chain of periodic reads for each watch event, which the
+    thin control part started.
+    Given a configured world of 3 entry instances, seed 1
+    When 40 patches are accepted one after another
+    Then the following 300 s take at most 130 store calls for the configuration
+
+  Scenario: A status without a list does not claim "everywhere"
+    Guards against the thin status, which called a version in force everywhere
+    although the list of instances had not been read.
+    Given an entry instance that has read no list
+    When the configuration status is asked for
+    Then the status says that the list was not read and not "everywhere"
+
+  Scenario: The status names unreachable instances
+    Guards against a version called in force everywhere while an instance of
+    another data centre is cut off.
+    Given a configured world of 8 entry instances, seed 1
+    When one instance of another data centre is cut off for 10 s
+    Then the status names exactly that instance as unreachable
+    And the status counts 8 listed instances
+
+  Scenario: The status of a large deployment is complete
+    Guards against instances that no link or roster reports.
+    Given a configured world of 24 entry instances, seed 1
+    When the configuration is patched while nothing fails
+    Then the configuration is in force everywhere within 2 s
+    And after 10 s the status of each instance says "everywhere"
--- a/packages/core/src/sapphirestall_core/configuration.py
+++ b/packages/core/src/sapphirestall_core/configuration.py
@@ -65,8 +65,15 @@
 
 def list_changes(before: object, after: object, path: str = "") -> list[Change]:
     """Returns the differences of two trees, ordered by path."""
+    if before == after:
+        return []
+    # A tree that appears or goes is shown by its values, not as one text.
+    if before is None and after and isinstance(after, dict):
+        before = {}
+    if after is None and before and isinstance(before, dict):
+        after = {}
     if not (isinstance(before, dict) and isinstance(after, dict)):
-        return [] if before == after else [Change(path, before, after)]
+        return [Change(path, before, after)]
     changes = []
     for name in sorted(before.keys() | after.keys()):
         inner = f"{path}.{name}" if path else str(name)
--- a/packages/core/src/sapphirestall_core/heartbeats.py
+++ b/packages/core/src/sapphirestall_core/heartbeats.py
@@ -44,7 +44,11 @@
     instance.members.advance(now)
     effects: dispatch.Effects = []
     ticks = instance.links.ticks
-    for peer_id in links.choose_links(instance, now):
+    chosen = links.choose_links(instance, now)
+    greeted = instance.links.greeted
+    for peer_id in greeted.keys() - set(chosen):
+        del greeted[peer_id]
+    for peer_id in chosen:
         if not _is_remote(peer_id, instance):
             effects.append(_make_message(peer_id, instance, now))
             continue
--- a/packages/core/src/sapphirestall_core/liveness.py
+++ b/packages/core/src/sapphirestall_core/liveness.py
@@ -48,4 +48,3 @@
     for peer_id, peer in list(instance.peers.items()):
         if now - peer.heard_at >= PEER_KEPT_S:
             del instance.peers[peer_id]
-            instance.links.greeted.pop(peer_id, None)
