--- a/packages/core/src/sapphirestall_core/errors.py
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -87,3 +87,10 @@
 
     code = "wait_ended"
     exit_code = 8
+
+
+class JobEndedError(SapphirestallError):
+    """An awaited job failed or was cancelled."""
+
+    code = "job_ended"
+    exit_code = 9
--- /dev/null
+++ b/packages/operator/src/sapphirestall_operator/session.py
@@ -0,0 +1,106 @@
+"""What every command of the tool needs: the client and the output form."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Any
+
+import attrs
+import click
+
+from sapphirestall_core import errors
+from sapphirestall_operator import client as client_module
+from sapphirestall_operator import output
+
+POLL_PERIOD_S = 1.0
+
+
+@attrs.frozen
+class Session:
+    """One use of the tool.
+
+    Attributes:
+        form: `table` or `json`.
+    """
+
+    client: client_module.Client
+    form: str = "table"
+
+    def call(
+        self, method: str, path: str, body: object = None
+    ) -> dict[str, Any]:
+        """Sends one call and returns the answer."""
+        return asyncio.run(self.client.call(method, path, body))
+
+    def show(
+        self,
+        answer: dict[str, Any],
+        rows: str = "",
+        columns: tuple[str, ...] = (),
+    ) -> None:
+        """Prints an answer, or the table under its field `rows`."""
+        if self.form == "json":
+            output.show_json(answer)
+        elif rows:
+            output.show_table(answer.get(rows, []), columns)
+        else:
+            output.show_fields(answer)
+
+    def wait(
+        self,
+        path: str,
+        is_reached: Callable[[dict[str, Any]], bool],
+        describe: Callable[[dict[str, Any]], str],
+        limit_s: float,
+    ) -> dict[str, Any]:
+        """Reads a resource until a state is reached; prints progress.
+
+        Progress goes to standard error, one line for each change.
+
+        Raises:
+            errors.WaitEndedError: The state was not reached in time; what was
+                asked for goes on.
+        """
+        ends_at = time.monotonic() + limit_s
+        last = ""
+        while True:
+            answer = self._read(path)
+            text = describe(answer) if answer else "no answer, asking again"
+            if text != last:
+                click.echo(text, err=True)
+                last = text
+            if answer and is_reached(answer):
+                return answer
+            if time.monotonic() + POLL_PERIOD_S > ends_at:
+                raise errors.WaitEndedError(
+                    f"not reached within {limit_s:g} s: {text}",
+                    step="wait",
+                    peer=self.client.address,
+                )
+            time.sleep(POLL_PERIOD_S)
+
+    def _read(self, path: str) -> dict[str, Any]:
+        # An instance that restarts must not end a wait of hours.
+        try:
+            return self.call("GET", path)
+        except errors.UnreachableError:
+            return {}
+
+
+wait_options = (
+    click.option("--wait", is_flag=True, help="Waits and shows progress."),
+    click.option(
+        "--wait-s",
+        type=click.FloatRange(min=0, min_open=True),
+        default=600.0,
+        show_default=True,
+        help="Longest time to wait, in seconds.",
+    ),
+)
+
+
+def add_wait_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Adds `--wait` and `--wait-s` to a command."""
+    for option in reversed(wait_options):
+        command = option(command)
+    return command
