--- a/packages/core/src/sapphirestall_core/control.py
+++ b/packages/core/src/sapphirestall_core/control.py
@@ -22,11 +22,6 @@
 # Importing a module registers its handlers with `dispatch`.
 MODULES = (heartbeats, instance_lists, patches, shutdown, spread, status)
 
-PEER_DEAD_S = liveness.PEER_DEAD_S
-PEER_SUSPECT_S = liveness.PEER_SUSPECT_S
-HEARTBEAT_PERIOD_S = heartbeats.HEARTBEAT_PERIOD_S
-find_live_entries = liveness.find_live_entries
-
 
 @dispatch.handle.register(messages.Started)
 def start_control(
--- a/packages/core/src/sapphirestall_core/shutdown.py
+++ b/packages/core/src/sapphirestall_core/shutdown.py
@@ -69,7 +69,8 @@
     shutdown = instance.shutdown
     assert shutdown.requested_at is not None
     left = len(instance.requests.in_flight)
-    if left and now < shutdown.requested_at + shutdown.limit_s:
+    busy = left or not instance.tasks.is_idle()
+    if busy and now < shutdown.requested_at + shutdown.limit_s:
         return [messages.StartTimer(timer, DRAIN_CHECK_S)]
     return [
         messages.Log(PART, "ended", {"requests_left": left}),
