--- /dev/null
+++ b/features/operators.feature
@@ -0,0 +1,72 @@
+Feature: Operators' interface
+
+  Scenario Outline: Bad input is refused with a code and changes no state
+    Guards against bodies that are coerced, that hold up the loop or that end
+    in a traceback.
+    Given the operators' application of one instance
+    When an operator sends <method> <path> with <body>
+    Then the operator gets problem <status> with code <code>
+    And the refusal was counted and no state changed
+
+    Examples: bodies
+      | method | path              | body             | status | code            |
+      | POST   | /v1/jobs          | nothing          | 400    | invalid_message |
+      | POST   | /v1/jobs          | truncated JSON   | 400    | invalid_message |
+      | POST   | /v1/jobs          | a list           | 400    | invalid_message |
+      | POST   | /v1/jobs          | NaN as run time  | 400    | invalid_message |
+      | POST   | /v1/jobs          | text as a number | 400    | invalid_message |
+      | POST   | /v1/jobs          | a missing field  | 400    | invalid_message |
+      | POST   | /v1/jobs          | an unknown field | 400    | invalid_message |
+      | POST   | /v1/jobs          | no tasks         | 400    | invalid_message |
+      | POST   | /v1/jobs          | a job id with /  | 400    | invalid_message |
+      | POST   | /v1/jobs          | a huge body      | 413    | body_too_large  |
+      | PATCH  | /v1/configuration | deep nesting     | 400    | invalid_message |
+      | PATCH  | /v1/configuration | deeper nesting   | 400    | invalid_message |
+      | PATCH  | /v1/configuration | a list           | 400    | invalid_message |
+      | PATCH  | /v1/configuration | no patch id      | 400    | invalid_message |
+      | PATCH  | /v1/configuration | binary           | 400    | invalid_message |
+
+    Examples: paths
+      | method | path              | body    | status | code               |
+      | GET    | /v1/nothing       | nothing | 404    | unknown_path       |
+      | PUT    | /v1/jobs          | nothing | 405    | method_not_allowed |
+      | DELETE | /v1/configuration | nothing | 405    | method_not_allowed |
+
+  Scenario Outline: Every view answers
+    Guards against a route without a handler in the core.
+    Given the operators' application of one instance
+    When an operator sends GET <path> with nothing
+    Then the operator gets status <status> and the field "<field>"
+
+    Examples:
+      | path                     | status | field      |
+      | /v1/configuration        | 200    | version    |
+      | /v1/configuration/status | 200    | everywhere |
+      | /v1/explain/a/b%20c      | 200    | decisions  |
+      | /readyz                  | 503    | reasons    |
+
+  Scenario: A command that no part handles is refused at once
+    Guards against an operator who waits for a result that never comes.
+    Given the operators' application of one instance
+    When the core gets a command of an unknown type
+    Then the command is refused as "not_supported"
+
+  Scenario Outline: A missing result is unknown only for changing commands
+    Guards against a lost submission that is reported as refused.
+    Given the operators' application of an instance that never answers
+    When an operator sends <method> <path> with <body>
+    Then the operator gets outcome <outcome> with status 504
+
+    Examples:
+      | method | path              | body         | outcome |
+      | POST   | /v1/jobs          | a good job   | unknown |
+      | DELETE | /v1/jobs/a/b      | nothing      | unknown |
+      | PATCH  | /v1/configuration | a good patch | unknown |
+      | GET    | /v1/workers       | nothing      | refused |
+
+  Scenario: Decisions are bounded and carry wall-clock time and instance
+    Guards against a journal that grows, and against times that an operator
+    cannot compare between instances.
+    Given a journal with 10000 decisions about "job-1" and long texts
+    Then an explanation of "job-1" holds at most 4096 decisions
+    And its decisions are in order, of "entry-1" and at wall-clock time
