--- a/packages/core/src/sapphirestall_core/heartbeats.py
+++ b/packages/core/src/sapphirestall_core/heartbeats.py
@@ -114,6 +114,7 @@
         data_centre=identity.data_centre,
         state=own_state,
         configuration_version=instance.configuration.document.version,
+        slot_demand=dict(instance.requests.slots.demand),
         leaving=instance.members.find_new_marks(),
     )
 
--- a/packages/core/src/sapphirestall_core/peer_messages.py
+++ b/packages/core/src/sapphirestall_core/peer_messages.py
@@ -176,6 +176,19 @@
     failure: operator_messages.Failure | None
 
 
+@attrs.frozen
+class SlotLoan(PeerMessage):
+    """Lends slots of one executor; a later loan replaces an earlier one.
+
+    Attributes:
+        term_s: How long the loan lasts, in seconds.
+    """
+
+    executor_id: str
+    count: int
+    term_s: float
+
+
 @attrs.frozen
 class SendPeer(messages.Effect):
     """Sends a message to one peer; lost when the peer is not connected."""
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -1,5 +1,6 @@
 """Conversion between attrs classes and trees of JSON or CBOR values."""
 
+import base64
 from typing import Any
 
 import cattrs
@@ -10,7 +11,8 @@
 ) -> cattrs.Converter:
     """Returns a converter that takes no value of another type.
 
-    Untyped values pass unchanged. Without the strict hooks, cattrs would turn
+    Untyped values pass unchanged. Bytes become base64 text, since JSON has no
+    type for them. Without the strict hooks, cattrs would turn
     a number into text and text into a number without a word.
 
     Args:
@@ -23,6 +25,8 @@
     converter.register_structure_hook_func(
         lambda target: target is object, lambda value, _: value
     )
+    converter.register_unstructure_hook(bytes, _write_bytes)
+    converter.register_structure_hook(bytes, _read_bytes)
     converter.register_structure_hook(str, _read_text)
     converter.register_structure_hook(int, _read_integer)
     converter.register_structure_hook(float, _read_number)
@@ -61,3 +65,11 @@
     if not isinstance(value, list | tuple) or len(value) != 2:
         raise TypeError(f"{value!r:.80} is not a pair of texts")
     return _read_text(value[0], str), _read_text(value[1], str)
+
+
+def _write_bytes(value: bytes) -> str:
+    return base64.b64encode(value).decode("ascii")
+
+
+def _read_bytes(value: Any, _: type) -> bytes:
+    return base64.b64decode(value, validate=True)
