Refuse bad input from callers with coded problems and cut off no answer

Cause: a malformed deadline raised in the handler, a body had no limit, a caller that left was waited for, and the HTTP server answered malformed bytes in plain text without a counter. Ruled out: handing the caller's Request-Id to the core as the id of the request (two callers could choose the same); it is repeated in the answer instead. The stand-in executor shows cut, unframed, long and broken answers.

--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -86,7 +86,9 @@
             number, context.feed, messages.ShutdownRequested()
         )
     caller_server = servers.make_server(
-        context.callers.build_app(), settings.callers_listen
+        context.callers.build_app(),
+        settings.callers_listen,
+        context.callers.reject_malformed,
     )
     operator_server = servers.make_server(
         context.operators.build_app(), settings.operators_listen
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -1,7 +1,6 @@
 """Stand-in for a backend server that runs requests in slots.
 
-`POST /faults` sets the faults to show: `leaving`, `freeze_s` (delay before
-each answer), `refuse_all`, `truncate` and `cross` (wrong attempt id).
+`POST /faults` sets the faults to show, see `Faults`.
 """
 
 import asyncio
@@ -14,13 +13,25 @@
 
 @attrs.define
 class Faults:
-    """Faults to show."""
+    """Faults to show.
+
+    Attributes:
+        freeze_s: Delay before each answer, in seconds.
+        cross: The answer names another attempt.
+        truncate: The connection ends within the body.
+        unframed: The answer does not state its length.
+        break_off: The connection ends before the answer.
+        answer_bytes: Length of the answer; 0 for the usual one.
+    """
 
     leaving: bool = False
     freeze_s: float = 0.0
     refuse_all: bool = False
     truncate: bool = False
     cross: bool = False
+    unframed: bool = False
+    break_off: bool = False
+    answer_bytes: int = 0
 
 
 @attrs.define
@@ -59,10 +70,25 @@
     if faults.cross:
         headers["Attempt-Id"] = "another"
     answer = b"%s ran %s" % (executor.name.encode(), body)
-    response = web.Response(body=answer, headers=headers)
-    if faults.truncate:
-        response.content_length = len(answer) + 10
-    return response
+    answer = answer if not faults.answer_bytes else b"x" * faults.answer_bytes
+    if faults.truncate or faults.unframed or faults.break_off:
+        return _break(request, headers, answer, faults)
+    return web.Response(body=answer, headers=headers)
+
+
+def _break(
+    request: web.Request, headers: dict[str, str], answer: bytes, faults: Faults
+) -> web.StreamResponse:
+    """Writes a faulty answer and closes the connection."""
+    lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
+    if not faults.unframed:
+        lines.append(f"Content-Length: {len(answer) + 10}")
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    assert request.transport is not None
+    if not faults.break_off:
+        request.transport.write(head + answer)
+    request.transport.close()
+    return web.Response()
 
 
 async def show_health(request: web.Request) -> web.Response:
