--- a/packages/core/src/sapphirestall_core/attempts.py
+++ b/packages/core/src/sapphirestall_core/sending.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from sapphirestall_core import admission
-from sapphirestall_core import answers
 from sapphirestall_core import buckets
 from sapphirestall_core import claims
 from sapphirestall_core import dispatch
+from sapphirestall_core import endings
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import outcomes
@@ -99,8 +99,8 @@
     """Ends a request that waits; it gets no further attempt."""
     service = instance.requests.services[request.arrived.service]
     admission.remove(request, service)
-    outcome = answers.make_failed(request, code)
-    return answers.conclude(request, outcome, instance, now)
+    outcome = endings.make_failed(request, code)
+    return endings.conclude(request, outcome, instance, now)
 
 
 def _send(
@@ -181,16 +181,16 @@
     needed_s = admission.estimate(own_service, request.arrived.operation, now)
     obstacle = retries.spend(request, own_service, needed_s, now)
     if obstacle is not None:
-        outcome = answers.make_failed(request, event.code)
+        outcome = endings.make_failed(request, event.code)
         count = messages.CountRefusal("retries", obstacle)
-        return [count, *answers.conclude(request, outcome, instance, now)]
+        return [count, *endings.conclude(request, outcome, instance, now)]
     request.phase = Phase.BACKOFF
     delay_s = retries.delay(request.attempts_made)
     timer = retries.RetryDue(request.arrived.request_id)
     return [
-        messages.CountRetry(answers.PART, event.code),
+        messages.CountRetry(endings.PART, event.code),
         messages.StartTimer(timer, delay_s, retries.BACKOFF_JITTER),
-        *answers.arm(request, instance, now),
+        *endings.arm(request, instance, now),
     ]
 
 
@@ -250,7 +250,7 @@
     now: float,
 ) -> dispatch.Effects:
     end_claiming(request, instance)
-    return answers.conclude(request, verdict.outcome, instance, now)
+    return endings.conclude(request, verdict.outcome, instance, now)
 
 
 @settle.register(buckets.ReleaseEnded)
@@ -261,7 +261,7 @@
     now: float,
 ) -> dispatch.Effects:
     assert request.outcome is not None
-    return answers.give(request, request.outcome, instance)
+    return endings.give(request, request.outcome, instance)
 
 
 def end_claiming(
