--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -203,6 +203,7 @@
             ]
             await wait_for(lambda: entry.executor.running == count)
             entry.context.feed(messages.ShutdownRequested())
+            await wait_for(lambda: entry.state.draining)
             _, body = await entry.post("compute")
             context.refused = json.loads(body)
             await entry.context.exit.wait()
--- a/packages/core/src/sapphirestall_core/errors.py
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -66,3 +66,24 @@
 
     code = "refused"
     exit_code = 5
+
+
+class ListenError(SapphirestallError):
+    """A listening socket could not be opened."""
+
+    code = "listen_failed"
+    exit_code = 6
+
+
+class UnknownOutcomeError(SapphirestallError):
+    """A command may or may not have taken effect."""
+
+    code = "outcome_unknown"
+    exit_code = 7
+
+
+class WaitEndedError(SapphirestallError):
+    """The awaited state was not reached in the time allowed."""
+
+    code = "wait_ended"
+    exit_code = 8
--- a/packages/core/src/sapphirestall_core/health.py
+++ b/packages/core/src/sapphirestall_core/health.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from sapphirestall_core import control
 from sapphirestall_core import dispatch
+from sapphirestall_core import liveness
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import request_messages
@@ -30,7 +30,7 @@
 ) -> dispatch.Effects:
     """Polls the executors that this instance comes first for."""
     identity = instance.identity
-    live = control.find_live_entries(instance, now)
+    live = liveness.find_live_entries(instance, now)
     executors = instance.members.find(
         membership.Kind.EXECUTOR, identity.data_centre
     )
--- a/packages/core/src/sapphirestall_core/instance.py
+++ b/packages/core/src/sapphirestall_core/instance.py
@@ -15,12 +15,7 @@
 
 def build(identity: state.Identity) -> state.Instance:
     """Returns the state of a new entry instance."""
-    timers = (
-        tasks.LeaseDue(),
-        tasks.OwnersDue(),
-        slots.SlotsDue(),
-        health.HealthDue(),
-    )
+    timers = (*tasks.START_TIMERS, slots.SlotsDue(), health.HealthDue())
     return state.Instance(identity, start_timers=timers)
 
 
--- a/packages/core/src/sapphirestall_core/slots.py
+++ b/packages/core/src/sapphirestall_core/slots.py
@@ -7,8 +7,8 @@
 import attrs
 
 from sapphirestall_core import admission
-from sapphirestall_core import control
 from sapphirestall_core import dispatch
+from sapphirestall_core import liveness
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import peer_messages
@@ -23,7 +23,6 @@
 LOAN_TERM_S = 1.0
 TRANSIT_ALLOWANCE_S = 0.1
 MAX_DRIFT = 0.01
-PEER_SUSPECT_S = 2.0
 # A loan is repeated while its borrower has demand, before it ends.
 LOAN_REPEAT_S = 0.5
 # Share of its slots that a lender keeps free for a sudden rise of its load.
@@ -59,7 +58,7 @@
     """Computes the own shares from the members that are known now."""
     own = instance.requests.slots
     own_id = instance.identity.instance_id
-    live = control.find_live_entries(instance, now)
+    live = liveness.find_live_entries(instance, now)
     entries = sorted({*live, own_id})
     own.refreshed_at = now
     if own.source is instance.members.listings and own.entries == entries:
@@ -233,7 +232,7 @@
         for peer_id, peer in instance.peers.items()
         if peer.data_centre == instance.identity.data_centre
         and peer.state is membership.State.LIVE
-        and now - peer.heard_at < PEER_SUSPECT_S
+        and not liveness.is_suspect(peer_id, instance, now)
         and peer.slot_demand.get(service, 0) > 0
     )
     if not borrowers or own.demand.get(service, 0) > 0:
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -6,15 +6,32 @@
 import cattrs
 
 
-def make_converter(*, forbid_extra_keys: bool = False) -> cattrs.Converter:
-    """Returns a converter that passes untyped values through unchanged.
+def make_converter(
+    *, forbid_extra_keys: bool = False, omit_if_default: bool = False
+) -> cattrs.Converter:
+    """Returns a converter that takes no value of another type.
 
-    Bytes become base64 text, since JSON has no type for them.
+    Untyped values pass unchanged; bytes become base64 text, since JSON has no
+    type for them. Without the strict hooks, cattrs would turn
+    a number into text and text into a number without a word.
+
+    Args:
+        forbid_extra_keys: Whether unknown fields are errors.
+        omit_if_default: Whether fields with their default are left out.
     """
-    converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
+    converter = cattrs.Converter(
+        forbid_extra_keys=forbid_extra_keys, omit_if_default=omit_if_default
+    )
     converter.register_structure_hook_func(
         lambda target: target is object, lambda value, _: value
     )
+    converter.register_structure_hook(str, _read_text)
+    converter.register_structure_hook(int, _read_integer)
+    converter.register_structure_hook(float, _read_number)
+    converter.register_structure_hook(bool, _read_truth)
+    converter.register_structure_hook_func(
+        lambda target: target == tuple[str, str], _read_pair
+    )
     converter.register_unstructure_hook(bytes, _write_bytes)
     converter.register_structure_hook(bytes, _read_bytes)
     return converter
@@ -24,5 +41,35 @@
     return base64.b64encode(value).decode("ascii")
 
 
-def _read_bytes(value: Any, target: type) -> bytes:
-    return base64.b64decode(value, validate=True)
+def _read_bytes(value: Any, _: type) -> bytes:
+    return base64.b64decode(_read_text(value, str), validate=True)
+
+
+def _read_text(value: Any, _: type) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r:.80} is not text")
+    return value
+
+
+def _read_integer(value: Any, _: type) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is not an integer")
+    return value
+
+
+def _read_number(value: Any, _: type) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is not a number")
+    return float(value)
+
+
+def _read_truth(value: Any, _: type) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is neither true nor false")
+    return value
+
+
+def _read_pair(value: Any, _: type) -> tuple[str, str]:
+    if not isinstance(value, list | tuple) or len(value) != 2:
+        raise TypeError(f"{value!r:.80} is not a pair of texts")
+    return _read_text(value[0], str), _read_text(value[1], str)
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -3,13 +3,20 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import socket
 
 import h11
-from starlette import applications
 from starlette import responses
+from starlette import types
 import uvicorn
 from uvicorn.protocols.http import h11_impl
 
+from sapphirestall_core import errors
+
+# Answers that are ready get this long to leave after the drain ended.
+CLOSE_TIMEOUT_S = 2
+BACKLOG = 1024
+
 Reject = Callable[[str], responses.Response]
 
 
@@ -39,25 +46,38 @@
     return Protocol
 
 
-def make_server(
-    app: applications.Starlette, address: str, reject: Reject | None = None
-) -> Server:
-    """Returns a server for an application; `serve()` runs it.
+def open_socket(address: str) -> socket.socket:
+    """Returns a listening socket.
+
+    Sockets are opened before anything is served, so that a port that is taken
+    ends the process instead of leaving a part of it deaf.
+
+    Raises:
+        errors.ListenError: The address cannot be bound.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=BACKLOG)
+    except OSError as error:
+        raise errors.ListenError(
+            str(error), step="listen", peer=address
+        ) from error
+
+
+def make_server(app: types.ASGIApp, reject: Reject | None = None) -> Server:
+    """Returns a server for an application; `serve(sockets=...)` runs it.
 
     Args:
         app: The application.
-        address: `host:port`.
         reject: Renders the answer to a request that is not valid HTTP.
     """
-    host, _, port = address.rpartition(":")
     config = uvicorn.Config(
         app,
-        host=host,
-        port=int(port),
         lifespan="off",
         log_config=None,
         access_log=False,
         ws="none",
         http=_make_protocol(reject) if reject else "auto",
+        timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
     )
     return Server(config)
--- a/standins/local.py
+++ b/standins/local.py
@@ -113,10 +113,12 @@
         _set_up(instance, f"{fleet.HOST}:{port}")
         server = servers.make_server(
             context.callers.build_app(),
-            settings.callers_listen,
             context.callers.reject_malformed,
         )
-        serving = asyncio.get_running_loop().create_task(server.serve())
+        listener = servers.open_socket(settings.callers_listen)
+        serving = asyncio.get_running_loop().create_task(
+            server.serve(sockets=[listener])
+        )
         while not server.started:
             await asyncio.sleep(0.01)
         yield Local(
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -27,6 +27,8 @@
     Attributes:
         name: `job.task.attempt`.
         work_left_s: Run time that is left at full share.
+        checkpoint: Newest checkpoint, or the one that it was started from.
+        start_expires_at: Reading after which its start can no longer arrive.
     """
 
     name: str
@@ -37,6 +39,7 @@
     state: str = "running"
     checkpoint: str = ""
     throttle: float = 1.0
+    start_expires_at: float = 0.0
 
 
 class RefusalError(Exception):
@@ -53,7 +56,11 @@
 
     Attributes:
         fail_starts: Fault: every start fails.
+        fail_checkpoints: Fault: every checkpoint fails.
         started: Names of all attempts ever started, in order.
+        seen: Names of start commands by the reading until which they could
+            arrive again; a name is never started twice.
+        checkpoints_made: Number of checkpoints taken.
         now: Time up to which the tasks have advanced.
     """
 
@@ -63,7 +70,10 @@
     owner: str = ""
     tasks: dict[str, Task] = attrs.field(factory=dict)
     fail_starts: bool = False
+    fail_checkpoints: bool = False
     started: list[str] = attrs.field(factory=list)
+    seen: dict[str, float] = attrs.field(factory=dict)
+    checkpoints_made: int = 0
     now: float = 0.0
 
     def advance(self, now: float) -> None:
@@ -79,15 +89,23 @@
                 task.state = "stopped"
         self.now = now
 
-    def admit(self, owner: str, epoch: int, expires_at: float | None) -> None:
+    def admit(
+        self,
+        owner: str,
+        epoch: int,
+        expires_at: float | None,
+        incarnation: str = "",
+    ) -> None:
         """Checks the fence of a command and remembers its epoch.
 
         Raises:
-            RefusalError: `stale_epoch` or `expired`.
+            RefusalError: `stale_epoch`, `wrong_incarnation` or `expired`.
         """
         other = epoch == self.highest_epoch and owner != self.owner
         if epoch < self.highest_epoch or (other and self.owner):
             raise RefusalError("stale_epoch")
+        if incarnation and incarnation != self.incarnation:
+            raise RefusalError("wrong_incarnation")
         if expires_at is not None and expires_at < self.now:
             raise RefusalError("expired")
         self.highest_epoch = epoch
@@ -108,12 +126,18 @@
     def start(self, task: Task) -> None:
         """Starts an attempt.
 
+        A start that fails leaves a `failed` task.
+
         Raises:
             RefusalError: `duplicate`, `start_failed` or `no_room`.
         """
-        if task.name in self.tasks:
+        self.seen = {n: at for n, at in self.seen.items() if at >= self.now}
+        if task.name in self.tasks or task.name in self.seen:
             raise RefusalError("duplicate")
+        self.seen[task.name] = task.start_expires_at
         if self.fail_starts:
+            task.state = "failed"
+            self.tasks[task.name] = task
             raise RefusalError("start_failed")
         running = [
             t.reserved for t in self.tasks.values() if t.state == "running"
@@ -133,3 +157,14 @@
         if task is None or task.state != "running":
             raise RefusalError("unknown_task")
         return task
+
+    def take_checkpoint(self, task: Task) -> None:
+        """Takes a checkpoint of a running attempt.
+
+        Raises:
+            RefusalError: `checkpoint_failed`.
+        """
+        if self.fail_checkpoints:
+            raise RefusalError("checkpoint_failed")
+        self.checkpoints_made += 1
+        task.checkpoint = f"checkpoint-{task.name}-{self.checkpoints_made}"
