--- a/packages/core/src/sapphirestall_core/slots.py
+++ b/packages/core/src/sapphirestall_core/slots.py
@@ -269,8 +269,7 @@
             # smaller one can't replace it, as the borrower might not get it.
             count -= held_count
             continue
-        used = find_executor(executor_id, instance).in_use
-        free = max(0, _count_allowed(entry, instance, now) - used)
+        free = _count_lendable(entry, instance, now)
         offered = min(count, held_count + free)
         count -= offered
         left_s = held.ends_at - now if held else 0.0
@@ -283,6 +282,22 @@
     return effects
 
 
+def _count_lendable(
+    entry: membership.Listing, instance: state.Instance, now: float
+) -> int:
+    """Returns how many own slots are idle; borrowed ones are not lent on.
+
+    A loan of borrowed slots would outlast the loan that it is made from.
+    """
+    own = instance.requests.slots
+    executor_id = entry.instance_id
+    if not _count_allowed(entry, instance, now):
+        return 0
+    lent = _count_loans(own.lent, executor_id, now)
+    used = find_executor(executor_id, instance).in_use
+    return max(0, own.shares[executor_id] - lent - used)
+
+
 def borrow(
     message: peer_messages.SlotLoan,
     peer_id: str,
