--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,42 @@
+Feature: Admission of requests
+
+  Scenario Outline: <slow> keeps its share while <flood> floods
+    Guards against a class that gets nothing while another is in overload.
+    Given admission: 2 entry instances and 4 executors with seed <seed>
+    When admission: <flood> comes at 10 times and <slow> at <load> of capacity
+    Then admission: at least <share>% of <slow> are answered
+    And admission: at least 90% of the capacity is answered in time
+
+    Examples:
+      | flood   | slow    | load | share | seed |
+      | report  | compute | 0.45 | 99    | 60   |
+      | compute | report  | 0.15 | 99    | 61   |
+      | assign  | report  | 0.15 | 99    | 62   |
+      | report  | compute | 2.0  | 25    | 63   |
+
+  Scenario Outline: A request with <deadline> s left behind a queue is shed
+    Guards against work on requests that come too late, and against a refusal
+    that does not say that nothing was sent.
+    Given admission: 1 entry instances and 1 executors with seed 64
+    When admission: 300 requests with <deadline> s left arrive at once
+    Then admission: every refused request has the proof NeverSent and never ran
+    And admission: the refusals are <codes>
+    And admission: no answer came after its deadline
+
+    Examples:
+      | deadline | codes                          |
+      | 0.2      | deadline_unmeetable,queue_full |
+      | 9        | queue_full                     |
+
+  Scenario: The newest requests are served first above saturation
+    Guards against answers that all come just too late.
+    Given admission: 1 entry instances and 1 executors with seed 65
+    When admission: compute comes at 3 times and report at 0 of capacity
+    Then admission: half of the answers take at most 0.1 s
+
+  Scenario: A slow store takes no slots from repeatable requests
+    Guards against requests that wait for a claim while they hold a slot.
+    Given admission: 1 entry instances and 1 executors with seed 66
+    And admission: store calls that take 1 s
+    When admission: assign comes at 10 times and compute at 0.8 of capacity
+    Then admission: at least 99% of compute are answered
