Switch off one mechanism at a time and check that a trace notices

Cause: a trace that holds may hold without the mechanism that it names. Ruled out: mutating commits.settle_commit, which other guards cover within 3 ms; the expected version of progress writes is ignored instead. A mutation of the inventory check of a single worker changes nothing, since the ledger arrives with the inventory; it is not listed. Change: tools/mutations.py and make mutations; five traces that the mutations needed (delayed starts, commits and documents, an owner that keeps one worker).

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,7 @@
 # Random sequences of work and faults; prints its seed. SEED=N repeats a run.
 fuzz: $(STAMP)
 	$(BIN)/python -m standins.fuzz $(if $(SEED),--seed $(SEED)) $(if $(EXAMPLES),--examples $(EXAMPLES))
+
+# Switches one mechanism off at a time; a trace must notice each.
+mutations: $(STAMP)
+	$(BIN)/python -m tools.mutations
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -118,10 +118,20 @@
     task again.
     Then the trace "tasks/commands_duplicated" holds
 
+  Scenario: A task never in two places: commit after pause
+    Guards against a paused owner whose late commit reverts that of its
+    successor.
+    Then the trace "tasks/commit_after_pause" holds
+
   Scenario: A task never in two places: commit answer lost
     Guards against completions that are committed twice or forgotten.
     Then the trace "tasks/commit_answer_lost" holds
 
+  Scenario: A task never in two places: commit delayed
+    Guards against a commit of an old owner that overwrites that of its
+    successor.
+    Then the trace "tasks/commit_delayed" holds
+
   Scenario: A task never in two places: data centre cut
     Guards against a cut-off data centre that stops its batch work or is
     taken over.
@@ -132,6 +142,11 @@
     messages is lost.
     Then the trace "tasks/messages_lost" holds
 
+  Scenario: A task never in two places: old owner keeps worker
+    Guards against an owner without authority that renews the leases of the
+    worker it reaches.
+    Then the trace "tasks/old_owner_keeps_worker" holds
+
   Scenario: A task never in two places: owner cut from majority
     Guards against tasks of two silent workers that are started too early.
     Then the trace "tasks/owner_cut_from_majority" holds
@@ -170,6 +185,11 @@
     takeover.
     Then the trace "tasks/owner_paused_while_placing" holds
 
+  Scenario: A task never in two places: start command expired
+    Guards against a start command that arrives after the task was started
+    elsewhere.
+    Then the trace "tasks/start_command_expired" holds
+
   Scenario: A task never in two places: store down
     Guards against batch work that stops during a long store outage.
     Then the trace "tasks/store_down" holds
@@ -308,6 +328,10 @@
     answer was lost.
     Then the trace "configuration/answer_lost" holds
 
+  Scenario: Configuration versions: documents delayed
+    Guards against a delayed document that reverts a newer version.
+    Then the trace "configuration/documents_delayed" holds
+
   Scenario: Configuration versions: old version
     Guards against a patch of an old version that is accepted.
     Then the trace "configuration/old_version" holds
--- a/standins/trace_steps.py
+++ b/standins/trace_steps.py
@@ -395,9 +395,11 @@
 @apply.register
 def _(step: ExpireLease, run: trace_run.Run) -> None:
     data_centre = step.partition.rsplit("-rack-", 1)[0]
-    item = run.world.store.items[f"owners/{data_centre}/{step.partition}"]
-    run.world.store.leases[str(item.lease_id)].ends_at = run.world.now
-    run.world.store.expire_leases(run.world.now)
+    item = run.world.store.items.get(f"owners/{data_centre}/{step.partition}")
+    lease = run.world.store.leases.get(str(item.lease_id)) if item else None
+    if lease is not None:
+        lease.ends_at = run.world.now
+        run.world.store.expire_leases(run.world.now)
 
 
 @apply.register
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,186 @@
+"""Switches one mechanism off at a time and checks that a trace notices.
+
+Each mutation runs in its own process, which patches one function of the core
+and plays a trace that holds without the mutation.
+"""
+
+from collections.abc import Callable
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import attrs
+
+from sapphirestall_core import attempts
+from sapphirestall_core import commands
+from sapphirestall_core import eviction
+from sapphirestall_core import inventory
+from sapphirestall_core import membership
+from sapphirestall_core import ownership
+from sapphirestall_core import spread
+from standins import store_model
+from standins import trace
+
+TRACES = pathlib.Path(__file__).parents[1] / "features" / "traces"
+FAR_FUTURE_S = 1e9
+TIMEOUT_S = 120
+
+
+@attrs.frozen
+class Mutation:
+    """One mechanism that is switched off.
+
+    Attributes:
+        trace: Trace that must fail then.
+        apply: Patches the core of this process.
+    """
+
+    name: str
+    trace: str
+    apply: Callable[[], None]
+
+
+def _expire_no_command() -> None:
+    make_fence = commands.make_fence
+
+    def mutated(*arguments: Any) -> Any:
+        return {**make_fence(*arguments), "expires_at": FAR_FUTURE_S}
+
+    commands.make_fence = mutated
+
+
+def _check_no_authority() -> None:
+    def mutated(partition: Any, *_: Any) -> ownership.Authority:
+        owned = partition.epoch and not partition.handing_over
+        return ownership.Authority.LEASE if owned else ownership.Authority.NONE
+
+    ownership.find_authority = mutated
+
+
+def _await_no_inventory() -> None:
+    def mutated(partition: Any, now: float) -> None:
+        if not partition.settled and partition.listed:
+            partition.settled = True
+            for share in partition.shares.values():
+                attempts.enqueue(partition, share)
+
+    inventory.settle = mutated
+
+
+def _wait_for_no_lease() -> None:
+    ownership.TAKEOVER_WAIT_S = 0.0
+
+
+def _give_up_silent_workers_early() -> None:
+    ownership.SILENT_WORKER_WAIT_S = 5.0
+
+
+def _match_no_attempt() -> None:
+    def mutated(name: Any, partition: Any) -> Any:
+        return partition.attempts.get(attempts.name_task(name))
+
+    eviction.find_current = mutated
+
+
+def _adopt_any_version() -> None:
+    adopt_document = spread.adopt_document
+
+    def mutated(document: Any, instance: Any, *rest: Any) -> Any:
+        held = instance.configuration
+        held.document = attrs.evolve(held.document, version=-1)
+        return adopt_document(document, instance, *rest)
+
+    spread.adopt_document = mutated
+
+
+def _mark_nothing_leaving() -> None:
+    membership.Members.is_leaving = lambda *_: False
+
+
+def _commit_over_any_version() -> None:
+    # The expected version is the core's; the stand-in only compares it.
+    put = store_model.Store.put
+
+    def mutated(
+        self: Any, key: str, value: Any, expected: int, *rest: Any
+    ) -> Any:
+        if key.startswith("progress/") and key in self.items:
+            expected = self.items[key].version
+        return put(self, key, value, expected, *rest)
+
+    store_model.Store.put = mutated
+
+
+MUTATIONS = (
+    Mutation(
+        "command expiry", "tasks/start_command_expired", _expire_no_command
+    ),
+    Mutation(
+        "authority check", "tasks/old_owner_keeps_worker", _check_no_authority
+    ),
+    Mutation("inventory wait", "tasks/owner_killed", _await_no_inventory),
+    Mutation(
+        "takeover wait", "tasks/takeover_with_silent_worker", _wait_for_no_lease
+    ),
+    Mutation(
+        "wait for a silent worker",
+        "tasks/owner_cut_from_worker",
+        _give_up_silent_workers_early,
+    ),
+    Mutation("attempt match", "tasks/start_command_expired", _match_no_attempt),
+    Mutation(
+        "configuration version guard",
+        "configuration/documents_delayed",
+        _adopt_any_version,
+    ),
+    Mutation(
+        "leaving mark", "membership/leaving_executor", _mark_nothing_leaving
+    ),
+    Mutation(
+        "progress fencing", "tasks/commit_delayed", _commit_over_any_version
+    ),
+)
+
+
+def play(name: str, mutation: str = "") -> str:
+    """Plays a trace in a process of its own; returns its first fault."""
+    command = [sys.executable, "-m", "tools.mutations", name, mutation]
+    done = subprocess.run(
+        command, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
+    )
+    if done.returncode:
+        return f"the process failed: {done.stderr[-300:]}"
+    return done.stdout.strip()
+
+
+def play_here(name: str, mutation: str) -> None:
+    """Plays a trace in this process and prints its first fault."""
+    for candidate in MUTATIONS:
+        if candidate.name == mutation:
+            candidate.apply()
+    run = trace.play(trace.load(TRACES / f"{name}.yaml"))
+    faults = trace.list_faults(run)
+    print(faults[0].splitlines()[0][:100] if faults else "")
+
+
+def main() -> int:
+    """Prints a table; returns 0 when every mutation was noticed."""
+    if len(sys.argv) == 3:
+        play_here(*sys.argv[1:])
+        return 0
+    missed = 0
+    for mutation in MUTATIONS:
+        before = play(mutation.trace)
+        after = play(mutation.trace, mutation.name)
+        noticed = bool(after) and not before
+        missed += not noticed
+        verdict = "failed as it should" if noticed else "NOT NOTICED"
+        print(f"{mutation.name:28} {mutation.trace:38} {verdict}")
+        print(f"    unchanged: {before or 'holds'}\n    mutated: {after}")
+    print(f"{len(MUTATIONS) - missed} of {len(MUTATIONS)} mutations noticed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
