--- a/features/replay.feature
+++ b/features/replay.feature
@@ -258,7 +258,6 @@
     Guards against a stopped task that is lost because its owner died.
     Then the trace "eviction/crossed_by_takeover_after_stop" holds
 
-  @pending
   Scenario: Evicted work: resumed
     Guards against evicted work that resumes twice or never.
     Then the trace "eviction/resumed" holds
--- a/packages/core/src/sapphirestall_core/polling.py
+++ b/packages/core/src/sapphirestall_core/polling.py
@@ -42,6 +42,7 @@
     name, epoch = partition.name, partition.epoch
     instance.journal.record(now, name, "lose", reason)
     shares = list(partition.shares.values())
+    policy_calls.note_lost(partition, instance)
     partition.reset()
     for share in shares:
         if not share.job.shares:
@@ -157,7 +158,9 @@
     worker.round_number = event.round_number
     effects = inventory.take(worker, report, partition, instance, now)
     _count_witness(event, worker, partition, instance, now)
-    effects += policy_calls.note_report(worker, report, instance, now)
+    effects += policy_calls.note_report(
+        worker, report, partition, instance, now
+    )
     return effects + starts.place(partition, instance, now)
 
 
--- a/standins/world_executors.py
+++ b/standins/world_executors.py
@@ -88,36 +88,29 @@
             link_s = world_module.LINK_DELAY_S
             self._fail(Stage.SENT, Code.CONNECTION_LOST, link_s)
             return
+        if executor.fault == "truncate":
+            self._fail(Stage.SENT, Code.TRUNCATED_ANSWER, 0.0)
+            return
+        attempt_id = self.effect.attempt_id
+        if executor.fault == "crossed":
+            attempt_id = executor.last_attempt
+            link_s = world_module.LINK_DELAY_S
+            self._fail(Stage.SENT, Code.CROSSED_ANSWER, link_s)
+        executor.last_attempt = self.effect.attempt_id
+        self._answer(executor, attempt_id)
+        if executor.fault == "duplicate":
+            self._answer(executor, attempt_id)
+
+    def _answer(self, executor: world_module.Executor, attempt_id: str) -> None:
         answer = request_messages.AttemptAnswered(
-            self.effect.attempt_id,
+            attempt_id,
             self.effect.executor_id,
             200,
             self.effect.content_type,
             self.effect.body,
             executor.leaving,
         )
-        self._answer(answer, executor)
-
-    def _answer(
-        self,
-        answer: request_messages.AttemptAnswered,
-        executor: world_module.Executor,
-    ) -> None:
-        delay_s = self.world.draw_delay()
-        match executor.fault:
-            case "truncate":
-                self._fail(Stage.SENT, Code.CONNECTION_LOST, delay_s)
-            case "crossed":
-                # The entry instance closes the connection in this case.
-                other = attrs.evolve(answer, attempt_id=executor.last_attempt)
-                executor.last_attempt = answer.attempt_id
-                self.world.feed(self.node, other)
-                self._fail(Stage.SENT, Code.CONNECTION_LOST, delay_s)
-            case "duplicate":
-                self._end_with(answer, delay_s)
-                self._end_with(answer, 2 * delay_s)
-            case _:
-                self._end_with(answer, delay_s)
+        self._end_with(answer, self.world.draw_delay())
 
 
 @world_module.perform.register
