--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo load bench mutations fuzz clean
+.PHONY: setup format check test demo load budget bench mutations clean
 
 setup: $(STAMP)
 
@@ -48,3 +48,6 @@
 # Switches one mechanism off at a time; a trace must notice each.
 mutations: $(STAMP)
 	$(BIN)/python -m tools.mutations
+
+budget: $(STAMP)
+	$(BIN)/python -m tools.budget
