Wait for a report after a refused start

Cause: a worker that restarted refuses starts with wrong_incarnation, and the owner placed the same task there again at once, until the next poll. tasks/restarted_worker_not_flooded counted 2,723 start commands for 40 tasks. Ruled out: no_room alone, which already waits for a report. Change: any refused start but start_failed waits for the worker's next report, and expired, like duplicate, is settled by the report, since another copy of the command may have taken effect.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -120,6 +120,11 @@
     taken over.
     Then the trace "tasks/data_centre_cut" holds
 
+  Scenario: A task never in two places: delayed copies
+    Guards against a refused late copy of a start command that hides that
+    the other copy ran.
+    Then the trace "tasks/delayed_copies" holds
+
   Scenario: A task never in two places: messages lost
     Guards against tasks that are lost or doubled while a third of all
     messages is lost.
@@ -168,6 +173,11 @@
     takeover.
     Then the trace "tasks/owner_paused_while_placing" holds
 
+  Scenario: A task never in two places: restarted worker not flooded
+    Guards against start commands that are repeated without a pause to a
+    restarted worker.
+    Then the trace "tasks/restarted_worker_not_flooded" holds
+
   Scenario: A task never in two places: start command expired
     Guards against a start command that arrives after the task was started
     elsewhere.
--- a/packages/core/src/sapphirestall_core/attempts.py
+++ b/packages/core/src/sapphirestall_core/attempts.py
@@ -163,4 +163,4 @@
         ledger.record(name, reserved)
     worker.ledger = ledger
     worker.services = report.services
-    worker.out_of_room = False
+    worker.awaits_report = False
--- a/packages/core/src/sapphirestall_core/starts.py
+++ b/packages/core/src/sapphirestall_core/starts.py
@@ -20,6 +20,8 @@
     from sapphirestall_core import state
 
 PART = "starts"
+# After these refusals another copy of the command may have taken effect.
+SETTLED_BY_REPORT = ("duplicate", "expired")
 
 
 def place(
@@ -66,7 +68,7 @@
         worker.ledger is not None
         and worker.inventoried
         and worker.listed
-        and not worker.out_of_room
+        and not worker.awaits_report
         and now >= worker.paused_until
         and worker.worker_id in partition.progress.witnesses
         and commands.may_command(worker, partition, instance, now)
@@ -158,7 +160,7 @@
     now: float,
 ) -> dispatch.Effects:
     attempt = eviction.find_current(command.name, partition)
-    settled_by_report = event.ambiguous or event.code == "duplicate"
+    settled_by_report = event.ambiguous or event.code in SETTLED_BY_REPORT
     if attempt is None or not attempt.start_expires_at or settled_by_report:
         # A start whose answer was lost keeps its reservation until a report,
         # or the wait for a silent worker, shows whether it took effect.
@@ -171,7 +173,7 @@
         eviction.end_stopped(attempt, "", partition)
         effects += failures.note(command.name, worker, partition, instance, now)
     else:
-        worker.out_of_room = event.code == "no_room"
+        worker.awaits_report = True
         policy_calls.note_start_refused(worker, command.name, instance)
         attempts.requeue(attempt, partition)
     return effects + place(partition, instance, now)
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -62,8 +62,8 @@
         acknowledge: Ended attempts that the worker may forget.
         inventoried: Whether a report was taken under the present epoch after
             the job records were read.
-        out_of_room: Whether it refused a start for lack of room since its
-            last report.
+        awaits_report: Whether it refused a start since its last report; what
+            is known about it is out of date then.
         paused_until: Own time before which it gets no start, after a failed
             one.
         finished_at: Own time of the last finished task, by job; the newest two
@@ -87,7 +87,7 @@
     )
     acknowledge: set[task_messages.AttemptName] = attrs.field(factory=set)
     inventoried: bool = False
-    out_of_room: bool = False
+    awaits_report: bool = False
     paused_until: float = 0.0
     finished_at: dict[str, float] = attrs.field(factory=dict)
 
@@ -99,7 +99,7 @@
         self.attempts.clear()
         self.strays.clear()
         self.acknowledge.clear()
-        self.inventoried = self.out_of_room = False
+        self.inventoried = self.awaits_report = False
 
 
 @attrs.define(eq=False)
