--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,9 @@
 fuzz: $(STAMP)
 	$(BIN)/python -m standins.fuzz $(if $(SEED),--seed $(SEED)) $(if $(EXAMPLES),--examples $(EXAMPLES))
 
+# Switches one mechanism off at a time; a trace must notice each.
+mutations: $(STAMP)
+	$(BIN)/python -m tools.mutations
+
 budget: $(STAMP)
 	$(BIN)/python -m tools.budget
--- a/standins/world.py
+++ b/standins/world.py
@@ -56,9 +56,9 @@
     """An executor; `work_s` is the mean time that one request takes.
 
     Attributes:
+        fault: `truncate`, `duplicate` or `crossed` (answers under an earlier
+            attempt's id).
         spread: Share of that time that is drawn at random, exponentially.
-        fault: `truncate`,
-            `duplicate` or `crossed` (answers under an earlier attempt's id).
         runs: Start times by request id.
     """
 
