--- a/bench/owner.py
+++ b/bench/owner.py
@@ -18,6 +18,7 @@
 from sapphirestall_core import attempts
 from sapphirestall_core import controller
 from sapphirestall_core import jobs
+from sapphirestall_core import observation
 from sapphirestall_core import ownership
 from sapphirestall_core import placement
 from sapphirestall_core import policy
@@ -50,6 +51,7 @@
         seen: Whether the task started before.
         excused: Whether its team's quota or the floor of lower work kept it
             waiting, so that the bound on urgent starts does not apply.
+        reason: Why it was not placed last.
     """
 
     record: jobs.JobRecord
@@ -58,6 +60,7 @@
     work_left_s: float | None = None
     seen: bool = False
     excused: bool = False
+    reason: str = ""
 
 
 @attrs.define
@@ -173,7 +176,7 @@
         for task in host.worker.tasks.values():
             task.lease_until = now + ownership.TASK_LEASE_S
         report = world_workers.make_report(host.worker)
-        actions = scheduling.observe(
+        actions = observation.observe(
             self.scheduling,
             worker_id,
             report,
@@ -241,7 +244,7 @@
             queue = self.queues[key]
             while queue and self._place_one(queue[0], now):
                 queue.popleft()
-            if -key[0] >= self.rules.sharing.urgent_from:
+            if queue and queue[0].reason in scheduling.EVICT_FOR:
                 for waiting in itertools.islice(queue, MAX_PLANS):
                     self._preempt(waiting, now)
         self.queues = {key: q for key, q in self.queues.items() if q}
@@ -256,6 +259,7 @@
                 return True
             case placement.NotPlaced(reason=reason):
                 self.measures.refusals[reason] += 1
+                waiting.reason = reason
                 waiting.excused |= reason in ("quota", "floor")
         return False
 
--- a/packages/core/src/sapphirestall_core/views.py
+++ b/packages/core/src/sapphirestall_core/views.py
@@ -9,6 +9,7 @@
 from sapphirestall_core import controller
 from sapphirestall_core import interference
 from sapphirestall_core import resources
+from sapphirestall_core import room_claims
 from sapphirestall_core import task_messages
 
 
@@ -18,10 +19,10 @@
 
     Attributes:
         cpu: Processors in use, measured or predicted.
+        full_cpu: The same without a throttle.
         started_at: Own time at which the start was sent or first reported.
         saved_at: Own time of the newest checkpoint, or `started_at`.
         share: Throttle.
-        measured: Whether a report has shown the task.
         evicting: Whether an eviction has begun.
     """
 
@@ -31,11 +32,11 @@
     urgency: int
     reserved: resources.Vector
     cpu: float
+    full_cpu: float
     started_at: float
     saved_at: float
     checkpointable: bool = True
     share: float = 1.0
-    measured: bool = False
     evicting: bool = False
 
 
@@ -46,6 +47,8 @@
     Attributes:
         ledger: Reservations; shared with the handlers of batch work.
         loads: Processors in use by kind.
+        room_cpu: Processors in thousandths that services leave.
+        claims: Room that evictions free here, by job id and task.
     """
 
     worker_id: str
@@ -53,6 +56,8 @@
     tasks: dict[task_messages.AttemptName, Running] = attrs.field(factory=dict)
     services: tuple[task_messages.ServiceReport, ...] = ()
     loads: dict[str, float] = attrs.field(factory=dict)
+    room_cpu: int = 0
+    claims: dict[tuple[str, int], room_claims.Claim] = attrs.field(factory=dict)
     history: interference.History = attrs.field(factory=interference.History)
     controller: controller.Controller = attrs.field(
         factory=controller.Controller
