Run failures of real processes; let a daemon exit and shut down cleanly

Cause: no proof used sockets, signals or real time. Found by the rolling replacement: (1) a daemon did not exit after a graceful shutdown; it lived on for over 120 s and its calls failed with "Session is closed". The task that closes the peer links was cancelled with the loop, and websockets' server waits for it. (2) take_owners raised ValueError during the notice of a shutdown, since the instance is no candidate any more. Ruled out: closing the links without a handshake.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -402,6 +402,11 @@
     Guards against a graceful shutdown that interrupts a request in flight.
     Then the trace "shutdown/under_load" holds
 
+  Scenario: Graceful shutdown: without owner
+    Guards against a shutdown that fails while the instance is a candidate
+    for a partition.
+    Then the trace "shutdown/without_owner" holds
+
   Scenario: Combined faults: cut twice
     Guards against a data centre that is cut off, healed and cut off again
     during the takeover.
--- a/packages/core/src/sapphirestall_core/takeover.py
+++ b/packages/core/src/sapphirestall_core/takeover.py
@@ -173,7 +173,9 @@
     if partition.absent_since < 0:
         partition.absent_since = now
     partition.owner_id = ""
-    if partition.acquiring or instance.draining:
+    # From the notice of a shutdown on, this instance is no candidate.
+    leaving = instance.shutdown.requested_at is not None
+    if partition.acquiring or leaving:
         return []
     wait_s = 0.0 if partition.epoch else _compute_wait(partition, instance, now)
     partition.acquiring = True
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -121,3 +121,6 @@
     await asyncio.gather(*running, return_exceptions=True)
     context.peers.connect({})
     accepting.cancel()
+    # Links close with a handshake. If the loop ended first, it would cancel
+    # the task that closes them, and the server would wait for it for ever.
+    await asyncio.wait({accepting}, timeout=servers.CLOSE_TIMEOUT_S)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -98,8 +98,18 @@
         self.spawn(name, "standins.worker", *arguments, *_format(options))
         self._list(name, "worker", data_centre, port, rack=rack)
 
-    def add_entry(self, name: str, data_centre: str) -> None:
-        """Starts an entry instance and lists it."""
+    def add_entry(
+        self, name: str, data_centre: str, store: str = "", listed: str = ""
+    ) -> None:
+        """Starts an entry instance and lists it.
+
+        Args:
+            name: Its id.
+            data_centre: Its data centre.
+            store: Address at which it reaches the store, if not directly.
+            listed: Address at which its peers reach it, if not directly; the
+                caller relays it to the address in `entries`.
+        """
         ports = [find_port() for _ in range(3)]
         callers, operators, peers = (f"{HOST}:{port}" for port in ports)
         tree = {
@@ -108,7 +118,7 @@
             "callers_listen": callers,
             "operators_listen": operators,
             "peers_listen": peers,
-            "store_address": self.store,
+            "store_address": store or self.store,
         }
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(tree), encoding="utf-8")
@@ -116,6 +126,8 @@
             name, data_centre, callers, operators, peers, path
         )
         self._list(name, "entry", data_centre, ports[2])
+        if listed:
+            self.listings[-1]["address"] = listed
         self.start_entry(name)
 
     def start_entry(self, name: str) -> None:
