--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,7 @@
 
 budget: $(STAMP)
 	$(BIN)/python -m tools.budget
+
+# Times and costs of recovery in virtual time.
+recovery: $(STAMP)
+	$(BIN)/python -m tools.recovery
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -125,6 +125,11 @@
     the other copy ran.
     Then the trace "tasks/delayed_copies" holds
 
+  Scenario: A task never in two places: late refusal
+    Guards against a late refusal of one attempt that is taken for one of
+    the next.
+    Then the trace "tasks/late_refusal" holds
+
   Scenario: A task never in two places: messages lost
     Guards against tasks that are lost or doubled while a third of all
     messages is lost.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -13,11 +13,13 @@
 import attrs
 
 from sapphirestall_core import attempts
+from sapphirestall_core import claims
 from sapphirestall_core import commands
 from sapphirestall_core import eviction
 from sapphirestall_core import inventory
 from sapphirestall_core import membership
 from sapphirestall_core import ownership
+from sapphirestall_core import requests_state
 from sapphirestall_core import spread
 from standins import store_model
 from standins import trace
@@ -112,7 +114,25 @@
     store_model.Store.put = mutated
 
 
+def _claim_each_request_alone() -> None:
+    claims.name_scope = lambda event: event.request_id
+
+
+def _forget_unproven_attempts() -> None:
+    requests_state.Request.unproven = property(lambda _: False, lambda *_: None)
+
+
 MUTATIONS = (
+    Mutation(
+        "claim skipped",
+        "requests/same_key_other_instance",
+        _claim_each_request_alone,
+    ),
+    Mutation(
+        "proof of every attempt",
+        "requests/executor_dies_while_running",
+        _forget_unproven_attempts,
+    ),
     Mutation(
         "command expiry", "tasks/start_command_expired", _expire_no_command
     ),
--- /dev/null
+++ b/tools/recovery.py
@@ -0,0 +1,90 @@
+"""Measures recovery in virtual time: how long it takes and what it costs."""
+
+from collections.abc import Callable
+import sys
+
+import attrs
+
+from standins import trace_run
+from standins import trace_steps
+
+SEED = 1
+SIZES = (4, 8, 16, 32)
+WINDOW_S = 30.0
+LIMIT_S = 120.0
+# Growth by more than this over proportional would not be linear.
+TOLERANCE = 1.25
+
+
+def _count(run: trace_run.Run, prefix: str) -> int:
+    counts = run.world.counts
+    return sum(counts[name] for name in counts if name.startswith(prefix))
+
+
+@attrs.frozen
+class Cost:
+    """Calls in the window after a fault."""
+
+    store_calls: int
+    worker_messages: int
+
+
+def measure_restart(entries: int) -> Cost:
+    """Restarts all entry instances at once; counts calls in the window."""
+    layout = trace_run.Layout(entries=entries, workers=32, racks=8)
+    run = trace_run.make_run(layout, SEED)
+    run.world.run(10.0)
+    store, workers = _count(run, "store "), _count(run, "worker ")
+    for name in list(run.world.nodes):
+        trace_steps.apply(trace_steps.Start(name), run)
+    run.world.run(WINDOW_S)
+    return Cost(_count(run, "store ") - store, _count(run, "worker ") - workers)
+
+
+def measure_recovery(steps: list[trace_steps.Step]) -> float:
+    """Returns the seconds from a fault until a new job has finished."""
+    run = trace_run.make_run(trace_run.Layout(entries=3), SEED)
+    run.world.run(5.0)
+    for step in steps:
+        trace_steps.apply(step, run)
+    since = run.world.now
+    job = trace_steps.Submit("j", "other:sefrou-rack-0", 3, 1.0)
+    while not run.calls.get("j") or not run.list_finished("j"):
+        result = run.world.results.get(run.calls.get("j", ""))
+        if result is None or hasattr(result, "code"):
+            trace_steps.apply(job, run)
+        run.world.run(0.5)
+        if run.world.now > since + LIMIT_S:
+            break
+    return run.world.now - since
+
+
+FAULTS: dict[str, list[trace_steps.Step]] = {
+    "none": [],
+    "owner killed": [trace_steps.Kill("owner:sefrou-rack-0")],
+    "owner paused": [trace_steps.Pause("owner:sefrou-rack-0", 60.0)],
+    "owner's lease ended": [trace_steps.ExpireLease("sefrou-rack-0")],
+    "worker killed": [trace_steps.Kill("sefrou-worker-0")],
+}
+
+
+def main(write: Callable[[str], object] = print) -> int:
+    """Prints the figures; returns 0 when costs grow at most linearly."""
+    for name, steps in FAULTS.items():
+        write(f"{name:22} first tasks after {measure_recovery(steps):5.1f} s")
+    costs = {size: measure_restart(size) for size in SIZES}
+    for size, cost in costs.items():
+        write(f"{size:3} restarted: {cost}")
+    first = costs[SIZES[0]]
+    linear = all(
+        cost.store_calls <= TOLERANCE * first.store_calls * size / SIZES[0]
+        and cost.worker_messages
+        <= TOLERANCE * first.worker_messages * size / SIZES[0]
+        for size, cost in costs.items()
+    )
+    write(f"at most linear: {linear}")
+    return 0 if linear else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
