--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -11,11 +11,20 @@
       | too many processors    | job_too_large       |
       | an unknown team        | unknown_team        |
       | an unknown data centre | unknown_data_centre |
-      | no tasks               | invalid_job         |
       | no size                | invalid_job         |
-      | a slash in its id      | invalid_job         |
       | the store down         | store_unavailable   |
 
+  Scenario Outline: A job command with <fault> cannot be built
+    Guards against a record under a wrong key and a job that never ends. These
+    were refused as invalid_job before commands checked themselves.
+    Then building a job command with <fault> fails
+
+    Examples:
+      | fault             |
+      | no tasks          |
+      | a negative size   |
+      | a slash in its id |
+
   Scenario: A job id is taken only once
     Guards against a second job under the id of another.
     Given a batch world of 2 entry instances and 2 workers
--- a/features/steps/inventory_steps.py
+++ b/features/steps/inventory_steps.py
@@ -11,10 +11,26 @@
 from standins import world as world_module
 
 
-@behave.when('the owner loses contact to worker "{worker_id}"')
-def step(context, worker_id):
+@behave.when("the owner loses contact to the busiest worker")
+def step(context):
+    run = context.batch
+    workers = run.world.workers
+    busiest = max(workers, key=lambda name: len(workers[name].tasks))
+    context.lost = len(workers[busiest].tasks)
+    assert context.lost
+    run.world.cut_all([run.find_owner()], [busiest])
+
+
+@behave.then(
+    "the tasks of the busiest worker are started again within {limit_s:g} s"
+)
+def step(context, limit_s):
     run = context.batch
-    run.world.cut_all([run.find_owner()], [worker_id])
+    expected = 6 + context.lost
+    assert run.world.run_until(
+        lambda: len(run.list_starts("j1")) >= expected, limit_s
+    ), (run.list_starts("j1"), context.lost)
+    assert len(run.list_starts("j1")) == expected
 
 
 @behave.when('worker "{worker_id}" restarts')
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -17,15 +17,27 @@
     state = run.world.nodes["e0"].state
     state.policy = policy.Policy(teams={"press": policy.Team()})
     run.faults.store_down = fault == "the store down"
-    tasks = 0 if fault == "no tasks" else 1
     options = {
         "too many processors": {"cpu_millis": 4001},
         "an unknown team": {"team": "nobody"},
         "an unknown data centre": {"data_centre": "nowhere"},
-        "no size": {"cpu_millis": -1},
+        "no size": {"cpu_millis": 0, "memory_mb": 0},
     }.get(fault, {})
+    context.result = run.submit("j1", 1, 1, **options)
+
+
+@behave.then("building a job command with {fault} fails")
+def step(context, fault):
     job_id = "a/b" if fault == "a slash in its id" else "j1"
-    context.result = run.submit(job_id, tasks, 1, **options)
+    tasks = 0 if fault == "no tasks" else 1
+    cpu_millis = -1 if fault == "a negative size" else 1000
+    try:
+        operator_messages.SubmitJob(
+            job_id, "sefrou", "press", "tally", tasks, cpu_millis, 500, 1.0
+        )
+    except ValueError:
+        return
+    raise AssertionError("the command was built")
 
 
 @behave.when('the job "{job_id}" is submitted again')
--- a/packages/core/src/sapphirestall_core/errors.py
+++ b/packages/core/src/sapphirestall_core/errors.py
@@ -73,3 +73,17 @@
 
     code = "listen_failed"
     exit_code = 6
+
+
+class UnknownOutcomeError(SapphirestallError):
+    """A command may or may not have taken effect."""
+
+    code = "outcome_unknown"
+    exit_code = 7
+
+
+class WaitEndedError(SapphirestallError):
+    """The awaited state was not reached in the time allowed."""
+
+    code = "wait_ended"
+    exit_code = 8
--- a/packages/core/src/sapphirestall_core/policy_calls.py
+++ b/packages/core/src/sapphirestall_core/policy_calls.py
@@ -1,28 +1,214 @@
-"""Places at which batch work asks the policies.
+"""Places at which batch work asks the scheduling policy.
 
-Each function is called at exactly one kind of moment and returns effects, so
-that a policy needs no change in the handlers of batch work.
+Each function is called at exactly one kind of moment, so that a policy needs
+no change in the handlers of batch work. `scheduling` decides; the functions
+here translate between its views and the handlers' state.
 """
 
 from __future__ import annotations
 
+import functools
+import itertools
 from typing import TYPE_CHECKING
 
+from sapphirestall_core import commands
+from sapphirestall_core import controller
+from sapphirestall_core import eviction
+from sapphirestall_core import membership
+from sapphirestall_core import messages
+from sapphirestall_core import placement
+from sapphirestall_core import scheduling
+from sapphirestall_core import tasks_state
+
 if TYPE_CHECKING:
     from sapphirestall_core import dispatch
+    from sapphirestall_core import jobs
     from sapphirestall_core import state
     from sapphirestall_core import task_messages
-    from sapphirestall_core import tasks_state
+
+PART = "policy"
+# Plans for tasks of one share in one pass; each evicts tasks at once.
+MAX_PLANS = 16
+# Counting all workers takes about as long as taking a report.
+QUOTA_PERIOD_S = 10.0
+_EVICTING = (tasks_state.Phase.CHECKPOINTING, tasks_state.Phase.STOPPING)
 
 
 def note_report(
     worker: tasks_state.Worker,
     report: task_messages.WorkerReport,
+    partition: tasks_state.Partition,
     instance: state.Instance,
     now: float,
 ) -> dispatch.Effects:
     """Called when a worker's report was taken."""
-    return []
+    if worker.ledger is None:
+        return []
+    _refresh_quota_share(instance, now)
+    for attempt in worker.attempts.values():
+        scheduling.record_eviction(
+            instance.scheduling,
+            worker.worker_id,
+            attempt.name,
+            attempt.phase in _EVICTING,
+        )
+
+    def find_record(job_id: str) -> jobs.JobRecord | None:
+        job = instance.tasks.jobs.get(job_id)
+        return job.record if job else None
+
+    actions = scheduling.observe(
+        instance.scheduling,
+        worker.worker_id,
+        report,
+        worker.ledger,
+        find_record,
+        instance.policy,
+        {attempt.name for attempt in worker.attempts.values()},
+        now,
+    )
+    effects: dispatch.Effects = []
+    for action in actions:
+        effects += _carry_out(action, worker, partition, instance, now)
+    return effects
+
+
+def _refresh_quota_share(instance: state.Instance, now: float) -> None:
+    """Computes which part of all workers this instance schedules."""
+    policy = instance.scheduling
+    if now < policy.quota_due_at and len(policy.views) == policy.quota_views:
+        return
+    policy.quota_due_at = now + QUOTA_PERIOD_S
+    policy.quota_views = len(policy.views)
+    everywhere = sum(
+        entry.kind is membership.Kind.WORKER
+        for entry in instance.members.listings.values()
+    )
+    policy.quota_share = min(1.0, len(policy.views) / max(1, everywhere))
+
+
+@functools.singledispatch
+def _carry_out(
+    action: controller.Action,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    """Returns the effects of what the controller wants done."""
+    raise NotImplementedError(type(action).__name__)
+
+
+@_carry_out.register(controller.Throttle)
+def _(
+    action: controller.Throttle,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    if not commands.may_command(worker, partition, instance, now):
+        return []
+    reason = f"to {action.share} for the services of {worker.worker_id}"
+    instance.journal.record(now, str(action.name), "throttle", reason)
+    return [commands.throttle(action.name, action.share, worker, partition)]
+
+
+@_carry_out.register(controller.Evict)
+def _(
+    action: controller.Evict,
+    worker: tasks_state.Worker,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+) -> dispatch.Effects:
+    reason = f"slows the services of {worker.worker_id}"
+    return _evict(
+        action.name, worker.worker_id, partition, instance, now, reason
+    )
+
+
+def _evict(
+    name: task_messages.AttemptName,
+    worker_id: str,
+    partition: tasks_state.Partition,
+    instance: state.Instance,
+    now: float,
+    reason: str,
+) -> dispatch.Effects:
+    effects = eviction.start(name, partition, instance, now, reason)
+    attempt = eviction.find_current(name, partition)
+    if attempt is not None and attempt.phase in _EVICTING:
+        scheduling.record_eviction(instance.scheduling, worker_id, name)
+    return effects
+
+
+def note_queues(instance: state.Instance) -> None:
+    """Called before waiting tasks are placed."""
+    urgent_from = instance.policy.sharing.urgent_from
+    instance.scheduling.lower_waiting = any(
+        key.urgency < urgent_from
+        for partition in instance.tasks.partitions.values()
+        for key in partition.queues
+    )
+
+
+def make_demand(
+    share: tasks_state.Share, instance: state.Instance
+) -> placement.Demand:
+    """Returns what a task of a share needs."""
+    return scheduling.make_demand(instance.scheduling, share.job.record)
+
+
+def find_worker(
+    demand: placement.Demand,
+    workers: list[tasks_state.Worker],
+    instance: state.Instance,
+    now: float,
+) -> tasks_state.Worker | str:
+    """Called for each waiting task.
+
+    Returns:
+        The worker that takes it, or the reason why none does.
+    """
+    by_id = {worker.worker_id: worker for worker in workers}
+    decision = scheduling.find_worker(
+        instance.scheduling, demand, by_id, instance.policy, now
+    )
+    match decision:
+        case placement.Chosen(worker_id=worker_id):
+            return by_id[worker_id]
+        case placement.NotPlaced(reason=reason):
+            return reason
+    raise NotImplementedError(type(decision).__name__)
+
+
+def note_started(
+    worker: tasks_state.Worker,
+    attempt: tasks_state.Attempt,
+    demand: placement.Demand,
+    instance: state.Instance,
+    now: float,
+) -> None:
+    """Called when a start is sent."""
+    assert attempt.share is not None
+    scheduling.record_start(
+        instance.scheduling,
+        worker.worker_id,
+        attempt.name,
+        attempt.share.job.record,
+        demand,
+        now,
+    )
+
+
+def note_start_refused(
+    worker: tasks_state.Worker,
+    name: task_messages.AttemptName,
+    instance: state.Instance,
+) -> None:
+    """Called when a start did not take effect for a reason such as no room."""
+    scheduling.record_withdrawal(instance.scheduling, worker.worker_id, name)
 
 
 def note_start_failed(
@@ -32,7 +218,20 @@
     now: float,
 ) -> dispatch.Effects:
     """Called when a worker failed to start a task, or a task failed."""
-    return []
+    policy = instance.scheduling
+    before = policy.probation.is_on_probation(worker.worker_id)
+    aside = scheduling.record_failure(policy, worker.worker_id, name, now)
+    if not aside or before:
+        return []
+    reason = f"{name} failed, as did the tasks before it"
+    instance.journal.record(now, worker.worker_id, "probation", reason)
+    text = f"worker {worker.worker_id} fails its tasks and gets trials only"
+    return [messages.Log(PART, text)]
+
+
+def note_job_failed(job_id: str, instance: state.Instance) -> None:
+    """Called when a job failed on several workers, so that they did not."""
+    instance.scheduling.probation.forgive(job_id)
 
 
 def note_finished(
@@ -42,25 +241,53 @@
     now: float,
 ) -> dispatch.Effects:
     """Called once when a task finished."""
+    scheduling.record_finish(instance.scheduling, worker.worker_id, name, now)
     return []
 
 
+def note_lost(
+    partition: tasks_state.Partition, instance: state.Instance
+) -> None:
+    """Called when this instance gives up a partition."""
+    for worker_id in partition.workers:
+        scheduling.forget_worker(instance.scheduling, worker_id)
+
+
 def make_room(
     share: tasks_state.Share,
+    usable: list[tasks_state.Worker],
     partition: tasks_state.Partition,
     instance: state.Instance,
     now: float,
 ) -> dispatch.Effects:
-    """Called when no worker of a partition has room for a waiting task.
+    """Called when no worker of a partition takes a waiting task.
 
-    A policy that wants room calls `eviction.start` for some of
-    `eviction.list_candidates` and returns the effects.
+    Evicts tasks of lower urgency if the waiting task is urgent.
     """
-    return []
+    urgency = share.job.record.urgency
+    if urgency < instance.policy.sharing.urgent_from:
+        return []
+    demand = make_demand(share, instance)
+    effects: dispatch.Effects = []
+    for task in itertools.islice(share.waiting, MAX_PLANS):
+        plan = scheduling.claim_room(
+            instance.scheduling,
+            share.job.record.job_id,
+            task,
+            demand,
+            [worker.worker_id for worker in usable],
+            instance.policy,
+            now,
+        )
+        for name in plan.victims if plan else ():
+            reason = f"makes room for {share.job.record.job_id}.{task}"
+            worker_id = plan.worker_id if plan else ""
+            effects += _evict(name, worker_id, partition, instance, now, reason)
+    return effects
 
 
 def is_on_probation(
     worker: tasks_state.Worker, instance: state.Instance, now: float
 ) -> bool:
     """Tells whether a worker's failures count against it, not the job."""
-    return False
+    return instance.scheduling.probation.is_on_probation(worker.worker_id)
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -130,6 +130,7 @@
         checkpoints: Checkpoints of stopped tasks.
         failures: Workers on which a task failed and when, by task.
         waiting_since: Own time since which tasks wait without a start.
+        waiting_reason: Why the policy placed none of them last.
     """
 
     job: Job
@@ -141,6 +142,7 @@
     checkpoints: dict[int, jobs.Checkpoint] = attrs.field(factory=dict)
     failures: dict[int, dict[str, float]] = attrs.field(factory=dict)
     waiting_since: float = 0.0
+    waiting_reason: str = ""
 
     @property
     def is_active(self) -> bool:
@@ -280,8 +282,6 @@
     Attributes:
         store_failed_at: Own time of the last failed store call.
         started_at: Own time at which the partitions were first looked at.
-        drain_until: Own time after which a shutdown no longer waits for the
-            hand-over; negative while there is none.
         unread: Jobs whose records are to be read.
         forwarded: Number of commands handed to other instances.
         rooms: Partitions of peers by name.
@@ -293,7 +293,6 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     store_failed_at: float = -1000.0
     started_at: float = -1.0
-    drain_until: float = -1.0
     unread: set[str] = attrs.field(factory=set)
     rooms: dict[str, Room] = attrs.field(factory=dict)
     queries: dict[str, Query] = attrs.field(factory=dict)
@@ -303,10 +302,9 @@
         """Returns the partitions that this instance owns."""
         return [p for p in self.partitions.values() if p.epoch]
 
-    def is_idle(self, now: float) -> bool:
-        """Tells whether a shutdown need not wait for batch work."""
-        held = any(
+    def is_idle(self) -> bool:
+        """Tells whether no partition is held or being acquired."""
+        return not any(
             p.epoch or p.pending_epoch or p.acquiring
             for p in self.partitions.values()
         )
-        return not held or 0 <= self.drain_until <= now
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -4,11 +4,13 @@
 import contextlib
 import socket
 
-from starlette import applications
+from starlette import types
 import uvicorn
 
 from sapphirestall_core import errors
 
+# Answers that are ready get this long to leave after the drain ended.
+CLOSE_TIMEOUT_S = 2
 BACKLOG = 1024
 
 
@@ -39,9 +41,14 @@
         ) from error
 
 
-def make_server(app: applications.Starlette) -> Server:
+def make_server(app: types.ASGIApp) -> Server:
     """Returns a server for an application; `serve(sockets=...)` runs it."""
     config = uvicorn.Config(
-        app, lifespan="off", log_config=None, access_log=False, ws="none"
+        app,
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        ws="none",
+        timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
     )
     return Server(config)
--- a/standins/world.py
+++ b/standins/world.py
@@ -28,9 +28,11 @@
 from standins import worker_model
 
 STORE = "store"
+EVENTS_KEPT = 200
 STORE_DELAY_S = 0.003
 LINK_DELAY_S = 0.0015
 CALL_TIMEOUT_S = 2.0
+LATE_WRITE_S = 6.0
 WATCH_WAIT_S = 30.0
 
 
@@ -51,21 +53,34 @@
 
 @attrs.define
 class Executor:
-    """An executor; `work_s` is the time that one request takes.
+    """An executor; `work_s` is the mean time that one request takes.
 
     Attributes:
+        spread: Share of that time that is drawn at random, exponentially.
+        fault: `truncate`,
+            `duplicate` or `crossed` (answers under an earlier attempt's id).
         runs: Start times by request id.
     """
 
     slots: int = 8
     work_s: float = 0.01
+    spread: float = 0.0
     running: int = 0
     alive: bool = True
     leaving: bool = False
+    fault: str = ""
+    last_attempt: str = ""
     runs: dict[str, list[float]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
 
+    def draw_work(self, rng: random.Random) -> float:
+        """Returns the time that the next request takes, in seconds."""
+        if not self.spread:
+            return self.work_s
+        drawn = rng.expovariate(1.0)
+        return self.work_s * (1 - self.spread + self.spread * drawn)
+
 
 @attrs.define
 class Faults:
@@ -76,7 +91,10 @@
         loss: Share of messages that are lost.
         duplication: Share of worker commands that arrive twice.
         lost_answers: Share of store writes whose answer is lost.
+        late_writes: Share of store writes that time out and take effect up to
+            `LATE_WRITE_S` after they were sent.
         slow_store_s: Added to each store call.
+        writes_per_s: Store writes that are served in a second; 0 is no limit.
     """
 
     cut: set[frozenset[str]] = attrs.field(factory=set)
@@ -85,12 +103,19 @@
     duplication: float = 0.0
     extra_delay_s: float = 0.0
     lost_answers: float = 0.0
+    late_writes: float = 0.0
     slow_store_s: float = 0.0
+    writes_per_s: float = 0.0
 
 
 @attrs.define
 class World:
-    """Entry instances, stand-ins, the network and the clock."""
+    """Entry instances, stand-ins, the network and the clock.
+
+    Attributes:
+        history: Newest events that instances were given, with the time and
+            the instance.
+    """
 
     seed: int = 0
     now: float = 1000.0
@@ -105,7 +130,11 @@
     )
     results: dict[str, operator_messages.Result] = attrs.field(factory=dict)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    store_free_at: float = 0.0
     dead_workers: set[str] = attrs.field(factory=set)
+    history: collections.deque[tuple[float, str, messages.Event]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=EVENTS_KEPT)
+    )
     observers: list[Callable[[World], None]] = attrs.field(factory=list)
     queue: list[tuple[float, int, Callable[[], None]]] = attrs.field(
         factory=list
@@ -189,12 +218,19 @@
         """Advances virtual time; observers run after each event."""
         end = self.now + duration_s
         while self.queue and self.queue[0][0] <= end:
-            self.now, _, action = heapq.heappop(self.queue)
-            action()
-            for observe in self.observers:
-                observe(self)
+            self.step()
         self.now = end
 
+    def step(self) -> bool:
+        """Runs the next action and the observers; tells if there was one."""
+        if not self.queue:
+            return False
+        self.now, _, action = heapq.heappop(self.queue)
+        action()
+        for observe in self.observers:
+            observe(self)
+        return True
+
     def run_until(self, check: Callable[[], bool], limit_s: float) -> bool:
         """Advances until a check holds; tells whether it did in time."""
         end = self.now + limit_s
@@ -211,6 +247,7 @@
         if self.now < node.paused_until:
             node.held.append(event)
             return
+        self.history.append((self.now, node.state.identity.instance_id, event))
         for effect in instance.handle(event, node.state, self.now):
             perform(effect, node, self)
 
@@ -296,8 +333,9 @@
 def _(effect: membership.ReadInstances, node: Node, world: World) -> None:
     node_id = node.state.identity.instance_id
     failed = world.faults.store_down or world.is_cut(node_id, STORE)
-    listings = () if failed else tuple(world.listings.values())
-    event = membership.InstancesListed(listings)
+    event: messages.Event = membership.InstancesUnread()
+    if not failed:
+        event = membership.InstancesListed(tuple(world.listings.values()))
     world.at(STORE_DELAY_S, lambda: world.feed(node, event))
 
 
