Mark a slice as done when its unfinished tasks moved away

Cause: an owner checked for the end of a slice only after its own commits. Change: a changed slice is checked at the next commit. The invariant monitor accepts that a task leaves the committed progress when the job record lists its slice as done, which is as durable. Conclusion: moves and commits can cross in either order.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -114,6 +114,16 @@
     Then batch job "j1" finishes within 200 s
     And no batch task ran in two places and no worker was overfilled
 
+  Scenario: A slice whose unfinished tasks moved away is done
+    Guards against jobs that stay active because the last commit came before
+    the move.
+    Given a batch world of 1 entry instances and 2 workers
+    When batch job "j1" of 8 tasks of 5 s is submitted
+    And batch time passes for 4 s
+    And all but the last task of job "j1" are finished and the last one moves
+    And batch time passes for 3 s
+    Then the first slice of job "j1" is done
+
   Scenario: A waiting job says why
     Guards against jobs that wait without a reason.
     Given a batch world of 1 entry instances and 2 workers
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -1,10 +1,14 @@
 """Steps for jobs.feature."""
 
+import attrs
 import behave
 
+from sapphirestall_core import jobs
 from sapphirestall_core import operator_messages
 from sapphirestall_core import peer_messages
 from sapphirestall_core import policy
+from sapphirestall_core import ranges
+from sapphirestall_core import records
 from sapphirestall_core import resources
 from sapphirestall_core import submission
 
@@ -114,6 +118,41 @@
     run.world.dead_workers.update(w for w in run.workers if w[1] == "1")
 
 
+@behave.when(
+    'all but the last task of job "{job_id}" are finished and the last one'
+    " moves"
+)
+def step(context, job_id):
+    run = context.batch
+    partition = run.get_partition()
+    share = partition.shares[job_id]
+    finished = (jobs.Range(0, 6),)
+    share.finished = ranges.build(finished)
+    partition.progress = attrs.evolve(
+        partition.progress, finished={job_id: finished}
+    )
+    partition.dirty.clear()
+    # The record as it is when the move of task 7 is written after the commit.
+    moved = attrs.evolve(
+        share.job.record,
+        slices=(jobs.Slice("rack0", 0, 6), jobs.Slice("rack9", 7, 7)),
+    )
+    key = jobs.make_job_key("sefrou", job_id)
+    item = run.world.store.put(
+        key, moved, run.world.store.items[key].version, None
+    )
+    node = run.world.nodes["e0"]
+    records.take(
+        moved, item.version, item.create_revision, node.state, run.world.now
+    )
+
+
+@behave.then('the first slice of job "{job_id}" is done')
+def step(context, job_id):
+    slices = context.batch.get_record(job_id).slices
+    assert [part.done for part in slices] == [True, False], slices
+
+
 @behave.then(
     "the job command fails with {code} and the store has {count:d} job records"
 )
--- a/packages/core/src/sapphirestall_core/records.py
+++ b/packages/core/src/sapphirestall_core/records.py
@@ -72,6 +72,8 @@
     if share.slices != slices:
         share.slices = slices
         _rebuild_waiting(share, partition)
+        # All that is left may be finished already, when the rest moved away.
+        partition.dirty.add(record.job_id)
     return []
 
 
--- a/standins/invariants.py
+++ b/standins/invariants.py
@@ -257,13 +257,18 @@
                     )
 
     def _is_active(self, task: TaskName) -> bool:
-        # The tasks of an ended job leave the committed state.
+        # The tasks of an ended job, or of a slice that the job record lists as
+        # done, leave the committed state.
         key = jobs.make_job_key(task.data_centre, task.job_id)
         item = self.world.store.items.get(key)
         record = item.value if item else None
         return (
             isinstance(record, jobs.JobRecord)
             and record.state is jobs.JobState.ACTIVE
+            and not any(
+                part.done and part.first <= task.task <= part.last
+                for part in record.slices
+            )
         )
 
     # I4 to I6: requests.
