--- a/packages/core/src/sapphirestall_core/instance.py
+++ b/packages/core/src/sapphirestall_core/instance.py
@@ -15,14 +15,8 @@
 
 def build(identity: state.Identity) -> state.Instance:
     """Returns the state of a new entry instance."""
-    return state.Instance(
-        identity,
-        start_timers=(
-            *tasks.START_TIMERS,
-            slots.SlotsDue(),
-            health.HealthDue(),
-        ),
-    )
+    timers = (*tasks.START_TIMERS, slots.SlotsDue(), health.HealthDue())
+    return state.Instance(identity, start_timers=timers)
 
 
 def handle(
--- a/packages/core/src/sapphirestall_core/policy_calls.py
+++ b/packages/core/src/sapphirestall_core/policy_calls.py
@@ -16,6 +16,7 @@
 from sapphirestall_core import eviction
 from sapphirestall_core import membership
 from sapphirestall_core import messages
+from sapphirestall_core import observation
 from sapphirestall_core import placement
 from sapphirestall_core import scheduling
 from sapphirestall_core import tasks_state
@@ -57,7 +58,7 @@
         job = instance.tasks.jobs.get(job_id)
         return job.record if job else None
 
-    actions = scheduling.observe(
+    actions = observation.observe(
         instance.scheduling,
         worker.worker_id,
         report,
@@ -262,10 +263,11 @@
 ) -> dispatch.Effects:
     """Called when no worker of a partition takes a waiting task.
 
-    Evicts tasks of lower urgency if the waiting task is urgent.
+    Evicts tasks of lower urgency if the waiting task may have them evicted.
     """
     urgency = share.job.record.urgency
-    if urgency < instance.policy.sharing.urgent_from:
+    refused = share.waiting_reason not in scheduling.EVICT_FOR
+    if refused or urgency < instance.policy.sharing.background_below:
         return []
     demand = make_demand(share, instance)
     effects: dispatch.Effects = []
--- a/packages/core/src/sapphirestall_core/request_attempts.py
+++ b/packages/core/src/sapphirestall_core/sending.py
@@ -9,11 +9,11 @@
 from sapphirestall_core import buckets
 from sapphirestall_core import claims
 from sapphirestall_core import dispatch
+from sapphirestall_core import endings
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import outcomes
 from sapphirestall_core import request_messages
-from sapphirestall_core import request_replies
 from sapphirestall_core import requests_state
 from sapphirestall_core import retries
 from sapphirestall_core import slots
@@ -99,8 +99,8 @@
     """Ends a request that waits; it gets no further attempt."""
     service = instance.requests.services[request.arrived.service]
     admission.remove(request, service)
-    outcome = request_replies.make_failed(request, code)
-    return request_replies.conclude(request, outcome, instance, now)
+    outcome = endings.make_failed(request, code)
+    return endings.conclude(request, outcome, instance, now)
 
 
 def _send(
@@ -181,19 +181,16 @@
     needed_s = admission.estimate(own_service, request.arrived.operation, now)
     obstacle = retries.spend(request, own_service, needed_s, now)
     if obstacle is not None:
-        outcome = request_replies.make_failed(request, event.code)
+        outcome = endings.make_failed(request, event.code)
         count = messages.CountRefusal("retries", obstacle)
-        return [
-            count,
-            *request_replies.conclude(request, outcome, instance, now),
-        ]
+        return [count, *endings.conclude(request, outcome, instance, now)]
     request.phase = Phase.BACKOFF
     delay_s = retries.delay(request.attempts_made)
     timer = retries.RetryDue(request.arrived.request_id)
     return [
-        messages.CountRetry(request_replies.PART, event.code),
+        messages.CountRetry(endings.PART, event.code),
         messages.StartTimer(timer, delay_s, retries.BACKOFF_JITTER),
-        *request_replies.arm(request, instance, now),
+        *endings.arm(request, instance, now),
     ]
 
 
@@ -253,7 +250,7 @@
     now: float,
 ) -> dispatch.Effects:
     end_claiming(request, instance)
-    return request_replies.conclude(request, verdict.outcome, instance, now)
+    return endings.conclude(request, verdict.outcome, instance, now)
 
 
 @settle.register(buckets.ReleaseEnded)
@@ -264,7 +261,7 @@
     now: float,
 ) -> dispatch.Effects:
     assert request.outcome is not None
-    return request_replies.give(request, request.outcome, instance)
+    return endings.give(request, request.outcome, instance)
 
 
 def end_claiming(
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -106,7 +106,7 @@
         context.callers.build_app(), context.counters, context.clock
     )
     web = [
-        servers.make_server(callers_app),
+        servers.make_server(callers_app, context.callers.reject_malformed),
         servers.make_server(context.operators.build_app()),
     ]
     running = [
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -11,7 +11,7 @@
 ) -> cattrs.Converter:
     """Returns a converter that takes no value of another type.
 
-    Untyped values pass unchanged. Bytes become base64 text, since JSON has no
+    Untyped values pass unchanged; bytes become base64 text, since JSON has no
     type for them. Without the strict hooks, cattrs would turn
     a number into text and text into a number without a word.
 
@@ -34,9 +34,19 @@
     converter.register_structure_hook_func(
         lambda target: target == tuple[str, str], _read_pair
     )
+    converter.register_unstructure_hook(bytes, _write_bytes)
+    converter.register_structure_hook(bytes, _read_bytes)
     return converter
 
 
+def _write_bytes(value: bytes) -> str:
+    return base64.b64encode(value).decode("ascii")
+
+
+def _read_bytes(value: Any, _: type) -> bytes:
+    return base64.b64decode(_read_text(value, str), validate=True)
+
+
 def _read_text(value: Any, _: type) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r:.80} is not text")
@@ -65,11 +75,3 @@
     if not isinstance(value, list | tuple) or len(value) != 2:
         raise TypeError(f"{value!r:.80} is not a pair of texts")
     return _read_text(value[0], str), _read_text(value[1], str)
-
-
-def _write_bytes(value: bytes) -> str:
-    return base64.b64encode(value).decode("ascii")
-
-
-def _read_bytes(value: Any, _: type) -> bytes:
-    return base64.b64decode(value, validate=True)
