--- a/features/batch.py
+++ b/features/batch.py
@@ -87,7 +87,7 @@
             kind=options.pop("kind", "tally"),
             task_count=tasks,
             cpu_millis=options.pop("cpu_millis", 1000),
-            memory_mb=500,
+            memory_mb=options.pop("memory_mb", 500),
             run_s=run_s,
             **options,
         )
--- a/packages/core/src/sapphirestall_core/submission.py
+++ b/packages/core/src/sapphirestall_core/submission.py
@@ -232,13 +232,9 @@
 def _find_fault(
     command: operator_messages.SubmitJob, instance: state.Instance
 ) -> tuple[str, str] | None:
-    if not command.job_id or "/" in command.job_id or "\0" in command.job_id:
-        return "invalid_job", "the job id is empty or holds a slash"
-    if command.task_count < 1 or command.run_s < 0:
-        return "invalid_job", "a job needs a task and a run time"
     sizes = (command.cpu_millis, command.memory_mb, command.accelerators)
-    if min(sizes) < 0 or max(sizes) == 0:
-        return "invalid_job", "the size of a task must be positive"
+    if not any(sizes):
+        return "invalid_job", "a task needs some processors or memory"
     teams = instance.policy.teams
     if teams and command.team not in teams:
         return "unknown_team", f"no team {command.team!r} is configured"
