--- a/packages/entry/src/sapphirestall_entry/codec.py
+++ b/packages/entry/src/sapphirestall_entry/codec.py
@@ -1,6 +1,7 @@
 """CBOR encoding of the messages between entry instances."""
 
 import functools
+import io
 from typing import Any
 
 import cattrs
@@ -38,7 +39,10 @@
             other bytes, is of an unknown type or has wrong fields.
     """
     try:
-        tree = cbor2.loads(frame)
+        stream = io.BytesIO(frame)
+        tree = cbor2.load(stream)
+        if stream.read(1):
+            raise ValueError("bytes after the message")
         message_type = _list_types()[tree.pop("type")]
         return _converter.structure(tree, message_type)
     except (
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -1,6 +1,7 @@
 """Conversion between attrs classes and trees of JSON or CBOR values."""
 
 import base64
+import typing
 from typing import Any
 
 import cattrs
@@ -32,7 +33,8 @@
     converter.register_structure_hook(float, _read_number)
     converter.register_structure_hook(bool, _read_truth)
     converter.register_structure_hook_func(
-        lambda target: target == tuple[str, str], _read_pair
+        _is_sequence,
+        lambda value, target: _read_sequence(value, target, converter),
     )
     return converter
 
@@ -61,10 +63,22 @@
     return value
 
 
-def _read_pair(value: Any, _: type) -> tuple[str, str]:
-    if not isinstance(value, list | tuple) or len(value) != 2:
-        raise TypeError(f"{value!r:.80} is not a pair of texts")
-    return _read_text(value[0], str), _read_text(value[1], str)
+def _is_sequence(target: Any) -> bool:
+    origin = typing.get_origin(target)
+    return origin is list or origin is tuple
+
+
+def _read_sequence(value: Any, target: Any, converter: cattrs.Converter) -> Any:
+    # cattrs would take a text or a map for the sequence of its parts.
+    if not isinstance(value, list | tuple):
+        raise TypeError(f"{value!r:.80} is not a list")
+    kind, inner = typing.get_origin(target), typing.get_args(target)
+    if kind is list or inner[1:] == (...,):
+        return kind(converter.structure(item, inner[0]) for item in value)
+    if len(value) != len(inner):
+        raise TypeError(f"{value!r:.80} has not {len(inner)} items")
+    pairs = zip(value, inner, strict=True)
+    return tuple(converter.structure(item, part) for item, part in pairs)
 
 
 def _write_bytes(value: bytes) -> str:
