--- a/packages/core/src/sapphirestall_core/heartbeats.py
+++ b/packages/core/src/sapphirestall_core/heartbeats.py
@@ -48,6 +48,7 @@
     greeted = instance.links.greeted
     for peer_id in greeted.keys() - set(chosen):
         del greeted[peer_id]
+    roster = make_roster(instance, now)
     for peer_id in chosen:
         if not _is_remote(peer_id, instance):
             effects.append(_make_message(peer_id, instance, now))
@@ -55,7 +56,6 @@
         if ticks % REMOTE_TICKS == 0:
             effects.append(_make_message(peer_id, instance, now))
         if ticks % ROSTER_TICKS == 0:
-            roster = make_roster(instance, now)
             effects.append(peer_messages.SendPeer(peer_id, roster))
     effects.append(messages.StartTimer(HeartbeatDue(), HEARTBEAT_PERIOD_S, 0.1))
     return effects
