Test the operators' tool against real processes

Cause: the command line had no tests. The test of a job id with '/' found that the detail of a rejected body did not say what is allowed.

--- /dev/null
+++ b/features/steps/tool_steps.py
@@ -0,0 +1,158 @@
+"""Steps for tool.feature."""
+
+import asyncio
+import os
+import pathlib
+import re
+import shlex
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+
+import aiohttp
+import behave
+
+from sapphirestall_core import errors
+from standins import fleet as fleet_module
+
+JOB = (
+    "--data-centre sefrou --team press --kind tally --tasks 2 --run-s 0.2 "
+    "--memory-mb 100"
+)
+FILES = {
+    "GOOD": '{"teams": {"press": {"cpu_millis": 9000}}}',
+    "BAD": "{colour: red}",
+    "LIST": "[1]",
+}
+
+
+def run_module(module, arguments, address):
+    return subprocess.run(
+        [sys.executable, "-m", module, *arguments],
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+        env=os.environ | {"SAPPHIRESTALL_ADDRESS": address},
+    )
+
+
+def run_tool(context, command):
+    words = shlex.split(command.replace(" JOB", f" {JOB}"))
+    if "JOB" in command and "--run-s 600" in command:
+        words[words.index("0.2")] = "600"
+    words = [
+        str(context.directory / word) if word in FILES else word
+        for word in words
+    ]
+    return run_module("sapphirestall_operator.main", words, context.address)
+
+
+def write_patches(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.directory = pathlib.Path(directory.name)
+    for name, text in FILES.items():
+        (context.directory / name).write_text(text, encoding="utf-8")
+
+
+@behave.given("a running deployment for the operators' tool")
+def step(context):
+    write_patches(context)
+    fleet = fleet_module.Fleet()
+    context.add_cleanup(fleet.stop)
+    fleet.add_store()
+    fleet.add_worker("worker", "sefrou", "rack")
+    fleet.add_entry("entry", "sefrou")
+    context.address = fleet.entries["entry"].operators
+
+    async def prepare():
+        async with aiohttp.ClientSession() as session:
+            await fleet.wait_ready(session)
+            await fleet.publish(session)
+            url = f"http://{context.address}/v1/configuration/status"
+            async with asyncio.timeout(30):
+                while True:
+                    async with session.get(url) as response:
+                        status = await response.json()
+                    if status["instances_listed"]:
+                        return
+                    await asyncio.sleep(0.1)
+
+    asyncio.run(prepare())
+
+
+@behave.then("these commands end as stated")
+def step(context):
+    wrong = []
+    for row in context.table:
+        ended = run_tool(context, row["command"])
+        text = ended.stdout + ended.stderr
+        if ended.returncode != int(row["code"]) or row["text"] not in text:
+            wrong.append((row["command"], ended.returncode, text))
+        assert "Traceback" not in text, text
+    assert not wrong, "\n".join(map(str, wrong))
+
+
+def answer(listener, behaves):
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        with connection:
+            connection.recv(65536)
+            if behaves == "answers text":
+                head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                connection.sendall(head.encode())
+
+
+@behave.given("an operators' address that {behaves}")
+def step(context, behaves):
+    write_patches(context)
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.address = f"127.0.0.1:{listener.getsockname()[1]}"
+    if behaves == "refuses connections":
+        listener.close()
+        return
+    thread = threading.Thread(target=answer, args=(listener, behaves))
+    thread.start()
+
+    def end():
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        thread.join(10)
+
+    context.add_cleanup(end)
+
+
+@behave.then('the tool ends "{command}" with code {code:d} and text "{text}"')
+def step(context, command, code, text):
+    ended = run_tool(context, command)
+    output = ended.stdout + ended.stderr
+    assert ended.returncode == code, (ended.returncode, output)
+    assert text in output, output
+
+
+@behave.when("the help of the tool and of the daemon are read")
+def step(context):
+    modules = ("sapphirestall_operator.main", "sapphirestall_entry.main")
+    context.codes = set()
+    for module in modules:
+        ended = run_module(module, ["--help"], "127.0.0.1:1")
+        listed = ended.stdout.partition("Exit codes:")[2]
+        context.codes |= {int(n) for n in re.findall(r"^ +(\d) ", listed, re.M)}
+
+
+def list_errors(base):
+    for error in base.__subclasses__():
+        yield error
+        yield from list_errors(error)
+
+
+@behave.then("every exit code of the error classes is in one of them")
+def step(context):
+    used = {e.exit_code for e in list_errors(errors.SapphirestallError)}
+    assert used <= context.codes, used - context.codes
--- a/packages/entry/src/sapphirestall_entry/operators.py
+++ b/packages/entry/src/sapphirestall_entry/operators.py
@@ -165,7 +165,7 @@
         try:
             return self.converter.structure(tree, command)
         except cattrs.BaseValidationError as error:
-            faults = "; ".join(cattrs.transform_error(error, path="body"))
+            faults = "; ".join(_list_faults(error))
             raise errors.InvalidMessageError(
                 faults[:2000], step="decode"
             ) from error
@@ -260,6 +260,21 @@
         return responses.Response(content, headers=headers)
 
 
+def _list_faults(error: cattrs.BaseValidationError) -> list[str]:
+    return cattrs.transform_error(
+        error, path="body", format_exception=_describe
+    )
+
+
+def _describe(error: BaseException, _: type | None) -> str:
+    if isinstance(error, KeyError):
+        return "a required field is missing"
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        names = ", ".join(sorted(map(str, error.extra_fields)))
+        return f"unknown fields: {names:.200}"
+    return str(error)
+
+
 @functools.singledispatch
 def render(
     result: operator_messages.Result, converter: cattrs.Converter
