--- a/packages/core/src/sapphirestall_core/job_views.py
+++ b/packages/core/src/sapphirestall_core/job_views.py
@@ -21,6 +21,13 @@
     from sapphirestall_core import state
 
 QUERY_LIMIT_S = 1.0
+WAITING_REASONS = {
+    "no_room": "no worker has room",
+    "slowdown": "every worker with room would slow its services too much",
+    "probation": "every worker with room has to prove itself first",
+    "quota": "the team holds its quota here",
+    "floor": "the rest is kept for work of lower urgency",
+}
 
 
 @attrs.frozen
@@ -179,6 +186,8 @@
         return f"{name}: a task is larger than every worker that reports"
     if not any(declared.fits(ledger.compute_free()) for ledger in ledgers):
         return f"{name}: no worker has room"
+    if share.waiting_reason:
+        return f"{name}: {WAITING_REASONS[share.waiting_reason]}"
     return f"{name}: about to start"
 
 
--- a/packages/core/src/sapphirestall_core/slots.py
+++ b/packages/core/src/sapphirestall_core/slots.py
@@ -23,7 +23,6 @@
 LOAN_TERM_S = 1.0
 TRANSIT_ALLOWANCE_S = 0.1
 MAX_DRIFT = 0.01
-PEER_SUSPECT_S = 2.0
 # A loan is repeated while its borrower has demand, before it ends.
 LOAN_REPEAT_S = 0.5
 # Share of its slots that a lender keeps free for a sudden rise of its load.
@@ -233,7 +232,7 @@
         for peer_id, peer in instance.peers.items()
         if peer.data_centre == instance.identity.data_centre
         and peer.state is membership.State.LIVE
-        and now - peer.heard_at < PEER_SUSPECT_S
+        and not liveness.is_suspect(peer_id, instance, now)
         and peer.slot_demand.get(service, 0) > 0
     )
     if not borrowers or own.demand.get(service, 0) > 0:
@@ -270,8 +269,7 @@
             # smaller one can't replace it, as the borrower might not get it.
             count -= held_count
             continue
-        used = find_executor(executor_id, instance).in_use
-        free = max(0, _count_allowed(entry, instance, now) - used)
+        free = _count_lendable(entry, instance, now)
         offered = min(count, held_count + free)
         count -= offered
         left_s = held.ends_at - now if held else 0.0
@@ -284,6 +282,22 @@
     return effects
 
 
+def _count_lendable(
+    entry: membership.Listing, instance: state.Instance, now: float
+) -> int:
+    """Returns how many own slots are idle; borrowed ones are not lent on.
+
+    A loan of borrowed slots would outlast the loan that it is made from.
+    """
+    own = instance.requests.slots
+    executor_id = entry.instance_id
+    if not _count_allowed(entry, instance, now):
+        return 0
+    lent = _count_loans(own.lent, executor_id, now)
+    used = find_executor(executor_id, instance).in_use
+    return max(0, own.shares[executor_id] - lent - used)
+
+
 def borrow(
     message: peer_messages.SlotLoan,
     peer_id: str,
--- a/packages/core/src/sapphirestall_core/state.py
+++ b/packages/core/src/sapphirestall_core/state.py
@@ -11,6 +11,7 @@
 from sapphirestall_core import peer_messages
 from sapphirestall_core import policy
 from sapphirestall_core import requests_state
+from sapphirestall_core import scheduling
 from sapphirestall_core import tasks_state
 
 
@@ -121,5 +122,8 @@
         factory=requests_state.Requests
     )
     tasks: tasks_state.Tasks = attrs.field(factory=tasks_state.Tasks)
+    scheduling: scheduling.Scheduling = attrs.field(
+        factory=scheduling.Scheduling
+    )
     start_timers: tuple[messages.Timer, ...] = ()
     draining: bool = False
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -62,8 +62,8 @@
         acknowledge: Ended attempts that the worker may forget.
         inventoried: Whether a report was taken under the present epoch after
             the job records were read.
-        out_of_room: Whether it refused a start for lack of room since its
-            last report.
+        awaits_report: Whether it refused a start since its last report; what
+            is known about it is out of date then.
         paused_until: Own time before which it gets no start, after a failed
             one.
         finished_at: Own time of the last finished task, by job; the newest two
@@ -87,7 +87,7 @@
     )
     acknowledge: set[task_messages.AttemptName] = attrs.field(factory=set)
     inventoried: bool = False
-    out_of_room: bool = False
+    awaits_report: bool = False
     paused_until: float = 0.0
     finished_at: dict[str, float] = attrs.field(factory=dict)
 
@@ -99,7 +99,7 @@
         self.attempts.clear()
         self.strays.clear()
         self.acknowledge.clear()
-        self.inventoried = self.out_of_room = False
+        self.inventoried = self.awaits_report = False
 
 
 @attrs.define(eq=False)
@@ -130,6 +130,7 @@
         checkpoints: Checkpoints of stopped tasks.
         failures: Workers on which a task failed and when, by task.
         waiting_since: Own time since which tasks wait without a start.
+        waiting_reason: Why the policy placed none of them last.
     """
 
     job: Job
@@ -141,6 +142,7 @@
     checkpoints: dict[int, jobs.Checkpoint] = attrs.field(factory=dict)
     failures: dict[int, dict[str, float]] = attrs.field(factory=dict)
     waiting_since: float = 0.0
+    waiting_reason: str = ""
 
     @property
     def is_active(self) -> bool:
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -12,9 +12,9 @@
 ) -> cattrs.Converter:
     """Returns a converter that takes no value of another type.
 
-    Untyped values pass unchanged. Bytes become base64 text, since JSON has no
-    type for them. Without the strict hooks, cattrs would turn
-    a number into text and text into a number without a word.
+    Untyped values pass unchanged; bytes become base64 text, since JSON has no
+    type for them. Without the strict hooks, cattrs would turn a number into
+    text and text into a number without a word.
 
     Args:
         forbid_extra_keys: Whether unknown fields are errors.
@@ -39,6 +39,14 @@
     return converter
 
 
+def _write_bytes(value: bytes) -> str:
+    return base64.b64encode(value).decode("ascii")
+
+
+def _read_bytes(value: Any, _: type) -> bytes:
+    return base64.b64decode(_read_text(value, str), validate=True)
+
+
 def _read_text(value: Any, _: type) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r:.80} is not text")
@@ -79,11 +87,3 @@
         raise TypeError(f"{value!r:.80} has not {len(inner)} items")
     pairs = zip(value, inner, strict=True)
     return tuple(converter.structure(item, part) for item, part in pairs)
-
-
-def _write_bytes(value: bytes) -> str:
-    return base64.b64encode(value).decode("ascii")
-
-
-def _read_bytes(value: Any, _: type) -> bytes:
-    return base64.b64decode(value, validate=True)
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -1,11 +1,15 @@
 """HTTP servers on the loop of the process."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import socket
 
+import h11
+from starlette import responses
 from starlette import types
 import uvicorn
+from uvicorn.protocols.http import h11_impl
 
 from sapphirestall_core import errors
 
@@ -13,6 +17,8 @@
 CLOSE_TIMEOUT_S = 2
 BACKLOG = 1024
 
+Reject = Callable[[str], responses.Response]
+
 
 class Server(uvicorn.Server):
     """A server that leaves the process's signals alone."""
@@ -23,6 +29,23 @@
         yield
 
 
+def _make_protocol(reject: Reject) -> type[h11_impl.H11Protocol]:
+    class Protocol(h11_impl.H11Protocol):
+        """Answers bytes that are not HTTP in the form of other refusals."""
+
+        def send_400_response(self, msg: str) -> None:
+            response = reject(msg)
+            for event in (
+                h11.Response(status_code=400, headers=response.raw_headers),
+                h11.Data(data=bytes(response.body)),
+                h11.EndOfMessage(),
+            ):
+                self.transport.write(self.conn.send(event) or b"")
+            self.transport.close()
+
+    return Protocol
+
+
 def open_socket(address: str) -> socket.socket:
     """Returns a listening socket.
 
@@ -41,14 +64,20 @@
         ) from error
 
 
-def make_server(app: types.ASGIApp) -> Server:
-    """Returns a server for an application; `serve(sockets=...)` runs it."""
+def make_server(app: types.ASGIApp, reject: Reject | None = None) -> Server:
+    """Returns a server for an application; `serve(sockets=...)` runs it.
+
+    Args:
+        app: The application.
+        reject: Renders the answer to a request that is not valid HTTP.
+    """
     config = uvicorn.Config(
         app,
         lifespan="off",
         log_config=None,
         access_log=False,
         ws="none",
+        http=_make_protocol(reject) if reject else "auto",
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
     )
     return Server(config)
