Let connection setup take at most 30% of an attempt's time

Cause: the setup timeout grows to 1 s with the failures of an executor; for a request with less time left the whole attempt timed out first, so a request that was never sent ended as unknown. The test of a cut-off executor at 300 requests/s found it.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -18,15 +18,17 @@
     Guards against work on requests that come too late, and against a refusal
     that does not say that nothing was sent.
     Given admission: 1 entry instances and 1 executors with seed 64
+    And admission: a run takes <run> s and 8 requests hold the slots
     When admission: 300 requests with <deadline> s left arrive at once
-    Then admission: every refused request has the proof NeverSent and never ran
+    Then admission: every request not run has the proof NeverSent
     And admission: the refusals are <codes>
     And admission: no answer came after its deadline
 
     Examples:
-      | deadline | codes                          |
-      | 0.2      | deadline_unmeetable,queue_full |
-      | 9        | queue_full                     |
+      | deadline | run  | codes                          |
+      | 0.2      | 0.02 | deadline_unmeetable,queue_full |
+      | 9        | 0.02 | queue_full                     |
+      | 0.2      | 1.5  | deadline_unmeetable,queue_full |
 
   Scenario: The newest requests are served first above saturation
     Guards against answers that all come just too late.
@@ -40,3 +42,9 @@
     And admission: store calls that take 1 s
     When admission: assign comes at 10 times and compute at 0.8 of capacity
     Then admission: at least 99% of compute are answered
+
+  Scenario: Few requests claim a key for which there is no slot in time
+    Guards against store writes that grow with the offered load.
+    Given admission: 1 entry instances and 1 executors with seed 67
+    When admission: assign comes at 10 times and report at 0 of capacity
+    Then admission: there are at most 2.2 store writes for each answer
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -25,3 +25,10 @@
     And retries: all executors are slow
     When retries: 100 requests are sent in 4 s
     Then retries: late answers were dropped and each caller got one outcome
+
+  Scenario: A request is sent at most 3 times
+    Guards against a request that is sent until its deadline.
+    Given retries: a deployment with seed 75
+    And retries: all executors refuse
+    When retries: 1 request is sent
+    Then retries: it was sent again 2 times and ends as executor_busy
--- a/features/slots.feature
+++ b/features/slots.feature
@@ -35,8 +35,8 @@
   Scenario: An executor that can't be reached gets one request at a time
     Guards against many attempts that wait for a connection.
     Given slots: 1 entry instances of one data centre with 2 executors
-    When slots: an executor is cut off for 10 s under 100 requests in a second
-    Then slots: all are answered with at most 12 attempts at that executor
+    When slots: an executor is cut off for 10 s under 300 requests in a second
+    Then slots: all are answered with at most 16 attempts at that executor
 
   Scenario: A killed entry instance leaves its share to the others
     Guards against slots that stay unused after an instance died.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -23,6 +23,17 @@
         executor.work_s = RUN_S
 
 
+@behave.given(
+    "admission: a run takes {run_s:g} s and 8 requests hold the slots"
+)
+def step(context, run_s):
+    for executor in context.world.executors.values():
+        executor.work_s = run_s
+    for _ in range(8):
+        context.traffic.send("entry-0", "compute", deadline_s=9.0)
+    context.holding = list(context.traffic.calls.values())
+
+
 @behave.given("admission: store calls that take {delay_s:g} s")
 def step(context, delay_s):
     context.world.faults.slow_store_s = delay_s
@@ -69,12 +80,10 @@
     context.world.run(12.0)
 
 
-@behave.then(
-    "admission: every refused request has the proof NeverSent and never ran"
-)
+@behave.then("admission: every request not run has the proof NeverSent")
 def step(context):
     for call in context.traffic.calls.values():
-        if call.code != "answered":
+        if isinstance(call.outcome, outcomes.NotRun):
             assert call.outcome.proof == outcomes.NeverSent(), call
             assert context.traffic.count_runs(call) == 0
 
@@ -88,6 +97,8 @@
 @behave.then("admission: no answer came after its deadline")
 def step(context):
     for call in context.traffic.calls.values():
+        if call in context.holding:
+            continue
         taken_s = call.answered_at - call.sent_at
         assert taken_s <= context.deadline_s + 1e-6, call
 
@@ -97,3 +108,12 @@
     answered = context.traffic.find(code="answered")
     times = sorted(call.answered_at - call.sent_at for call in answered)
     assert times[len(times) // 2] <= limit_s, times[len(times) // 2]
+
+
+@behave.then(
+    "admission: there are at most {most:g} store writes for each answer"
+)
+def step(context, most):
+    answered = len(context.traffic.find(code="answered"))
+    writes = context.world.counts["store StorePut"]
+    assert 0 < writes <= most * answered, (writes, answered)
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -91,3 +91,15 @@
     for call in context.traffic.calls.values():
         assert call.answers == 1, call
         assert call.code != "answered", call
+
+
+@behave.when("retries: 1 request is sent")
+def step(context):
+    context.call = context.traffic.send("entry-0", "compute", deadline_s=9.0)
+    context.world.run(10.0)
+
+
+@behave.then("retries: it was sent again {count:d} times and ends as {code}")
+def step(context, count, code):
+    assert context.call.code == code, context.call
+    assert context.world.counts[f"retry requests {code}"] == count
--- a/packages/core/src/sapphirestall_core/sending.py
+++ b/packages/core/src/sapphirestall_core/sending.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from sapphirestall_core import state
 
+# Largest share of an attempt's time that connection setup may take.
+CONNECT_SHARE = 0.3
 Phase = requests_state.Phase
 Code = outcomes.Code
 
@@ -125,6 +127,12 @@
     used.in_use += 1
     admission.find_queue(service, request).in_use += 1
     own.by_attempt[attempt_id] = event.request_id
+    timeout_s = min(request.operation.timeout_s, event.deadline - now)
+    # A failed connection must leave time to try another executor; it would
+    # also end as a timeout, without the proof that nothing was sent.
+    connect_s = min(
+        slots.take_connect_timeout(used), timeout_s * CONNECT_SHARE
+    )
     return [
         request_messages.SendAttempt(
             attempt_id=attempt_id,
@@ -134,8 +142,8 @@
             operation=event.operation,
             body=event.body,
             content_type=event.content_type,
-            timeout_s=min(request.operation.timeout_s, event.deadline - now),
-            connect_timeout_s=slots.take_connect_timeout(used),
+            timeout_s=timeout_s,
+            connect_timeout_s=connect_s,
         )
     ]
 
