--- a/packages/core/src/sapphirestall_core/sending.py
+++ b/packages/core/src/sapphirestall_core/request_attempts.py
@@ -9,11 +9,11 @@
 from sapphirestall_core import buckets
 from sapphirestall_core import claims
 from sapphirestall_core import dispatch
-from sapphirestall_core import endings
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import outcomes
 from sapphirestall_core import request_messages
+from sapphirestall_core import request_replies
 from sapphirestall_core import requests_state
 from sapphirestall_core import retries
 from sapphirestall_core import slots
@@ -101,8 +101,8 @@
     """Ends a request that waits; it gets no further attempt."""
     service = instance.requests.services[request.arrived.service]
     admission.remove(request, service)
-    outcome = endings.make_failed(request, code)
-    return endings.conclude(request, outcome, instance, now)
+    outcome = request_replies.make_failed(request, code)
+    return request_replies.conclude(request, outcome, instance, now)
 
 
 def _send(
@@ -130,9 +130,7 @@
     timeout_s = min(request.operation.timeout_s, event.deadline - now)
     # A failed connection must leave time to try another executor; it would
     # also end as a timeout, without the proof that nothing was sent.
-    connect_s = min(
-        slots.take_connect_timeout(used), timeout_s * CONNECT_SHARE
-    )
+    connect_s = min(slots.take_connect_timeout(used), timeout_s * CONNECT_SHARE)
     return [
         request_messages.SendAttempt(
             attempt_id=attempt_id,
@@ -189,16 +187,19 @@
     needed_s = admission.estimate(own_service, request.arrived.operation, now)
     obstacle = retries.spend(request, own_service, needed_s, now)
     if obstacle is not None:
-        outcome = endings.make_failed(request, event.code)
+        outcome = request_replies.make_failed(request, event.code)
         count = messages.CountRefusal("retries", obstacle)
-        return [count, *endings.conclude(request, outcome, instance, now)]
+        return [
+            count,
+            *request_replies.conclude(request, outcome, instance, now),
+        ]
     request.phase = Phase.BACKOFF
     delay_s = retries.delay(request.attempts_made)
     timer = retries.RetryDue(request.arrived.request_id)
     return [
-        messages.CountRetry(endings.PART, event.code),
+        messages.CountRetry(request_replies.PART, event.code),
         messages.StartTimer(timer, delay_s, retries.BACKOFF_JITTER),
-        *endings.arm(request, instance, now),
+        *request_replies.arm(request, instance, now),
     ]
 
 
@@ -258,7 +259,7 @@
     now: float,
 ) -> dispatch.Effects:
     end_claiming(request, instance)
-    return endings.conclude(request, verdict.outcome, instance, now)
+    return request_replies.conclude(request, verdict.outcome, instance, now)
 
 
 @settle.register(buckets.ReleaseEnded)
@@ -269,7 +270,7 @@
     now: float,
 ) -> dispatch.Effects:
     assert request.outcome is not None
-    return endings.give(request, request.outcome, instance)
+    return request_replies.give(request, request.outcome, instance)
 
 
 def end_claiming(
--- a/packages/core/src/sapphirestall_core/requests.py
+++ b/packages/core/src/sapphirestall_core/requests.py
@@ -8,22 +8,22 @@
 from sapphirestall_core import buckets
 from sapphirestall_core import claims
 from sapphirestall_core import dispatch
-from sapphirestall_core import endings
 from sapphirestall_core import messages
 from sapphirestall_core import outcomes
 from sapphirestall_core import peer_messages
 from sapphirestall_core import policy
+from sapphirestall_core import request_attempts
 from sapphirestall_core import request_messages
+from sapphirestall_core import request_replies
 from sapphirestall_core import requests_state
 from sapphirestall_core import retries
-from sapphirestall_core import sending
 from sapphirestall_core import slots
 from sapphirestall_core import store_messages
 
 if TYPE_CHECKING:
     from sapphirestall_core import state
 
-PART = endings.PART
+PART = request_replies.PART
 Phase = requests_state.Phase
 Code = outcomes.Code
 
@@ -39,12 +39,12 @@
     if operation is None:
         ready = instance.configuration.document.version > 0
         code = Code.UNKNOWN_OPERATION if ready else Code.NOT_READY
-        return endings.refuse(event.request_id, code, retry=not ready)
+        return request_replies.refuse(event.request_id, code, retry=not ready)
     slots.refresh_if_stale(instance, now)
     obstacle = _find_obstacle(event, operation, instance, now)
     if obstacle is not None:
         retry = obstacle is not Code.MISSING_KEY
-        return endings.refuse(event.request_id, obstacle, retry=retry)
+        return request_replies.refuse(event.request_id, obstacle, retry=retry)
     own = instance.requests
     own.services.setdefault(event.service, requests_state.Service())
     own.sequence += 1
@@ -97,10 +97,12 @@
     )
     effects: dispatch.Effects = []
     if surplus is not None:
-        effects += sending.shed(surplus, Code.QUEUE_FULL, instance, now)
-    effects += sending.pump(event.service, instance, now)
+        effects += request_attempts.shed(
+            surplus, Code.QUEUE_FULL, instance, now
+        )
+    effects += request_attempts.pump(event.service, instance, now)
     if request.phase is not Phase.SENDING:
-        effects += endings.arm(request, instance, now)
+        effects += request_replies.arm(request, instance, now)
     return effects
 
 
@@ -114,11 +116,13 @@
     first = instance.requests.in_flight[first_id]
     event = request.arrived
     if claims.digest_body(event) != claims.digest_body(first.arrived):
-        return endings.refuse(event.request_id, Code.KEY_REUSED, retry=False)
+        return request_replies.refuse(
+            event.request_id, Code.KEY_REUSED, retry=False
+        )
     request.phase = Phase.JOINED
     first.joined.append(event.request_id)
     instance.requests.in_flight[event.request_id] = request
-    return endings.arm(request, instance, now)
+    return request_replies.arm(request, instance, now)
 
 
 @dispatch.handle.register(request_messages.AttemptAnswered)
@@ -131,7 +135,7 @@
     if event.leaving:
         instance.members.mark_leaving(event.executor_id)
     sent = _find_attempt(event.attempt_id, instance)
-    request = sending.close(event.attempt_id, instance)
+    request = request_attempts.close(event.attempt_id, instance)
     if request is None or sent is None:
         return [messages.CountRefusal(PART, "late_answer")]
     slots.record_success(event.executor_id, instance)
@@ -141,8 +145,8 @@
     admission.observe(service, operation, now - sent.sent_at, now)
     outcome = outcomes.Answered(event.status, event.content_type, event.body)
     return [
-        *endings.conclude(request, outcome, instance, now),
-        *sending.pump(name, instance, now),
+        *request_replies.conclude(request, outcome, instance, now),
+        *request_attempts.pump(name, instance, now),
     ]
 
 
@@ -164,7 +168,7 @@
     """Retries a failed attempt where that is safe, or answers the caller."""
     if event.leaving:
         instance.members.mark_leaving(event.executor_id)
-    request = sending.close(event.attempt_id, instance)
+    request = request_attempts.close(event.attempt_id, instance)
     if request is None:
         return [messages.CountRefusal(PART, "late_failure")]
     effects: dispatch.Effects = []
@@ -172,8 +176,8 @@
         effects += slots.record_connect_failure(event.executor_id, instance)
     return [
         *effects,
-        *sending.fail(request, event, instance, now),
-        *sending.pump(request.arrived.service, instance, now),
+        *request_attempts.fail(request, event, instance, now),
+        *request_attempts.pump(request.arrived.service, instance, now),
     ]
 
 
@@ -185,13 +189,13 @@
     request = instance.requests.in_flight.get(timer.request_id)
     if request is None or request.phase is not Phase.BACKOFF:
         return []
-    sending.make_ready(request, instance)
-    return sending.pump(request.arrived.service, instance, now)
+    request_attempts.make_ready(request, instance)
+    return request_attempts.pump(request.arrived.service, instance, now)
 
 
-@dispatch.expire.register(endings.RequestDue)
+@dispatch.expire.register(request_replies.RequestDue)
 def end_waiting(
-    timer: endings.RequestDue, instance: state.Instance, now: float
+    timer: request_replies.RequestDue, instance: state.Instance, now: float
 ) -> dispatch.Effects:
     """Ends a request that waited too long; one that is sent goes on."""
     request = instance.requests.in_flight.get(timer.request_id)
@@ -228,14 +232,14 @@
         case Phase.RELEASING:
             # The release goes on; until it took effect a repeat gets unknown.
             assert request.outcome is not None
-            return endings.give(request, request.outcome, instance)
+            return request_replies.give(request, request.outcome, instance)
         case Phase.JOINED:
             return _leave(request, instance)
         case Phase.CLAIMING:
             return _abandon(request, instance, now)
     return [
-        *sending.shed(request, code, instance, now),
-        *sending.pump(request.arrived.service, instance, now),
+        *request_attempts.shed(request, code, instance, now),
+        *request_attempts.pump(request.arrived.service, instance, now),
     ]
 
 
@@ -247,13 +251,13 @@
     ]
     first = instance.requests.in_flight[first_id]
     first.joined.remove(request.arrived.request_id)
-    return endings.give(request, buckets.make_in_progress(), instance)
+    return request_replies.give(request, buckets.make_in_progress(), instance)
 
 
 def _abandon(
     request: requests_state.Request, instance: state.Instance, now: float
 ) -> dispatch.Effects:
-    sending.end_claiming(request, instance)
+    request_attempts.end_claiming(request, instance)
     step = claims.abandon(request.arrived, instance)
     outcome = outcomes.NotRun(
         proof=outcomes.ClaimNotMade(),
@@ -263,7 +267,7 @@
         retry=True,
         detail="no claim was confirmed in time",
     )
-    return [*step.effects, *endings.give(request, outcome, instance)]
+    return [*step.effects, *request_replies.give(request, outcome, instance)]
 
 
 def _proceed(
@@ -271,10 +275,10 @@
 ) -> dispatch.Effects:
     """Performs a step of the claims and lets its requests go on."""
     effects = [*step.effects, *claims.start_pending(instance).effects]
-    effects += sending.settle_all(step.verdicts, instance, now)
+    effects += request_attempts.settle_all(step.verdicts, instance, now)
     if step.verdicts:
         for name in instance.requests.services:
-            effects += sending.pump(name, instance, now)
+            effects += request_attempts.pump(name, instance, now)
     return effects
 
 
@@ -351,5 +355,5 @@
     return [
         effect
         for name in instance.requests.services
-        for effect in sending.pump(name, instance, now)
+        for effect in request_attempts.pump(name, instance, now)
     ]
