--- a/packages/core/src/sapphirestall_core/failures.py
+++ b/packages/core/src/sapphirestall_core/failures.py
@@ -42,6 +42,7 @@
         return effects
     reason = f"task {name.task} failed on {', '.join(sorted(counted))}"
     instance.journal.record(now, name.job_id, "fail", reason)
+    policy_calls.note_job_failed(name.job_id, instance)
     change = amendments.FailJob(name.job_id, reason)
     return [*effects, *amendments.begin(change, instance, now)]
 
--- a/packages/core/src/sapphirestall_core/instance.py
+++ b/packages/core/src/sapphirestall_core/instance.py
@@ -15,8 +15,14 @@
 
 def build(identity: state.Identity) -> state.Instance:
     """Returns the state of a new entry instance."""
-    timers = (*tasks.START_TIMERS, slots.SlotsDue(), health.HealthDue())
-    return state.Instance(identity, start_timers=timers)
+    return state.Instance(
+        identity,
+        start_timers=(
+            *tasks.START_TIMERS,
+            slots.SlotsDue(),
+            health.HealthDue(),
+        ),
+    )
 
 
 def handle(
--- a/packages/core/src/sapphirestall_core/polling.py
+++ b/packages/core/src/sapphirestall_core/polling.py
@@ -42,6 +42,7 @@
     name, epoch = partition.name, partition.epoch
     instance.journal.record(now, name, "lose", reason)
     shares = list(partition.shares.values())
+    policy_calls.note_lost(partition, instance)
     partition.reset()
     for share in shares:
         if not share.job.shares:
@@ -93,14 +94,27 @@
             for attempt in worker.attempts.values()
             if attempt.phase is not tasks_state.Phase.STOPPING
         )
-    fence = commands.make_fence(worker, partition)
     if not renew:
-        fence["incarnation"] = ""
+        return _make_bare_poll(worker, partition)
     return task_messages.PollWorker(
         round_number=partition.round_number,
         lease_s=ownership.TASK_LEASE_S,
         renew=renew,
         acknowledge=tuple(worker.acknowledge),
+        **commands.make_fence(worker, partition),
+    )
+
+
+def _make_bare_poll(
+    worker: tasks_state.Worker, partition: tasks_state.Partition
+) -> task_messages.PollWorker:
+    """Returns a poll that renews nothing and suits every incarnation."""
+    fence = commands.make_fence(worker, partition)
+    fence["incarnation"] = ""
+    return task_messages.PollWorker(
+        round_number=partition.round_number,
+        lease_s=ownership.TASK_LEASE_S,
+        acknowledge=tuple(worker.acknowledge),
         **fence,
     )
 
@@ -157,7 +171,9 @@
     worker.round_number = event.round_number
     effects = inventory.take(worker, report, partition, instance, now)
     _count_witness(event, worker, partition, instance, now)
-    effects += policy_calls.note_report(worker, report, instance, now)
+    effects += policy_calls.note_report(
+        worker, report, partition, instance, now
+    )
     return effects + starts.place(partition, instance, now)
 
 
@@ -193,11 +209,21 @@
 def take_failed_poll(
     event: task_messages.WorkerFailed, instance: state.Instance, now: float
 ) -> dispatch.Effects:
-    """Gives the partition up if the worker knows a newer owner."""
+    """Gives the partition up if the worker knows a newer owner.
+
+    A poll that renews leases is refused by a restarted worker; it is repeated
+    at once without renewals, to learn what the worker lost.
+    """
     found = find_worker(event.worker_id, event.epoch, instance)
-    if found is None or event.code != "stale_epoch":
+    if found is None:
         return []
-    return lose(found[1], instance, now, f"{event.worker_id} refused the epoch")
+    worker, partition = found
+    if event.code == "stale_epoch":
+        reason = f"{event.worker_id} refused the epoch"
+        return lose(partition, instance, now, reason)
+    if event.code in ("wrong_incarnation", "expired"):
+        return [_make_bare_poll(worker, partition)]
+    return []
 
 
 @dispatch.handle.register(task_messages.CommandDone)
--- a/packages/core/src/sapphirestall_core/shutdown.py
+++ b/packages/core/src/sapphirestall_core/shutdown.py
@@ -69,8 +69,8 @@
     shutdown = instance.shutdown
     assert shutdown.requested_at is not None
     left = len(instance.requests.in_flight)
-    idle = instance.requests.is_idle() and instance.tasks.is_idle()
-    if not idle and now < shutdown.requested_at + shutdown.limit_s:
+    busy = not (instance.requests.is_idle() and instance.tasks.is_idle())
+    if busy and now < shutdown.requested_at + shutdown.limit_s:
         return [messages.StartTimer(timer, DRAIN_CHECK_S)]
     return [
         messages.Log(PART, "ended", {"requests_left": left}),
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -95,6 +95,33 @@
     return good
 
 
+async def show_claim(
+    session: aiohttp.ClientSession, fleet: fleet_module.Fleet
+) -> bool:
+    """Sends one key through all instances; all get the one run's answer."""
+    good = True
+    first: bytes | None = None
+    for entry in fleet.entries.values():
+        status, body, replayed = 0, b"", None
+
+        async def is_answered(
+            url: str = f"http://{entry.callers}/v1/services/rota/assign",
+        ) -> bool:
+            nonlocal status, body, replayed
+            headers = {"Idempotency-Key": "room-7"}
+            async with session.post(url, headers=headers) as response:
+                status, body = response.status, await response.read()
+                replayed = response.headers.get("Idempotent-Replayed")
+            return status == 200
+
+        good &= await wait_for(is_answered)
+        print(f"claim: {entry.instance_id}: {status} {body!r} {replayed}")
+        good &= replayed == (None if first is None else "true")
+        first = first or body
+        good &= body == first
+    return good
+
+
 async def show_job(
     session: aiohttp.ClientSession, fleet: fleet_module.Fleet
 ) -> bool:
@@ -141,6 +168,7 @@
             outcomes = [
                 await show_patch(session, fleet),
                 await show_request(session, fleet),
+                await show_claim(session, fleet),
                 await show_job(session, fleet),
             ]
     finally:
