--- a/bench/owner.py
+++ b/bench/owner.py
@@ -1,4 +1,4 @@
-"""Drives the scheduling policy of one data centre against modelled workers.
+"""Drives the policy of one data centre against modelled workers.
 
 It stands in for the handlers of batch work: it polls, starts, evicts and
 requeues, and asks `scheduling` for every decision. Links have no delay here
@@ -235,6 +235,7 @@
 
     def _place(self, now: float) -> None:
         """Places by urgency; one refusal speaks for all equal tasks."""
+        scheduling.begin_pass(self.scheduling)
         self.scheduling.lower_waiting = any(
             queue and -key[0] < self.rules.sharing.urgent_from
             for key, queue in self.queues.items()
--- a/packages/core/src/sapphirestall_core/observation.py
+++ b/packages/core/src/sapphirestall_core/observation.py
@@ -98,24 +98,29 @@
     now: float,
 ) -> None:
     before = view.tasks
-    for task in before.values():
-        policy_state.release(task)
-    after: list[views_module.Running] = []
+    after: dict[task_messages.AttemptName, views_module.Running] = {}
     reported = set()
     for shown in report.tasks:
         reported.add(shown.name)
         if shown.state is not task_messages.TaskState.RUNNING:
             continue
-        record = find_record(shown.name.job_id)
-        task = before.get(shown.name) or _adopt(shown, record, now)
+        task = before.get(shown.name)
+        if task is None:
+            record = find_record(shown.name.job_id)
+            task = _adopt(shown, record, now)
+            policy_state.hold(task)
+        elif task.reserved != shown.reserved:
+            policy_state.release(task)
+            task.reserved = shown.reserved
+            policy_state.hold(task)
         _measure(policy_state, task, shown, now)
-        after.append(task)
+        after[shown.name] = task
     for name, task in before.items():
         if name not in reported and name in expected:
-            after.append(task)
-    for task in after:
-        policy_state.hold(task)
-    view.replace(after)
+            after[name] = task
+        elif name not in after:
+            policy_state.release(task)
+    view.replace(after.values())
 
 
 def _adopt(
@@ -145,7 +150,6 @@
     now: float,
 ) -> None:
     task.share = shown.throttle
-    task.reserved = shown.reserved
     settled = now - task.started_at >= SETTLED_AFTER_S
     if settled and shown.usage.cpu_millis > 0:
         task.cpu = shown.usage.cpu_millis / 1000.0
@@ -178,10 +182,12 @@
         for service in view.services
     ]
     outlook = placement.Outlook(policy_state.estimator, rules)
+    # Most reports ask for no action; their tasks need no prediction.
+    calm = all(reading.compute_pressure() <= 1.0 for reading in readings)
     suspects = [
         _suspect(task, view, outlook, now)
         for task in view.tasks.values()
-        if not task.evicting
+        if not task.evicting and (task.share < 1.0 or not calm)
     ]
     budget = rules.sharing.evictions_per_minute
     return controller.decide(
--- a/packages/core/src/sapphirestall_core/placement.py
+++ b/packages/core/src/sapphirestall_core/placement.py
@@ -139,7 +139,7 @@
     """Returns the pressure on a service without a task, and what it adds."""
     accepted = get_accepted_excess(outlook.rules, service)
     gain = view.history.get_gain(service)
-    present = outlook.estimator.predict(service, view.loads, now)
+    present = view.predict(service, outlook.estimator, now)
     added = outlook.estimator.estimate(service, demand.kind, now) * demand.cpu
     return gain * present / accepted, max(1.0, gain) * added / accepted
 
--- a/packages/core/src/sapphirestall_core/policy_calls.py
+++ b/packages/core/src/sapphirestall_core/policy_calls.py
@@ -146,6 +146,7 @@
 
 def note_queues(instance: state.Instance) -> None:
     """Called before waiting tasks are placed."""
+    scheduling.begin_pass(instance.scheduling)
     urgent_from = instance.policy.sharing.urgent_from
     instance.scheduling.lower_waiting = any(
         key.urgency < urgent_from
--- a/packages/core/src/sapphirestall_core/scheduling.py
+++ b/packages/core/src/sapphirestall_core/scheduling.py
@@ -32,6 +32,9 @@
 EVICT_FOR = frozenset(("no_room", "slowdown", "probation"))
 
 
+Need = tuple[str, int, resources.Vector, tuple[str, ...]]
+
+
 @attrs.define
 class Scheduling:
     """State of the policy; rebuilt from reports after a takeover.
@@ -42,6 +45,7 @@
         quota_due_at: Own time at which the part is computed again.
         quota_views: Workers for which it was computed.
         lower_waiting: Whether work below `Sharing.urgent_from` waits.
+        refused: Refusals of the present pass over the waiting tasks.
         lower_peak: Processors in thousandths that such work held lately.
         lower_peak_at: Own time of that figure.
         claims: Room that is being freed, by job id and task.
@@ -63,6 +67,7 @@
     quota_due_at: float = 0.0
     quota_views: int = 0
     lower_waiting: bool = False
+    refused: dict[Need, placement.NotPlaced] = attrs.field(factory=dict)
     lower_peak: float = 0.0
     lower_peak_at: float = 0.0
     claims: dict[tuple[str, int], room_claims.Claim] = attrs.field(factory=dict)
@@ -128,6 +133,33 @@
         return placement.NotPlaced("quota")
     if _breaks_floor(scheduling, demand, rules, now):
         return placement.NotPlaced("floor")
+    ids = tuple(worker_ids)
+    need = (demand.kind, demand.urgency, demand.reserved, ids)
+    refused = scheduling.refused.get(need)
+    if refused is not None:
+        return refused
+    decision = _search(scheduling, demand, ids, rules, now)
+    if isinstance(decision, placement.NotPlaced):
+        scheduling.refused[need] = decision
+    return decision
+
+
+def begin_pass(scheduling: Scheduling) -> None:
+    """Begins a pass over the waiting tasks.
+
+    Within a pass room only shrinks, so that a refusal holds for every task
+    with the same need; many teams wait with equal ones.
+    """
+    scheduling.refused.clear()
+
+
+def _search(
+    scheduling: Scheduling,
+    demand: placement.Demand,
+    worker_ids: tuple[str, ...],
+    rules: policy.Policy,
+    now: float,
+) -> placement.Decision:
     known = [scheduling.views.get(worker_id) for worker_id in worker_ids]
     fitting = [
         view
--- a/packages/core/src/sapphirestall_core/views.py
+++ b/packages/core/src/sapphirestall_core/views.py
@@ -47,6 +47,7 @@
     Attributes:
         ledger: Reservations; shared with the handlers of batch work.
         loads: Processors in use by kind.
+        present: Predicted excess by service and until when it holds.
         room_cpu: Processors in thousandths that services leave.
         claims: Room that evictions free here, by job id and task.
     """
@@ -56,6 +57,7 @@
     tasks: dict[task_messages.AttemptName, Running] = attrs.field(factory=dict)
     services: tuple[task_messages.ServiceReport, ...] = ()
     loads: dict[str, float] = attrs.field(factory=dict)
+    present: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     room_cpu: int = 0
     claims: dict[tuple[str, int], room_claims.Claim] = attrs.field(factory=dict)
     history: interference.History = attrs.field(factory=interference.History)
@@ -66,12 +68,14 @@
     def add(self, task: Running) -> None:
         """Adds a task and its load."""
         self.tasks[task.name] = task
+        self.present.clear()
         self.loads[task.kind] = self.loads.get(task.kind, 0.0) + task.cpu
 
     def remove(self, name: task_messages.AttemptName) -> Running | None:
         """Removes a task and its load."""
         task = self.tasks.pop(name, None)
         if task is not None:
+            self.present.clear()
             left = self.loads.get(task.kind, 0.0) - task.cpu
             self.loads[task.kind] = max(0.0, left)
         return task
@@ -79,5 +83,17 @@
     def replace(self, tasks: Iterable[Running]) -> None:
         """Takes all tasks of a report."""
         self.tasks, self.loads = {}, {}
+        self.present.clear()
         for task in tasks:
             self.add(task)
+
+    def predict(
+        self, service: str, estimator: interference.Estimator, now: float
+    ) -> float:
+        """Returns the cautious excess slowdown of a service here."""
+        known = self.present.get(service)
+        if known is not None and now < known[1]:
+            return known[0]
+        found = estimator.predict(service, self.loads, now)
+        self.present[service] = (found, now + interference.CAUTION_TERM_S)
+        return found
