--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo load bench mutations clean
+.PHONY: setup format check test demo load budget bench mutations clean
 
 setup: $(STAMP)
 
@@ -40,3 +40,14 @@
 
 load: $(STAMP)
 	$(BIN)/python -m tools.load
+
+# Random sequences of work and faults; prints its seed. SEED=N repeats a run.
+fuzz: $(STAMP)
+	$(BIN)/python -m standins.fuzz $(if $(SEED),--seed $(SEED)) $(if $(EXAMPLES),--examples $(EXAMPLES))
+
+# Switches one mechanism off at a time; a trace must notice each.
+mutations: $(STAMP)
+	$(BIN)/python -m tools.mutations
+
+budget: $(STAMP)
+	$(BIN)/python -m tools.budget
--- a/packages/core/src/sapphirestall_core/membership.py
+++ b/packages/core/src/sapphirestall_core/membership.py
@@ -82,55 +82,62 @@
         leaving: Incarnations seen leaving by any sign, with the time at which
             this instance learned it. A leaving mark wins over a live mark of
             the same incarnation.
+        now: Time of the last heartbeat period, in seconds; exact enough for
+            the ages of marks.
     """
 
     listings: dict[str, Listing] = attrs.field(factory=dict)
     listed: bool = False
     leaving: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    now: float = 0.0
 
-    def replace_listings(
-        self, listings: tuple[Listing, ...], now: float
-    ) -> None:
+    def replace_listings(self, listings: tuple[Listing, ...]) -> None:
         """Takes a newer list from the platform."""
         self.listings = {entry.instance_id: entry for entry in listings}
         self.listed = True
         for entry in listings:
             if entry.state is State.LEAVING:
-                self.record_leaving(entry.instance_id, entry.incarnation, now)
+                self.record_leaving(entry.instance_id, entry.incarnation)
 
-    def record_leaving(
-        self, instance_id: str, incarnation: str, now: float
-    ) -> None:
+    def record_leaving(self, instance_id: str, incarnation: str) -> None:
         """Records that one incarnation is leaving; keeps the first time."""
-        self.leaving.setdefault((instance_id, incarnation), now)
+        self.leaving.setdefault((instance_id, incarnation), self.now)
         if len(self.leaving) > LEAVING_LIMIT:
             # Entries keep the order of arrival, so the first is the oldest.
             del self.leaving[next(iter(self.leaving))]
 
-    def mark_leaving(self, instance_id: str, now: float) -> None:
+    def mark_leaving(self, instance_id: str) -> None:
         """Records that the present incarnation of an instance is leaving."""
         entry = self.listings.get(instance_id)
         incarnation = entry.incarnation if entry else ""
-        self.record_leaving(instance_id, incarnation, now)
+        self.record_leaving(instance_id, incarnation)
 
-    def drop_old_marks(self, now: float) -> None:
-        """Forgets marks of incarnations that are no longer listed."""
+    def advance(self, now: float) -> None:
+        """Moves on the time; forgets old marks that are no longer listed."""
+        self.now = now
         for mark, marked_at in list(self.leaving.items()):
-            entry = self.listings.get(mark[0])
-            present = entry is not None and entry.incarnation == mark[1]
-            if not present and now - marked_at >= LEAVING_KEPT_S:
+            if not self._is_listed(mark) and now - marked_at >= LEAVING_KEPT_S:
                 del self.leaving[mark]
 
-    def find_new_marks(self, now: float) -> tuple[tuple[str, str], ...]:
-        """Returns the marks that are still passed on to peers."""
+    def find_new_marks(self) -> tuple[tuple[str, str], ...]:
+        """Returns the marks that are still passed on to peers.
+
+        A mark is passed on as long as its incarnation is listed, so that an
+        instance that starts later learns it too.
+        """
         return tuple(
             sorted(
                 mark
                 for mark, marked_at in self.leaving.items()
-                if now - marked_at < LEAVING_SHARED_S
+                if self.now - marked_at < LEAVING_SHARED_S
+                or self._is_listed(mark)
             )
         )
 
+    def _is_listed(self, mark: tuple[str, str]) -> bool:
+        entry = self.listings.get(mark[0])
+        return entry is not None and entry.incarnation == mark[1]
+
     def is_leaving(self, entry: Listing) -> bool:
         """Tells whether an instance is known to be leaving."""
         return (entry.instance_id, entry.incarnation) in self.leaving
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -85,7 +85,7 @@
 async def _serve(context: context_module.Context) -> None:
     settings = context.settings
     listeners = [
-        servers.open_listener(address)
+        servers.open_socket(address)
         for address in (
             settings.callers_listen,
             settings.operators_listen,
@@ -106,7 +106,7 @@
         context.callers.build_app(), context.counters, context.clock
     )
     web = [
-        servers.make_server(callers_app),
+        servers.make_server(callers_app, context.callers.reject_malformed),
         servers.make_server(context.operators.build_app()),
     ]
     running = [
