--- a/features/processes.feature
+++ b/features/processes.feature
@@ -5,7 +5,7 @@
     When the process runs are made
     Then the process run "<run>" ended as stated
 
-    Examples:
+    Examples: fleet
       | run                 |
       | kill of an owner    |
       | pause past a lease  |
--- a/standins/trace.py
+++ b/standins/trace.py
@@ -13,6 +13,7 @@
 import cattrs
 import yaml
 
+from standins import trace_conditions
 from standins import trace_outcomes
 from standins import trace_run
 from standins import trace_steps
@@ -142,7 +143,7 @@
     # The step follows the very event that makes the condition true.
     limit = run.world.now + MAX_WAIT_S
     while run.world.now < limit:
-        if trace_steps.holds(condition, run):
+        if trace_conditions.holds(condition, run):
             return True
         if not run.world.step():
             return False
