End takeovers of replaced workers and jobs that fail in small partitions

Cause: after most workers of a partition were replaced while it had no owner, no majority of the stored witness set could answer, so its tasks waited for ever. In a partition of two workers, a task that always fails never reached the three workers that fail a job and was started about once a second for ever. Ruled out: an operator command for the first case, since nobody is told that it is needed; counting a failure on a worker on probation, since one bad worker would then fail good jobs. Change: a witness that the platform has not listed for 60 s counts as terminated. With fewer than 3 workers a task fails its job after 3 failures on all of them. Before: the scenario on replaced workers and those with 2 workers failed. After: all scenarios of ownership, jobs and probation pass.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -144,3 +144,16 @@
       | 400   | 20   | 4      | 101     |
       | 10    | 0    | 1      | 10      |
       | 100   | 0    | 4      | 25      |
+
+  Scenario Outline: A task that always fails ends its job with <workers> workers
+    Guards against a task that is started again for ever in a small partition.
+    Given a batch world of 1 entry instances and <workers> workers
+    When another batch job keeps every worker busy with short tasks
+    And a job is submitted whose tasks always fail
+    Then that job fails within 60 s
+
+    Examples:
+      | workers |
+      | 2       |
+      | 3       |
+      | 4       |
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -77,3 +77,14 @@
     And the batch owner is killed after the last commit
     Then batch job "j1" finishes within 40 s
     And batch job "j1" was started 6 times
+
+  Scenario: A takeover settles although every worker was replaced
+    Guards against tasks that wait for ever for workers that are gone: a data
+    centre that lost its power comes back with other instances.
+    Given a batch world of 2 entry instances and 3 workers
+    When batch job "j1" of 12 tasks of 60 s is submitted
+    And batch time passes for 5 s
+    And all workers and entry instances of the batch world are replaced
+    Then no batch task starts within 59 s
+    And batch job "j1" finishes within 150 s
+    And no batch task ran in two places and no worker was overfilled
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -257,3 +257,22 @@
     assert len(sizes) == count and max(sizes) <= largest, sizes
     firsts = sorted(part.first for part in context.slices)
     assert firsts[0] == 0 and sum(sizes) == context.tasks
+
+
+@behave.when("another batch job keeps every worker busy with short tasks")
+def step(context):
+    context.batch.submit("j1", 20, 2)
+
+
+@behave.when("a job is submitted whose tasks always fail")
+def step(context):
+    for worker in context.batch.world.workers.values():
+        worker.failing_kinds.add("broken")
+    context.batch.submit("j2", 1, 5, kind="broken")
+
+
+@behave.then("that job fails within {limit_s:g} s")
+def step(context, limit_s):
+    run = context.batch
+    failed = run.world.run_until(lambda: run.has_ended("j2", "failed"), limit_s)
+    assert failed, run.list_starts("j2")
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -162,3 +162,20 @@
     node = run.world.nodes[run.find_owner() or run.entries[0]]
     composed = commits.compose(partition, node.state, run.world.now)
     assert composed.finished["j1"] == committed
+
+
+@behave.when("all workers and entry instances of the batch world are replaced")
+def step(context):
+    run = context.batch
+    world = run.world
+    for name in run.entries:
+        world.kill(name)
+        del world.listings[name]
+    for name in run.workers:
+        capacity = world.workers[name].capacity
+        world.dead_workers.add(name)
+        del world.listings[name]
+        world.add_worker(f"{name}-new", "sefrou", "rack0", capacity)
+    run.entries = [f"{name}-new" for name in run.entries]
+    for name in run.entries:
+        world.add_entry(name, "sefrou")
--- a/packages/core/src/sapphirestall_core/failures.py
+++ b/packages/core/src/sapphirestall_core/failures.py
@@ -14,6 +14,7 @@
     from sapphirestall_core import state
 
 WORKERS_PER_FAILED_TASK = 3
+FAILURES_PER_FAILED_TASK = 3
 # Bounds the loop of starts on a worker that refuses each of them at once.
 PAUSE_AFTER_FAILURE_S = 1.0
 
@@ -25,20 +26,30 @@
     instance: state.Instance,
     now: float,
 ) -> dispatch.Effects:
-    """Records a failed start or task; fails the job at the third worker."""
+    """Records a failed start or task; fails the job at the third worker.
+
+    A partition with fewer workers needs as many failures, on all of them.
+    """
     worker.paused_until = now + PAUSE_AFTER_FAILURE_S
     effects = policy_calls.note_start_failed(worker, name, instance, now)
     share = partition.shares.get(name.job_id)
     if share is None or not share.is_active:
         return effects
     failed_on = share.failures.setdefault(name.task, {})
-    failed_on[worker.worker_id] = now
+    # The first failure counts: what the worker finished since proves it sound,
+    # although the same task failed on it again.
+    failed_on.setdefault(worker.worker_id, now)
+    share.failure_counts[name.task] = share.failure_counts.get(name.task, 0) + 1
     counted = [
         worker_id
         for worker_id, at in failed_on.items()
         if _counts(worker_id, at, name.job_id, partition, instance, now)
     ]
-    if len(counted) < WORKERS_PER_FAILED_TASK:
+    listed = sum(worker.listed for worker in partition.workers.values())
+    if (
+        len(counted) < min(WORKERS_PER_FAILED_TASK, max(1, listed))
+        or share.failure_counts[name.task] < FAILURES_PER_FAILED_TASK
+    ):
         return effects
     reason = f"task {name.task} failed on {', '.join(sorted(counted))}"
     instance.journal.record(now, name.job_id, "fail", reason)
--- a/packages/core/src/sapphirestall_core/instance_lists.py
+++ b/packages/core/src/sapphirestall_core/instance_lists.py
@@ -42,6 +42,7 @@
     effects: dispatch.Effects = []
     if event.listings:
         instance.members.replace_listings(event.listings)
+        instance.members.read_at = now
     else:
         effects.append(messages.CountRefusal(PART, "list_empty"))
     return effects + _connect(instance, now)
--- a/packages/core/src/sapphirestall_core/inventory.py
+++ b/packages/core/src/sapphirestall_core/inventory.py
@@ -76,6 +76,7 @@
         for worker in partition.workers.values()
         if worker.inventoried
     }
+    reported |= partition.find_terminated()
     # Without witnesses no worker was ever given a task.
     if partition.majority_at < 0 and witnesses:
         if not ownership.is_majority(reported, witnesses):
@@ -225,6 +226,7 @@
         attempts.dequeue(partition, share)
     share.checkpoints.pop(name.task, None)
     share.failures.pop(name.task, None)
+    share.failure_counts.pop(name.task, None)
     if current is not None and current.name == name:
         attempts.remove(current, partition)
     elif current is not None:
--- a/packages/core/src/sapphirestall_core/membership.py
+++ b/packages/core/src/sapphirestall_core/membership.py
@@ -79,6 +79,7 @@
     Attributes:
         listings: Newest list, by instance id.
         listed: Whether the platform's list was read since the start.
+        read_at: Time at which it was read last, in seconds.
         leaving: Incarnations seen leaving by any sign, with the time at which
             this instance learned it. A leaving mark wins over a live mark of
             the same incarnation.
@@ -88,6 +89,7 @@
 
     listings: dict[str, Listing] = attrs.field(factory=dict)
     listed: bool = False
+    read_at: float = 0.0
     leaving: dict[tuple[str, str], float] = attrs.field(factory=dict)
     now: float = 0.0
 
--- a/packages/core/src/sapphirestall_core/partitioning.py
+++ b/packages/core/src/sapphirestall_core/partitioning.py
@@ -34,5 +34,18 @@
             partition.workers[entry.instance_id] = worker
         worker.address = entry.address
     for partition in partitions.values():
+        _note_unlisted(partition, instance.members)
         for worker in partition.workers.values():
             worker.listed = (partition.name, worker.worker_id) in present
+
+
+def _note_unlisted(
+    partition: tasks_state.Partition, members: membership.Members
+) -> None:
+    partition.list_read_at = members.read_at
+    witnesses = partition.progress.witnesses
+    partition.unlisted = {
+        worker_id: partition.unlisted.get(worker_id, members.read_at)
+        for worker_id in witnesses
+        if worker_id not in members.listings
+    }
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -22,6 +22,11 @@
     STOPPING = "stopping"
 
 
+# Several times the lag of the list; the tasks of such a worker also lost their
+# leases long before.
+TERMINATED_AFTER_S = 60.0
+
+
 @attrs.define(eq=False)
 class Attempt:
     """An attempt that runs or may run on a worker.
@@ -128,7 +133,8 @@
         finished: Finished tasks, committed or not.
         running: Number of attempts that run or may run.
         checkpoints: Checkpoints of stopped tasks.
-        failures: Workers on which a task failed and when, by task.
+        failures: Workers on which a task failed and when first, by task.
+        failure_counts: Number of its failures, by task.
         waiting_since: Own time since which tasks wait without a start.
         waiting_reason: Why the policy placed none of them last.
     """
@@ -141,6 +147,7 @@
     running: int = 0
     checkpoints: dict[int, jobs.Checkpoint] = attrs.field(factory=dict)
     failures: dict[int, dict[str, float]] = attrs.field(factory=dict)
+    failure_counts: dict[int, int] = attrs.field(factory=dict)
     waiting_since: float = 0.0
     waiting_reason: str = ""
 
@@ -179,6 +186,9 @@
         majority_at: Own time at which a majority gave inventories; negative
             before.
         settled: Whether tasks that no inventory shows may be placed.
+        unlisted: Witnesses that the platform no longer lists, with the time of
+            the first list without them.
+        list_read_at: Time of the newest list of the platform.
         listed: Whether the job records were read under this epoch.
         handing_over: Whether a shutdown gives the partition up.
         ended: Ended attempts whose end is not committed, with their worker.
@@ -207,6 +217,8 @@
     round_valid_until: float = 0.0
     majority_round: int = 0
     majority_at: float = -1.0
+    unlisted: dict[str, float] = attrs.field(factory=dict)
+    list_read_at: float = 0.0
     settled: bool = False
     listed: bool = False
     handing_over: bool = False
@@ -220,6 +232,19 @@
     moving: set[jobs.Move] = attrs.field(factory=set)
     moved: set[jobs.Move] = attrs.field(factory=set)
 
+    def find_terminated(self) -> set[str]:
+        """Returns the witnesses whose instances no longer exist.
+
+        The platform's list lags, but an instance that it has left out for a
+        minute is not coming back. Without this rule, a takeover would wait for
+        ever once most workers of a partition were replaced.
+        """
+        return {
+            worker_id
+            for worker_id, since in self.unlisted.items()
+            if self.list_read_at - since >= TERMINATED_AFTER_S
+        }
+
     def reset(self) -> None:
         """Drops everything that holds only under one owner."""
         for worker in self.workers.values():
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -112,6 +112,7 @@
     Attributes:
         fail_starts: Fault: every start fails.
         fail_after_s: Fault: every task that is started fails after this time.
+        failing_kinds: Fault: tasks of these kinds fail after 0.1 s.
         truths: How the kinds really behave; as declared if not stated.
         report_lag_s: Age of the newest measurement in a report.
         fail_checkpoints: Fault: every checkpoint fails.
@@ -136,6 +137,7 @@
     services: dict[str, Service] = attrs.field(factory=dict)
     truths: dict[str, Truth] = attrs.field(factory=dict)
     fail_after_s: float | None = None
+    failing_kinds: set[str] = attrs.field(factory=set)
     report_lag_s: float = 0.0
 
     def compute_slowdown(self, service: Service) -> float:
@@ -255,6 +257,8 @@
 
     def _apply_truth(self, task: Task) -> None:
         task.fails_in_s = self.fail_after_s
+        if task.kind in self.failing_kinds:
+            task.fails_in_s = 0.1
         truth = self.truths.get(task.kind)
         if truth is not None:
             task.usage = truth.usage
