--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -301,8 +301,6 @@
 @behave.then("the new instance is not ready because the list was not read")
 def step(context):
     world = context.world
-    # After this time it has also heard the leaving marks of its peers.
-    world.run(5)
     call = world.call_operator("new", operator_messages.ShowReadiness())
     shown = world.results[call]
     assert not shown.ready
