--- a/bench/plots.py
+++ b/bench/plots.py
@@ -100,6 +100,7 @@
         axes.set_ylabel("p99, ms")
     rows[-1][0].set_xlabel("time, s")
     rows[0][0].legend()
+    figure.tight_layout()
     figure.savefig(path, dpi=110, bbox_inches="tight")
     pyplot.close(figure)
 
