--- a/standins/trace_steps.py
+++ b/standins/trace_steps.py
@@ -21,7 +21,8 @@
 
     Attributes:
         at: Seconds after the fleet was ready.
-        after: Condition that is awaited from `at` on, see `trace_conditions.holds`.
+        after: Condition that is awaited from `at` on, see
+            `trace_conditions.holds`.
     """
 
     at: float = attrs.field(default=0.0, kw_only=True)
