Show workers and partitions to operators

Cause: the routes and commands of the operators' tool existed, but no part of the core handled them, so both answered 501 not_supported. Ruled out: collecting the views of all instances, since each owner can be asked and the partitions name it. Change: worker_views answers both from the owner's state. Before: GET /v1/workers 501.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -43,6 +43,8 @@
       | /v1/configuration        | 200    | version    |
       | /v1/configuration/status | 200    | everywhere |
       | /v1/explain/a/b%20c      | 200    | decisions  |
+      | /v1/workers              | 200    | workers    |
+      | /v1/partitions           | 200    | partitions |
       | /readyz                  | 503    | reasons    |
 
   Scenario: A command that no part handles is refused at once
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -88,3 +88,11 @@
     Then no batch task starts within 59 s
     And batch job "j1" finishes within 150 s
     And no batch task ran in two places and no worker was overfilled
+
+  Scenario: The views show who owns a partition and what its workers have left
+    Guards against an operator who cannot see where work runs.
+    Given a batch world of 2 entry instances and 2 workers
+    When batch job "j1" of 3 tasks of 60 s is submitted
+    And batch time passes for 3 s
+    Then the owner's views show 2 live workers with 3 tasks and its lease
+    And the other instance's views show the same owner and no workers
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -4,6 +4,7 @@
 
 from features import batch
 from sapphirestall_core import commits
+from sapphirestall_core import operator_messages
 from standins import world as world_module
 
 
@@ -179,3 +180,34 @@
     run.entries = [f"{name}-new" for name in run.entries]
     for name in run.entries:
         world.add_entry(name, "sefrou")
+
+
+def show_views(run, entry):
+    """Returns the workers and partitions that an instance shows."""
+    workers = run.call(operator_messages.ListWorkers(), entry).workers
+    partitions = run.call(operator_messages.ListPartitions(), entry).partitions
+    return workers, partitions
+
+
+@behave.then(
+    "the owner's views show {count:d} live workers with {tasks:d} tasks and"
+    " its lease"
+)
+def step(context, count, tasks):
+    run = context.batch
+    workers, partitions = show_views(run, run.find_owner())
+    assert [worker.state for worker in workers] == ["live"] * count, workers
+    assert sum(worker.running_tasks for worker in workers) == tasks
+    free = sum(worker.free_cpu_millis for worker in workers)
+    assert free == 4000 * count - 1000 * tasks, workers
+    assert [p.authority for p in partitions] == ["lease"], partitions
+
+
+@behave.then("the other instance's views show the same owner and no workers")
+def step(context):
+    run = context.batch
+    other = next(e for e in run.entries if e != run.find_owner())
+    workers, partitions = show_views(run, other)
+    assert not workers
+    assert [p.owner for p in partitions] == [run.find_owner()], partitions
+    assert [p.authority for p in partitions] == ["elsewhere"], partitions
--- a/packages/core/src/sapphirestall_core/operator_messages.py
+++ b/packages/core/src/sapphirestall_core/operator_messages.py
@@ -266,7 +266,11 @@
 
 @attrs.frozen
 class WorkerShown:
-    """One worker as its owner sees it."""
+    """One worker as its owner sees it.
+
+    Attributes:
+        state: `live`, `silent`, `probation` or `leaving`.
+    """
 
     worker_id: str
     partition: str
@@ -292,7 +296,13 @@
 
 @attrs.frozen
 class PartitionShown:
-    """One partition and who owns it."""
+    """One partition and who owns it.
+
+    Attributes:
+        authority: `lease`, `witnesses` or `none` if the asked instance owns
+            it, else `elsewhere`.
+        workers: Number of its workers that the platform lists as live.
+    """
 
     partition: str
     owner: str
--- a/packages/core/src/sapphirestall_core/tasks.py
+++ b/packages/core/src/sapphirestall_core/tasks.py
@@ -2,8 +2,8 @@
 
 Ownership is in `takeover`, polls and reports in `polling` and `inventory`,
 placing in `starts`, commits in `commits`, job records in `reading`, `records`,
-`amendments` and `submission`, operators' commands in `job_views`, eviction in
-`eviction`.
+`amendments` and `submission`, operators' commands in `job_views` and
+`worker_views`, eviction in `eviction`.
 """
 
 from sapphirestall_core import amendments
@@ -18,6 +18,7 @@
 from sapphirestall_core import starts
 from sapphirestall_core import submission
 from sapphirestall_core import takeover
+from sapphirestall_core import worker_views
 
 PARTS = (
     amendments,
@@ -31,6 +32,7 @@
     starts,
     submission,
     takeover,
+    worker_views,
 )
 START_TIMERS: tuple[messages.Timer, ...] = (
     takeover.LeaseDue(),
