Let a scenario notice the attempt match; run process tests alone

Cause: no trace depended on the match of attempts, so make mutations missed one of eleven. In the whole suite, the process runs competed with other runners: two scenarios failed at the start of a fleet, which had 20 s for all interpreters. Ruled out: dropping the mutation, since late acknowledgements do occur. Change: a scenario repeats the acknowledgement of a first attempt's stop while the second attempt is to be stopped; mutations may name a scenario. Before: attempt match not noticed. After: the scenario fails with the match off and holds with it. The effect on the process runs is measured with the next whole run.

--- a/features/eviction.feature
+++ b/features/eviction.feature
@@ -52,3 +52,13 @@
     And 4 tasks of batch job "j1" are evicted while nothing else happens
     Then batch job "j1" finishes within 40 s
     And batch job "j1" was started 4 times
+
+  Scenario: A late acknowledgement of an earlier stop does not end a later attempt
+    Guards against a task that starts again while its present attempt runs.
+    Given a batch world of 1 entry instances and 2 workers
+    When batch job "j1" of 1 tasks of 60 s is submitted
+    And batch time passes for 6 s
+    And 1 tasks of batch job "j1" are evicted while nothing else happens
+    And the second attempt of job "j1" is to be stopped but no command arrives
+    And the stop of its first attempt is acknowledged once more
+    Then the second attempt of job "j1" is still the present one
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Failures of real processes
 
   Scenario Outline: Processes: <run>
--- a/features/steps/eviction_steps.py
+++ b/features/steps/eviction_steps.py
@@ -2,6 +2,10 @@
 
 import behave
 
+from sapphirestall_core import commands
+from sapphirestall_core import task_messages
+from sapphirestall_core import tasks_state
+
 
 @behave.given("every batch checkpoint fails")
 def step(context):
@@ -68,3 +72,37 @@
     for task in finished:
         subject, attempt = task.name.rsplit(".", 1)
         assert int(attempt) == newest[subject], task
+
+
+@behave.when(
+    'the second attempt of job "{job_id}" is to be stopped but no command'
+    " arrives"
+)
+def step(context, job_id):
+    run = context.batch
+    partition = run.get_partition()
+    (attempt,) = partition.attempts.values()
+    starts = run.list_starts(job_id)
+    assert len(starts) == 2 and str(attempt.name) == starts[-1], starts
+    run.world.cut_all([run.find_owner()], run.workers)
+    attempt.phase = tasks_state.Phase.STOPPING
+    job, task, number = starts[0].rsplit(".", 2)
+    context.first = task_messages.AttemptName(job, int(task), int(number))
+
+
+@behave.when("the stop of its first attempt is acknowledged once more")
+def step(context):
+    run = context.batch
+    partition = run.get_partition()
+    worker = partition.workers[run.workers[0]]
+    stop = commands.stop(context.first, worker, partition)
+    done = task_messages.CommandDone(worker.worker_id, run.world.now, stop)
+    run.world.feed(run.world.nodes[run.find_owner()], done)
+
+
+@behave.then('the second attempt of job "{job_id}" is still the present one')
+def step(context, job_id):
+    run = context.batch
+    attempts = run.get_partition().attempts.values()
+    present = [str(attempt.name) for attempt in attempts]
+    assert present == run.list_starts(job_id)[1:], present
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,16 +1,19 @@
 """Switches one mechanism off at a time and checks that a trace notices.
 
 Each mutation runs in its own process, which patches one function of the core
-and plays a trace that holds without the mutation.
+and plays a trace, or runs a scenario, that holds without the mutation.
 """
 
 from collections.abc import Callable
+import contextlib
+import io
 import pathlib
 import subprocess
 import sys
 from typing import Any
 
 import attrs
+from behave import __main__ as behave_main
 
 from sapphirestall_core import attempts
 from sapphirestall_core import claims
@@ -34,7 +37,7 @@
     """One mechanism that is switched off.
 
     Attributes:
-        trace: Trace that must fail then.
+        trace: Trace that must fail then, or `FILE.feature: SCENARIO`.
         apply: Patches the core of this process.
     """
 
@@ -148,7 +151,11 @@
         "tasks/owner_cut_from_worker",
         _give_up_silent_workers_early,
     ),
-    Mutation("attempt match", "tasks/start_command_expired", _match_no_attempt),
+    Mutation(
+        "attempt match",
+        "eviction.feature: A late acknowledgement of an earlier stop",
+        _match_no_attempt,
+    ),
     Mutation(
         "configuration version guard",
         "configuration/documents_delayed",
@@ -174,11 +181,23 @@
     return done.stdout.strip()
 
 
+def run_scenario(file: str, name: str) -> str:
+    """Runs a scenario in this process; returns its failure, if any."""
+    path = str(TRACES.parent / file)
+    with contextlib.redirect_stdout(io.StringIO()):
+        code = behave_main.main([path, "--name", name, "--no-summary"])
+    return f"failed: {name}" if code else ""
+
+
 def play_here(name: str, mutation: str) -> None:
     """Plays a trace in this process and prints its first fault."""
     for candidate in MUTATIONS:
         if candidate.name == mutation:
             candidate.apply()
+    file, _, scenario = name.partition(": ")
+    if scenario:
+        print(run_scenario(file, scenario))
+        return
     run = trace.play(trace.load(TRACES / f"{name}.yaml"))
     faults = trace.list_faults(run)
     print(faults[0].splitlines()[0][:100] if faults else "")
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -1,6 +1,7 @@
 """Runs all tests and prints `N passed, N failed` from the runner's reports.
 
-Each feature file runs in a process of its own, several at a time. Scenarios
+Each feature file runs in a process of its own, several at a time; those tagged
+`@alone` start many processes and run one by one after the others. Scenarios
 that KNOWN-RED.txt lists do not count as failures; they are printed.
 """
 
@@ -17,6 +18,7 @@
 ROOT = pathlib.Path(__file__).parents[1]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MARK = "test: "
+ALONE = "@alone"
 # Features that start real processes need cores beside the runners.
 RUNNERS = max(1, (os.cpu_count() or 1) // 2)
 
@@ -79,10 +81,16 @@
 async def run_all(paths: list[pathlib.Path]) -> list[Run]:
     """Runs all feature files, several at a time."""
     gate = asyncio.Semaphore(RUNNERS)
-    with tempfile.TemporaryDirectory() as directory:
-        return await asyncio.gather(
-            *(run_feature(p, pathlib.Path(directory), gate) for p in paths)
+    alone = [p for p in paths if p.read_text("utf-8").startswith(ALONE)]
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        others = [p for p in paths if p not in alone]
+        runs = await asyncio.gather(
+            *(run_feature(path, directory, gate) for path in others)
         )
+        for path in alone:
+            runs.append(await run_feature(path, directory, gate))
+    return runs
 
 
 def judge(runs: list[Run]) -> Verdict:
