Never hand out a port twice to processes of the tests

Cause: ports were drawn at random among 12,000, so that with some 60 processes a run had about one chance in seven that two of them got the same one, or that one took the port of an instance that was being replaced. Ruled out: a busy machine; the failure came back with nothing else running. Change: each test process draws from its own range and hands out a port once.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
-import random
 import socket
 import subprocess
 import sys
@@ -22,16 +22,28 @@
 
 # Below the range from which the kernel takes ports of outgoing connections;
 # a port from that range was taken between the check and the process's start.
-PORTS = range(20_000, 32_000)
+FIRST_PORT = 20_000
+PORTS_PER_PROCESS = 240
+PROCESS_RANGES = 50
+_handed_out: set[int] = set()
 
 
 def find_port() -> int:
-    """Returns a port that is free at present."""
-    while True:
-        port = random.choice(PORTS)
+    """Returns a port that is free and was never handed out before.
+
+    Processes that run at once draw from different ranges, and a port is not
+    handed out twice: a process that starts or restarts may not listen yet, and
+    another one must not take its port meanwhile.
+    """
+    first = FIRST_PORT + os.getpid() % PROCESS_RANGES * PORTS_PER_PROCESS
+    for port in range(first, first + PORTS_PER_PROCESS):
+        if port in _handed_out:
+            continue
+        _handed_out.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
             return port
+    raise RuntimeError(f"no port is free from {first} on")
 
 
 @attrs.define
