--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -183,6 +183,18 @@
                 while not await _answers(session, url):
                     await asyncio.sleep(0.05)
 
+    async def stop_waiting(self) -> None:
+        """Ends every process, while the other work of the loop goes on."""
+        for process in self.processes.values():
+            process.terminate()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while any(p.poll() is None for p in self.processes.values()):
+                    await asyncio.sleep(0.1)
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
     def stop(self) -> None:
         """Ends every process that this fleet started."""
         for process in self.processes.values():
--- a/standins/process_runs.py
+++ b/standins/process_runs.py
@@ -196,7 +196,9 @@
         for process in fleet.processes.values():
             # A stopped process would not react to the request to end.
             process.send_signal(signal.SIGCONT)
-        fleet.stop()
+        # A blocking wait would hold up the runs that share the loop: their
+        # answers would lie unread until their timeouts had passed.
+        await fleet.stop_waiting()
 
 
 async def make_runs(names: list[str]) -> dict[str, list[str]]:
