Check the values of the configuration, not only its form

Cause: the typed view took the text "false" for true, a time limit of 0, which the HTTP client takes for none, and floors above 1. Ruled out: checks in each part that uses a value, which would refuse late. Change: strict types and ranges on the policy classes; each fault is named with its path, its value and the bound.

--- a/packages/core/src/sapphirestall_core/policy.py
+++ b/packages/core/src/sapphirestall_core/policy.py
@@ -1,5 +1,6 @@
 """Typed view of the configuration body."""
 
+import math
 from typing import Any
 
 import attrs
@@ -8,6 +9,11 @@
 DEFAULT_TIMEOUT_S = 2.0
 DEFAULT_SLOWDOWN_LIMIT = 1.1
 
+_POSITIVE: Any = attrs.validators.gt(0)
+_NOT_NEGATIVE: Any = attrs.validators.ge(0)
+_AT_LEAST_ONE: Any = attrs.validators.ge(1)
+_SHARE: Any = attrs.validators.and_(_NOT_NEGATIVE, attrs.validators.le(1))
+
 
 @attrs.frozen
 class Operation:
@@ -21,7 +27,9 @@
 
     repeatable: bool = False
     request_class: str = "default"
-    timeout_s: float = DEFAULT_TIMEOUT_S
+    timeout_s: float = attrs.field(
+        default=DEFAULT_TIMEOUT_S, validator=_POSITIVE
+    )
 
 
 @attrs.frozen
@@ -33,7 +41,9 @@
     """
 
     operations: dict[str, Operation] = attrs.field(factory=dict)
-    slowdown_limit: float = DEFAULT_SLOWDOWN_LIMIT
+    slowdown_limit: float = attrs.field(
+        default=DEFAULT_SLOWDOWN_LIMIT, validator=attrs.validators.ge(1)
+    )
 
 
 @attrs.frozen
@@ -46,18 +56,18 @@
         queue_limit: Requests that may wait at one entry instance.
     """
 
-    floor: float = 0.0
-    weight: float = 1.0
-    queue_limit: int = 256
+    floor: float = attrs.field(default=0.0, validator=_SHARE)
+    weight: float = attrs.field(default=1.0, validator=_POSITIVE)
+    queue_limit: int = attrs.field(default=256, validator=_POSITIVE)
 
 
 @attrs.frozen
 class Team:
     """Quota of a team; 0 means no limit."""
 
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu_millis: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    memory_mb: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    accelerators: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
 
 
 @attrs.frozen
@@ -70,9 +80,9 @@
         eviction: Evicting one task, in processor-seconds of lost work.
     """
 
-    slowdown: float = 1.0
-    packing: float = 0.2
-    eviction: float = 60.0
+    slowdown: float = attrs.field(default=1.0, validator=_NOT_NEGATIVE)
+    packing: float = attrs.field(default=0.2, validator=_NOT_NEGATIVE)
+    eviction: float = attrs.field(default=60.0, validator=_NOT_NEGATIVE)
 
 
 # Belkadi's measure is tail latency; Magnolia's are evictions and throughput.
@@ -96,11 +106,11 @@
     """
 
     weights: Weights = attrs.field(factory=Weights)
-    margin: float = 1.0
-    evictions_per_minute: int = 2
-    urgent_from: int = 5
-    background_below: int = 1
-    lower_floor: float = 0.3
+    margin: float = attrs.field(default=1.0, validator=_POSITIVE)
+    evictions_per_minute: int = attrs.field(default=2, validator=_NOT_NEGATIVE)
+    urgent_from: int = attrs.field(default=5, validator=_NOT_NEGATIVE)
+    background_below: int = attrs.field(default=1, validator=_NOT_NEGATIVE)
+    lower_floor: float = attrs.field(default=0.3, validator=_SHARE)
 
 
 @attrs.frozen
@@ -113,7 +123,42 @@
     sharing: Sharing = attrs.field(factory=Sharing)
 
 
-_converter = cattrs.Converter(forbid_extra_keys=True)
+def _read_text(value: Any, _: type) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r:.80} is not text")
+    return value
+
+
+def _read_truth(value: Any, _: type) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is neither true nor false")
+    return value
+
+
+def _read_integer(value: Any, _: type) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r:.80} is not an integer")
+    return value
+
+
+def _read_number(value: Any, _: type) -> float:
+    known = isinstance(value, int | float) and not isinstance(value, bool)
+    if not known or not math.isfinite(value):
+        raise TypeError(f"{value!r:.80} is not a number")
+    return float(value)
+
+
+def _make_converter() -> cattrs.Converter:
+    # Without these hooks, cattrs would take the text "false" for true.
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    converter.register_structure_hook(str, _read_text)
+    converter.register_structure_hook(bool, _read_truth)
+    converter.register_structure_hook(int, _read_integer)
+    converter.register_structure_hook(float, _read_number)
+    return converter
+
+
+_converter = _make_converter()
 
 
 def parse(body: dict[str, Any]) -> Policy:
@@ -130,5 +175,11 @@
     try:
         parse(body)
     except cattrs.BaseValidationError as error:
-        return cattrs.transform_error(error)
+        return cattrs.transform_error(error, format_exception=_describe)
     return []
+
+
+def _describe(error: BaseException, target: type | None) -> str:
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        return f"unknown keys: {', '.join(sorted(error.extra_fields))}"
+    return str(error)
