--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -5,7 +5,6 @@
 from bench import control
 from sapphirestall_core import configuration
 from sapphirestall_core import instance
-from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import operator_messages
 from sapphirestall_core import peer_messages
@@ -31,13 +30,6 @@
     }
 
 
-def read_status(world, node_id):
-    call_id = world.call_operator(
-        node_id, operator_messages.ShowConfigurationStatus()
-    )
-    return world.results[call_id]
-
-
 def store_document(world, document):
     version = world.store.items[KEY].version if KEY in world.store.items else 0
     world.store.put(KEY, document, version, None)
@@ -367,64 +359,3 @@
         world_module.perform.register(store_messages.StoreEffect, perform)
     assert before == 0
     assert 0 < count["calls"] <= calls, count
-
-
-@behave.given("an entry instance that has read no list")
-def step(context):
-    identity = state.Identity("alone", "alone-1", "atlanta", "a:1")
-    context.alone = instance.build(identity)
-
-
-@behave.when("the configuration status is asked for")
-def step(context):
-    event = operator_messages.OperatorCalled(
-        "call", operator_messages.ShowConfigurationStatus()
-    )
-    (context.effect,) = instance.handle(event, context.alone, 1.0)
-
-
-@behave.then('the status says that the list was not read and not "everywhere"')
-def step(context):
-    status = context.effect.result
-    assert not status.instances_listed
-    assert not status.everywhere
-    listing = membership.Listing(
-        "alone", membership.Kind.ENTRY, "atlanta", "a:1"
-    )
-    event = membership.InstancesListed((listing,))
-    instance.handle(event, context.alone, 1.0)
-    event = operator_messages.OperatorCalled(
-        "call", operator_messages.ShowConfigurationStatus()
-    )
-    (effect,) = instance.handle(event, context.alone, 1.0)
-    assert effect.result.everywhere
-
-
-@behave.when("one instance of another data centre is cut off for 10 s")
-def step(context):
-    world = context.world
-    context.cut = next(n for n in world.nodes if "houston" in n)
-    world.cut_all([context.cut], [n for n in world.nodes if n != context.cut])
-    world.run(10)
-
-
-@behave.then("the status names exactly that instance as unreachable")
-def step(context):
-    context.status = read_status(context.world, context.first)
-    assert context.status.unreachable == [context.cut], context.status
-    assert not context.status.everywhere
-
-
-@behave.then("the status counts {count:d} listed instances")
-def step(context, count):
-    status = context.status
-    assert len(status.in_force) + len(status.unreachable) == count, status
-
-
-@behave.then('after 10 s the status of each instance says "everywhere"')
-def step(context):
-    context.world.run(10)
-    for node_id in context.world.nodes:
-        status = read_status(context.world, node_id)
-        assert status.everywhere, status
-        assert len(status.in_force) == len(context.world.nodes)
--- a/packages/core/src/sapphirestall_core/attempts.py
+++ b/packages/core/src/sapphirestall_core/attempts.py
@@ -159,7 +159,7 @@
         ledger.record(("service", service.service), service.reserved)
     for attempt in worker.attempts.values():
         ledger.record(attempt.name, attempt.reserved)
-    for name, reserved in worker.strays.items():
+    for name, reserved in worker.unwanted.items():
         ledger.record(name, reserved)
     worker.ledger = ledger
     worker.services = report.services
--- a/packages/core/src/sapphirestall_core/commits.py
+++ b/packages/core/src/sapphirestall_core/commits.py
@@ -224,7 +224,7 @@
     for worker_id in list(partition.workers):
         worker = partition.workers[worker_id]
         needed = worker.listed or worker_id in progress.witnesses
-        if not needed and not worker.attempts and not worker.strays:
+        if not needed and not worker.attempts and not worker.unwanted:
             del partition.workers[worker_id]
 
 
--- a/packages/core/src/sapphirestall_core/eviction.py
+++ b/packages/core/src/sapphirestall_core/eviction.py
@@ -144,7 +144,7 @@
     if not commands.may_command(worker, partition, instance, now):
         return []
     effects: dispatch.Effects = [
-        commands.stop(name, worker, partition) for name in worker.strays
+        commands.stop(name, worker, partition) for name in worker.unwanted
     ]
     for attempt in list(worker.attempts.values()):
         match attempt.phase:
--- a/packages/core/src/sapphirestall_core/inventory.py
+++ b/packages/core/src/sapphirestall_core/inventory.py
@@ -34,12 +34,12 @@
     effects: dispatch.Effects = []
     if worker.incarnation != report.incarnation:
         lose_all(worker, partition)
-        worker.strays.clear()
+        worker.unwanted.clear()
         worker.acknowledge.clear()
         worker.incarnation = report.incarnation
     worker.clock = report.clock
     worker.reported_at = now
-    worker.strays.clear()
+    worker.unwanted.clear()
     for task in report.tasks:
         if task.state is task_messages.TaskState.RUNNING:
             effects += _take_running(task, worker, partition, instance, now)
@@ -104,7 +104,7 @@
     if current is not None and current.name == name:
         return _confirm(current, task, partition, instance, now)
     if current is not None and current.name.attempt > name.attempt:
-        worker.strays[name] = task.reserved
+        worker.unwanted[name] = task.reserved
         return [messages.CountRefusal(PART, "lower_attempt")]
     if current is not None:
         _displace(current, partition)
@@ -132,7 +132,7 @@
 ) -> None:
     worker = partition.workers[attempt.worker_id]
     attempts.remove(attempt, partition)
-    worker.strays[attempt.name] = attempt.reserved
+    worker.unwanted[attempt.name] = attempt.reserved
     if worker.ledger is not None:
         worker.ledger.record(attempt.name, attempt.reserved)
 
--- a/packages/core/src/sapphirestall_core/polling.py
+++ b/packages/core/src/sapphirestall_core/polling.py
@@ -189,11 +189,11 @@
     authority = ownership.find_authority(partition, lease, now)
     incarnation = event.report.incarnation
     if authority is ownership.Authority.LEASE:
-        worker.vouched = incarnation
+        worker.witness_incarnation = incarnation
     if (
         event.round_number != partition.round_number
         or event.report.highest_epoch != partition.epoch
-        or worker.vouched != incarnation
+        or worker.witness_incarnation != incarnation
     ):
         return
     partition.answered.add(worker.worker_id)
--- a/packages/core/src/sapphirestall_core/probation.py
+++ b/packages/core/src/sapphirestall_core/probation.py
@@ -8,8 +8,8 @@
 
 # Failures since the last success at which a worker is taken out.
 MAX_FAILURES = 3
-# Failures and starts whose outcome is open, together. It bounds what a worker
-# swallows when it fails tasks only some time after their start.
+# Failures and starts whose outcome is open, together. It bounds the tasks that
+# a worker fails when they fail only some time after their start.
 MAX_EXPOSED = 8
 # A task that has run this long counts as started well.
 PROVEN_AFTER_S = 5.0
--- a/packages/core/src/sapphirestall_core/tasks_state.py
+++ b/packages/core/src/sapphirestall_core/tasks_state.py
@@ -59,10 +59,10 @@
         reported_at: Own time at which the last report was received; negative
             while none was received under the present epoch.
         round_number: Poll round of the last report.
-        vouched: Incarnation that answered under authority (a).
+        witness_incarnation: Incarnation that answered under authority (a).
         listed: Whether the platform's list shows it in this partition.
         attempts: Attempts that run or may run there, by task.
-        strays: Attempts that it reports but that must not run, with their
+        unwanted: Attempts that it reports but that must not run, with their
             reservations.
         acknowledge: Ended attempts that the worker may forget.
         inventoried: Whether a report was taken under the present epoch after
@@ -82,12 +82,12 @@
     reported_at: float = -1.0
     round_number: int = 0
     incarnation: str = ""
-    vouched: str = ""
+    witness_incarnation: str = ""
     listed: bool = True
     ledger: resources.Ledger | None = None
     services: tuple[task_messages.ServiceReport, ...] = ()
     attempts: dict[task_messages.TaskName, Attempt] = attrs.field(factory=dict)
-    strays: dict[task_messages.AttemptName, resources.Vector] = attrs.field(
+    unwanted: dict[task_messages.AttemptName, resources.Vector] = attrs.field(
         factory=dict
     )
     acknowledge: set[task_messages.AttemptName] = attrs.field(factory=set)
@@ -102,7 +102,7 @@
         self.round_number = 0
         self.ledger = None
         self.attempts.clear()
-        self.strays.clear()
+        self.unwanted.clear()
         self.acknowledge.clear()
         self.inventoried = self.awaits_report = False
 
@@ -249,7 +249,7 @@
         """Drops everything that holds only under one owner."""
         for worker in self.workers.values():
             worker.forget_inventory()
-            worker.vouched = ""
+            worker.witness_incarnation = ""
         for share in self.shares.values():
             share.job.shares.pop(self.name, None)
         self.epoch = self.pending_epoch = 0
