Count the store calls of each recovery

Cause: only the mass restart had figures for store calls. Ruled out: counting all calls after a fault as its cost; the usual rate is measured in the 30 s before and shown beside. Change: make recovery prints store calls from the fault to the first tasks of a new job, and the calls of an equal time without a fault.

--- a/tools/recovery.py
+++ b/tools/recovery.py
@@ -41,10 +41,27 @@
     return Cost(_count(run, "store ") - store, _count(run, "worker ") - workers)
 
 
-def measure_recovery(steps: list[trace_steps.Step]) -> float:
-    """Returns the seconds from a fault until a new job has finished."""
+@attrs.frozen
+class Recovery:
+    """Time and store calls from a fault until a new job has finished.
+
+    Attributes:
+        usual_calls: Store calls in a time of this length without the fault.
+    """
+
+    seconds: float
+    store_calls: int
+    usual_calls: float
+
+
+def measure_recovery(steps: list[trace_steps.Step]) -> Recovery:
+    """Measures the recovery from one fault."""
     run = trace_run.make_run(trace_run.Layout(entries=3), SEED)
     run.world.run(5.0)
+    settled = _count(run, "store ")
+    run.world.run(WINDOW_S)
+    before = _count(run, "store ")
+    usual_rate = (before - settled) / WINDOW_S
     for step in steps:
         trace_steps.apply(step, run)
     since = run.world.now
@@ -56,7 +73,9 @@
         run.world.run(0.5)
         if run.world.now > since + LIMIT_S:
             break
-    return run.world.now - since
+    seconds = run.world.now - since
+    calls = _count(run, "store ") - before
+    return Recovery(seconds, calls, usual_rate * seconds)
 
 
 FAULTS: dict[str, list[trace_steps.Step]] = {
@@ -71,7 +90,11 @@
 def main(write: Callable[[str], object] = print) -> int:
     """Prints the figures; returns 0 when costs grow at most linearly."""
     for name, steps in FAULTS.items():
-        write(f"{name:22} first tasks after {measure_recovery(steps):5.1f} s")
+        cost = measure_recovery(steps)
+        write(
+            f"{name:22} first tasks after {cost.seconds:5.1f} s,"
+            f" {cost.store_calls} store calls, usually {cost.usual_calls:.0f}"
+        )
     costs = {size: measure_restart(size) for size in SIZES}
     for size, cost in costs.items():
         write(f"{size:3} restarted: {cost}")
