--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.txt
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e packages/core -e packages/entry -e packages/operator
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e packages/core -e packages/entry -e packages/operator -e platform
 	touch $(STAMP)
 
 format: $(STAMP)
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,8 @@
+# Puts the libraries and the project's packages under target/deps.
+set -eu
+[ target/deps -nt deploy/requirements.txt ] || python3 -m pip install --quiet --disable-pip-version-check --upgrade --target target/deps --require-hashes -r deploy/requirements.txt
+# The project's packages are copied anew on each build, whatever changed.
+for package in packages/core packages/entry platform; do
+  cp -R "$package"/src/* target/deps/
+done
+touch target/deps
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps on workers that an entry instance owns under a fence."""
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -0,0 +1,371 @@
+"""Commits of progress: one transaction for the ends of many runs.
+
+Workers may forget an end only after its effect is in the store, so the
+position that a hold acknowledges moves when a commit is confirmed.
+"""
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import jobs
+from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+
+PART = "commits"
+# Ends that arrive within this time share a commit; final states do not wait.
+COMMIT_DELAY_S = 0.02
+RETRY_S = 0.15
+# Expectations, writes and removals of one transaction.
+ENTRIES_LIMIT = 32
+ENTRIES_PER_JOB = 4
+JOBS_LIMIT = (ENTRIES_LIMIT - 1) // ENTRIES_PER_JOB
+SUMMARY_INTERVAL_S = 0.7
+
+
+@attrs.frozen
+class Commit(store_messages.Purpose):
+    """Writes the progress or final state of jobs.
+
+    Attributes:
+        marks: Position of ends by worker that is durable by this commit.
+    """
+
+    partition: str
+    token: int
+    job_ids: tuple[str, ...]
+    marks: dict[str, int]
+
+
+@attrs.frozen
+class RevisionsRead(store_messages.Purpose):
+    """Reads a job's progress record again after a conflict."""
+
+    partition: str
+    token: int
+
+
+@attrs.frozen
+class SummaryWrite(store_messages.Purpose):
+    """Publishes the summary of a partition."""
+
+    partition: str
+    token: int
+    summary: records.SummaryRecord
+
+
+@attrs.frozen
+class CommitDue(messages.Timer):
+    """Starts a commit."""
+
+    partition: str
+    token: int
+
+
+@attrs.frozen
+class EndsCommitted(messages.Event):
+    """Ends of some workers are durable; they may be acknowledged."""
+
+    partition: str
+    workers: tuple[str, ...]
+
+
+def mark(partition: state.Partition, job: state.Job) -> dispatch.Effects:
+    """Records that a job's progress differs from the store's."""
+    partition.dirty[job.record.job_id] = job
+    return plan(partition, 0.0 if job.final is not None else COMMIT_DELAY_S)
+
+
+def plan(
+    partition: state.Partition, delay_s: float = COMMIT_DELAY_S
+) -> dispatch.Effects:
+    """Asks for a commit, unless one is due or in flight."""
+    if partition.committing or partition.commit_due:
+        return []
+    partition.commit_due = True
+    timer = CommitDue(partition.name, partition.token)
+    return [messages.StartTimer(timer, delay_s)]
+
+
+@dispatch.expire.register(CommitDue)
+def commit(
+    timer: CommitDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Writes what is dirty, final states first."""
+    partition = batch.partitions.get(timer.partition)
+    if partition is None or partition.token != timer.token:
+        return []
+    partition.commit_due = False
+    if partition.committing:
+        return []
+    marks = {
+        name: worker.seen
+        for name, worker in partition.workers.items()
+        if worker.seen > worker.acknowledged
+    }
+    if not partition.dirty:
+        return _acknowledge(batch, partition, marks, now)
+    chosen = sorted(
+        partition.dirty.values(), key=lambda job: job.final is None
+    )[:JOBS_LIMIT]
+    if len(chosen) < len(partition.dirty):
+        marks = {}
+    partition.committing = True
+    wall_ms = round((now + batch.identity.wall_offset_s) * 1000)
+    expected = [(records.name_owner_key(partition.name), partition.token)]
+    puts: list[store_messages.Put] = []
+    removals: list[str] = []
+    for job in chosen:
+        partition.dirty.pop(job.record.job_id)
+        _add_job(job, expected, puts, removals, wall_ms)
+    purpose = Commit(
+        partition.name,
+        partition.token,
+        tuple(job.record.job_id for job in chosen),
+        marks,
+    )
+    return [
+        store_messages.StoreTransaction(
+            purpose, tuple(expected), tuple(puts), tuple(removals)
+        )
+    ]
+
+
+def _add_job(
+    job: state.Job,
+    expected: list[tuple[str, int]],
+    puts: list[store_messages.Put],
+    removals: list[str],
+    wall_ms: int,
+) -> None:
+    progress_key = records.name_progress_key(job.record.job_id)
+    if job.final is None:
+        expected.append((progress_key, job.progress_revision))
+        puts.append(store_messages.Put(progress_key, jobs.make_progress(job)))
+        return
+    job_key = records.name_job_key(job.record.job_id)
+    expected.append((job_key, job.revision))
+    final = jobs.make_final_record(job, wall_ms)
+    puts.append(store_messages.Put(job_key, final))
+    if job.progress_revision:
+        expected.append((progress_key, job.progress_revision))
+        removals.append(progress_key)
+
+
+@dispatch.resume.register(Commit)
+def end_commit(
+    purpose: Commit,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Acknowledges the ends of a confirmed commit, or tries again."""
+    partition = batch.partitions.get(purpose.partition)
+    if partition is None or partition.token != purpose.token:
+        return []
+    partition.committing = False
+    outcome = reply.outcome
+    if isinstance(outcome, store_messages.Committed):
+        return _end_confirmed(batch, partition, purpose, outcome, now)
+    if isinstance(outcome, store_messages.Conflict):
+        return _end_conflict(batch, partition, purpose, outcome, now)
+    _mark_again(partition, purpose)
+    return [
+        messages.CountRetry(PART, "store_unavailable"),
+        *plan(partition, RETRY_S),
+    ]
+
+
+def _mark_again(partition: state.Partition, purpose: Commit) -> None:
+    for job_id in purpose.job_ids:
+        job = partition.jobs.get(job_id)
+        if job is not None:
+            partition.dirty[job_id] = job
+
+
+def _end_confirmed(
+    batch: state.Batch,
+    partition: state.Partition,
+    purpose: Commit,
+    outcome: store_messages.Committed,
+    now: float,
+) -> dispatch.Effects:
+    effects: dispatch.Effects = []
+    for job_id in purpose.job_ids:
+        job = partition.jobs.get(job_id)
+        if job is None:
+            continue
+        if job.final is None or job_id in partition.dirty:
+            job.progress_revision = outcome.revision
+            continue
+        partition.jobs.pop(job_id)
+        partition.ended[job_id] = (outcome.revision, now)
+        effects.append(
+            jobs.make_log(
+                "ended",
+                job_id,
+                state=job.final.value,
+                queue=job.queue.name,
+                took_s=round(now - job.accepted_at, 3),
+                revision=outcome.revision,
+            )
+        )
+    effects += _acknowledge(batch, partition, purpose.marks, now)
+    if partition.dirty:
+        effects += plan(partition, 0.0)
+    return effects
+
+
+def _end_conflict(
+    batch: state.Batch,
+    partition: state.Partition,
+    purpose: Commit,
+    outcome: store_messages.Conflict,
+    now: float,
+) -> dispatch.Effects:
+    """Learns the current revisions; another owner ends the ownership.
+
+    An earlier commit whose answer was lost, or a caller's cancellation, has
+    changed a record. Only the owner writes progress, so it may overwrite it.
+    """
+    owner_key = records.name_owner_key(partition.name)
+    if outcome.revisions.get(owner_key, 0) != partition.token:
+        return ownership.resign(batch, partition.name, "conflict", now)
+    _mark_again(partition, purpose)
+    effects: dispatch.Effects = []
+    for job_id in purpose.job_ids:
+        job = partition.jobs.get(job_id)
+        if job is None:
+            continue
+        key = records.name_progress_key(job_id)
+        job.progress_revision = outcome.revisions.get(
+            key, job.progress_revision
+        )
+        job_key = records.name_job_key(job_id)
+        if outcome.revisions.get(job_key, job.revision) != job.revision:
+            effects.append(
+                store_messages.StoreGet(
+                    RevisionsRead(partition.name, partition.token),
+                    job_key,
+                    records.JobRecord,
+                )
+            )
+            partition.dirty.pop(job_id, None)
+    return effects + plan(partition, 0.0)
+
+
+@attrs.frozen
+class JobSeen(messages.Event):
+    """A job record was read again."""
+
+    partition: str
+    loaded: state.LoadedJob
+
+
+@dispatch.resume.register(RevisionsRead)
+def take_record(
+    purpose: RevisionsRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Takes a job record that someone else has changed."""
+    partition = batch.partitions.get(purpose.partition)
+    if partition is None or partition.token != purpose.token:
+        return []
+    outcome = reply.outcome
+    if isinstance(outcome, store_messages.Found):
+        assert isinstance(outcome.value, records.JobRecord)
+        loaded = state.LoadedJob(
+            outcome.value, outcome.revision, outcome.create_revision
+        )
+        return dispatch.handle(JobSeen(partition.name, loaded), batch, now)
+    # Marked again, the commit meets the same conflict and reads again.
+    for job in partition.jobs.values():
+        if job.final is not None:
+            partition.dirty[job.record.job_id] = job
+    return plan(partition, RETRY_S)
+
+
+def _acknowledge(
+    batch: state.Batch,
+    partition: state.Partition,
+    marks: dict[str, int],
+    now: float,
+) -> dispatch.Effects:
+    moved = []
+    for name, position in marks.items():
+        worker = partition.workers.get(name)
+        if worker is not None and position > worker.acknowledged:
+            worker.acknowledged = position
+            moved.append(name)
+    if not moved:
+        return []
+    event = EndsCommitted(partition.name, tuple(moved))
+    return dispatch.handle(event, batch, now)
+
+
+def tick(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> dispatch.Effects:
+    """Publishes the summary when it has changed."""
+    if partition.phase is not state.Phase.ACTIVE or partition.summary_writing:
+        return []
+    summary = make_summary(partition)
+    if summary == partition.summary:
+        return []
+    if now < partition.summary_at + SUMMARY_INTERVAL_S:
+        return []
+    partition.summary_at = now
+    partition.summary_writing = True
+    key = records.name_summary_key(partition.name)
+    owner = (records.name_owner_key(partition.name), partition.token)
+    return [
+        store_messages.StoreTransaction(
+            SummaryWrite(partition.name, partition.token, summary),
+            (owner,),
+            (store_messages.Put(key, summary),),
+        )
+    ]
+
+
+def make_summary(partition: state.Partition) -> records.SummaryRecord:
+    """Returns what the owner publishes of its partition."""
+    pending: dict[str, list[str]] = {}
+    cpu_millis = 0
+    for job in partition.jobs.values():
+        if not job.started:
+            name = job.queue.name
+            pending.setdefault(name, []).append(job.record.job_id)
+        for step in job.steps:
+            if step.released:
+                cpu_millis += len(step.open) * step.step.amount.cpu_millis
+    capacity = sum(
+        worker.entry.capacity.cpu_millis
+        for worker in partition.workers.values()
+    )
+    return records.SummaryRecord(
+        {name: tuple(ids) for name, ids in pending.items()},
+        round(cpu_millis / max(1, capacity), 1),
+    )
+
+
+@dispatch.resume.register(SummaryWrite)
+def end_summary(
+    purpose: SummaryWrite,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Notes what was published."""
+    partition = batch.partitions.get(purpose.partition)
+    if partition is None or partition.token != purpose.token:
+        return []
+    partition.summary_writing = False
+    if isinstance(reply.outcome, store_messages.Committed):
+        partition.summary = purpose.summary
+    if isinstance(reply.outcome, store_messages.Conflict):
+        return ownership.resign(batch, partition.name, "conflict", now)
+    return []
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/dispatch.py
@@ -0,0 +1,101 @@
+"""Entry points of the batch side; its parts register their handlers here."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from sapphirestall_core import errors
+from sapphirestall_core import messages
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import worker_messages
+
+if TYPE_CHECKING:
+    from sapphirestall_core.batch import state
+
+Effects = list[messages.Effect]
+
+
+def _reject(message: object) -> errors.UnhandledMessageError:
+    return errors.UnhandledMessageError(
+        f"no handler for {type(message).__name__}", step="dispatch"
+    )
+
+
+@functools.singledispatch
+def handle(event: messages.Event, batch: state.Batch, now: float) -> Effects:
+    """Handles an event.
+
+    Args:
+        event: What happened.
+        batch: State of this instance; changed in place.
+        now: Monotonic clock of the process, in seconds.
+
+    Raises:
+        errors.UnhandledMessageError: No part handles this type of event.
+    """
+    raise _reject(event)
+
+
+@functools.singledispatch
+def expire(timer: messages.Timer, batch: state.Batch, now: float) -> Effects:
+    """Handles a timer."""
+    raise _reject(timer)
+
+
+@functools.singledispatch
+def resume(
+    purpose: store_messages.Purpose,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> Effects:
+    """Handles the outcome of a store call by what the call was for."""
+    raise _reject(purpose)
+
+
+@functools.singledispatch
+def settle(
+    call: worker_messages.WorkerCall,
+    event: worker_messages.WorkerReplied,
+    batch: state.Batch,
+    now: float,
+) -> Effects:
+    """Handles the reply of a worker by the call that it answers."""
+    raise _reject(call)
+
+
+@handle.register(messages.TimerFired)
+def _(event: messages.TimerFired, batch: state.Batch, now: float) -> Effects:
+    return expire(event.timer, batch, now)
+
+
+@handle.register(store_messages.StoreReply)
+def _(
+    event: store_messages.StoreReply, batch: state.Batch, now: float
+) -> Effects:
+    effects: Effects = []
+    if not isinstance(event.outcome, store_messages.Unavailable):
+        if batch.store_down_at is not None:
+            effects.append(
+                messages.Log(
+                    "store",
+                    "regained",
+                    {"away_s": round(now - batch.store_down_at, 3)},
+                )
+            )
+        batch.store_down_at = None
+        batch.store_ok_at = now
+    elif batch.store_down_at is None:
+        batch.store_down_at = now
+        effects.append(
+            messages.Log("store", "lost", {"detail": event.outcome.detail})
+        )
+    return effects + resume(event.purpose, event, batch, now)
+
+
+@handle.register(worker_messages.WorkerReplied)
+def _(
+    event: worker_messages.WorkerReplied, batch: state.Batch, now: float
+) -> Effects:
+    return settle(event.call, event, batch, now)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -0,0 +1,158 @@
+"""Builds the batch side of an entry instance and registers its handlers."""
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import commits
+from sapphirestall_core.batch import configuration
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import intake
+from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
+from sapphirestall_core.batch import workers
+
+# Importing a part registers its handlers with `dispatch`.
+PARTS = (commits, configuration, intake, ownership, passes, takeover, workers)
+# An instance that lost the store for this long takes no new connections.
+STORE_LOST_S = 1.5
+# Longest time that a graceful shutdown waits for calls in flight.
+DRAIN_S = 2.0
+
+
+def build(identity: state.Identity) -> state.Batch:
+    """Returns the state of a new instance."""
+    return state.Batch(identity)
+
+
+def handle(
+    event: messages.Event, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Handles one event; see `dispatch.handle`."""
+    return dispatch.handle(event, batch, now)
+
+
+def is_ready(batch: state.Batch, now: float) -> bool:
+    """Tells whether new connections should come to this instance."""
+    if batch.stopping or batch.configuration is None:
+        return False
+    return (
+        batch.store_down_at is None or now - batch.store_down_at < STORE_LOST_S
+    )
+
+
+@dispatch.handle.register(messages.Started)
+def start(
+    event: messages.Started, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Starts the periodic work."""
+    timers = (
+        configuration.ConfigurationDue(),
+        ownership.LeaseDue(),
+        ownership.OwnersDue(),
+        workers.EntriesDue(),
+        workers.TickDue(),
+    )
+    fields = {
+        "instance": batch.identity.instance_id,
+        "incarnation": batch.identity.incarnation,
+        "data_centre": batch.identity.data_centre,
+    }
+    return [
+        messages.Log("process", "started", fields),
+        *(messages.StartTimer(timer, 0.0) for timer in timers),
+    ]
+
+
+@dispatch.handle.register(commits.EndsCommitted)
+def hold_again(
+    event: commits.EndsCommitted, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Acknowledges committed ends with the next hold of each worker."""
+    partition = batch.partitions[event.partition]
+    effects: dispatch.Effects = []
+    for name in event.workers:
+        worker = partition.workers.get(name)
+        if worker is not None:
+            effects += workers.hold(batch, partition, worker, now)
+    return effects
+
+
+@dispatch.handle.register(commits.JobSeen)
+def see_job(
+    event: commits.JobSeen, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Takes a job record that was read after a conflict."""
+    partition = batch.partitions[event.partition]
+    return takeover.see_job(batch, partition, event.loaded, now)
+
+
+@dispatch.handle.register(workers.RosterDue)
+def write_roster(
+    event: workers.RosterDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Writes the roster before runs start on new workers."""
+    partition = batch.partitions[event.partition]
+    effects = takeover.write_roster(batch, partition, now)
+    return effects + takeover.activate(batch, partition, now)
+
+
+@attrs.frozen
+class DrainDue(messages.Timer):
+    """Checks whether the process may end."""
+
+
+@dispatch.handle.register(messages.ShutdownRequested)
+def shut_down(
+    event: messages.ShutdownRequested, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Gives up all partitions once their commits are written."""
+    if batch.stopping:
+        return [messages.Exit()]
+    batch.stopping = True
+    batch.stopping_at = now
+    fields = {"partitions": len(batch.partitions), "calls": len(batch.calls)}
+    return [
+        messages.Log("process", "stopping", fields),
+        *drain(DrainDue(), batch, now),
+    ]
+
+
+@dispatch.expire.register(DrainDue)
+def drain(timer: DrainDue, batch: state.Batch, now: float) -> dispatch.Effects:
+    """Ends the lease when nothing is in flight, then the process."""
+    late = now - batch.stopping_at > DRAIN_S
+    busy = any(
+        partition.dirty or partition.committing
+        for partition in batch.partitions.values()
+    )
+    again = messages.StartTimer(DrainDue(), 0.05)
+    effects: dispatch.Effects = []
+    if batch.lease_id and (late or not busy):
+        for name in list(batch.partitions):
+            effects += ownership.resign(batch, name, "stopping", now)
+        end = ownership.LeaseEnd()
+        effects.append(store_messages.StoreEndLease(end, batch.lease_id))
+        batch.lease_id = ""
+        batch.lease_busy = True
+        return [*effects, again]
+    if batch.lease_busy and not late:
+        return [again]
+    if batch.calls and not late:
+        return [again]
+    log = messages.Log("process", "stopped", {"calls": len(batch.calls)})
+    return [log, messages.Exit()]
+
+
+@dispatch.resume.register(ownership.LeaseEnd)
+def end_lease(
+    purpose: ownership.LeaseEnd,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Notes that the lease is given up."""
+    batch.lease_busy = False
+    return []
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -0,0 +1,435 @@
+"""Calls of callers: each is answered from the platform's store.
+
+An instance keeps nothing of a job for its callers. It accepts a job once the
+store has confirmed the record, and shows a state that the store holds.
+"""
+
+import string
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+
+PART = "intake"
+JOB_ID_LENGTH = 16
+SPEC_LIMIT_BYTES = 4000
+# Pauses before a store call that had no effect is repeated, in seconds.
+RETRY_DELAYS_S = (0.05, 0.15, 0.4)
+# Callers return after this time; one second is the smallest whole value.
+RETRY_AFTER_S = 1
+# Callers may be told a number of pending jobs that is two seconds old.
+SUMMARY_AGE_S = 0.7
+# A store call takes milliseconds; a call is not begun with less time left.
+CALL_MARGIN_S = 0.1
+# A partition is preferred over the own data centre's one when it has this
+# much less load.
+LOAD_ADVANTAGE = 0.5
+SHOWN = {
+    model.JobState.CANCELLED: "cancelled",
+    model.JobState.COMPLETED: "completed",
+    model.JobState.FAILED: "failed",
+}
+
+
+@attrs.frozen
+class CallPurpose(store_messages.Purpose):
+    """Base of the purposes that belong to a caller's call."""
+
+    call_id: str
+
+
+@attrs.frozen
+class Submission(CallPurpose):
+    """Writes the record of a new job."""
+
+
+@attrs.frozen
+class StateRead(CallPurpose):
+    """Reads a job's record to show its state."""
+
+
+@attrs.frozen
+class CancelRead(CallPurpose):
+    """Reads a job's record to cancel it."""
+
+
+@attrs.frozen
+class CancelWrite(CallPurpose):
+    """Writes a job's record as cancelled."""
+
+
+@attrs.frozen
+class SummaryRead(store_messages.Purpose):
+    """Reads the summaries of all partitions."""
+
+
+@attrs.frozen
+class CallRetryDue(messages.Timer):
+    """Repeats a store call of a caller's call."""
+
+    purpose: CallPurpose
+
+
+def _answer(
+    call_id: str, answer: caller_messages.Answer, **fields: object
+) -> dispatch.Effects:
+    name = type(answer).__name__
+    effects: dispatch.Effects = [caller_messages.AnswerCaller(call_id, answer)]
+    code = getattr(answer, "code", "")
+    if code:
+        effects.append(messages.CountRefusal(PART, code))
+        fields = {"code": code, **fields}
+    if code or not isinstance(
+        answer, caller_messages.StateShown | caller_messages.PendingShown
+    ):
+        effects.append(messages.Log(PART, name, {"call": call_id, **fields}))
+    return effects
+
+
+def _finish(
+    batch: state.Batch,
+    call: state.Call,
+    answer: caller_messages.Answer,
+    now: float,
+    **fields: object,
+) -> dispatch.Effects:
+    batch.calls.pop(call.call_id, None)
+    took_ms = round((now - call.started_at) * 1000)
+    return _answer(
+        call.call_id,
+        answer,
+        job=call.job_id,
+        attempts=call.attempts,
+        took_ms=took_ms,
+        **fields,
+    )
+
+
+def _open_call(
+    event: caller_messages.CallerCalled, batch: state.Batch, now: float
+) -> state.Call | caller_messages.Answer:
+    if batch.configuration is None:
+        return caller_messages.Refused("no_configuration", RETRY_AFTER_S)
+    queue = batch.configuration.find_queue(event.host, event.path)
+    if queue is None:
+        return caller_messages.QueueUnknown()
+    job_id = event.path[len(queue.prefix) :]
+    return state.Call(event.call_id, queue, job_id, now + event.deadline_s, now)
+
+
+def _is_job_id(text: str) -> bool:
+    return len(text) == JOB_ID_LENGTH and set(text) <= set(string.hexdigits)
+
+
+def find_fault(
+    steps: tuple[model.Step, ...], spec: str, schedule: model.Schedule
+) -> caller_messages.Invalid | None:
+    """Returns why a job can't be taken, or None."""
+    if len(spec.encode()) > SPEC_LIMIT_BYTES:
+        return caller_messages.Invalid("spec_too_long", "spec is too long")
+    if not steps:
+        return caller_messages.Invalid("no_steps", "the job has no steps")
+    for number, step in enumerate(steps):
+        if step.count < 1 or any(not 0 <= i < number for i in step.after):
+            return caller_messages.Invalid(
+                "bad_step", f"step {number} has a bad count or order"
+            )
+        if step.gang or step.same_rack:
+            return caller_messages.Invalid(
+                "unsupported", f"step {number} asks for a gang or one rack"
+            )
+    if schedule.count:
+        return caller_messages.Invalid(
+            "unsupported", "scheduled jobs are not supported"
+        )
+    return None
+
+
+@dispatch.handle.register(caller_messages.SubmitCalled)
+def submit(
+    event: caller_messages.SubmitCalled, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Takes a job: checks it, then writes its record."""
+    call = _open_call(event, batch, now)
+    if isinstance(call, caller_messages.Answer):
+        return _answer(event.call_id, call, path=event.path)
+    if batch.stopping:
+        refusal = caller_messages.Refused("shutting_down", RETRY_AFTER_S)
+        return _answer(event.call_id, refusal, job=call.job_id)
+    fault = find_fault(event.steps, event.spec, event.schedule)
+    if fault is None and not _is_job_id(call.job_id):
+        fault = caller_messages.Invalid("bad_job_id", "not 16 hex digits")
+    if fault is None and call.queue.advice is not None:
+        fault = caller_messages.Invalid("unsupported", "queue needs advice")
+    if fault is not None:
+        return _answer(event.call_id, fault, job=call.job_id)
+    call.record = records.JobRecord(
+        call.job_id,
+        call.queue,
+        choose_partition(batch),
+        model.JobState.ACCEPTED,
+        event.spec,
+        event.steps,
+        accepted_ms=round((now + batch.identity.wall_offset_s) * 1000),
+    )
+    batch.calls[call.call_id] = call
+    return _send(Submission(call.call_id), call)
+
+
+def choose_partition(batch: state.Batch) -> str:
+    """Returns the partition for a new job.
+
+    The own data centre comes first: its owner is near and can go on when the
+    data centre is cut off. Another one is taken only when it has far less load.
+    """
+    own = batch.identity.data_centre
+    loads = {name: summary.load for name, summary in batch.summaries.items()}
+    if own not in loads:
+        return own
+    least = min(loads, key=lambda name: loads[name])
+    if loads[own] > 1.0 and loads[own] - loads[least] > LOAD_ADVANTAGE:
+        return least
+    return own
+
+
+@dispatch.handle.register(caller_messages.StateCalled)
+def ask_state(
+    event: caller_messages.StateCalled, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Shows the state of a job, or the pending jobs of a queue."""
+    call = _open_call(event, batch, now)
+    if isinstance(call, caller_messages.Answer):
+        return _answer(event.call_id, call, path=event.path)
+    batch.calls[call.call_id] = call
+    if call.job_id:
+        return _send(StateRead(call.call_id), call)
+    if now - batch.summaries_at <= SUMMARY_AGE_S:
+        return _show_pending(batch, call, now)
+    batch.pending_calls.append(call)
+    return read_summaries(batch)
+
+
+@dispatch.handle.register(caller_messages.CancelCalled)
+def cancel(
+    event: caller_messages.CancelCalled, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Cancels a job: reads its record, then writes it as cancelled."""
+    call = _open_call(event, batch, now)
+    if isinstance(call, caller_messages.Answer):
+        return _answer(event.call_id, call, path=event.path)
+    batch.calls[call.call_id] = call
+    return _send(CancelRead(call.call_id), call)
+
+
+def _send(purpose: CallPurpose, call: state.Call) -> dispatch.Effects:
+    call.attempts += 1
+    key = records.name_job_key(call.job_id)
+    if isinstance(purpose, Submission):
+        put = store_messages.Put(key, call.record)
+        return [store_messages.StoreTransaction(purpose, ((key, 0),), (put,))]
+    return [store_messages.StoreGet(purpose, key, records.JobRecord)]
+
+
+@dispatch.expire.register(CallRetryDue)
+def retry(
+    timer: CallRetryDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Repeats a store call that had no effect."""
+    call = batch.calls.get(timer.purpose.call_id)
+    return _send(timer.purpose, call) if call else []
+
+
+def _handle_failure(
+    purpose: CallPurpose,
+    outcome: store_messages.Outcome,
+    batch: state.Batch,
+    call: state.Call,
+    now: float,
+) -> dispatch.Effects:
+    """Repeats the store call, or gives the caller its final answer."""
+    assert isinstance(outcome, store_messages.Unavailable)
+    writes = isinstance(purpose, Submission | CancelWrite)
+    call.ambiguous |= writes and outcome.ambiguous
+    number = call.attempts - 1
+    if number < len(RETRY_DELAYS_S) and not batch.stopping:
+        delay_s = RETRY_DELAYS_S[number]
+        if now + delay_s + CALL_MARGIN_S < call.deadline_at:
+            again = purpose
+            if isinstance(purpose, CancelWrite):
+                again = CancelRead(call.call_id)
+            return [
+                messages.CountRetry(PART, "store_unavailable"),
+                messages.StartTimer(CallRetryDue(again), delay_s, 0.3),
+            ]
+    answer: caller_messages.Answer
+    if call.ambiguous:
+        answer = caller_messages.Undecided("store_no_answer")
+    else:
+        answer = caller_messages.Refused("store_unavailable", RETRY_AFTER_S)
+    return _finish(batch, call, answer, now, detail=outcome.detail)
+
+
+@dispatch.resume.register(Submission)
+def end_submission(
+    purpose: Submission,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Answers once the store has decided; an existing record is a repeat."""
+    call = batch.calls.get(purpose.call_id)
+    if call is None:
+        return []
+    if isinstance(reply.outcome, store_messages.Unavailable):
+        return _handle_failure(purpose, reply.outcome, batch, call, now)
+    repeat = isinstance(reply.outcome, store_messages.Conflict)
+    assert call.record is not None
+    return _finish(
+        batch,
+        call,
+        caller_messages.Accepted(),
+        now,
+        queue=call.queue.name,
+        partition=call.record.partition,
+        repeat=repeat,
+    )
+
+
+@dispatch.resume.register(StateRead)
+def end_state(
+    purpose: StateRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Shows the state that the store holds."""
+    call = batch.calls.get(purpose.call_id)
+    if call is None:
+        return []
+    outcome = reply.outcome
+    if isinstance(outcome, store_messages.Absent):
+        return _finish(batch, call, caller_messages.Gone(), now)
+    if not isinstance(outcome, store_messages.Found):
+        return _handle_failure(purpose, outcome, batch, call, now)
+    record = outcome.value
+    assert isinstance(record, records.JobRecord)
+    shown = SHOWN.get(record.state) or _name_progress(batch, record)
+    return _finish(batch, call, caller_messages.StateShown(shown), now)
+
+
+def _name_progress(batch: state.Batch, record: records.JobRecord) -> str:
+    summary = batch.summaries.get(record.partition)
+    if summary and record.job_id in summary.pending.get(record.queue.name, ()):
+        return "queued"
+    return "running"
+
+
+@dispatch.resume.register(CancelRead)
+def write_cancel(
+    purpose: CancelRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Writes the record as cancelled unless the job has ended."""
+    call = batch.calls.get(purpose.call_id)
+    if call is None:
+        return []
+    outcome = reply.outcome
+    if isinstance(outcome, store_messages.Absent):
+        return _finish(batch, call, caller_messages.Gone(), now)
+    if not isinstance(outcome, store_messages.Found):
+        return _handle_failure(purpose, outcome, batch, call, now)
+    record = outcome.value
+    assert isinstance(record, records.JobRecord)
+    if record.state is not model.JobState.ACCEPTED:
+        answer = caller_messages.Cancelled()
+        return _finish(batch, call, answer, now, state=record.state)
+    cancelled = attrs.evolve(
+        record,
+        state=model.JobState.CANCELLED,
+        spec="",
+        steps=(),
+        ended_ms=round((now + batch.identity.wall_offset_s) * 1000),
+    )
+    return [
+        store_messages.StoreTransaction(
+            CancelWrite(call.call_id),
+            ((outcome.key, outcome.revision),),
+            (store_messages.Put(outcome.key, cancelled),),
+        )
+    ]
+
+
+@dispatch.resume.register(CancelWrite)
+def end_cancel(
+    purpose: CancelWrite,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Answers a cancellation that is stored; reads again after a conflict."""
+    call = batch.calls.get(purpose.call_id)
+    if call is None:
+        return []
+    if isinstance(reply.outcome, store_messages.Committed):
+        return _finish(batch, call, caller_messages.Cancelled(), now)
+    if isinstance(reply.outcome, store_messages.Conflict):
+        return _send(CancelRead(call.call_id), call)
+    return _handle_failure(purpose, reply.outcome, batch, call, now)
+
+
+def read_summaries(batch: state.Batch) -> dispatch.Effects:
+    """Reads what the owners publish, unless that is under way."""
+    if batch.summaries_reading:
+        return []
+    batch.summaries_reading = True
+    return [
+        store_messages.StoreList(
+            SummaryRead(), records.SUMMARIES, records.SummaryRecord
+        )
+    ]
+
+
+@dispatch.resume.register(SummaryRead)
+def take_summaries(
+    purpose: SummaryRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Takes the summaries and answers the calls that wait for them."""
+    batch.summaries_reading = False
+    calls, batch.pending_calls = batch.pending_calls, []
+    effects: dispatch.Effects = []
+    if not isinstance(reply.outcome, store_messages.Listed):
+        for call in calls:
+            refusal = caller_messages.Refused(
+                "store_unavailable", RETRY_AFTER_S
+            )
+            effects += _finish(batch, call, refusal, now)
+        return effects
+    batch.summaries_at = now
+    for found in reply.outcome.entries:
+        if isinstance(found.value, records.SummaryRecord):
+            name = found.key.removeprefix(records.SUMMARIES)
+            batch.summaries[name] = found.value
+    for call in calls:
+        effects += _show_pending(batch, call, now)
+    return effects
+
+
+def _show_pending(
+    batch: state.Batch, call: state.Call, now: float
+) -> dispatch.Effects:
+    count = sum(
+        len(summary.pending.get(call.queue.name, ()))
+        for summary in batch.summaries.values()
+    )
+    return _finish(batch, call, caller_messages.PendingShown(count), now)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/jobs.py
@@ -0,0 +1,162 @@
+"""Jobs of a partition: building, ends of runs, progress and final states."""
+
+from __future__ import annotations
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+
+PART = "jobs"
+# Run numbers of one owner start at this multiple of the partition's
+# generation, so that they are above those of all earlier owners.
+NUMBERS_PER_OWNER = 10_000
+
+
+def build_job(
+    loaded: state.LoadedJob,
+    progress: state.LoadedProgress | None,
+    queue: model.Queue,
+    first_number: int,
+    now: float,
+) -> state.Job:
+    """Returns a job from its records; its released tasks wait."""
+    record = loaded.record
+    job = state.Job(
+        record, queue, loaded.revision, loaded.created, [], accepted_at=now
+    )
+    job.progress_revision = progress.revision if progress else 0
+    job.started = progress is not None
+    for number, step in enumerate(record.steps):
+        known = progress.record.steps[number] if progress else None
+        job.steps.append(_build_step(job, number, step, known, first_number))
+    release_steps(job)
+    return job
+
+
+def _build_step(
+    job: state.Job,
+    number: int,
+    step: model.Step,
+    known: records.StepProgress | None,
+    first_number: int,
+) -> state.StepState:
+    built = state.StepState(step, {})
+    built.done = set(known.done) if known else set()
+    for index in range(step.count):
+        if index in built.done:
+            continue
+        name = model.TaskName(job.record.job_id, 0, number, index)
+        task = state.Task(job, name, step, next_number=first_number)
+        if known:
+            task.failed_numbers = set(known.failed.get(str(index), ()))
+            task.checkpoint = known.checkpoints.get(str(index), "")
+        built.open[index] = task
+    return built
+
+
+def release_steps(job: state.Job) -> bool:
+    """Lets the tasks of each step wait whose earlier steps are done.
+
+    Returns:
+        Whether a step was released.
+    """
+    released = False
+    for step in job.steps:
+        if step.released or any(job.steps[i].open for i in step.step.after):
+            continue
+        step.released = True
+        released = True
+        for index, task in step.open.items():
+            if task.run is None:
+                step.waiting[index] = task
+    return released
+
+
+def find_task(
+    partition: state.Partition, name: model.TaskName
+) -> state.Task | None:
+    """Returns the open task with a name, if its job goes on."""
+    job = partition.jobs.get(name.job_id)
+    if job is None or job.final is not None or name.step >= len(job.steps):
+        return None
+    return job.steps[name.step].open.get(name.index)
+
+
+def requeue(task: state.Task) -> None:
+    """Lets a task wait for another start."""
+    task.run = None
+    step = task.job.steps[task.name.step]
+    if step.released and task.name.index in step.open:
+        step.waiting[task.name.index] = task
+
+
+def finish_task(task: state.Task) -> bool:
+    """Records a task as done.
+
+    Returns:
+        Whether all tasks of the job are done.
+    """
+    job = task.job
+    step = job.steps[task.name.step]
+    step.open.pop(task.name.index, None)
+    step.waiting.pop(task.name.index, None)
+    step.done.add(task.name.index)
+    if not step.open:
+        release_steps(job)
+    if any(other.open for other in job.steps):
+        return False
+    job.final = model.JobState.COMPLETED
+    return True
+
+
+def fail_task(task: state.Task, end: model.EndRow, worker_id: str) -> bool:
+    """Records a failed run.
+
+    Returns:
+        Whether the job has failed by it.
+    """
+    task.failed_numbers.add(end.number)
+    task.failed_on.add(worker_id)
+    if task.step.long_running:
+        return False
+    if len(task.failed_numbers) < task.job.queue.max_attempts:
+        return False
+    task.job.final = model.JobState.FAILED
+    return True
+
+
+def make_progress(job: state.Job) -> records.ProgressRecord:
+    """Returns the progress record of a job."""
+    return records.ProgressRecord(
+        tuple(_make_step_progress(step) for step in job.steps)
+    )
+
+
+def _make_step_progress(step: state.StepState) -> records.StepProgress:
+    failed = {
+        str(index): tuple(sorted(task.failed_numbers))
+        for index, task in step.open.items()
+        if task.failed_numbers and not step.step.long_running
+    }
+    checkpoints = {
+        str(index): task.checkpoint
+        for index, task in step.open.items()
+        if task.checkpoint
+    }
+    return records.StepProgress(tuple(sorted(step.done)), failed, checkpoints)
+
+
+def make_final_record(job: state.Job, wall_ms: int) -> records.JobRecord:
+    """Returns the shrunk record of an ended job."""
+    assert job.final is not None
+    return attrs.evolve(
+        job.record, state=job.final, spec="", steps=(), ended_ms=wall_ms
+    )
+
+
+def make_log(text: str, job_id: str, **fields: object) -> messages.Log:
+    """Returns a log line on a job."""
+    return messages.Log(PART, text, {"job": job_id, **fields})
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -0,0 +1,46 @@
+"""Time on a worker's clock: what a lease may still cover.
+
+A worker's steady clock may run slow by `MAX_DRIFT`, so an estimate from the
+last reading is a lower bound of what the worker's clock shows.
+"""
+
+from sapphirestall_core.batch import state
+
+MAX_DRIFT = 0.02
+# Lease of a start; the hold that follows extends it. A start that is carried
+# out later than this is refused by the worker.
+START_LEASE_S = 2.5
+# An estimate is rounded by this much where a lease must have ended.
+MARGIN_MS = 50
+
+
+def estimate_clock(worker: state.Worker, now: float) -> int | None:
+    """Returns a lower bound of a worker's clock, in milliseconds."""
+    if worker.clock_ms is None:
+        return None
+    elapsed_s = max(0.0, now - worker.clock_at)
+    return worker.clock_ms + int(elapsed_s * 1000 * (1 - MAX_DRIFT))
+
+
+def note_clock(worker: state.Worker, clock_ms: int, now: float) -> None:
+    """Records a reading of a worker's clock."""
+    estimate = estimate_clock(worker, now)
+    if estimate is None or clock_ms >= estimate:
+        worker.clock_ms = clock_ms
+        worker.clock_at = now
+
+
+def extend(worker: state.Worker, lease_s: float, now: float) -> int | None:
+    """Returns the end of a lease from now on, and records that it is asked."""
+    clock_ms = estimate_clock(worker, now)
+    if clock_ms is None:
+        return None
+    until_ms = clock_ms + int(lease_s * 1000)
+    worker.until_ms = max(worker.until_ms, until_ms)
+    return until_ms
+
+
+def has_lapsed(worker: state.Worker, now: float) -> bool:
+    """Tells whether every lease that was ever asked for has ended."""
+    clock_ms = estimate_clock(worker, now)
+    return clock_ms is not None and clock_ms > worker.until_ms + MARGIN_MS
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -0,0 +1,377 @@
+"""Which instance owns which partition.
+
+An owner holds the partition's owner key in the platform's store under a store
+lease. The revision at which the key was created is its fencing token. Workers
+refuse orders with a lower token than they have seen, so an owner needs no
+clock to be safe: a newer owner first calls every worker, and after that no
+order of an older owner is carried out there.
+"""
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+
+PART = "ownership"
+# Reason of a resignation after workers refused the token.
+FENCED = "fenced"
+# Life of the owner keys after the last renewal, in seconds. A killed owner is
+# replaced after it; a pause or a slow store of this length costs a takeover.
+LEASE_TTL_S = 2.5
+LEASE_INTERVAL_S = 0.6
+OWNERS_INTERVAL_S = 2.0
+OWNERS_WAIT_S = 10.0
+FOLLOW_RETRY_S = 0.3
+# An instance that already owns partitions lets others go first.
+DELAY_PER_PARTITION_S = 0.4
+# An instance of another data centre takes a partition only after this time:
+# while a data centre is cut off, its own owner can still serve it.
+FOREIGN_DELAY_S = 8.0
+TAKE_JITTER_S = 0.05
+
+
+@attrs.frozen
+class LeaseGrant(store_messages.Purpose):
+    """Obtains the store lease of this instance."""
+
+
+@attrs.frozen
+class LeaseRenewal(store_messages.Purpose):
+    """Renews the store lease of this instance."""
+
+
+@attrs.frozen
+class LeaseEnd(store_messages.Purpose):
+    """Gives up the store lease when the process ends."""
+
+
+@attrs.frozen
+class OwnersRead(store_messages.Purpose):
+    """Reads all owner keys."""
+
+
+@attrs.frozen
+class OwnersFollow(store_messages.Purpose):
+    """Waits for changes of the owner keys."""
+
+
+@attrs.frozen
+class Take(store_messages.Purpose):
+    """Creates the owner key of a partition."""
+
+    partition: str
+
+
+@attrs.frozen
+class Discard(store_messages.Purpose):
+    """Removes an own owner key whose token workers refuse."""
+
+
+@attrs.frozen
+class LeaseDue(messages.Timer):
+    """Renews the store lease."""
+
+
+@attrs.frozen
+class OwnersDue(messages.Timer):
+    """Reads the owner keys again."""
+
+
+@attrs.frozen
+class FollowDue(messages.Timer):
+    """Follows the owner keys again after a failure."""
+
+
+@attrs.frozen
+class TakeDue(messages.Timer):
+    """Takes a partition if it still has no owner."""
+
+    partition: str
+
+
+def name_self(batch: state.Batch) -> str:
+    """Returns the name under which this start of the process owns."""
+    return f"{batch.identity.instance_id}/{batch.identity.incarnation}"
+
+
+@dispatch.expire.register(LeaseDue)
+def keep_lease(
+    timer: LeaseDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Obtains or renews the store lease."""
+    again = messages.StartTimer(LeaseDue(), LEASE_INTERVAL_S)
+    if batch.lease_busy or batch.stopping:
+        return [again]
+    batch.lease_busy = True
+    call: store_messages.StoreEffect
+    if batch.lease_id:
+        call = store_messages.StoreRenewLease(LeaseRenewal(), batch.lease_id)
+    else:
+        call = store_messages.StoreGrantLease(LeaseGrant(), LEASE_TTL_S)
+    return [again, call]
+
+
+@dispatch.resume.register(LeaseGrant)
+def take_lease(
+    purpose: LeaseGrant,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Takes a new store lease and looks for partitions without an owner."""
+    batch.lease_busy = False
+    if not isinstance(reply.outcome, store_messages.LeaseGranted):
+        return []
+    batch.lease_id = reply.outcome.lease_id
+    return [read_owners()]
+
+
+@dispatch.resume.register(LeaseRenewal)
+def end_renewal(
+    purpose: LeaseRenewal,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Resigns when the store lease has ended, and obtains another."""
+    batch.lease_busy = False
+    if not isinstance(reply.outcome, store_messages.LeaseLost):
+        return []
+    batch.lease_id = ""
+    effects: dispatch.Effects = []
+    for name in list(batch.partitions):
+        effects += resign(batch, name, "lease_lost", now)
+    if not batch.stopping:
+        batch.lease_busy = True
+        effects.append(
+            store_messages.StoreGrantLease(LeaseGrant(), LEASE_TTL_S)
+        )
+    return effects
+
+
+def resign(
+    batch: state.Batch, name: str, reason: str, now: float
+) -> dispatch.Effects:
+    """Stops to act for a partition; its runs stay as they are."""
+    partition = batch.partitions.pop(name, None)
+    if partition is None:
+        return []
+    if reason == FENCED:
+        batch.fenced[name] = partition.token
+    batch.absent_since.pop(name, None)
+    return [
+        messages.Log(
+            PART,
+            "resigned",
+            {
+                "partition": name,
+                "token": partition.token,
+                "reason": reason,
+                "held_s": round(now - partition.taken_at, 3),
+            },
+        )
+    ]
+
+
+def read_owners() -> store_messages.StoreEffect:
+    """Returns the call that reads all owner keys."""
+    return store_messages.StoreList(
+        OwnersRead(), records.OWNERS, records.OwnerRecord
+    )
+
+
+@dispatch.expire.register(OwnersDue)
+def poll_owners(
+    timer: OwnersDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Reads the owner keys now and then, whatever the watch says."""
+    return [messages.StartTimer(OwnersDue(), OWNERS_INTERVAL_S), read_owners()]
+
+
+@dispatch.resume.register(OwnersRead)
+def take_owners(
+    purpose: OwnersRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Compares the owner keys with what this instance owns."""
+    outcome = reply.outcome
+    if not isinstance(outcome, store_messages.Listed):
+        return []
+    effects: dispatch.Effects = []
+    present = {}
+    for found in outcome.entries:
+        name = found.key.removeprefix(records.OWNERS)
+        present[name] = found
+        effects += _see_owner(batch, name, found, now)
+    for name in batch.identity.data_centres:
+        if name in present:
+            continue
+        owned = batch.partitions.get(name)
+        if owned is not None and owned.token < outcome.revision:
+            effects += resign(batch, name, "key_removed", now)
+        effects += _see_absent(batch, name, now)
+    if not batch.owners_following:
+        effects += _follow(batch, outcome.revision)
+    return effects
+
+
+def _see_owner(
+    batch: state.Batch, name: str, found: store_messages.Found, now: float
+) -> dispatch.Effects:
+    batch.absent_since.pop(name, None)
+    owned = batch.partitions.get(name)
+    record = found.value
+    if not isinstance(record, records.OwnerRecord):
+        return []
+    if record.instance_id == name_self(batch):
+        if batch.fenced.get(name) == found.create_revision:
+            return _discard(found)
+        # The answer to the write that created the key may have been lost.
+        if owned is None and name not in batch.taking and not batch.stopping:
+            return begin(batch, name, found.create_revision, now)
+        return []
+    if owned is not None and found.create_revision > owned.token:
+        return resign(batch, name, "other_owner", now)
+    return []
+
+
+def _discard(found: store_messages.Found) -> dispatch.Effects:
+    """Removes an own key whose token workers refuse, to get a higher one."""
+    expected = ((found.key, found.revision),)
+    return [
+        store_messages.StoreTransaction(
+            Discard(), expected, removals=(found.key,)
+        )
+    ]
+
+
+@dispatch.resume.register(Discard)
+def end_discard(
+    purpose: Discard,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Leaves it to the next look at the owner keys to go on."""
+    return []
+
+
+def _see_absent(batch: state.Batch, name: str, now: float) -> dispatch.Effects:
+    if name in batch.absent_since or name in batch.partitions:
+        return []
+    batch.absent_since[name] = now
+    return _plan_take(batch, name)
+
+
+def _plan_take(batch: state.Batch, name: str) -> dispatch.Effects:
+    delay_s = TAKE_JITTER_S + DELAY_PER_PARTITION_S * len(batch.partitions)
+    if name != batch.identity.data_centre:
+        delay_s += FOREIGN_DELAY_S
+    return [messages.StartTimer(TakeDue(name), delay_s, 0.5)]
+
+
+def _follow(batch: state.Batch, revision: int) -> dispatch.Effects:
+    batch.owners_following = True
+    return [
+        store_messages.StoreFollow(
+            OwnersFollow(),
+            records.OWNERS,
+            revision,
+            records.OwnerRecord,
+            OWNERS_WAIT_S,
+        )
+    ]
+
+
+@dispatch.resume.register(OwnersFollow)
+def take_owner_changes(
+    purpose: OwnersFollow,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Takes changes of the owner keys and goes on following them."""
+    outcome = reply.outcome
+    batch.owners_following = False
+    if not isinstance(outcome, store_messages.Followed):
+        return [messages.StartTimer(FollowDue(), FOLLOW_RETRY_S, 0.3)]
+    effects: dispatch.Effects = []
+    for change in outcome.changes:
+        name = change.key.removeprefix(records.OWNERS)
+        if isinstance(change, store_messages.Found):
+            effects += _see_owner(batch, name, change, now)
+            continue
+        owned = batch.partitions.get(name)
+        if owned is not None and change.revision > owned.token:
+            effects += resign(batch, name, "key_removed", now)
+        effects += _see_absent(batch, name, now)
+    return effects + _follow(batch, outcome.revision)
+
+
+@dispatch.expire.register(FollowDue)
+def follow_again(
+    timer: FollowDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Reads the owner keys, which leads to following them again."""
+    return [] if batch.owners_following else [read_owners()]
+
+
+@dispatch.expire.register(TakeDue)
+def take(timer: TakeDue, batch: state.Batch, now: float) -> dispatch.Effects:
+    """Creates the owner key of a partition that still has no owner."""
+    name = timer.partition
+    if (
+        name not in batch.absent_since
+        or name in batch.taking
+        or batch.stopping
+        or batch.configuration is None
+    ):
+        batch.absent_since.pop(name, None)
+        return []
+    if not batch.lease_id:
+        batch.absent_since.pop(name, None)
+        return []
+    batch.taking.add(name)
+    key = records.name_owner_key(name)
+    record = records.OwnerRecord(name_self(batch))
+    put = store_messages.Put(key, record, batch.lease_id)
+    return [store_messages.StoreTransaction(Take(name), ((key, 0),), (put,))]
+
+
+@dispatch.resume.register(Take)
+def end_take(
+    purpose: Take,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Begins to own a partition whose key this instance created."""
+    name = purpose.partition
+    batch.taking.discard(name)
+    batch.absent_since.pop(name, None)
+    if isinstance(reply.outcome, store_messages.Committed):
+        return begin(batch, name, reply.outcome.revision, now)
+    if isinstance(reply.outcome, store_messages.LeaseLost):
+        batch.lease_id = ""
+    return []
+
+
+@attrs.frozen
+class PartitionTaken(messages.Event):
+    """This instance has become the owner of a partition."""
+
+    partition: str
+
+
+def begin(
+    batch: state.Batch, name: str, token: int, now: float
+) -> dispatch.Effects:
+    """Begins to own a partition under a fencing token."""
+    batch.partitions[name] = state.Partition(name, token, now)
+    log = messages.Log(PART, "taken", {"partition": name, "token": token})
+    return [log, *dispatch.handle(PartitionTaken(name), batch, now)]
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -0,0 +1,103 @@
+"""Which worker takes a task; decides from the owner's view alone."""
+
+from collections.abc import Iterable
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import state
+
+# A task that serves users holds its processors for load peaks; tasks that fill
+# may count on this share of them.
+SERVING_IDLE_SHARE = 0.4
+# No start on a worker whose last answer is older than this.
+CONTACT_LIMIT_S = 3.0
+
+
+def accepts(worker: state.Worker, service: str, now: float) -> bool:
+    """Tells whether a worker takes new runs of a service at all."""
+    return (
+        worker.entry.service == service
+        and not worker.entry.draining
+        and worker.missing_since is None
+        and not worker.orphans
+        and worker.contact_at is not None
+        and now - worker.contact_at <= CONTACT_LIMIT_S
+        and not worker.silent
+        and worker.suspended_until <= now
+    )
+
+
+def find_room(worker: state.Worker, step: model.Step) -> resources.Vector:
+    """Returns what a worker has left for a step.
+
+    Tasks that fill take no processors from an account; they are given those
+    that other tasks are likely to leave unused.
+    """
+    room = worker.entry.capacity.minus(worker.reserved)
+    if not step.fills:
+        return room
+    idle = int(worker.serving_cpu * SERVING_IDLE_SHARE)
+    cpu = room.cpu_millis + idle - worker.filled_cpu
+    return resources.Vector(cpu, room.memory_mb, room.accelerators)
+
+
+def count_on_worker(worker: state.Worker, task: state.Task) -> int:
+    """Returns how many runs of the task's step a worker may have."""
+    return sum(
+        1
+        for name, _ in worker.runs
+        if name.job_id == task.name.job_id and name.step == task.name.step
+    )
+
+
+def _fits(worker: state.Worker, task: state.Task) -> bool:
+    step = task.step
+    if not step.amount.fits(find_room(worker, step)):
+        return False
+    if step.required_label and step.required_label not in worker.entry.labels:
+        return False
+    if not step.max_per_worker:
+        return True
+    return count_on_worker(worker, task) < step.max_per_worker
+
+
+def rank(worker: state.Worker, task: state.Task) -> tuple[float, ...]:
+    """Returns the preference for a worker; the lowest comes first.
+
+    A worker on which the task failed comes last. Tasks that fill keep away
+    from tasks with a tail target, and tasks with a target from those that
+    fill; otherwise the worker with most unused processors is best.
+    """
+    step = task.step
+    failed = float(worker.entry.worker_id in task.failed_on)
+    far = float(
+        bool(step.data_rack) and step.data_rack not in worker.entry.labels
+    )
+    capacity = max(1, worker.entry.capacity.cpu_millis)
+    used = (worker.reserved.cpu_millis + worker.filled_cpu) / capacity
+    suspect = float(worker.failures > 0)
+    if step.fills:
+        return (failed, far, suspect, float(worker.serving_cpu > 0), used)
+    if step.tail_target_ms:
+        return (failed, far, suspect, worker.serving_cpu / capacity, used)
+    return (failed, far, suspect, used)
+
+
+def choose_worker(
+    task: state.Task,
+    workers: Iterable[state.Worker],
+    service: str,
+    now: float,
+) -> state.Worker | None:
+    """Returns the worker for a task, or None where none has room."""
+    best = None
+    best_rank: tuple[float, ...] = ()
+    for worker in workers:
+        if not accepts(worker, service, now) or not _fits(worker, task):
+            continue
+        if task.step.fills and worker.pace < state.FULL_PACE_PERCENT:
+            continue
+        worker_rank = rank(worker, task)
+        if best is None or worker_rank < best_rank:
+            best, best_rank = worker, worker_rank
+    return best
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -0,0 +1,117 @@
+"""Documents that last in the platform's store, and their keys."""
+
+import attrs
+
+from sapphirestall_core.batch import model
+
+JOBS = "jobs/"
+PROGRESS = "progress/"
+OWNERS = "owners/"
+ROSTERS = "rosters/"
+SUMMARIES = "summaries/"
+
+
+@attrs.frozen(slots=True)
+class JobRecord:
+    """A job that was accepted; written before the caller hears of it.
+
+    Attributes:
+        queue: The queue as it was when the job was accepted.
+        partition: Partition whose owner runs the job.
+        spec: Text that the tasks receive; dropped when the job has ended.
+        accepted_ms: Time of day at the accepting instance, Unix milliseconds.
+        ended_ms: Time of day at which a final state was written; 0 before.
+    """
+
+    job_id: str
+    queue: model.Queue
+    partition: str
+    state: model.JobState
+    spec: str = ""
+    steps: tuple[model.Step, ...] = ()
+    accepted_ms: int = 0
+    ended_ms: int = 0
+
+
+@attrs.frozen(slots=True)
+class StepProgress:
+    """Progress of one step.
+
+    Attributes:
+        done: Indexes of the tasks that are done.
+        failed: For each index with failed runs, the numbers of these runs.
+        checkpoints: Newest known checkpoint by index.
+    """
+
+    done: tuple[int, ...] = ()
+    failed: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
+    checkpoints: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen(slots=True)
+class ProgressRecord:
+    """Progress of a job that has not ended, by step."""
+
+    steps: tuple[StepProgress, ...]
+
+
+@attrs.frozen(slots=True)
+class OwnerRecord:
+    """Owner of a partition; lives under the owner's store lease.
+
+    The revision at which it was created is the owner's fencing token.
+    """
+
+    instance_id: str
+
+
+@attrs.frozen(slots=True)
+class RosterRecord:
+    """Workers on which runs of a partition may exist, and its generation.
+
+    Attributes:
+        generation: Number of owners that the partition has had.
+        workers: Ids of the workers.
+    """
+
+    generation: int
+    workers: tuple[str, ...] = ()
+
+
+@attrs.frozen(slots=True)
+class SummaryRecord:
+    """What an owner publishes of its partition.
+
+    Attributes:
+        pending: Ids of accepted jobs of which no task has started, by queue.
+        load: Processors asked for by all unfinished tasks that may run, as a
+            share of the partition's processors.
+    """
+
+    pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    load: float = 0.0
+
+
+def name_job_key(job_id: str) -> str:
+    """Returns the key of a job's record."""
+    return JOBS + job_id
+
+
+def name_progress_key(job_id: str) -> str:
+    """Returns the key of a job's progress."""
+    return PROGRESS + job_id
+
+
+def name_owner_key(partition: str) -> str:
+    """Returns the key of a partition's owner."""
+    return OWNERS + partition
+
+
+def name_roster_key(partition: str) -> str:
+    """Returns the key of a partition's roster."""
+    return ROSTERS + partition
+
+
+def name_summary_key(partition: str) -> str:
+    """Returns the key of a partition's summary."""
+    return SUMMARIES + partition
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -0,0 +1,337 @@
+"""State of the batch side of one entry instance."""
+
+import enum
+
+import attrs
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import worker_messages
+
+FULL_PACE_PERCENT = 100
+
+
+@attrs.frozen
+class Limits:
+    """Times that the deployment promises or allows.
+
+    Attributes:
+        worker_lease_s: Longest lease that a worker grants.
+        stop_s: Longest time that a stop takes.
+        retention_s: Time for which the state of an ended job can be asked.
+    """
+
+    worker_lease_s: float = 6.0
+    stop_s: float = 0.4
+    retention_s: float = 120.0
+
+
+@attrs.frozen
+class Identity:
+    """What an instance knows of itself.
+
+    Attributes:
+        incarnation: Unique for each start of the process.
+        data_centres: All data centres; each has one partition of workers.
+        wall_offset_s: Time of day less the monotonic clock at the start.
+    """
+
+    instance_id: str
+    incarnation: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    wall_offset_s: float = 0.0
+    limits: Limits = attrs.field(factory=Limits)
+
+
+class RunPhase(enum.Enum):
+    """What is known of a run."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    # A start without an answer, or a run whose end is wanted.
+    STOPPING = "stopping"
+
+
+@attrs.define(slots=True, eq=False)
+class Run:
+    """A run of a task that a worker may have.
+
+    Attributes:
+        until_ms: End of the lease on the worker's clock that its start asks.
+        started_clock_ms: Worker's clock when it confirmed the start.
+        stop_sent_at: When a stop was last sent.
+        stopped_clock_ms: Worker's clock when it confirmed a stop; None before.
+        percent: Progress last listed.
+        reading: Tail latency in milliseconds or processors, as last listed.
+    """
+
+    task: "Task"
+    worker_id: str
+    number: int
+    phase: RunPhase
+    started_at: float
+    until_ms: int
+    started_clock_ms: int | None = None
+    stop_sent_at: float = -1e9
+    stopped_clock_ms: int | None = None
+    percent: int = 0
+    reading: float = 0.0
+
+
+@attrs.define(slots=True, eq=False)
+class Task:
+    """A task that is not done.
+
+    Attributes:
+        run: The run that may exist; a task has at most one.
+        next_number: Lowest number that the next run may have.
+        checkpoint: Newest known checkpoint; empty for none.
+        failed_numbers: Numbers of the runs that failed.
+        failed_on: Workers on which runs of the task failed.
+    """
+
+    job: "Job"
+    name: model.TaskName
+    step: model.Step
+    run: Run | None = None
+    next_number: int = 1
+    checkpoint: str = ""
+    failed_numbers: set[int] = attrs.field(factory=set)
+    failed_on: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(slots=True, eq=False)
+class StepState:
+    """Progress of one step.
+
+    Attributes:
+        open: Tasks that are not done, by index.
+        done: Indexes of tasks that are done.
+        waiting: Tasks that may start, by index.
+        released: Whether all steps before this one are done.
+    """
+
+    step: model.Step
+    open: dict[int, Task]
+    done: set[int] = attrs.field(factory=set)
+    waiting: dict[int, Task] = attrs.field(factory=dict)
+    released: bool = False
+
+
+@attrs.define(slots=True, eq=False)
+class Job:
+    """A job of an owned partition.
+
+    Attributes:
+        revision: Revision of the job's record.
+        created: Revision at which the record was created.
+        progress_revision: Revision of the progress record; 0 when absent.
+        final: State to be written; None while the job goes on.
+        started: Whether a run of the job was ever started.
+        accepted_at: When this instance learned of the job.
+    """
+
+    record: records.JobRecord
+    queue: model.Queue
+    revision: int
+    created: int
+    steps: list[StepState]
+    progress_revision: int = 0
+    final: model.JobState | None = None
+    started: bool = False
+    accepted_at: float = 0.0
+
+
+@attrs.define(slots=True, eq=False)
+class Worker:
+    """A worker of an owned partition.
+
+    Attributes:
+        clock_ms: Last reading of the worker's clock; None before the first.
+        clock_at: When the reading arrived.
+        until_ms: Latest end of a lease that any call asked for.
+        contact_at: When the worker last answered.
+        acknowledged: Position of ends that the worker may forget.
+        seen: Position up to which ends were processed.
+        reserved: Processors and memory of runs; of runs that fill, memory.
+        filled_cpu: Processors that runs that fill ask for, in thousandths.
+        serving_cpu: Processors reserved by runs with a tail target.
+        runs: Runs that may exist on the worker, by task and number.
+        orphans: Listed runs that belong to no task that wants them.
+        holding: Whether a hold is in flight.
+        silent: Whether the last call got no answer.
+        suspended_until: No starts before this time.
+        failures: Failed runs since the last one that was done.
+        pace: Percent at which runs that fill may work.
+        pace_changed_at: When the pace was last changed.
+        tail_high_at: When a tail target was last nearly missed.
+        missing_since: Since when the platform's list lacks the worker.
+    """
+
+    entry: model.WorkerEntry
+    target: worker_messages.Target
+    clock_ms: int | None = None
+    clock_at: float = 0.0
+    until_ms: int = 0
+    contact_at: float | None = None
+    acknowledged: int = 0
+    seen: int = 0
+    reserved: resources.Vector = attrs.field(factory=resources.Vector)
+    filled_cpu: int = 0
+    serving_cpu: int = 0
+    runs: dict[tuple[model.TaskName, int], Run] = attrs.field(factory=dict)
+    orphans: set[tuple[model.TaskName, int]] = attrs.field(factory=set)
+    holding: bool = False
+    silent: bool = False
+    suspended_until: float = -1e9
+    failures: int = 0
+    pace: int = FULL_PACE_PERCENT
+    pace_changed_at: float = -1e9
+    tail_high_at: float = -1e9
+    missing_since: float | None = None
+
+
+class Phase(enum.Enum):
+    """How far an owner has taken over its partition."""
+
+    LOADING = "loading"
+    ACTIVE = "active"
+
+
+@attrs.define(slots=True, eq=False)
+class Partition:
+    """A partition that this instance owns.
+
+    Attributes:
+        token: Fencing token: revision at which the owner's key was created.
+        generation: Number of owners that the partition has had.
+        roster: Workers on which runs may exist, as written to the store.
+        roster_revision: Revision of the roster's record; None before a read.
+        roster_writing: Whether a write of the roster is in flight.
+        listed: Whether the platform's list of workers was read.
+        unsettled: Workers on which runs of former owners may exist.
+        settled_at: When such runs have ended in any case.
+        loaded: Job records read at the takeover; None before.
+        loaded_progress: Progress records read at the takeover; None before.
+        dirty: Jobs whose progress differs from the store's.
+        marks: Ends processed by worker when the commit in flight was made.
+        committing: Whether a commit is in flight.
+        commit_due: Whether a timer will start a commit.
+        pass_due: Whether a timer will start tasks.
+        summary: The summary as last published.
+        summary_at: When the summary was last written.
+        summary_writing: Whether a write of it is in flight.
+        ended: When the final state of each ended job was seen, with the
+            revision of its record.
+    """
+
+    name: str
+    token: int
+    taken_at: float
+    phase: Phase = Phase.LOADING
+    generation: int = 0
+    roster: frozenset[str] = frozenset()
+    roster_revision: int | None = None
+    roster_writing: bool = False
+    listed: bool = False
+    unsettled: set[str] = attrs.field(factory=set)
+    settled_at: float = 0.0
+    loaded: "list[LoadedJob] | None" = None
+    loaded_progress: "dict[str, LoadedProgress] | None" = None
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    dirty: dict[str, Job] = attrs.field(factory=dict)
+    marks: dict[str, int] = attrs.field(factory=dict)
+    committing: bool = False
+    commit_due: bool = False
+    pass_due: bool = False
+    summary: records.SummaryRecord | None = None
+    summary_at: float = -1e9
+    summary_writing: bool = False
+    ended: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+
+@attrs.frozen(slots=True)
+class LoadedJob:
+    """A job record as it was read, with its revisions."""
+
+    record: records.JobRecord
+    revision: int
+    created: int
+
+
+@attrs.frozen(slots=True)
+class LoadedProgress:
+    """A progress record as it was read, with its revision."""
+
+    record: records.ProgressRecord
+    revision: int
+
+
+@attrs.define(slots=True, eq=False)
+class Call:
+    """A caller's call that waits for the store.
+
+    Attributes:
+        attempts: Store calls made so far.
+        ambiguous: Whether a write for it may still take effect.
+    """
+
+    call_id: str
+    queue: model.Queue
+    job_id: str
+    deadline_at: float
+    started_at: float
+    record: records.JobRecord | None = None
+    attempts: int = 0
+    ambiguous: bool = False
+
+
+@attrs.define(slots=True, eq=False)
+class Batch:
+    """State of the batch side of one entry instance.
+
+    Attributes:
+        calls: Callers' calls that wait for the store, by call id.
+        lease_id: Store lease of the owner keys; empty before it is granted.
+        lease_busy: Whether a grant or renewal is in flight.
+        absent_since: Since when each partition is known to have no owner.
+        taking: Partitions whose owner key is being written.
+        fenced: Token by partition that workers refused.
+        owners_following: Whether a call follows the owner keys.
+        store_ok_at: When the store last answered.
+        store_down_at: Since when calls to the store fail; None if they work.
+        jobs_loading: Whether the job records are being read.
+        jobs_following: Whether a call follows the job records.
+        workers_reading: Whether the platform's list is being read.
+        summaries: What the owners publish, by partition.
+        summaries_at: When the summaries were read.
+        summaries_reading: Whether the summaries are being read.
+        pending_calls: Calls that wait for the summaries.
+        stopping: Whether the process was asked to end.
+        stopping_at: When it was asked.
+    """
+
+    identity: Identity
+    configuration: model.Configuration | None = None
+    calls: dict[str, Call] = attrs.field(factory=dict)
+    partitions: dict[str, Partition] = attrs.field(factory=dict)
+    lease_id: str = ""
+    lease_busy: bool = False
+    absent_since: dict[str, float] = attrs.field(factory=dict)
+    taking: set[str] = attrs.field(factory=set)
+    fenced: dict[str, int] = attrs.field(factory=dict)
+    owners_following: bool = False
+    store_ok_at: float = -1e9
+    store_down_at: float | None = None
+    jobs_loading: bool = False
+    jobs_following: bool = False
+    workers_reading: bool = False
+    summaries: dict[str, records.SummaryRecord] = attrs.field(factory=dict)
+    summaries_at: float = -1e9
+    summaries_reading: bool = False
+    pending_calls: list[Call] = attrs.field(factory=list)
+    stopping: bool = False
+    stopping_at: float = 0.0
--- a/packages/core/src/sapphirestall_core/messages.py
+++ b/packages/core/src/sapphirestall_core/messages.py
@@ -1,5 +1,7 @@
 """Base classes of everything that enters or leaves the core."""
 
+from collections.abc import Mapping
+
 import attrs
 
 
@@ -78,4 +80,4 @@
 
     part: str
     text: str
-    fields: dict[str, object] = attrs.field(factory=dict)
+    fields: Mapping[str, object] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/store_messages.py
+++ b/packages/core/src/sapphirestall_core/store_messages.py
@@ -81,6 +81,55 @@
     after_revision: int
 
 
+@attrs.frozen
+class Put:
+    """A key to write in a transaction.
+
+    Attributes:
+        lease_id: Store lease under which the key lives; empty for none.
+    """
+
+    key: str
+    value: object
+    lease_id: str = ""
+
+
+@attrs.frozen
+class StoreTransaction(StoreEffect):
+    """Writes and removes keys together if all expectations hold.
+
+    Attributes:
+        expected: Pairs of a key and the revision that it must have; 0 when it
+            must be absent.
+    """
+
+    expected: tuple[tuple[str, int], ...]
+    puts: tuple[Put, ...] = ()
+    removals: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class StoreEndLease(StoreEffect):
+    """Ends a store lease, which removes its keys."""
+
+    lease_id: str
+
+
+@attrs.frozen
+class StoreFollow(StoreEffect):
+    """Waits for changes under a prefix and returns them with their values.
+
+    Attributes:
+        after_revision: Changes up to this revision are known.
+        wait_s: Time after which the call returns without a change.
+    """
+
+    prefix: str
+    after_revision: int
+    document: type
+    wait_s: float
+
+
 @attrs.frozen
 class Outcome:
     """Outcome of a store call."""
@@ -165,6 +214,45 @@
     revision: int
 
 
+@attrs.frozen
+class Committed(Outcome):
+    """A transaction took effect at a revision."""
+
+    revision: int
+
+
+@attrs.frozen
+class Conflict(Outcome):
+    """A transaction was refused because an expectation did not hold.
+
+    Attributes:
+        revisions: Current revision of each expected key; 0 for absent ones.
+    """
+
+    revisions: dict[str, int]
+
+
+@attrs.frozen
+class Removed:
+    """A key that no longer exists."""
+
+    key: str
+    revision: int
+
+
+@attrs.frozen
+class Followed(Outcome):
+    """Changes under a followed prefix, oldest first."""
+
+    changes: tuple[Found | Removed, ...]
+    revision: int
+
+
+@attrs.frozen
+class HistoryLost(Outcome):
+    """The store no longer has the changes after the given revision."""
+
+
 @attrs.frozen
 class Unavailable(Outcome):
     """The call failed.
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -19,6 +19,7 @@
 from sapphirestall_entry import middleware
 from sapphirestall_entry import operators
 from sapphirestall_entry import peers
+from sapphirestall_entry import performer
 from sapphirestall_entry import servers
 from sapphirestall_entry import settings as settings_module
 from sapphirestall_entry import store
@@ -49,7 +50,11 @@
     identity = make_identity(settings)
     core = instance.build(identity)
     core.shutdown = state.Shutdown(settings.drain_s, settings.notice_s)
-    runner = loop.Loop(core, time.monotonic)
+    runner = loop.Loop(
+        lambda event, now: instance.handle(event, core, now),
+        lambda effect: performer.perform(effect, context),
+        time.monotonic,
+    )
     context = context_module.Context(
         settings, identity, runner.feed, time.monotonic, counters.Counters()
     )
--- a/packages/entry/src/sapphirestall_entry/context.py
+++ b/packages/entry/src/sapphirestall_entry/context.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import logging
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,6 +12,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import state
+from sapphirestall_entry import logs
 
 if TYPE_CHECKING:
     from sapphirestall_entry import callers
@@ -24,8 +24,6 @@
     from sapphirestall_entry import store
     from sapphirestall_entry import workers
 
-logger = logging.getLogger("process")
-
 
 @attrs.define
 class Context:
@@ -69,4 +67,4 @@
     def report_fault(self, place: str, error: BaseException) -> None:
         """Logs and counts an exception that nothing else handles."""
         self.counters.count_fault(place)
-        logger.error("process: fault in %s", place, exc_info=error)
+        logs.write_fault(place, error)
--- a/packages/entry/src/sapphirestall_entry/counters.py
+++ b/packages/entry/src/sapphirestall_entry/counters.py
@@ -68,6 +68,10 @@
             name, text, buckets=list(buckets), registry=self.registry
         )
 
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Returns all metrics in a form that a client accepts."""
+        return aioprometheus.render(self.registry, accept)
+
     def count_refusal(self, part: str, code: str) -> None:
         """Adds one refusal."""
         self.refusals.inc({"part": part, "code": code})
--- a/packages/entry/src/sapphirestall_entry/loop.py
+++ b/packages/entry/src/sapphirestall_entry/loop.py
@@ -1,23 +1,37 @@
 """Feeds events to the core and performs the effects."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
-from sapphirestall_core import instance
 from sapphirestall_core import messages
-from sapphirestall_core import state
-from sapphirestall_entry import context
-from sapphirestall_entry import performer
+from sapphirestall_entry import counters
+
+
+class Process(Protocol):
+    """What the loop needs of the process that it runs in."""
+
+    counters: counters.Counters
+
+    def report_fault(self, place: str, error: BaseException) -> None:
+        """Logs and counts an exception that nothing else handles."""
 
 
 @attrs.define
 class Loop:
-    """Runs the core; one event at a time, on one thread."""
+    """Runs the core; one event at a time, on one thread.
+
+    Attributes:
+        handle: Takes an event and a time and returns effects.
+        perform: Performs one effect without waiting for its result.
+        clock: Monotonic clock, in seconds.
+    """
 
-    state: state.Instance
+    handle: Callable[[messages.Event, float], list[messages.Effect]]
+    perform: Callable[[messages.Effect], None]
     clock: Callable[[], float]
-    context: "context.Context" = attrs.field(init=False)
+    context: Process = attrs.field(init=False)
 
     def feed(self, event: messages.Event) -> None:
         """Handles one event and performs its effects in order.
@@ -27,13 +41,13 @@
         """
         started = self.clock()
         try:
-            effects = instance.handle(event, self.state, started)
+            effects = self.handle(event, started)
         except Exception as error:  # noqa: BLE001
             self.context.report_fault(type(event).__name__, error)
             return
         for effect in effects:
             try:
-                performer.perform(effect, self.context)
+                self.perform(effect)
             except Exception as error:  # noqa: BLE001
                 self.context.report_fault(type(effect).__name__, error)
         self.context.counters.observe_event(
--- a/packages/entry/src/sapphirestall_entry/operators.py
+++ b/packages/entry/src/sapphirestall_entry/operators.py
@@ -7,7 +7,6 @@
 from typing import Any
 import uuid
 
-import aioprometheus
 import attrs
 import cattrs
 from starlette import applications
@@ -253,9 +252,8 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Renders all metrics."""
-        content, headers = aioprometheus.render(
-            self.context.counters.registry,
-            request.headers.getlist("accept"),
+        content, headers = self.context.counters.render(
+            request.headers.getlist("accept")
         )
         return responses.Response(content, headers=headers)
 
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -16,6 +16,8 @@
 # Answers that are ready get this long to leave after the drain ended.
 CLOSE_TIMEOUT_S = 2
 BACKLOG = 1024
+# Longer than clients keep idle connections, so that they close them first.
+KEEP_ALIVE_S = 75
 
 Reject = Callable[[str], responses.Response]
 
@@ -79,5 +81,6 @@
         ws="none",
         http=_make_protocol(reject) if reject else "auto",
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+        timeout_keep_alive=KEEP_ALIVE_S,
     )
     return Server(config)
