Pack tasks with a tail target; learn which images harm them

Ruled out: a shared pace by worker alone. Change: harm by image is learned from the listings; harmless images are not paced and run beside serving tasks; harmful ones go where the budget of the targets allows; serving tasks are packed so that workers without any remain. Non-filling tasks now wait longest: their data centre is full while others have room.

--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -54,10 +54,12 @@
             for name, worker in partition.workers.items()
             if name in partition.roster
         ]
-        worker = placement.choose_worker(task, usable, service, now)
+        worker = placement.choose_worker(task, usable, service, batch.harm, now)
         if worker is None:
             if not step.required_label and not step.max_per_worker:
-                refused.append(Refusal(step.fills, service, step.amount))
+                refused.append(
+                    Refusal(step.fills, step.image, service, step.amount)
+                )
             continue
         effects += start(batch, partition, worker, task, now)
     return effects
@@ -68,6 +70,7 @@
     """An amount for which no worker of a service had room in this pass."""
 
     fills: bool
+    image: str
     service: str
     amount: resources.Vector
 
@@ -76,6 +79,7 @@
     """Tells whether a task that asks for no more was refused in this pass."""
     return any(
         refusal.fills == task.step.fills
+        and refusal.image == task.step.image
         and refusal.service == service
         and refusal.amount.fits(task.step.amount)
         for refusal in refused
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -3,12 +3,15 @@
 from collections.abc import Iterable
 
 from sapphirestall_core import resources
+from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import state
 
 # A task that serves users holds its processors for load peaks; tasks that fill
 # may count on this share of them.
-SERVING_IDLE_SHARE = 0.4
+SERVING_IDLE_SHARE = 0.5
+# Share of a tail target that tasks that fill may use up by expectation.
+HARM_MARGIN = 0.9
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
 
@@ -61,32 +64,56 @@
     return count_on_worker(worker, task) < step.max_per_worker
 
 
-def rank(worker: state.Worker, task: state.Task) -> tuple[float, ...]:
+def rank(
+    worker: state.Worker, task: state.Task, harm: harm_module.Harm
+) -> tuple[float, ...]:
     """Returns the preference for a worker; the lowest comes first.
 
-    A worker on which the task failed comes last. Tasks that fill keep away
-    from tasks with a tail target, and tasks with a target from those that
-    fill; otherwise the worker with most unused processors is best.
+    Tasks with a tail target are packed, so that some workers have none: tasks
+    whose image disturbs them go there, and harmless ones beside them.
     """
     step = task.step
     failed = float(worker.entry.worker_id in task.failed_on)
     far = float(
         bool(step.data_rack) and step.data_rack not in worker.entry.labels
     )
+    suspect = float(worker.failures > 0)
     capacity = max(1, worker.entry.capacity.cpu_millis)
     used = (worker.reserved.cpu_millis + worker.filled_cpu) / capacity
-    suspect = float(worker.failures > 0)
-    if step.fills:
-        return (failed, far, suspect, float(worker.serving_cpu > 0), used)
+    serving = worker.serving_cpu / capacity
+    first = (failed, far, suspect)
     if step.tail_target_ms:
-        return (failed, far, suspect, worker.serving_cpu / capacity, used)
-    return (failed, far, suspect, used)
+        reserved = worker.reserved.cpu_millis / capacity
+        return (*first, -serving, -reserved)
+    if not step.fills:
+        return (*first, used)
+    if harm.is_harmless(step.image):
+        return (*first, -float(serving > 0), used)
+    return (*first, serving, used)
+
+
+def allows_harm(
+    worker: state.Worker, task: state.Task, harm: harm_module.Harm
+) -> bool:
+    """Tells whether a task that fills leaves the worker's tails in bounds."""
+    if harm.is_harmless(task.step.image):
+        return True
+    if worker.pace < state.FULL_PACE_PERCENT:
+        return False
+    budget = harm.find_budget(worker, HARM_MARGIN)
+    if budget is None:
+        return True
+    capacity = max(1, worker.entry.capacity.cpu_millis)
+    share = task.step.amount.cpu_millis / capacity
+    rise = harm.get_harm(task.step.image) * share
+    return harm_module.predict(worker, harm) + rise <= budget
 
 
 def choose_worker(
     task: state.Task,
     workers: Iterable[state.Worker],
     service: str,
+    harm: harm_module.Harm,
     now: float,
 ) -> state.Worker | None:
     """Returns the worker for a task, or None where none has room."""
@@ -95,9 +122,9 @@
     for worker in workers:
         if not accepts(worker, service, now) or not _fits(worker, task):
             continue
-        if task.step.fills and worker.pace < state.FULL_PACE_PERCENT:
+        if task.step.fills and not allows_harm(worker, task, harm):
             continue
-        worker_rank = rank(worker, task)
+        worker_rank = rank(worker, task, harm)
         if best is None or worker_rank < best_rank:
             best, best_rank = worker, worker_rank
     return best
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sapphirestall_core import resources
+from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import worker_messages
@@ -63,6 +64,7 @@
         started_clock_ms: Worker's clock when it confirmed the start.
         stop_sent_at: When a stop was last sent.
         stopped_clock_ms: Worker's clock when it confirmed a stop; None before.
+        pace: Percent that was last ordered.
         percent: Progress last listed.
         reading: Tail latency in milliseconds or processors, as last listed.
     """
@@ -76,6 +78,7 @@
     started_clock_ms: int | None = None
     stop_sent_at: float = -1e9
     stopped_clock_ms: int | None = None
+    pace: int = FULL_PACE_PERCENT
     percent: int = 0
     reading: float = 0.0
 
@@ -164,9 +167,10 @@
         silent: Whether the last call got no answer.
         suspended_until: No starts before this time.
         failures: Failed runs since the last one that was done.
-        pace: Percent at which runs that fill may work.
+        pace: Percent at which harmful runs that fill may work.
         pace_changed_at: When the pace was last changed.
         tail_high_at: When a tail target was last nearly missed.
+        missed_since: Since when a tail target is missed.
         missing_since: Since when the platform's list lacks the worker.
     """
 
@@ -190,6 +194,7 @@
     pace: int = FULL_PACE_PERCENT
     pace_changed_at: float = -1e9
     tail_high_at: float = -1e9
+    missed_since: float | None = None
     missing_since: float | None = None
 
 
@@ -294,6 +299,7 @@
     """State of the batch side of one entry instance.
 
     Attributes:
+        harm: What was learned of images that disturb others.
         calls: Callers' calls that wait for the store, by call id.
         lease_id: Store lease of the owner keys; empty before it is granted.
         lease_busy: Whether a grant or renewal is in flight.
@@ -316,6 +322,7 @@
 
     identity: Identity
     configuration: model.Configuration | None = None
+    harm: harm_module.Harm = attrs.field(factory=harm_module.Harm)
     calls: dict[str, Call] = attrs.field(factory=dict)
     partitions: dict[str, Partition] = attrs.field(factory=dict)
     lease_id: str = ""
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -345,7 +345,8 @@
             )
             passes.drop_run(worker, run)
     partition.unsettled.discard(worker.entry.worker_id)
-    effects += pacing.adjust(partition, worker, now)
+    batch.harm.learn(worker)
+    effects += pacing.adjust(partition, worker, batch.harm, now)
     if len(worker.runs) < before or listing.ended:
         effects += passes.plan(partition)
     if worker.seen > worker.acknowledged:
