Balance jobs and long-running tasks between partitions

Ruled out: one owner of all workers: a data centre that is cut off would lose the leases of its workers, and the grown deployments exceed one small machine. Change: owners publish room and load once in 0.7 s; the accepting instance chooses by them; an owner moves jobs that have not started and waiting long-running tasks by one write of the record under its key.

--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -11,6 +11,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 
@@ -23,6 +24,8 @@
 ENTRIES_PER_JOB = 4
 JOBS_LIMIT = (ENTRIES_LIMIT - 1) // ENTRIES_PER_JOB
 SUMMARY_INTERVAL_S = 0.7
+# Enough for the tasks of a usual job, and small enough for a summary.
+ROOMS_PUBLISHED = 8
 
 
 @attrs.frozen
@@ -313,7 +316,7 @@
     """Publishes the summary when it has changed."""
     if partition.phase is not state.Phase.ACTIVE or partition.summary_writing:
         return []
-    summary = make_summary(partition)
+    summary = make_summary(partition, now)
     if summary == partition.summary:
         return []
     if now < partition.summary_at + SUMMARY_INTERVAL_S:
@@ -331,24 +334,34 @@
     ]
 
 
-def make_summary(partition: state.Partition) -> records.SummaryRecord:
+def make_summary(
+    partition: state.Partition, now: float
+) -> records.SummaryRecord:
     """Returns what the owner publishes of its partition."""
     pending: dict[str, list[str]] = {}
-    cpu_millis = 0
+    filling = 0
     for job in partition.jobs.values():
-        if not job.started:
+        if not job.started and job.record.partition == partition.name:
             name = job.queue.name
             pending.setdefault(name, []).append(job.record.job_id)
         for step in job.steps:
-            if step.released:
-                cpu_millis += len(step.open) * step.step.amount.cpu_millis
-    capacity = sum(
-        worker.entry.capacity.cpu_millis
+            if step.released and step.step.fills:
+                filling += len(step.open) * step.step.amount.cpu_millis
+    usable = [
+        worker
         for worker in partition.workers.values()
-    )
+        if placement.is_usable(worker, now)
+    ]
+    idle = sum(placement.find_idle_cpu(worker) for worker in usable)
+    free = [worker.entry.capacity.minus(worker.reserved) for worker in usable]
+    free.sort(key=lambda room: -room.cpu_millis)
     return records.SummaryRecord(
         {name: tuple(ids) for name, ids in pending.items()},
-        round(cpu_millis / max(1, capacity), 1),
+        round(filling / max(1, idle), 2),
+        tuple(
+            records.Room(room.cpu_millis, room.memory_mb)
+            for room in free[:ROOMS_PUBLISHED]
+        ),
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -10,6 +10,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
@@ -27,9 +28,6 @@
 SUMMARY_AGE_S = 0.7
 # A store call takes milliseconds; a call is not begun with less time left.
 CALL_MARGIN_S = 0.1
-# A partition is preferred over the own data centre's one when it has this
-# much less load.
-LOAD_ADVANTAGE = 0.5
 SHOWN = {
     model.JobState.CANCELLED: "cancelled",
     model.JobState.COMPLETED: "completed",
@@ -64,11 +62,6 @@
     """Writes a job's record as cancelled."""
 
 
-@attrs.frozen
-class SummaryRead(store_messages.Purpose):
-    """Reads the summaries of all partitions."""
-
-
 @attrs.frozen
 class CallRetryDue(messages.Timer):
     """Repeats a store call of a caller's call."""
@@ -172,30 +165,17 @@
     call.record = records.JobRecord(
         call.job_id,
         call.queue,
-        choose_partition(batch),
+        balance.choose_partition(batch, event.steps),
         model.JobState.ACCEPTED,
         event.spec,
         event.steps,
         accepted_ms=round((now + batch.identity.wall_offset_s) * 1000),
     )
     batch.calls[call.call_id] = call
-    return _send(Submission(call.call_id), call)
-
-
-def choose_partition(batch: state.Batch) -> str:
-    """Returns the partition for a new job.
-
-    The own data centre comes first: its owner is near and can go on when the
-    data centre is cut off. Another one is taken only when it has far less load.
-    """
-    own = batch.identity.data_centre
-    loads = {name: summary.load for name, summary in batch.summaries.items()}
-    if own not in loads:
-        return own
-    least = min(loads, key=lambda name: loads[name])
-    if loads[own] > 1.0 and loads[own] - loads[least] > LOAD_ADVANTAGE:
-        return least
-    return own
+    effects = _send(Submission(call.call_id), call)
+    if now - batch.summaries_at > SUMMARY_AGE_S:
+        effects += balance.read_summaries(batch)
+    return effects
 
 
 @dispatch.handle.register(caller_messages.StateCalled)
@@ -212,7 +192,7 @@
     if now - batch.summaries_at <= SUMMARY_AGE_S:
         return _show_pending(batch, call, now)
     batch.pending_calls.append(call)
-    return read_summaries(batch)
+    return balance.read_summaries(batch)
 
 
 @dispatch.handle.register(caller_messages.CancelCalled)
@@ -385,21 +365,9 @@
     return _handle_failure(purpose, reply.outcome, batch, call, now)
 
 
-def read_summaries(batch: state.Batch) -> dispatch.Effects:
-    """Reads what the owners publish, unless that is under way."""
-    if batch.summaries_reading:
-        return []
-    batch.summaries_reading = True
-    return [
-        store_messages.StoreList(
-            SummaryRead(), records.SUMMARIES, records.SummaryRecord
-        )
-    ]
-
-
-@dispatch.resume.register(SummaryRead)
+@dispatch.resume.register(balance.SummaryRead)
 def take_summaries(
-    purpose: SummaryRead,
+    purpose: balance.SummaryRead,
     reply: store_messages.StoreReply,
     batch: state.Batch,
     now: float,
--- a/packages/core/src/sapphirestall_core/batch/jobs.py
+++ b/packages/core/src/sapphirestall_core/batch/jobs.py
@@ -19,10 +19,10 @@
     loaded: state.LoadedJob,
     progress: state.LoadedProgress | None,
     queue: model.Queue,
-    first_number: int,
+    partition: state.Partition,
     now: float,
 ) -> state.Job:
-    """Returns a job from its records; its released tasks wait."""
+    """Returns the part of a job that a partition runs; released tasks wait."""
     record = loaded.record
     job = state.Job(
         record, queue, loaded.revision, loaded.created, [], accepted_at=now
@@ -31,7 +31,7 @@
     job.started = progress is not None
     for number, step in enumerate(record.steps):
         known = progress.record.steps[number] if progress else None
-        job.steps.append(_build_step(job, number, step, known, first_number))
+        job.steps.append(_build_step(job, number, step, known, partition))
     release_steps(job)
     return job
 
@@ -41,13 +41,16 @@
     number: int,
     step: model.Step,
     known: records.StepProgress | None,
-    first_number: int,
+    partition: state.Partition,
 ) -> state.StepState:
     built = state.StepState(step, {})
     built.done = set(known.done) if known else set()
     for index in range(step.count):
         if index in built.done:
             continue
+        first_number = find_first_number(job.record, number, index, partition)
+        if first_number is None:
+            continue
         name = model.TaskName(job.record.job_id, 0, number, index)
         task = state.Task(job, name, step, next_number=first_number)
         if known:
@@ -57,6 +60,45 @@
     return built
 
 
+def find_first_number(
+    record: records.JobRecord,
+    step: int,
+    index: int,
+    partition: state.Partition,
+) -> int | None:
+    """Returns the first run number of a task, or None where others run it."""
+    # Every owner of a partition starts above the numbers of the owners before.
+    own = (partition.generation - 1) * NUMBERS_PER_OWNER + 1
+    moved = record.moved.get(records.name_task(step, index))
+    if moved is None:
+        return own if record.partition == partition.name else None
+    if moved.partition != partition.name:
+        return None
+    return max(own, moved.first_number)
+
+
+def update_record(
+    job: state.Job, loaded: state.LoadedJob, partition: state.Partition
+) -> None:
+    """Takes a newer record: adds and removes tasks that were moved."""
+    job.record = loaded.record
+    job.revision = loaded.revision
+    for number, step in enumerate(job.steps):
+        if not step.step.long_running:
+            continue
+        for index in range(step.step.count):
+            first = find_first_number(job.record, number, index, partition)
+            task = step.open.get(index)
+            if first is None and task is not None and task.run is None:
+                step.open.pop(index)
+                step.waiting.pop(index, None)
+            elif first is not None and task is None:
+                name = model.TaskName(job.record.job_id, 0, number, index)
+                task = state.Task(job, name, step.step, next_number=first)
+                step.open[index] = task
+                requeue(task)
+
+
 def release_steps(job: state.Job) -> bool:
     """Lets the tasks of each step wait whose earlier steps are done.
 
@@ -106,7 +148,7 @@
     step.done.add(task.name.index)
     if not step.open:
         release_steps(job)
-    if any(other.open for other in job.steps):
+    if any(other.open or other.step.long_running for other in job.steps):
         return False
     job.final = model.JobState.COMPLETED
     return True
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -48,6 +48,7 @@
         service = task.job.queue.service
         step = task.step
         if _is_refused(refused, task, service):
+            _note_refusal(task, now)
             continue
         usable = [
             worker
@@ -56,6 +57,7 @@
         ]
         worker = placement.choose_worker(task, usable, service, batch.harm, now)
         if worker is None:
+            _note_refusal(task, now)
             if not step.required_label and not step.max_per_worker:
                 refused.append(
                     Refusal(step.fills, step.image, service, step.amount)
@@ -65,6 +67,11 @@
     return effects
 
 
+def _note_refusal(task: state.Task, now: float) -> None:
+    if task.refused_at is None:
+        task.refused_at = now
+
+
 @attrs.frozen(slots=True)
 class Refusal:
     """An amount for which no worker of a service had room in this pass."""
@@ -96,7 +103,7 @@
         key=lambda job: (job.queue.priority, job.created),
     )
     for job in ordered:
-        if job.final is not None:
+        if job.final is not None or job.moving:
             continue
         # Runs of a job that former owners knew may exist on workers that
         # have not been asked yet.
@@ -127,6 +134,7 @@
         until_ms,
     )
     task.next_number += 1
+    task.refused_at = None
     task.run = run
     job.steps[task.name.step].waiting.pop(task.name.index, None)
     reserve(worker, run)
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -17,10 +17,14 @@
 
 
 def accepts(worker: state.Worker, service: str, now: float) -> bool:
-    """Tells whether a worker takes new runs of a service at all."""
+    """Tells whether a worker takes new runs of a service."""
+    return worker.entry.service == service and is_usable(worker, now)
+
+
+def is_usable(worker: state.Worker, now: float) -> bool:
+    """Tells whether a worker takes new runs at all."""
     return (
-        worker.entry.service == service
-        and not worker.entry.draining
+        not worker.entry.draining
         and worker.missing_since is None
         and not worker.orphans
         and worker.contact_at is not None
@@ -30,6 +34,12 @@
     )
 
 
+def find_idle_cpu(worker: state.Worker) -> int:
+    """Returns the processors that tasks that fill can expect to use."""
+    free = worker.entry.capacity.cpu_millis - worker.reserved.cpu_millis
+    return free + int(worker.serving_cpu * SERVING_IDLE_SHARE)
+
+
 def find_room(worker: state.Worker, step: model.Step) -> resources.Vector:
     """Returns what a worker has left for a step.
 
@@ -39,8 +49,7 @@
     room = worker.entry.capacity.minus(worker.reserved)
     if not step.fills:
         return room
-    idle = int(worker.serving_cpu * SERVING_IDLE_SHARE)
-    cpu = room.cpu_millis + idle - worker.filled_cpu
+    cpu = find_idle_cpu(worker) - worker.filled_cpu
     return resources.Vector(cpu, room.memory_mb, room.accelerators)
 
 
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -11,6 +11,18 @@
 SUMMARIES = "summaries/"
 
 
+@attrs.frozen(slots=True)
+class MovedTask:
+    """A long-running task that another partition than its job's runs.
+
+    Attributes:
+        first_number: Lowest number that its next run may have.
+    """
+
+    partition: str
+    first_number: int
+
+
 @attrs.frozen(slots=True)
 class JobRecord:
     """A job that was accepted; written before the caller hears of it.
@@ -19,6 +31,7 @@
         queue: The queue as it was when the job was accepted.
         partition: Partition whose owner runs the job.
         spec: Text that the tasks receive; dropped when the job has ended.
+        moved: Long-running tasks that other partitions run, by `step.index`.
         accepted_ms: Time of day at the accepting instance, Unix milliseconds.
         ended_ms: Time of day at which a final state was written; 0 before.
     """
@@ -29,6 +42,7 @@
     state: model.JobState
     spec: str = ""
     steps: tuple[model.Step, ...] = ()
+    moved: dict[str, MovedTask] = attrs.field(factory=dict)
     accepted_ms: int = 0
     ended_ms: int = 0
 
@@ -78,18 +92,28 @@
     workers: tuple[str, ...] = ()
 
 
+@attrs.frozen(slots=True)
+class Room:
+    """What one worker has left for tasks that do not fill."""
+
+    cpu_millis: int
+    memory_mb: int
+
+
 @attrs.frozen(slots=True)
 class SummaryRecord:
     """What an owner publishes of its partition.
 
     Attributes:
         pending: Ids of accepted jobs of which no task has started, by queue.
-        load: Processors asked for by all unfinished tasks that may run, as a
-            share of the partition's processors.
+        fill_load: Processors that all unfinished tasks that fill ask for, as a
+            share of those that other tasks leave unused.
+        rooms: Room of the workers that have most.
     """
 
     pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
-    load: float = 0.0
+    fill_load: float = 0.0
+    rooms: tuple[Room, ...] = ()
 
 
 def name_job_key(job_id: str) -> str:
@@ -115,3 +139,15 @@
 def name_summary_key(partition: str) -> str:
     """Returns the key of a partition's summary."""
     return SUMMARIES + partition
+
+
+def concerns(record: JobRecord, partition: str) -> bool:
+    """Tells whether a partition runs tasks of a job."""
+    return record.partition == partition or any(
+        moved.partition == partition for moved in record.moved.values()
+    )
+
+
+def name_task(step: int, index: int) -> str:
+    """Returns the name of a task within its job's record."""
+    return f"{step}.{index}"
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -91,6 +91,7 @@
         run: The run that may exist; a task has at most one.
         next_number: Lowest number that the next run may have.
         checkpoint: Newest known checkpoint; empty for none.
+        refused_at: When no worker was found for it first; None if it runs.
         failed_numbers: Numbers of the runs that failed.
         failed_on: Workers on which runs of the task failed.
     """
@@ -101,6 +102,7 @@
     run: Run | None = None
     next_number: int = 1
     checkpoint: str = ""
+    refused_at: float | None = None
     failed_numbers: set[int] = attrs.field(factory=set)
     failed_on: set[str] = attrs.field(factory=set)
 
@@ -133,6 +135,7 @@
         progress_revision: Revision of the progress record; 0 when absent.
         final: State to be written; None while the job goes on.
         started: Whether a run of the job was ever started.
+        moving: Whether a write that moves tasks of the job is in flight.
         accepted_at: When this instance learned of the job.
     """
 
@@ -144,6 +147,7 @@
     progress_revision: int = 0
     final: model.JobState | None = None
     started: bool = False
+    moving: bool = False
     accepted_at: float = 0.0
 
 
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -245,10 +245,13 @@
     for found in outcome.entries:
         record = found.value
         assert isinstance(record, records.JobRecord)
-        if record.partition in by_partition:
-            by_partition[record.partition].append(
-                state.LoadedJob(record, found.revision, found.create_revision)
-            )
+        for name, chosen in by_partition.items():
+            if records.concerns(record, name) or _is_known(batch, name, record):
+                chosen.append(
+                    state.LoadedJob(
+                        record, found.revision, found.create_revision
+                    )
+                )
     for name, loaded in by_partition.items():
         partition = batch.partitions[name]
         if partition.phase is state.Phase.LOADING:
@@ -307,20 +310,36 @@
             continue
         record = change.value
         assert isinstance(record, records.JobRecord)
-        partition = batch.partitions.get(record.partition)
-        if partition is None:
-            continue
         loaded = state.LoadedJob(
             record, change.revision, change.create_revision
         )
-        if partition.phase is state.Phase.LOADING:
-            if partition.loaded is not None:
-                partition.loaded.append(loaded)
-            continue
-        effects += see_job(batch, partition, loaded, now)
+        for partition in batch.partitions.values():
+            effects += _see_change(batch, partition, loaded, now)
     return effects + _follow(batch, outcome.revision)
 
 
+def _is_known(batch: state.Batch, name: str, record: records.JobRecord) -> bool:
+    partition = batch.partitions[name]
+    return record.job_id in partition.jobs
+
+
+def _see_change(
+    batch: state.Batch,
+    partition: state.Partition,
+    loaded: state.LoadedJob,
+    now: float,
+) -> dispatch.Effects:
+    record = loaded.record
+    known = _is_known(batch, partition.name, record)
+    if not known and not records.concerns(record, partition.name):
+        return []
+    if partition.phase is state.Phase.ACTIVE:
+        return see_job(batch, partition, loaded, now)
+    if partition.loaded is not None:
+        partition.loaded.append(loaded)
+    return []
+
+
 @dispatch.resume.register(ProgressRead)
 def take_progress(
     purpose: ProgressRead,
@@ -414,15 +433,16 @@
         if known is None or known.final is not None:
             return []
         return _drop_job(partition, known, record.state, now)
-    if known is not None or record.job_id in partition.ended:
+    if record.job_id in partition.ended:
+        return []
+    if known is not None:
+        return _update_job(partition, known, loaded)
+    if not records.concerns(record, partition.name):
         return []
     progress = (partition.loaded_progress or {}).get(record.job_id)
     assert batch.configuration is not None
     queue = batch.configuration.get_queue(record.queue.name) or record.queue
-    first = partition.generation * jobs.NUMBERS_PER_OWNER + 1
-    if partition.generation <= 1:
-        first = 1
-    job = jobs.build_job(loaded, progress, queue, first, now)
+    job = jobs.build_job(loaded, progress, queue, partition, now)
     partition.jobs[record.job_id] = job
     log = jobs.make_log(
         "known",
@@ -436,6 +456,19 @@
     return [log, *passes.plan(partition)]
 
 
+def _update_job(
+    partition: state.Partition, known: state.Job, loaded: state.LoadedJob
+) -> dispatch.Effects:
+    if loaded.revision <= known.revision or known.final is not None:
+        return []
+    jobs.update_record(known, loaded, partition)
+    known.moving = False
+    if not records.concerns(known.record, partition.name):
+        partition.jobs.pop(known.record.job_id, None)
+        partition.dirty.pop(known.record.job_id, None)
+    return passes.plan(partition)
+
+
 def _drop_job(
     partition: state.Partition,
     job: state.Job,
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -8,6 +8,7 @@
 import attrs
 
 from sapphirestall_core import messages
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import jobs
@@ -452,7 +453,11 @@
         over = jobs.fail_task(task, end, worker.entry.worker_id)
     if not over and (task.run is run or task.run is None):
         jobs.requeue(task)
-    effects += commits.mark(partition, task.job)
+    if task.step.long_running:
+        # Nothing of a task that never ends has to last but its record.
+        effects += commits.plan(partition)
+    else:
+        effects += commits.mark(partition, task.job)
     if over:
         effects += stop_job(partition, task.job, now)
     return effects
@@ -628,6 +633,7 @@
         for worker in list(partition.workers.values()):
             effects += _tick_worker(batch, partition, worker, now)
         effects += commits.tick(batch, partition, now)
+        effects += balance.tick(batch, partition, now)
         # Also places tasks for which a suspension or a silence has ended.
         effects += passes.plan(partition)
     return effects
