Assume the leases of a former owner; start nothing on unlisted workers

Cause: a new owner had asked for no lease itself, so a tick right after the first listing took the adopted runs as lapsed and started them again (TWICE); and a hold that was answered while the owner loaded made its worker usable before its runs were known (LIMIT). Change: the first reading of a clock assumes that a former owner extended the lease just before; a worker is used only after it has listed its runs. A world in virtual time (standins/batch_*) plays the batch side with faults and checks each start.

--- /dev/null
+++ b/features/steps/batch_ownership_steps.py
@@ -0,0 +1,206 @@
+"""Steps for batch_ownership.feature."""
+
+import behave
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import model
+from standins import batch_world
+
+SITES = ("north", "south")
+START_S = 3.0
+
+
+def make_step(count, cpu=1000, **fields):
+    return model.Step(count, resources.Vector(cpu, 100, 0), **fields)
+
+
+def make_world(context, sites, nodes, workers, cpu=8000, seed=1):
+    world = batch_world.BatchWorld(seed)
+    for site in sites:
+        for number in range(workers):
+            world.add_worker(f"w-{site}-{number}", site, cpu)
+    for site in sites:
+        for number in range(nodes):
+            world.add_node(f"e-{site}-{number}", site, sites)
+    world.run(START_S)
+    context.world = world
+    context.sites = sites
+
+
+def make_id(number):
+    return f"{number:016x}"
+
+
+def list_owners(world):
+    return [
+        node for node in world.nodes if node.alive and node.batch.partitions
+    ]
+
+
+@behave.given("two data centres with two instances and three workers each")
+def step(context):
+    make_world(context, SITES, 2, 3)
+
+
+@behave.given("one data centre with two instances and one full worker")
+def step(context):
+    make_world(context, SITES[:1], 2, 1, cpu=4000)
+    world = context.world
+    world.submit(world.nodes[0], make_id(1), make_step(4, long_running=True))
+    world.run(1.0)
+    assert len(world.list_runs()) == 4
+
+
+@behave.when("a job of two steps is handed in")
+def step(context):
+    world = context.world
+    steps = make_step(4), make_step(6, after=(0,))
+    world.submit(world.nodes[0], make_id(1), *steps)
+
+
+@behave.when("long-running tasks are handed in")
+def step(context):
+    world = context.world
+    for number, node in enumerate(world.nodes):
+        step = make_step(3, long_running=True)
+        world.submit(node, make_id(number), step)
+
+
+@behave.when("{seconds:g} s pass")
+def step(context, seconds):
+    context.world.run(seconds)
+
+
+@behave.when("every owner is killed")
+def step(context):
+    for node in list_owners(context.world):
+        context.world.kill(node)
+
+
+@behave.when("every owner is frozen for {seconds:g} s")
+def step(context, seconds):
+    for node in list_owners(context.world):
+        node.frozen_until = context.world.now + seconds
+
+
+@behave.when("every owner is killed while new jobs come")
+def step(context):
+    world = context.world
+    for node in list_owners(world):
+        world.kill(node)
+    other = next(node for node in world.nodes if node.alive)
+    for number in range(2, 42):
+        job_id = make_id(number)
+        world.at(
+            0.1 * number,
+            lambda job_id=job_id: world.submit(other, job_id, make_step(1)),
+        )
+
+
+def play_randomly(world, rng):
+    """Hands in work and injects faults for 40 s, then lets all end."""
+    for number in range(1, 81):
+        nodes = [node for node in world.nodes if node.alive]
+        node = rng.choice(nodes)
+        if rng.random() < 0.7:
+            first = make_step(rng.randint(1, 5), rng.choice((500, 1000, 3000)))
+            steps = [first]
+            if rng.random() < 0.5:
+                steps.append(make_step(rng.randint(1, 4), after=(0,)))
+            world.submit(node, make_id(number), *steps)
+        elif rng.random() < 0.3:
+            path = f"/jobs/{make_id(rng.randint(1, number))}"
+            world.call(node, caller_messages.CancelCalled, path)
+        inject(world, rng, nodes)
+        world.run(0.5)
+    for node in world.nodes:
+        node.store_cut = False
+        node.cut_workers.clear()
+    world.late_share = world.lost_share = 0.0
+    world.run(60.0)
+
+
+def inject(world, rng, nodes):
+    """Injects at most one fault."""
+    kind = rng.randint(0, 40)
+    node = rng.choice(nodes)
+    if kind == 0 and len(nodes) > 2:
+        world.kill(node)
+        site = node.batch.identity.data_centre
+        world.at(2.0, lambda: world.add_node(f"{node.name}+", site, SITES))
+    elif kind == 1:
+        node.frozen_until = world.now + rng.uniform(0.5, 6)
+    elif kind == 2:
+        node.store_cut = True
+        world.at(rng.uniform(1, 8), lambda: setattr(node, "store_cut", False))
+    elif kind == 3:
+        name = rng.choice(sorted(world.workers))
+        node.cut_workers.add(name)
+        world.at(rng.uniform(1, 8), lambda: node.cut_workers.discard(name))
+    elif kind == 4:
+        world.late_share = rng.choice((0.0, 0.1, 0.3))
+    elif kind == 5:
+        world.lost_share = rng.choice((0.0, 0.1, 0.2))
+    elif kind == 6:
+        world.fail_share = rng.choice((0.0, 0.05))
+    elif kind == 7:
+        name = rng.choice(sorted(world.workers))
+        site = world.workers[name].entry.data_centre
+        world.add_worker(name, site)
+
+
+@behave.when("random work and faults come with seed {seed:d}")
+def step(context, seed):
+    context.world.rng.seed(seed)
+    play_randomly(context.world, context.world.rng)
+
+
+@behave.then("every job is stored as completed")
+def step(context):
+    world = context.world
+    states = {job_id: world.get_state(job_id) for job_id in world.jobs}
+    wrong = {
+        job_id: found
+        for job_id, found in states.items()
+        if found is not model.JobState.COMPLETED
+    }
+    assert states and not wrong, wrong
+
+
+@behave.then("every job that was accepted has ended")
+def step(context):
+    world = context.world
+    wrong = [
+        job_id
+        for job_id in world.jobs
+        if world.get_state(job_id) is model.JobState.ACCEPTED
+    ]
+    assert not wrong, wrong
+
+
+@behave.then("every long-running task has its first run")
+def step(context):
+    world = context.world
+    expected = sum(
+        step.count for steps in world.jobs.values() for step in steps
+    )
+    runs = world.list_runs()
+    assert len(runs) == expected, runs
+    assert all(number == 1 for _, _, number in runs), runs
+
+
+@behave.then("every partition has one owner")
+def step(context):
+    names = [
+        name
+        for node in list_owners(context.world)
+        for name in node.batch.partitions
+    ]
+    assert sorted(names) == sorted(context.sites), names
+
+
+@behave.then("no rule was broken")
+def step(context):
+    assert not context.world.violations, context.world.violations[:5]
+    assert context.world.starts
--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -30,6 +30,13 @@
         worker.clock_at = now
 
 
+def assume_lease(worker: state.Worker, lease_s: float) -> None:
+    """Records that a former owner may have extended the leases just before."""
+    if worker.clock_ms is not None:
+        until_ms = worker.clock_ms + int(lease_s * 1000)
+        worker.until_ms = max(worker.until_ms, until_ms)
+
+
 def extend(worker: state.Worker, lease_s: float, now: float) -> int | None:
     """Returns the end of a lease from now on, and records that it is asked."""
     clock_ms = estimate_clock(worker, now)
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -24,7 +24,8 @@
 def is_usable(worker: state.Worker, now: float) -> bool:
     """Tells whether a worker takes new runs at all."""
     return (
-        not worker.entry.draining
+        worker.listed
+        and not worker.entry.draining
         and worker.missing_since is None
         and not worker.orphans
         and worker.contact_at is not None
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -167,6 +167,7 @@
         serving_cpu: Processors reserved by runs with a tail target.
         runs: Runs that may exist on the worker, by task and number.
         orphans: Listed runs that belong to no task that wants them.
+        listed: Whether the worker told this owner what runs there.
         holding: Whether a hold is in flight.
         silent: Whether the last call got no answer.
         suspended_until: No starts before this time.
@@ -191,6 +192,7 @@
     serving_cpu: int = 0
     runs: dict[tuple[model.TaskName, int], Run] = attrs.field(factory=dict)
     orphans: set[tuple[model.TaskName, int]] = attrs.field(factory=set)
+    listed: bool = False
     holding: bool = False
     silent: bool = False
     suspended_until: float = -1e9
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -280,13 +280,17 @@
             detail=detail,
         )
         return [log, *hold(batch, partition, worker, now, wait_s=0.0)]
-    first = worker.contact_at is None
+    first = worker.clock_ms is None
     stale = worker.clock_ms is not None and reply.clock_ms < worker.clock_ms
     note_answer(worker, reply.clock_ms, now)
+    if first:
+        lease_s = batch.identity.limits.worker_lease_s
+        leases.assume_lease(worker, lease_s)
     if partition.phase is not state.Phase.ACTIVE:
         return []
     effects: dispatch.Effects = []
     if not stale:
+        worker.listed = True
         effects += take_listing(batch, partition, worker, call, reply, now)
     if worker.seen > worker.acknowledged or worker.holding:
         return effects
--- /dev/null
+++ b/standins/batch_store.py
@@ -0,0 +1,166 @@
+"""In-memory model of the platform's store: transactions, leases, watches."""
+
+import functools
+
+import attrs
+
+from sapphirestall_core import store_messages
+
+
+@attrs.define
+class Lease:
+    """A lease and the time at which it ends."""
+
+    ttl_s: float
+    until: float
+
+
+@attrs.define
+class Item:
+    """A stored key."""
+
+    value: object
+    revision: int
+    created: int
+    lease_id: str
+
+
+@attrs.define
+class BatchStore:
+    """Keys with revisions; every change is kept as history."""
+
+    revision: int = 1
+    items: dict[str, Item] = attrs.field(factory=dict)
+    leases: dict[str, Lease] = attrs.field(factory=dict)
+    history: list[store_messages.Found | store_messages.Removed] = attrs.field(
+        factory=list
+    )
+
+    def find(self, key: str) -> store_messages.Found | None:
+        """Returns a key as it stands."""
+        item = self.items.get(key)
+        if item is None:
+            return None
+        return store_messages.Found(
+            key, item.value, 0, item.created, item.revision
+        )
+
+    def expire(self, now: float) -> None:
+        """Removes the keys of leases that have ended."""
+        for lease_id in [
+            name for name, lease in self.leases.items() if lease.until <= now
+        ]:
+            self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: str) -> None:
+        """Ends a lease and removes its keys."""
+        self.leases.pop(lease_id, None)
+        for key in [
+            key for key, item in self.items.items() if item.lease_id == lease_id
+        ]:
+            self.remove(key)
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append(store_messages.Removed(key, self.revision))
+
+    def put(self, put: store_messages.Put) -> None:
+        """Writes a key at the current revision."""
+        old = self.items.get(put.key)
+        created = old.created if old else self.revision
+        self.items[put.key] = Item(
+            put.value, self.revision, created, put.lease_id
+        )
+        found = self.find(put.key)
+        assert found is not None
+        self.history.append(found)
+
+    def list_changes(
+        self, prefix: str, after: int
+    ) -> tuple[store_messages.Found | store_messages.Removed, ...]:
+        """Returns the changes under a prefix after a revision."""
+        return tuple(
+            change
+            for change in self.history
+            if change.revision > after and change.key.startswith(prefix)
+        )
+
+
+@functools.singledispatch
+def apply(
+    effect: store_messages.StoreEffect, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    """Carries out a store call."""
+    raise NotImplementedError(type(effect).__name__)
+
+
+@apply.register
+def _(
+    effect: store_messages.StoreGet, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    return store.find(effect.key) or store_messages.Absent(effect.key)
+
+
+@apply.register
+def _(
+    effect: store_messages.StoreList, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    found = [store.find(key) for key in sorted(store.items)]
+    entries = tuple(
+        item for item in found if item and item.key.startswith(effect.prefix)
+    )
+    return store_messages.Listed(entries, store.revision)
+
+
+@apply.register
+def _(
+    effect: store_messages.StoreTransaction, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    revisions = {}
+    for key, _ in effect.expected:
+        item = store.items.get(key)
+        revisions[key] = item.revision if item else 0
+    if any(revisions[key] != revision for key, revision in effect.expected):
+        return store_messages.Conflict(revisions)
+    if any(
+        put.lease_id and put.lease_id not in store.leases for put in effect.puts
+    ):
+        return store_messages.LeaseLost("")
+    store.revision += 1
+    for put in effect.puts:
+        store.put(put)
+    revision = store.revision
+    for key in effect.removals:
+        store.remove(key)
+    return store_messages.Committed(revision)
+
+
+@apply.register
+def _(
+    effect: store_messages.StoreGrantLease, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    store.revision += 1
+    lease_id = str(store.revision)
+    store.leases[lease_id] = Lease(effect.ttl_s, now + effect.ttl_s)
+    return store_messages.LeaseGranted(lease_id, effect.ttl_s)
+
+
+@apply.register
+def _(
+    effect: store_messages.StoreRenewLease, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    lease = store.leases.get(effect.lease_id)
+    if lease is None:
+        return store_messages.LeaseLost(effect.lease_id)
+    lease.until = now + lease.ttl_s
+    return store_messages.LeaseGranted(effect.lease_id, lease.ttl_s)
+
+
+@apply.register
+def _(
+    effect: store_messages.StoreEndLease, store: BatchStore, now: float
+) -> store_messages.Outcome:
+    store.end_lease(effect.lease_id)
+    return store_messages.LeaseLost(effect.lease_id)
--- /dev/null
+++ b/standins/batch_worker.py
@@ -0,0 +1,106 @@
+"""In-memory model of a worker as the platform defines it."""
+
+import attrs
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import worker_messages
+
+STOP_S = 0.1
+
+
+@attrs.define
+class Running:
+    """A run on a worker.
+
+    Attributes:
+        ends_at: When it is done; None if it runs for ever.
+        stops_at: When a stop takes effect; None without one.
+    """
+
+    step: model.Step
+    ends_at: float | None
+    ends_as: model.EndKind
+    stops_at: float | None = None
+
+
+@attrs.define
+class BatchWorker:
+    """A worker: fence, runs under one lease, ends until acknowledged.
+
+    Attributes:
+        speed: Rate of its clock; workers' clocks may run slow.
+        started: Every start that was carried out, for checks.
+    """
+
+    entry: model.WorkerEntry
+    lease_max_s: float
+    born_at: float = 0.0
+    speed: float = 0.985
+    fence: int = 0
+    until_ms: int = 0
+    running: dict[tuple[model.TaskName, int], Running] = attrs.field(
+        factory=dict
+    )
+    ended: list[model.EndRow] = attrs.field(factory=list)
+    positions: int = 0
+    voided: dict[model.TaskName, int] = attrs.field(factory=dict)
+    acknowledged: set[tuple[model.TaskName, int]] = attrs.field(factory=set)
+
+    def read_clock(self, now: float) -> int:
+        """Returns the worker's steady clock in milliseconds."""
+        return int((now - self.born_at) * self.speed * 1000)
+
+    def advance(self, now: float) -> None:
+        """Ends what is done, stopped or lapsed by now."""
+        lapsed = self.read_clock(now) > self.until_ms
+        for key, run in list(self.running.items()):
+            if run.ends_at is not None and run.ends_at <= now:
+                self._end(key, run.ends_as)
+            elif run.stops_at is not None and run.stops_at <= now:
+                self._end(key, model.EndKind.STOPPED)
+            elif lapsed:
+                self._end(key, model.EndKind.LAPSED)
+
+    def _end(
+        self, key: tuple[model.TaskName, int], kind: model.EndKind
+    ) -> None:
+        del self.running[key]
+        self.positions += 1
+        self.voided[key[0]] = max(self.voided.get(key[0], 0), key[1])
+        self.ended.append(
+            model.EndRow(self.positions, key[0], key[1], kind, "")
+        )
+
+    def list_all(self, now: float) -> worker_messages.Listing:
+        """Returns a listing."""
+        rows = tuple(
+            model.RunRow(task, number, "", 50, 0.0)
+            for task, number in self.running
+        )
+        return worker_messages.Listing(
+            self.read_clock(now), rows, tuple(self.ended)
+        )
+
+    def acknowledge(self, position: int) -> None:
+        """Forgets ends up to a position."""
+        for end in self.ended:
+            if end.position <= position:
+                self.acknowledged.add((end.task, end.number))
+        self.ended = [end for end in self.ended if end.position > position]
+
+    def extend(self, until_ms: int | None, now: float) -> None:
+        """Extends the lease, never shortens it."""
+        if until_ms is not None:
+            most = self.read_clock(now) + int(self.lease_max_s * 1000)
+            self.until_ms = max(self.until_ms, min(until_ms, most))
+
+    def count_reserved(self) -> resources.Vector:
+        """Returns what runs take; those that fill take no processors."""
+        total = resources.Vector()
+        for run in self.running.values():
+            amount = run.step.amount
+            if run.step.fills:
+                amount = attrs.evolve(amount, cpu_millis=0)
+            total = total.plus(amount)
+        return total
