Let leases of silent workers run out; drop replaced workers; follow in short waits

Change: a silent worker is asked without a new lease; 421 ends all runs of the worker; the roster follows the workers both ways; follows wait 1.5 s and 3 s.

--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -23,7 +23,7 @@
 LEASE_TTL_S = 2.5
 LEASE_INTERVAL_S = 0.6
 OWNERS_INTERVAL_S = 2.0
-OWNERS_WAIT_S = 10.0
+OWNERS_WAIT_S = 3.0
 FOLLOW_RETRY_S = 0.3
 # An instance that already owns partitions lets others go first.
 DELAY_PER_PARTITION_S = 0.4
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -21,7 +21,8 @@
 
 PART = "takeover"
 RETRY_S = 0.2
-JOBS_WAIT_S = 20.0
+# A connection can go silent for good; a follow ends after this and a margin.
+JOBS_WAIT_S = 1.5
 # A former owner that workers refuse has noticed it after this time, as it
 # calls each worker at least this often.
 FORMER_OWNER_S = 3.0
@@ -173,11 +174,10 @@
     ):
         return []
     loading = partition.phase is state.Phase.LOADING
-    wanted = frozenset(partition.workers)
-    if not loading and wanted <= partition.roster:
+    names = frozenset(partition.workers) | partition.unsettled
+    if not loading and names == partition.roster:
         return []
     partition.roster_writing = True
-    names = wanted | partition.unsettled
     generation = partition.generation + (1 if loading else 0)
     roster = records.RosterRecord(generation, tuple(sorted(names)))
     key = records.name_roster_key(partition.name)
--- a/packages/core/src/sapphirestall_core/batch/worker_messages.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_messages.py
@@ -102,8 +102,10 @@
     """The worker refused the call and did nothing.
 
     Attributes:
-        reason: `fence`, `old`, `late`, `room`, `ticket`, or `unhealthy`,
-            `incarnation` and `invalid` for refusals without a reason.
+        reason: `fence`, `old`, `late`, `room` or `ticket`; `unhealthy` and
+            `invalid` for refusals without a reason; `replaced` when another
+            worker answers at the address, `reborn` when a later life of this
+            worker does.
     """
 
     reason: str
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -39,6 +39,8 @@
 FAILURES_TO_SUSPEND = 3
 SUSPENSION_S = 5.0
 REFUSAL_PAUSE_S = 0.5
+# Another worker answers at the address: this one and its runs are gone.
+REPLACED = "replaced"
 
 
 @attrs.frozen
@@ -217,7 +219,9 @@
     wait_s: float,
 ) -> worker_messages.HoldLease:
     until_ms = None
-    if partition.phase is state.Phase.ACTIVE:
+    # A worker that does not answer gets no longer lease: its runs would have
+    # to be waited for as long as it is asked.
+    if partition.phase is state.Phase.ACTIVE and not worker.silent:
         until_ms = leases.extend(worker, lease_s, now)
     return worker_messages.HoldLease(
         worker.target,
@@ -308,6 +312,9 @@
     """Handles a refusal: a higher fencing token ends the ownership."""
     if reply.reason == "fence":
         return ownership.resign(batch, partition.name, ownership.FENCED, now)
+    if reply.reason == REPLACED:
+        worker.silent = True
+        return _lose_runs(partition, worker, REPLACED)
     note_answer(worker, reply.clock_ms, now)
     worker.suspended_until = now + REFUSAL_PAUSE_S
     return [
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -1,5 +1,7 @@
 """In-memory model of a worker as the platform defines it."""
 
+import math
+
 import attrs
 
 from sapphirestall_core import resources
@@ -30,7 +32,7 @@
 
     Attributes:
         speed: Rate of its clock; workers' clocks may run slow.
-        started: Every start that was carried out, for checks.
+        lapsed_position: Ends up to here came before a lapse of the lease.
     """
 
     entry: model.WorkerEntry
@@ -45,7 +47,7 @@
     ended: list[model.EndRow] = attrs.field(factory=list)
     positions: int = 0
     voided: dict[model.TaskName, int] = attrs.field(factory=dict)
-    acknowledged: set[tuple[model.TaskName, int]] = attrs.field(factory=set)
+    lapsed_position: int = 0
 
     def read_clock(self, now: float) -> int:
         """Returns the worker's steady clock in milliseconds."""
@@ -53,14 +55,21 @@
 
     def advance(self, now: float) -> None:
         """Ends what is done, stopped or lapsed by now."""
-        lapsed = self.read_clock(now) > self.until_ms
+        lapses_at = self.born_at + self.until_ms / (self.speed * 1000)
         for key, run in list(self.running.items()):
-            if run.ends_at is not None and run.ends_at <= now:
+            done_at = run.ends_at or math.inf
+            stopped_at = run.stops_at or math.inf
+            first = min(done_at, stopped_at, lapses_at)
+            if first > now:
+                continue
+            if first == done_at:
                 self._end(key, run.ends_as)
-            elif run.stops_at is not None and run.stops_at <= now:
+            elif first == stopped_at:
                 self._end(key, model.EndKind.STOPPED)
-            elif lapsed:
+            else:
                 self._end(key, model.EndKind.LAPSED)
+        if lapses_at <= now:
+            self.lapsed_position = self.positions
 
     def _end(
         self, key: tuple[model.TaskName, int], kind: model.EndKind
@@ -84,9 +93,6 @@
 
     def acknowledge(self, position: int) -> None:
         """Forgets ends up to a position."""
-        for end in self.ended:
-            if end.position <= position:
-                self.acknowledged.add((end.task, end.number))
         self.ended = [end for end in self.ended if end.position > position]
 
     def extend(self, until_ms: int | None, now: float) -> None:
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -27,7 +27,6 @@
 from standins import batch_store
 from standins import batch_worker
 
-NETWORK_S = 0.001
 STORE_S = 0.004
 CALL_TIMEOUT_S = 0.9
 POLL_S = 0.02
@@ -59,6 +58,7 @@
     """Instances, workers and the store under one virtual clock.
 
     Attributes:
+        delay_s: Range of the time in which an order reaches a worker.
         late_share: Share of starts that get no answer and happen later.
         run_s: Range of the durations of tasks.
         fail_share: Share of runs that fail.
@@ -79,9 +79,13 @@
     answers: dict[str, caller_messages.Answer] = attrs.field(factory=dict)
     jobs: dict[str, tuple[model.Step, ...]] = attrs.field(factory=dict)
     done: set[model.TaskName] = attrs.field(factory=set)
+    noted: set[model.TaskName] = attrs.field(factory=set)
+    started_at: dict[model.TaskName, float] = attrs.field(factory=dict)
+    done_at: dict[model.TaskName, float] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     starts: int = 0
     late_share: float = 0.0
+    delay_s: tuple[float, float] = (0.0005, 0.003)
     lost_share: float = 0.0
     fail_share: float = 0.0
     run_s: tuple[float, float] = (0.5, 2.0)
@@ -238,6 +242,25 @@
         for end in worker.ended:
             if end.kind is model.EndKind.DONE:
                 self.done.add(end.task)
+                self.done_at.setdefault(end.task, self.now)
+
+    def note_acknowledged(
+        self, worker: batch_worker.BatchWorker, position: int
+    ) -> None:
+        """Records the ends that a worker may forget.
+
+        A start between such an end and its acknowledgement is a repeat,
+        unless the lease lapsed in between: then nobody could know of the end.
+        """
+        for end in worker.ended:
+            if end.position > position or end.kind is not model.EndKind.DONE:
+                continue
+            if end.position <= worker.lapsed_position:
+                continue
+            self.noted.add(end.task)
+            started = self.started_at.get(end.task, 0.0)
+            if started > self.done_at[end.task]:
+                self.violations.append(f"repeated: {end} at {self.now:.3f}")
 
     def _is_step_done(self, job_id: str, step: int) -> bool:
         return all(
@@ -267,7 +290,8 @@
                 self.violations.append(f"twice: {name}, runs on {other}")
         for other_worker in self.workers.values():
             self.note_done(other_worker)
-        if task in self.done and not step.long_running:
+        self.started_at[task] = self.now
+        if task in self.noted and not step.long_running:
             self.violations.append(f"done before: {name}")
         if not all(
             self._is_step_done(task.job_id, earlier) for earlier in step.after
@@ -397,7 +421,7 @@
     def carry_out() -> None:
         worker.advance(world.now)
         if worker.entry.born_ms != effect.target.born_ms:
-            answer(worker_messages.Rejected("incarnation"))
+            answer(worker_messages.Rejected("reborn"))
         elif effect.token < worker.fence:
             clock_ms = worker.read_clock(world.now)
             answer(worker_messages.Rejected("fence", clock_ms))
@@ -410,7 +434,7 @@
         world.at(world.rng.uniform(2, 12), carry_late(world, effect, worker))
         world.at(CALL_TIMEOUT_S, lose)
         return
-    world.at(NETWORK_S, carry_out)
+    world.at(world.rng.uniform(*world.delay_s), carry_out)
 
 
 def carry_late(
@@ -476,6 +500,7 @@
     answer: Answer,
 ) -> None:
     world.note_done(worker)
+    world.note_acknowledged(worker, call.acknowledged)
     worker.acknowledge(call.acknowledged)
     worker.extend(call.until_ms, world.now)
     until = world.now + call.wait_s
