--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -81,7 +81,7 @@
     done: set[model.TaskName] = attrs.field(factory=set)
     noted: set[model.TaskName] = attrs.field(factory=set)
     started_at: dict[model.TaskName, float] = attrs.field(factory=dict)
-    done_at: dict[model.TaskName, float] = attrs.field(factory=dict)
+    done_at: dict[tuple[model.TaskName, int], float] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     starts: int = 0
     late_share: float = 0.0
@@ -242,7 +242,7 @@
         for end in worker.ended:
             if end.kind is model.EndKind.DONE:
                 self.done.add(end.task)
-                self.done_at.setdefault(end.task, self.now)
+                self.done_at.setdefault((end.task, end.number), self.now)
 
     def note_acknowledged(
         self, worker: batch_worker.BatchWorker, position: int
@@ -259,7 +259,7 @@
                 continue
             self.noted.add(end.task)
             started = self.started_at.get(end.task, 0.0)
-            if started > self.done_at[end.task]:
+            if started > self.done_at[(end.task, end.number)]:
                 self.violations.append(f"repeated: {end} at {self.now:.3f}")
 
     def _is_step_done(self, job_id: str, step: int) -> bool:
