Keep changes that come while an owner loads; refuse at once while the store is away

A move whose record could not be read again after a conflict left its job at rest for ever. Callers heard of a lost store only after three seconds of retries. Change: changes are kept until the owner is active; the read is repeated; calls are refused at once after the store has failed for 0.3 s, as nothing was sent.

--- /dev/null
+++ b/features/batch_takeover.feature
@@ -0,0 +1,48 @@
+Feature: Loading of a partition by its new owner
+
+  Scenario: A job that is accepted while its owner loads is not lost
+    Guards against a change that arrives before the answer to an older read:
+    the read lacks the job, and nobody would look at it again.
+    Given an owner that loads while it follows the job records
+    When a followed change names a new job
+    And the read that was under way returns no jobs
+    And the owner has loaded everything else
+    Then the owner knows the new job
+
+  Scenario: The leases of a former owner are not taken as ended
+    Guards against runs that are adopted and started a second time, because
+    the new owner had asked for no lease yet when it looked for lapsed ones.
+    Given an active owner and a worker that it has just called
+    When the worker lists a run for the first time
+    And the owner looks for what has lapsed
+    Then the run is still known on the worker
+
+  Scenario: A worker that does not answer gets no longer lease
+    Guards against tasks that wait for ever on a worker that is gone, because
+    each attempt to reach it asks for a longer lease.
+    Given an active owner and a worker that it has just called
+    When the worker lists a run for the first time
+    And the worker stays silent for 8 s
+    Then the task of the run waits for another start
+
+  Scenario: A worker is not used before it has listed its runs
+    Guards against starts on a worker whose runs are not known.
+    Given an active owner and a worker that it has just called
+    When the worker confirms an order but has listed nothing
+    Then no task may start on the worker
+
+  Scenario: Another worker at the same address ends the runs of the former
+    Guards against tasks that are waited for although their worker was
+    replaced.
+    Given an active owner and a worker that it has just called
+    When the worker lists a run for the first time
+    And another worker answers at its address
+    Then the task of the run waits for another start
+
+  Scenario: A move whose record could not be read again goes on
+    Guards against a job that rests for ever after a conflict and a failed
+    read.
+    Given an active owner and a worker that it has just called
+    When a move of a waiting job meets a conflict
+    And the job's record is read at the second attempt
+    Then the job may start
--- /dev/null
+++ b/features/steps/batch_takeover_steps.py
@@ -0,0 +1,230 @@
+"""Steps for batch_takeover.feature."""
+
+import behave
+
+from sapphirestall_core import messages
+from sapphirestall_core import resources
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import balance
+from sapphirestall_core.batch import commits
+from sapphirestall_core.batch import instance
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
+from sapphirestall_core.batch import worker_messages
+from sapphirestall_core.batch import workers
+
+SITE = "north"
+TOKEN = 50
+NOW = 100.0
+JOB = "00000000000000aa"
+QUEUE = model.Queue("batch", "host", "/jobs/", "service", 1, 3, 2.0, 1.0)
+ENTRY = model.WorkerEntry(
+    "w-1",
+    7,
+    "service",
+    "w-1:1",
+    SITE,
+    resources.Vector(8000, 8000, 0),
+    ("a", "r1"),
+    False,
+)
+TASK = model.TaskName(JOB, 0, 0, 0)
+
+
+def make_found(revision):
+    step = model.Step(1, resources.Vector(1000, 100, 0))
+    record = records.JobRecord(
+        JOB, QUEUE, SITE, model.JobState.ACCEPTED, "x", (step,)
+    )
+    return store_messages.Found(
+        records.name_job_key(JOB), record, 0, revision, revision
+    )
+
+
+def reply(context, purpose, outcome):
+    event = store_messages.StoreReply(purpose, outcome, NOW)
+    return instance.handle(event, context.batch, NOW)
+
+
+def begin(context):
+    identity = state.Identity("e-1", "1", SITE, (SITE,))
+    context.batch = instance.build(identity)
+    context.batch.configuration = model.Configuration(1, (QUEUE,))
+    ownership.begin(context.batch, SITE, TOKEN, NOW)
+    context.partition = context.batch.partitions[SITE]
+
+
+def load_rest(context):
+    entries = workers.EntriesRead((ENTRY,))
+    instance.handle(entries, context.batch, NOW)
+    key = records.name_roster_key(SITE)
+    effects = reply(
+        context,
+        takeover.RosterRead(SITE, TOKEN),
+        store_messages.Absent(key),
+    )
+    write = next(
+        effect
+        for effect in effects
+        if isinstance(effect, store_messages.StoreTransaction)
+    )
+    reply(context, write.purpose, store_messages.Committed(TOKEN + 5))
+    reply(
+        context, takeover.ProgressRead(), store_messages.Listed((), TOKEN + 6)
+    )
+    assert context.partition.phase is state.Phase.ACTIVE
+
+
+def make_hold(context):
+    worker = context.partition.workers[ENTRY.worker_id]
+    return worker_messages.HoldLease(worker.target, SITE, TOKEN, 0, None, 0.0)
+
+
+def answer(context, call, content, now=NOW):
+    event = worker_messages.WorkerReplied(call, content, now)
+    return instance.handle(event, context.batch, now)
+
+
+def get_task(context):
+    return context.partition.jobs[JOB].steps[0].open[0]
+
+
+@behave.given("an owner that loads while it follows the job records")
+def step(context):
+    begin(context)
+    context.batch.jobs_following = True
+
+
+@behave.given("an active owner and a worker that it has just called")
+def step(context):
+    begin(context)
+    found = make_found(TOKEN - 10)
+    reply(
+        context,
+        takeover.JobsRead(),
+        store_messages.Listed((found,), TOKEN + 1),
+    )
+    load_rest(context)
+
+
+@behave.when("a followed change names a new job")
+def step(context):
+    changed = store_messages.Followed((make_found(TOKEN + 2),), TOKEN + 2)
+    reply(context, takeover.JobsFollow(), changed)
+
+
+@behave.when("the read that was under way returns no jobs")
+def step(context):
+    reply(context, takeover.JobsRead(), store_messages.Listed((), TOKEN + 1))
+
+
+@behave.when("the owner has loaded everything else")
+def step(context):
+    load_rest(context)
+
+
+@behave.when("the worker lists a run for the first time")
+def step(context):
+    row = model.RunRow(TASK, 4, "", 10, 0.0)
+    # The end keeps the owner from holding again before a commit.
+    other = model.TaskName("00000000000000bb", 0, 0, 0)
+    end = model.EndRow(1, other, 1, model.EndKind.DONE, "")
+    listing = worker_messages.Listing(60_000, (row,), (end,))
+    answer(context, make_hold(context), listing)
+    assert get_task(context).run is not None
+
+
+@behave.when("the owner looks for what has lapsed")
+def step(context):
+    instance.handle(
+        messages.TimerFired(workers.TickDue()), context.batch, NOW + 0.01
+    )
+
+
+@behave.when("the worker stays silent for {seconds:g} s")
+def step(context, seconds):
+    now = NOW
+    calls = [make_hold(context)]
+    while now < NOW + seconds:
+        now += 0.5
+        effects = []
+        for call in calls:
+            lost = worker_messages.NoAnswer("lost")
+            effects += answer(context, call, lost, now)
+        tick = messages.TimerFired(workers.TickDue())
+        effects += instance.handle(tick, context.batch, now)
+        calls = [
+            effect
+            for effect in effects
+            if isinstance(effect, worker_messages.HoldLease)
+        ]
+
+
+@behave.when("the worker confirms an order but has listed nothing")
+def step(context):
+    worker = context.partition.workers[ENTRY.worker_id]
+    workers.note_answer(worker, 60_000, NOW)
+
+
+@behave.when("another worker answers at its address")
+def step(context):
+    answer(context, make_hold(context), worker_messages.Rejected("replaced"))
+
+
+@behave.when("a move of a waiting job meets a conflict")
+def step(context):
+    job = context.partition.jobs[JOB]
+    job.moving = True
+    loaded = state.LoadedJob(job.record, job.revision, job.created)
+    key = records.name_job_key(JOB)
+    conflict = store_messages.Conflict({key: job.revision})
+    effects = reply(context, balance.Move(SITE, TOKEN, loaded), conflict)
+    context.purpose = effects[0].purpose
+
+
+@behave.when("the job's record is read at the second attempt")
+def step(context):
+    lost = store_messages.Unavailable(False, "lost")
+    effects = reply(context, context.purpose, lost)
+    timer = next(
+        effect.timer
+        for effect in effects
+        if isinstance(effect, messages.StartTimer)
+        and isinstance(effect.timer, commits.RecordDue)
+    )
+    effects = instance.handle(
+        messages.TimerFired(timer), context.batch, NOW + 0.2
+    )
+    reply(context, effects[0].purpose, make_found(TOKEN - 10))
+
+
+@behave.then("the owner knows the new job")
+def step(context):
+    assert JOB in context.partition.jobs, context.partition.jobs
+
+
+@behave.then("the run is still known on the worker")
+def step(context):
+    assert get_task(context).run is not None
+
+
+@behave.then("the task of the run waits for another start")
+def step(context):
+    task = get_task(context)
+    assert task.run is None
+    assert 0 in context.partition.jobs[JOB].steps[0].waiting
+
+
+@behave.then("no task may start on the worker")
+def step(context):
+    worker = context.partition.workers[ENTRY.worker_id]
+    assert not placement.accepts(worker, QUEUE.service, NOW)
+
+
+@behave.then("the job may start")
+def step(context):
+    assert not context.partition.jobs[JOB].moving
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -297,11 +297,6 @@
         event = commits.JobSeen(partition.name, loaded)
         return dispatch.handle(event, batch, now)
     if isinstance(outcome, store_messages.Conflict):
-        return [
-            store_messages.StoreGet(
-                commits.RevisionsRead(partition.name, partition.token),
-                records.name_job_key(purpose.loaded.record.job_id),
-                records.JobRecord,
-            )
-        ]
+        job_id = purpose.loaded.record.job_id
+        return [commits.read_record(partition, job_id)]
     return [messages.StartTimer(MoveDue(purpose), RETRY_S, 0.3)]
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -44,10 +44,18 @@
 
 @attrs.frozen
 class RevisionsRead(store_messages.Purpose):
-    """Reads a job's progress record again after a conflict."""
+    """Reads a job's record again after a conflict."""
 
     partition: str
     token: int
+    job_id: str
+
+
+@attrs.frozen
+class RecordDue(messages.Timer):
+    """Reads a job's record again after a failure."""
+
+    purpose: RevisionsRead
 
 
 @attrs.frozen
@@ -248,17 +256,33 @@
         )
         job_key = records.name_job_key(job_id)
         if outcome.revisions.get(job_key, job.revision) != job.revision:
-            effects.append(
-                store_messages.StoreGet(
-                    RevisionsRead(partition.name, partition.token),
-                    job_key,
-                    records.JobRecord,
-                )
-            )
+            effects.append(read_record(partition, job_id))
             partition.dirty.pop(job_id, None)
     return effects + plan(partition, 0.0)
 
 
+def read_record(
+    partition: state.Partition, job_id: str
+) -> store_messages.StoreEffect:
+    """Returns the call that reads a job's record after a conflict."""
+    return store_messages.StoreGet(
+        RevisionsRead(partition.name, partition.token, job_id),
+        records.name_job_key(job_id),
+        records.JobRecord,
+    )
+
+
+@dispatch.expire.register(RecordDue)
+def read_record_again(
+    timer: RecordDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Reads a job's record again; the job rests until it is known."""
+    partition = batch.partitions.get(timer.purpose.partition)
+    if partition is None or partition.token != timer.purpose.token:
+        return []
+    return [read_record(partition, timer.purpose.job_id)]
+
+
 @attrs.frozen
 class JobSeen(messages.Event):
     """A job record was read again."""
@@ -285,11 +309,7 @@
             outcome.value, outcome.revision, outcome.create_revision
         )
         return dispatch.handle(JobSeen(partition.name, loaded), batch, now)
-    # Marked again, the commit meets the same conflict and reads again.
-    for job in partition.jobs.values():
-        if job.final is not None:
-            partition.dirty[job.record.job_id] = job
-    return plan(partition, RETRY_S)
+    return [messages.StartTimer(RecordDue(purpose), RETRY_S, 0.3)]
 
 
 def _acknowledge(
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -26,6 +26,8 @@
 RETRY_AFTER_S = 1
 # Callers may be told a number of pending jobs that is two seconds old.
 SUMMARY_AGE_S = 0.7
+# Calls are refused at once after the store has failed for this long.
+STORE_DOWN_S = 0.3
 # A store call takes milliseconds; a call is not begun with less time left.
 CALL_MARGIN_S = 0.1
 SHOWN = {
@@ -116,6 +118,21 @@
     return state.Call(event.call_id, queue, job_id, now + event.deadline_s, now)
 
 
+def _is_store_down(batch: state.Batch, now: float) -> bool:
+    """Tells whether calls to the store have failed for a while."""
+    down_at = batch.store_down_at
+    return down_at is not None and now - down_at > STORE_DOWN_S
+
+
+def _refuse_unsent(
+    batch: state.Batch, call: state.Call, now: float
+) -> dispatch.Effects:
+    """Refuses a call of which nothing was sent to the store."""
+    answer = caller_messages.Refused("store_unavailable", RETRY_AFTER_S)
+    away_s = round(now - (batch.store_down_at or now), 3)
+    return _finish(batch, call, answer, now, store_away_s=away_s)
+
+
 def _is_job_id(text: str) -> bool:
     return len(text) == JOB_ID_LENGTH and set(text) <= set(string.hexdigits)
 
@@ -155,6 +172,8 @@
     if batch.stopping:
         refusal = caller_messages.Refused("shutting_down", RETRY_AFTER_S)
         return _answer(event.call_id, refusal, job=call.job_id)
+    if _is_store_down(batch, now):
+        return _refuse_unsent(batch, call, now)
     fault = find_fault(event.steps, event.spec, event.schedule)
     if fault is None and not _is_job_id(call.job_id):
         fault = caller_messages.Invalid("bad_job_id", "not 16 hex digits")
@@ -187,6 +206,8 @@
     if isinstance(call, caller_messages.Answer):
         return _answer(event.call_id, call, path=event.path)
     batch.calls[call.call_id] = call
+    if _is_store_down(batch, now):
+        return _refuse_unsent(batch, call, now)
     if call.job_id:
         return _send(StateRead(call.call_id), call)
     if now - batch.summaries_at <= SUMMARY_AGE_S:
@@ -204,6 +225,8 @@
     if isinstance(call, caller_messages.Answer):
         return _answer(event.call_id, call, path=event.path)
     batch.calls[call.call_id] = call
+    if _is_store_down(batch, now):
+        return _refuse_unsent(batch, call, now)
     return _send(CancelRead(call.call_id), call)
 
 
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -225,6 +225,7 @@
         unsettled: Workers on which runs of former owners may exist.
         settled_at: When such runs have ended in any case.
         loaded: Job records read at the takeover; None before.
+        changes: Job records that changed while the owner loaded.
         loaded_progress: Progress records read at the takeover; None before.
         dirty: Jobs whose progress differs from the store's.
         marks: Ends processed by worker when the commit in flight was made.
@@ -250,6 +251,7 @@
     unsettled: set[str] = attrs.field(factory=set)
     settled_at: float = 0.0
     loaded: "list[LoadedJob] | None" = None
+    changes: "list[LoadedJob]" = attrs.field(factory=list)
     loaded_progress: "dict[str, LoadedProgress] | None" = None
     workers: dict[str, Worker] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -9,6 +9,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
@@ -335,8 +336,8 @@
         return []
     if partition.phase is state.Phase.ACTIVE:
         return see_job(batch, partition, loaded, now)
-    if partition.loaded is not None:
-        partition.loaded.append(loaded)
+    # The read that is under way may be older than this change.
+    partition.changes.append(loaded)
     return []
 
 
@@ -391,7 +392,8 @@
         partition.taken_at + lease_s / (1 - leases.MAX_DRIFT) + FORMER_OWNER_S
     )
     effects: dispatch.Effects = []
-    loaded, partition.loaded = partition.loaded, []
+    loaded = partition.loaded + partition.changes
+    partition.loaded, partition.changes = [], []
     newest: dict[str, state.LoadedJob] = {}
     for job in loaded:
         known = newest.get(job.record.job_id)
@@ -459,10 +461,14 @@
 def _update_job(
     partition: state.Partition, known: state.Job, loaded: state.LoadedJob
 ) -> dispatch.Effects:
-    if loaded.revision <= known.revision or known.final is not None:
-        return []
+    if loaded.revision >= known.revision:
+        known.moving = False
+    if loaded.revision <= known.revision:
+        return passes.plan(partition)
+    if known.final is not None:
+        known.record, known.revision = loaded.record, loaded.revision
+        return commits.mark(partition, known)
     jobs.update_record(known, loaded, partition)
-    known.moving = False
     if not records.concerns(known.record, partition.name):
         partition.jobs.pop(known.record.job_id, None)
         partition.dirty.pop(known.record.job_id, None)
