Derive the pace of harmful tasks from their learned harm

Change: the pace follows from the learned harm of what runs on the worker and the rise that its targets allow; a trust by worker falls when tails are higher than expected. Small shares teach less.

--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -23,6 +23,8 @@
 # Weight of one observation.
 HARM_STEP = 0.25
 BASE_STEP = 0.1
+# Keeps small shares, whose effect is lost in noise, from teaching much.
+SHARE_NOISE = 0.004
 # Below this share of the processors an observation says nothing of an image.
 LEAST_SHARE = 0.01
 # A tail much above its base tells more of a burst than of the base.
@@ -75,7 +77,7 @@
         expected = sum(
             self.get_harm(image) * share for image, share in shares.items()
         )
-        norm = sum(share * share for share in shares.values())
+        norm = SHARE_NOISE + sum(share * share for share in shares.values())
         for image, share in shares.items():
             change = HARM_STEP * (excess - expected) * share / norm
             harm = self.get_harm(image) + change
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -5,13 +5,12 @@
 from sapphirestall_core import resources
 from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import state
 
 # A task that serves users holds its processors for load peaks; tasks that fill
 # may count on this share of them.
 SERVING_IDLE_SHARE = 0.5
-# Share of a tail target that tasks that fill may use up by expectation.
-HARM_MARGIN = 0.9
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
 
@@ -108,11 +107,10 @@
     """Tells whether a task that fills leaves the worker's tails in bounds."""
     if harm.is_harmless(task.step.image):
         return True
-    if worker.pace < state.FULL_PACE_PERCENT:
-        return False
-    budget = harm.find_budget(worker, HARM_MARGIN)
+    budget = harm.find_budget(worker, pacing.TARGET_SHARE)
     if budget is None:
         return True
+    budget *= worker.trust
     capacity = max(1, worker.entry.capacity.cpu_millis)
     share = task.step.amount.cpu_millis / capacity
     rise = harm.get_harm(task.step.image) * share
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -173,8 +173,8 @@
         suspended_until: No starts before this time.
         failures: Failed runs since the last one that was done.
         pace: Percent at which harmful runs that fill may work.
-        pace_changed_at: When the pace was last changed.
-        tail_high_at: When a tail target was last nearly missed.
+        trust: Factor on the rise of tails that runs that fill may cause.
+        trust_changed_at: When it was last changed.
         missed_since: Since when a tail target is missed.
         missing_since: Since when the platform's list lacks the worker.
     """
@@ -198,8 +198,8 @@
     suspended_until: float = -1e9
     failures: int = 0
     pace: int = FULL_PACE_PERCENT
-    pace_changed_at: float = -1e9
-    tail_high_at: float = -1e9
+    trust: float = 1.0
+    trust_changed_at: float = -1e9
     missed_since: float | None = None
     missing_since: float | None = None
 
