Send no work to partitions whose owner is silent; judge what a job can still reach

Change: owners write their summary at least every 1.4 s; one that has not changed for 3 s is no target. Jobs that can still meet their objective start before late ones, and those before lost ones, each in order of arrival.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -21,6 +21,8 @@
 PATIENCE_S = 0.4
 SUMMARY_AGE_S = 0.9
 RETRY_S = 0.2
+# Owners write their summaries at least this often, or are cut off.
+SUMMARY_SILENCE_S = 3.0
 # Another data centre is taken for work that fills only if it has this much
 # less load; the own one is nearer.
 LOAD_ADVANTAGE = 0.15
@@ -77,42 +79,61 @@
     return min(count, limit)
 
 
-def choose_partition(batch: state.Batch, steps: tuple[model.Step, ...]) -> str:
+def list_fresh(
+    batch: state.Batch, now: float
+) -> dict[str, records.SummaryRecord]:
+    """Returns the summaries of owners that still write theirs."""
+    return {
+        name: summary
+        for name, summary in batch.summaries.items()
+        if now - batch.summary_changes.get(name, (0, -1e9))[1]
+        <= SUMMARY_SILENCE_S
+    }
+
+
+def choose_partition(
+    batch: state.Batch, steps: tuple[model.Step, ...], now: float
+) -> str:
     """Returns the partition for a new job.
 
     The own data centre comes first: its owner is near and can go on when the
-    data centre is cut off. Another one is taken when it fits more tasks or,
-    for tasks that fill, has clearly less load.
+    data centre is cut off. Another one is taken when the own one has no owner
+    that writes its summary, or when it fits more tasks or, for tasks that
+    fill, has clearly less load.
     """
     own = batch.identity.data_centre
-    if own not in batch.summaries:
+    fresh = list_fresh(batch, now)
+    if not fresh:
         return own
     widest = max(steps, key=lambda step: step.count * step.amount.cpu_millis)
     if widest.fills:
-        chosen = _choose_least_loaded(batch, own)
+        chosen = _choose_least_loaded(fresh, own)
     else:
-        chosen = _choose_roomiest(batch, own, widest)
+        chosen = _choose_roomiest(fresh, own, widest)
     _expect(batch, chosen, steps)
     return chosen
 
 
-def _choose_least_loaded(batch: state.Batch, own: str) -> str:
-    loads = {
-        name: summary.fill_load for name, summary in batch.summaries.items()
-    }
-    least = min(loads, key=lambda name: loads[name])
-    if loads[own] - loads[least] > LOAD_ADVANTAGE:
+def _choose_least_loaded(
+    fresh: dict[str, records.SummaryRecord], own: str
+) -> str:
+    least = min(fresh, key=lambda name: fresh[name].fill_load)
+    if own not in fresh:
+        return least
+    if fresh[own].fill_load - fresh[least].fill_load > LOAD_ADVANTAGE:
         return least
     return own
 
 
-def _choose_roomiest(batch: state.Batch, own: str, step: model.Step) -> str:
+def _choose_roomiest(
+    fresh: dict[str, records.SummaryRecord], own: str, step: model.Step
+) -> str:
     fitting = {
         name: count_fitting(step, summary.rooms, step.count)
-        for name, summary in batch.summaries.items()
+        for name, summary in fresh.items()
     }
     best = max(fitting, key=lambda name: fitting[name])
-    return best if fitting[best] > fitting[own] else own
+    return best if fitting[best] > fitting.get(own, -1) else own
 
 
 def _expect(
@@ -180,7 +201,7 @@
 ) -> dispatch.Effects:
     others = {
         name: summary
-        for name, summary in batch.summaries.items()
+        for name, summary in list_fresh(batch, now).items()
         if name != partition.name
     }
     record: records.JobRecord | None = None
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -24,6 +24,9 @@
 ENTRIES_PER_JOB = 4
 JOBS_LIMIT = (ENTRIES_LIMIT - 1) // ENTRIES_PER_JOB
 SUMMARY_INTERVAL_S = 0.7
+# A summary that does not change is written again after this time, so that
+# others can tell an owner that has nothing new from one that is cut off.
+SUMMARY_HEARTBEAT_S = 1.4
 # Enough for the tasks of a usual job, and small enough for a summary.
 ROOMS_PUBLISHED = 8
 
@@ -333,14 +336,15 @@
 def tick(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
-    """Publishes the summary when it has changed."""
+    """Publishes the summary when it has changed, and now and then."""
     if partition.phase is not state.Phase.ACTIVE or partition.summary_writing:
         return []
-    summary = make_summary(partition, now)
-    if summary == partition.summary:
-        return []
     if now < partition.summary_at + SUMMARY_INTERVAL_S:
         return []
+    summary = make_summary(partition, now)
+    unchanged = summary == partition.summary
+    if unchanged and now < partition.summary_at + SUMMARY_HEARTBEAT_S:
+        return []
     partition.summary_at = now
     partition.summary_writing = True
     key = records.name_summary_key(partition.name)
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -184,7 +184,7 @@
     call.record = records.JobRecord(
         call.job_id,
         call.queue,
-        balance.choose_partition(batch, event.steps),
+        balance.choose_partition(batch, event.steps, now),
         model.JobState.ACCEPTED,
         event.spec,
         event.steps,
@@ -411,6 +411,9 @@
         if isinstance(found.value, records.SummaryRecord):
             name = found.key.removeprefix(records.SUMMARIES)
             batch.summaries[name] = found.value
+            known = batch.summary_changes.get(name)
+            if known is None or known[0] != found.revision:
+                batch.summary_changes[name] = (found.revision, now)
     for call in calls:
         effects += _show_pending(batch, call, now)
     return effects
--- a/packages/core/src/sapphirestall_core/batch/jobs.py
+++ b/packages/core/src/sapphirestall_core/batch/jobs.py
@@ -20,12 +20,18 @@
     progress: state.LoadedProgress | None,
     queue: model.Queue,
     partition: state.Partition,
+    wall_offset_s: float,
     now: float,
 ) -> state.Job:
     """Returns the part of a job that a partition runs; released tasks wait."""
     record = loaded.record
     job = state.Job(
-        record, queue, loaded.revision, loaded.created, [], accepted_at=now
+        record,
+        queue,
+        loaded.revision,
+        loaded.created,
+        [],
+        accepted_at=min(now, record.accepted_ms / 1000 - wall_offset_s),
     )
     job.progress_revision = progress.revision if progress else 0
     job.started = progress is not None
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/objectives.py
@@ -0,0 +1,55 @@
+"""Objectives of jobs: which can still be met decides who goes first.
+
+A job whose objective can't be met any more gives way to one whose objective
+can. Within a class jobs go in order of arrival, so that large jobs are not
+passed over for small ones.
+"""
+
+import enum
+
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import state
+
+# A job is of some use up to this multiple of its objective.
+LATE_FACTOR = 3.0
+
+
+class Prospect(enum.IntEnum):
+    """What a job can still reach; the lowest goes first."""
+
+    IN_TIME = 0
+    LATE = 1
+    LOST = 2
+
+
+def find_chain(steps: tuple[model.Step, ...], done: set[int]) -> float:
+    """Returns the longest chain of estimates, in seconds.
+
+    Args:
+        steps: Steps of a job; each names only earlier ones.
+        done: Steps that take no more time.
+    """
+    ends: list[float] = []
+    for number, step in enumerate(steps):
+        start = max((ends[index] for index in step.after), default=0.0)
+        ends.append(start + (0.0 if number in done else step.estimate_s))
+    return max(ends, default=0.0)
+
+
+def find_objective(job: state.Job) -> float:
+    """Returns the time in which a job should be completed, in seconds."""
+    chain = find_chain(job.record.steps, set())
+    return job.queue.stretch * chain + job.queue.target_latency_s
+
+
+def judge(job: state.Job, now: float) -> Prospect:
+    """Returns what a job that starts its next tasks now can reach."""
+    done = {number for number, step in enumerate(job.steps) if not step.open}
+    remaining = find_chain(job.record.steps, done)
+    expected = now - job.accepted_at + remaining
+    objective = find_objective(job)
+    if expected <= objective:
+        return Prospect.IN_TIME
+    if expected <= objective * LATE_FACTOR:
+        return Prospect.LATE
+    return Prospect.LOST
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
+from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_messages
@@ -96,11 +97,15 @@
 def _list_waiting(
     partition: state.Partition, now: float
 ) -> Iterator[state.Task]:
-    """Yields waiting tasks: urgent jobs first, then in order of arrival."""
+    """Yields waiting tasks by priority, prospect and order of arrival."""
     settled = not partition.unsettled or now >= partition.settled_at
     ordered = sorted(
         partition.jobs.values(),
-        key=lambda job: (job.queue.priority, job.created),
+        key=lambda job: (
+            job.queue.priority,
+            objectives.judge(job, now),
+            job.created,
+        ),
     )
     for job in ordered:
         if job.final is not None or job.moving:
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -10,7 +10,7 @@
 
 # A task that serves users holds its processors for load peaks; tasks that fill
 # may count on this share of them.
-SERVING_IDLE_SHARE = 0.5
+SERVING_IDLE_SHARE = 0.6
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
 
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -321,6 +321,7 @@
         jobs_following: Whether a call follows the job records.
         workers_reading: Whether the platform's list is being read.
         summaries: What the owners publish, by partition.
+        summary_changes: Revision of each summary, and when it was first seen.
         summaries_at: When the summaries were read.
         summaries_reading: Whether the summaries are being read.
         pending_calls: Calls that wait for the summaries.
@@ -345,6 +346,7 @@
     jobs_following: bool = False
     workers_reading: bool = False
     summaries: dict[str, records.SummaryRecord] = attrs.field(factory=dict)
+    summary_changes: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     summaries_at: float = -1e9
     summaries_reading: bool = False
     pending_calls: list[Call] = attrs.field(factory=list)
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -444,7 +444,8 @@
     progress = (partition.loaded_progress or {}).get(record.job_id)
     assert batch.configuration is not None
     queue = batch.configuration.get_queue(record.queue.name) or record.queue
-    job = jobs.build_job(loaded, progress, queue, partition, now)
+    offset_s = batch.identity.wall_offset_s
+    job = jobs.build_job(loaded, progress, queue, partition, offset_s, now)
     partition.jobs[record.job_id] = job
     log = jobs.make_log(
         "known",
