--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -79,7 +79,7 @@
     """Returns the preference for a worker; the lowest comes first.
 
     Tasks with a tail target are packed, so that some workers have none: tasks
-    whose image disturbs them go there, and all others beside them.
+    whose image disturbs them go there, and harmless ones beside them.
     """
     step = task.step
     failed = float(worker.entry.worker_id in task.failed_on)
@@ -94,7 +94,9 @@
     if step.tail_target_ms:
         reserved = worker.reserved.cpu_millis / capacity
         return (*first, -serving, -reserved)
-    if not step.fills or harm.is_harmless(step.image):
+    if not step.fills:
+        return (*first, used)
+    if harm.is_harmless(step.image):
         return (*first, -float(serving > 0), used)
     return (*first, serving, used)
 
