--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -13,11 +13,11 @@
 
 PART = "pacing"
 # Share of each target that tasks that fill may use up by expectation.
-TARGET_SHARE = 0.8
+TARGET_SHARE = 0.9
 # Share of a target from which the expectation is taken as too good, and below
 # which it may be trusted more again.
 HIGH_SHARE = 0.95
-LOW_SHARE = 0.75
+LOW_SHARE = 0.8
 # Readings show the effect of a pace after this time, in seconds.
 SETTLE_S = 0.7
 TRUST_FALL = 0.6
