--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -13,6 +13,8 @@
 SERVING_IDLE_SHARE = 0.6
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
+# Images below this fit beside serving tasks in useful numbers.
+MODERATE_HARM = 8.0
 
 
 def accepts(worker: state.Worker, service: str, now: float) -> bool:
@@ -98,6 +100,9 @@
         return (*first, used)
     if harm.is_harmless(step.image):
         return (*first, -float(serving > 0), used)
+    if harm.get_harm(step.image) < MODERATE_HARM:
+        # Leaves the workers without serving tasks to what harms more.
+        return (*first, -float(serving > 0), used)
     return (*first, serving, used)
 
 
