--- /dev/null
+++ b/features/steps/platform_documents_steps.py
@@ -0,0 +1,158 @@
+"""Steps for platform_documents.feature."""
+
+import json
+
+import behave
+
+from sapphirestall_core import errors
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import worker_messages
+from sapphirestall_platform import documents
+from sapphirestall_platform import settings
+from sapphirestall_platform import workers
+
+SETTINGS = {
+    "node": "edge-sefrou-1",
+    "zone": "sefrou",
+    "zones.sefrou": "fes-meknes",
+    "zones.imouzzer": "fes-meknes",
+    "zones.el-hajeb": "fes-meknes",
+    "listen.front": "127.0.0.1:8161",
+    "listen.ready": "127.0.0.1:8167",
+    "platform.address": "127.0.0.1:8169",
+    "bounds.hold_max_ms": "6000",
+    "bounds.stop_ms": "400",
+    "bounds.status_s": "120",
+}
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:8080",
+    "zone": "sefrou",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768},
+    "labels": ["a", "r1-3"],
+    "born": 5,
+}
+TARGET = worker_messages.Target("w-1", 5, "127.0.0.1:8080")
+HOLD = worker_messages.HoldLease(TARGET, "sefrou", 1, 0, None, 0.0)
+
+
+def write_settings(values):
+    return "\n".join(f"{name}={value}" for name, value in values.items())
+
+
+@behave.given('the platform\'s settings with the extra line "{line}"')
+def step(context, line):
+    context.settings_text = write_settings(SETTINGS) + "\n" + line
+
+
+@behave.given('the platform\'s settings with "{name}" set to "{value}"')
+def step(context, name, value):
+    context.settings_text = write_settings({**SETTINGS, name: value})
+
+
+@behave.given('the platform\'s settings with "{name}" set to ""')
+def step(context, name):
+    context.settings_text = write_settings({**SETTINGS, name: ""})
+
+
+@behave.then(
+    'the settings name data centre "{name}" of {count:d} and a lease of '
+    "{seconds:g} s"
+)
+def step(context, name, count, seconds):
+    loaded = settings.parse(context.settings_text)
+    assert loaded.data_centre == name
+    assert len(loaded.data_centres) == count
+    assert loaded.limits.worker_lease_s == seconds
+
+
+@behave.then('the settings are refused naming "{name}"')
+def step(context, name):
+    try:
+        settings.parse(context.settings_text)
+    except errors.SettingsError as error:
+        assert name in error.detail, error
+    else:
+        raise AssertionError("accepted")
+
+
+@behave.given("a worker's entry")
+def step(context):
+    context.entry = dict(ENTRY)
+
+
+@behave.given('a worker\'s entry with "{field}" set to {value}')
+def step(context, field, value):
+    context.entry = {**ENTRY, field: json.loads(value)}
+
+
+@behave.then("the entry is refused")
+def step(context):
+    try:
+        documents.decode_worker("w-1", context.entry)
+    except errors.InvalidMessageError:
+        return
+    raise AssertionError("accepted")
+
+
+@behave.then(
+    'the worker has {cpu:d} thousandths of processors and label "{label}"'
+)
+def step(context, cpu, label):
+    worker = documents.decode_worker("w-1", context.entry)
+    assert worker.capacity.cpu_millis == cpu
+    assert label in worker.labels
+
+
+@behave.then("the body {body} is refused")
+def step(context, body):
+    try:
+        documents.decode_submission(json.loads(body))
+    except errors.InvalidMessageError:
+        return
+    raise AssertionError("accepted")
+
+
+@behave.given("a listing with a running and an ended task")
+def step(context):
+    raw = {
+        "clock_ms": 100,
+        "born": 5,
+        "running": [["0123456789abcdef.0.1.17", 2, "c1", 41, 7]],
+        "ended": [[58, "0123456789abcdef.0.1.9", 1, "done", ""]],
+    }
+    context.reply = workers.decode(HOLD, 200, raw)
+
+
+@behave.given("a listing of a later life of the worker")
+def step(context):
+    raw = {"clock_ms": 100, "born": 6, "running": [], "ended": []}
+    context.reply = workers.decode(HOLD, 200, raw)
+
+
+@behave.then(
+    'the running task has number {number:d}, checkpoint "{checkpoint}", '
+    "{percent:d} percent, reading {reading:g}"
+)
+def step(context, number, checkpoint, percent, reading):
+    row = context.reply.running[0]
+    assert row == model.RunRow(
+        model.TaskName("0123456789abcdef", 0, 1, 17),
+        number,
+        checkpoint,
+        percent,
+        reading,
+    )
+
+
+@behave.then("the ended task has position {position:d} and was done")
+def step(context, position):
+    end = context.reply.ended[0]
+    assert end.position == position
+    assert end.kind is model.EndKind.DONE
+
+
+@behave.then("the reply is a refusal as reborn")
+def step(context):
+    assert context.reply == worker_messages.Rejected("reborn")
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -4,8 +4,6 @@
 store has confirmed the record, and shows a state that the store holds.
 """
 
-import string
-
 import attrs
 
 from sapphirestall_core import messages
@@ -19,6 +17,7 @@
 
 PART = "intake"
 JOB_ID_LENGTH = 16
+JOB_ID_DIGITS = frozenset("0123456789abcdefABCDEF")
 SPEC_LIMIT_BYTES = 4000
 # Pauses before a store call that had no effect is repeated, in seconds.
 RETRY_DELAYS_S = (0.05, 0.15, 0.4)
@@ -134,7 +133,7 @@
 
 
 def _is_job_id(text: str) -> bool:
-    return len(text) == JOB_ID_LENGTH and set(text) <= set(string.hexdigits)
+    return len(text) == JOB_ID_LENGTH and set(text) <= JOB_ID_DIGITS
 
 
 def find_fault(
