Split the workers' module; share background work and token checks

Change: holds, orders and contact are modules of their own; entry/background.py serves both contexts; Batch.find_owned checks the token. The context has the core's state as a field, which tests reached through the loop. The metrics test reads the renamed field and checks the same.

--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -7,6 +7,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commits
+from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
@@ -167,7 +168,7 @@
 @behave.when("the worker confirms an order but has listed nothing")
 def step(context):
     worker = context.partition.workers[ENTRY.worker_id]
-    workers.note_answer(worker, 60_000, NOW)
+    contact.note_answer(worker, 60_000, NOW)
 
 
 @behave.when("another worker answers at its address")
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -121,7 +121,7 @@
 @behave.then('the fault was counted under "{place:w}"')
 def step(context, place):
     assert context.shell.counters.faults.get({"place": place}) == 1
-    assert not context.shell.background
+    assert not context.shell.background.tasks
 
 
 @behave.when('a log line has the value "{value}"')
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -81,7 +81,7 @@
     context.shell = composition.build(
         make_settings(max_body_bytes=50_000), None, None
     )
-    context.state = context.shell.feed.__self__.state
+    context.state = context.shell.core
     context.before = copy_state(context)
 
 
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -295,8 +295,8 @@
     timer: MoveDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Repeats a move; the job's tasks rest until its outcome is known."""
-    partition = batch.partitions.get(timer.purpose.partition)
-    if partition is None or partition.token != timer.purpose.token:
+    partition = batch.find_owned(timer.purpose.partition, timer.purpose.token)
+    if partition is None:
         return []
     return [_write(timer.purpose)]
 
@@ -309,8 +309,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Takes the written record; a conflict means that it has changed."""
-    partition = batch.partitions.get(purpose.partition)
-    if partition is None or partition.token != purpose.token:
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
         return []
     outcome = reply.outcome
     if isinstance(outcome, store_messages.Committed):
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -108,8 +108,8 @@
     timer: CommitDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Writes what is dirty, final states first."""
-    partition = batch.partitions.get(timer.partition)
-    if partition is None or partition.token != timer.token:
+    partition = batch.find_owned(timer.partition, timer.token)
+    if partition is None:
         return []
     partition.commit_due = False
     if partition.committing:
@@ -176,8 +176,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Acknowledges the ends of a confirmed commit, or tries again."""
-    partition = batch.partitions.get(purpose.partition)
-    if partition is None or partition.token != purpose.token:
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
         return []
     partition.committing = False
     outcome = reply.outcome
@@ -280,8 +280,8 @@
     timer: RecordDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Reads a job's record again; the job rests until it is known."""
-    partition = batch.partitions.get(timer.purpose.partition)
-    if partition is None or partition.token != timer.purpose.token:
+    partition = batch.find_owned(timer.purpose.partition, timer.purpose.token)
+    if partition is None:
         return []
     return [read_record(partition, timer.purpose.job_id)]
 
@@ -302,8 +302,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Takes a job record that someone else has changed."""
-    partition = batch.partitions.get(purpose.partition)
-    if partition is None or partition.token != purpose.token:
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
         return []
     outcome = reply.outcome
     if isinstance(outcome, store_messages.Found):
@@ -397,8 +397,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Notes what was published."""
-    partition = batch.partitions.get(purpose.partition)
-    if partition is None or partition.token != purpose.token:
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
         return []
     partition.summary_writing = False
     if isinstance(reply.outcome, store_messages.Committed):
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -7,6 +7,7 @@
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import holds
 from sapphirestall_core.batch import intake
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
@@ -76,7 +77,7 @@
     for name in event.workers:
         worker = partition.workers.get(name)
         if worker is not None:
-            effects += workers.hold(batch, partition, worker, now)
+            effects += holds.hold(batch, partition, worker, now)
     return effects
 
 
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -352,3 +352,10 @@
     pending_calls: list[Call] = attrs.field(factory=list)
     stopping: bool = False
     stopping_at: float = 0.0
+
+    def find_owned(self, name: str, token: int) -> Partition | None:
+        """Returns a partition if it is still owned under a token."""
+        partition = self.partitions.get(name)
+        if partition is None or partition.token != token:
+            return None
+        return partition
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -11,9 +11,11 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import holds
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import orders
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
@@ -126,8 +128,8 @@
     timer: LoadDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Repeats the reads that failed."""
-    partition = batch.partitions.get(timer.partition)
-    if partition is None or partition.token != timer.token:
+    partition = batch.find_owned(timer.partition, timer.token)
+    if partition is None:
         return []
     return _load(batch, partition)
 
@@ -145,8 +147,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Takes the roster; every worker on it may have runs."""
-    partition = batch.partitions.get(purpose.partition)
-    if partition is None or partition.token != purpose.token:
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
         return []
     outcome = reply.outcome
     if isinstance(outcome, store_messages.Absent):
@@ -203,8 +205,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Takes the written roster into use."""
-    partition = batch.partitions.get(purpose.partition)
-    if partition is None or partition.token != purpose.token:
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
         return []
     partition.roster_writing = False
     outcome = reply.outcome
@@ -416,7 +418,7 @@
         )
     )
     for worker in partition.workers.values():
-        effects += workers.hold(batch, partition, worker, now, wait_s=0.0)
+        effects += holds.hold(batch, partition, worker, now, wait_s=0.0)
     return effects + passes.plan(partition)
 
 
@@ -489,5 +491,5 @@
     effects: dispatch.Effects = [
         jobs.make_log("cancelled", job.record.job_id, partition=partition.name)
     ]
-    effects += workers.stop_job(partition, job, now)
+    effects += orders.stop_job(partition, job, now)
     return effects + passes.plan(partition)
--- /dev/null
+++ b/packages/entry/src/sapphirestall_entry/background.py
@@ -0,0 +1,35 @@
+"""Coroutines that a process runs beside its loop's events."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+
+@attrs.define
+class Background:
+    """Keeps tasks alive and reports those that fail.
+
+    Attributes:
+        report_fault: Takes a place and an exception that nothing handles.
+    """
+
+    report_fault: Callable[[str, BaseException], None]
+    tasks: set[asyncio.Task[Any]] = attrs.field(factory=set)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self.report_fault("background", error)
--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -56,7 +56,12 @@
         time.monotonic,
     )
     context = context_module.Context(
-        settings, identity, runner.feed, time.monotonic, counters.Counters()
+        settings,
+        core,
+        identity,
+        runner.feed,
+        time.monotonic,
+        counters.Counters(),
     )
     runner.context = context
     converter = converters.make_converter()
--- a/packages/entry/src/sapphirestall_entry/context.py
+++ b/packages/entry/src/sapphirestall_entry/context.py
@@ -12,6 +12,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import state
+from sapphirestall_entry import background as background_module
 from sapphirestall_entry import logs
 
 if TYPE_CHECKING:
@@ -30,12 +31,14 @@
     """Adapters of one process, wired by the composition root.
 
     Attributes:
+        core: State of the core; only its handlers change it.
         feed: Hands an event to the core and performs its effects.
         clock: Monotonic clock, in seconds.
         exit: Set when the process may end.
     """
 
     settings: settings.Settings
+    core: state.Instance
     identity: state.Identity
     feed: Callable[[messages.Event], None]
     clock: Callable[[], float]
@@ -47,22 +50,15 @@
     store: store.Store = attrs.field(init=False)
     peers: peers.Peers = attrs.field(init=False)
     exit: asyncio.Event = attrs.field(factory=asyncio.Event)
-    background: set[asyncio.Task[Any]] = attrs.field(factory=set)
+    background: background_module.Background = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Lets failures of background work be reported here."""
+        self.background = background_module.Background(self.report_fault)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Runs a coroutine in the background; logs and counts its failure."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.background.add(task)
-        task.add_done_callback(self._finish)
-        return task
-
-    def _finish(self, task: asyncio.Task[None]) -> None:
-        self.background.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            self.report_fault("background", error)
+        return self.background.spawn(work)
 
     def report_fault(self, place: str, error: BaseException) -> None:
         """Logs and counts an exception that nothing else handles."""
--- a/standins/local.py
+++ b/standins/local.py
@@ -109,7 +109,7 @@
         aiohttp.ClientSession(auto_decompress=False) as executor_session,
     ):
         context = composition.build(settings, store_session, executor_session)
-        instance = context.feed.__self__.state  # type: ignore[attr-defined]
+        instance = context.core
         _set_up(instance, f"{fleet.HOST}:{port}")
         server = servers.make_server(
             context.callers.build_app(),
