--- a/features/batch_ownership.feature
+++ b/features/batch_ownership.feature
@@ -38,6 +38,17 @@
     And every long-running task has its first run
     And no rule was broken
 
+  Scenario: An owner is killed between an end and its commit
+    Guards against an end that the worker may forget before its effect is in
+    the store: the next owner runs the task again.
+    Given two data centres with two instances and three workers each
+    When the store stops serving every owner
+    And short tasks that the owners know end
+    And every owner is killed
+    And 20 s pass
+    Then no rule was broken
+    And every job that was accepted has ended
+
   Scenario Outline: Random work and faults break no rule
     Guards against faults in combinations that nobody thought of.
     Given two data centres with two instances and three workers each
--- a/features/steps/batch_ownership_steps.py
+++ b/features/steps/batch_ownership_steps.py
@@ -72,6 +72,22 @@
     context.world.run(seconds)
 
 
+@behave.when("the store stops serving every owner")
+def step(context):
+    world = context.world
+    for number, node in enumerate(list_owners(world)):
+        world.submit(node, make_id(number), make_step(6))
+    world.run(0.1)
+    for node in list_owners(world):
+        node.store_cut = True
+
+
+@behave.when("short tasks that the owners know end")
+def step(context):
+    # Shorter than the store lease, so that no other owner comes before.
+    context.world.run(2.2)
+
+
 @behave.when("every owner is killed")
 def step(context):
     for node in list_owners(context.world):
--- /dev/null
+++ b/tools/batch_mutations.py
@@ -0,0 +1,113 @@
+"""Mechanisms of the batch side that the mutations switch off."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import leases
+from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
+
+TAKEOVER = "batch_takeover.feature"
+OWNERSHIP = "batch_ownership.feature"
+
+
+def assume_no_lease() -> None:
+    """Lets a new owner take the leases of the former as ended."""
+    leases.assume_lease = lambda *_: None
+
+
+def use_unlisted_workers() -> None:
+    """Lets tasks start on workers whose runs are not known."""
+    is_usable = placement.is_usable
+
+    def mutated(worker: state.Worker, now: float) -> bool:
+        worker.listed = True
+        return is_usable(worker, now)
+
+    placement.is_usable = mutated
+
+
+def extend_silent_workers() -> None:
+    """Extends the lease with each attempt to reach a silent worker."""
+    make_hold = contact.make_hold
+
+    def mutated(
+        partition: state.Partition, worker: state.Worker, *rest: Any
+    ) -> Any:
+        silent, worker.silent = worker.silent, False
+        call = make_hold(partition, worker, *rest)
+        worker.silent = silent
+        return call
+
+    contact.make_hold = mutated
+
+
+def acknowledge_before_commit() -> None:
+    """Lets workers forget ends whose effect is not in the store yet."""
+    make_hold = contact.make_hold
+
+    def mutated(
+        partition: state.Partition, worker: state.Worker, *rest: Any
+    ) -> Any:
+        call = make_hold(partition, worker, *rest)
+        return attrs.evolve(call, acknowledged=worker.seen)
+
+    contact.make_hold = mutated
+
+
+def drop_changes_while_loading() -> None:
+    """Forgets job records that change while their owner loads."""
+    see_change = takeover._see_change
+
+    def mutated(
+        batch: state.Batch, partition: state.Partition, *rest: Any
+    ) -> Any:
+        if partition.phase is state.Phase.LOADING:
+            return []
+        return see_change(batch, partition, *rest)
+
+    takeover._see_change = mutated
+
+
+def keep_runs_of_replaced_workers() -> None:
+    """Waits for runs of a worker although another answers in its place."""
+    contact.lose_runs = lambda *_: []
+
+
+# Name, scenario that must fail, and how the mechanism is switched off.
+ROWS: tuple[tuple[str, str, Callable[[], None]], ...] = (
+    (
+        "leases of a former owner",
+        f"{TAKEOVER}: The leases of a former owner are not taken as ended",
+        assume_no_lease,
+    ),
+    (
+        "listing before use",
+        f"{TAKEOVER}: A worker is not used before it has listed its runs",
+        use_unlisted_workers,
+    ),
+    (
+        "lease of a silent worker",
+        f"{TAKEOVER}: A worker that does not answer gets no longer lease",
+        extend_silent_workers,
+    ),
+    (
+        "changes while loading",
+        f"{TAKEOVER}: A job that is accepted while its owner loads",
+        drop_changes_while_loading,
+    ),
+    (
+        "replaced worker",
+        f"{TAKEOVER}: Another worker at the same address",
+        keep_runs_of_replaced_workers,
+    ),
+    (
+        "commit before acknowledgement",
+        f"{OWNERSHIP}: An owner is killed between an end and its commit",
+        acknowledge_before_commit,
+    ),
+)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -26,6 +26,7 @@
 from sapphirestall_core import spread
 from standins import store_model
 from standins import trace
+from tools import batch_mutations
 
 TRACES = pathlib.Path(__file__).parents[1] / "features" / "traces"
 FAR_FUTURE_S = 1e9
@@ -167,6 +168,7 @@
     Mutation(
         "progress fencing", "tasks/commit_delayed", _commit_over_any_version
     ),
+    *(Mutation(*row) for row in batch_mutations.ROWS),
 )
 
 
