--- /dev/null
+++ b/features/steps/batch_intake_steps.py
@@ -0,0 +1,176 @@
+"""Steps for batch_intake.feature."""
+
+import attrs
+import behave
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import configuration
+from sapphirestall_core.batch import model
+from standins import batch_world
+
+SITE = "north"
+JOB = "00000000000000cc"
+PATH = f"/jobs/{JOB}"
+AMOUNT = resources.Vector(1000, 100, 0)
+
+
+@behave.given("an instance beside a store")
+def step(context):
+    context.world = batch_world.BatchWorld(1)
+    context.world.add_worker("w-1", SITE)
+    context.node = context.world.add_node("e-1", SITE, (SITE,))
+    context.world.run(2.0)
+    context.calls = []
+
+
+@behave.given("a second instance")
+def step(context):
+    context.other = context.world.add_node("e-2", SITE, (SITE,))
+    context.world.run(1.0)
+
+
+def submit(context, step, node=None):
+    call = context.world.submit(node or context.node, JOB, step)
+    context.calls.append(call)
+
+
+@behave.when("a job is handed in while the store's answers are lost")
+def step(context):
+    context.world.lost_share = 1.0
+    submit(context, model.Step(1, AMOUNT))
+    context.world.run(5.0)
+
+
+@behave.when("the store has been away for {seconds:g} s")
+def step(context, seconds):
+    context.node.store_cut = True
+    context.world.run(seconds)
+
+
+@behave.when("a job is handed in")
+def step(context):
+    submit(context, model.Step(1, AMOUNT))
+
+
+@behave.when("its state is asked")
+def step(context):
+    kind = caller_messages.StateCalled
+    context.calls.append(context.world.call(context.node, kind, PATH))
+
+
+@behave.when("a job is handed in at both instances")
+def step(context):
+    submit(context, model.Step(1, AMOUNT))
+    submit(context, model.Step(1, AMOUNT), context.other)
+    context.world.run(1.0)
+
+
+@behave.when("a long-running job is handed in, runs and is cancelled")
+def step(context):
+    submit(context, model.Step(3, AMOUNT, long_running=True))
+    context.world.run(1.0)
+    assert len(context.world.list_runs()) == 3
+    kind = caller_messages.CancelCalled
+    call = context.world.call(context.node, kind, PATH)
+    context.world.run(0.1)
+    answer = context.world.answers[call]
+    assert isinstance(answer, caller_messages.Cancelled)
+
+
+@behave.when("the state of an unknown job is asked")
+def step(context):
+    kind = caller_messages.StateCalled
+    context.calls.append(context.world.call(context.node, kind, PATH))
+    context.world.run(0.1)
+
+
+@behave.when("a job that asks for {feature} is handed in")
+def step(context, feature):
+    gang = feature == "a gang"
+    same_rack = feature == "one rack"
+    step = model.Step(2, AMOUNT, gang=gang, same_rack=same_rack)
+    count = 3 if feature == "a schedule" else 0
+    schedule = model.Schedule(count=count)
+    event = caller_messages.SubmitCalled(
+        "call", "host", PATH, 3.0, "x", (step,), schedule
+    )
+    context.world.feed(context.node, event)
+    context.calls.append("call")
+    context.world.run(0.1)
+
+
+@behave.when("configuration {new:d} is read and then configuration {old:d}")
+def step(context, new, old):
+    for version in (new, old):
+        changed = attrs.evolve(context.world.configuration, version=version)
+        event = configuration.ConfigurationRead(changed)
+        context.world.feed(context.node, event)
+
+
+@behave.then("the caller is not told that the job was refused")
+def step(context):
+    answer = context.world.answers[context.calls[0]]
+    allowed = caller_messages.Accepted | caller_messages.Undecided
+    assert isinstance(answer, allowed), answer
+
+
+@behave.then("the job's record exists")
+def step(context):
+    assert context.world.get_state(JOB) is not None
+
+
+@behave.then("no record exists")
+def step(context):
+    context.node.store_cut = False
+    context.world.run(20.0)
+    assert context.world.get_state(JOB) is None
+
+
+@behave.then("both calls are refused within {milliseconds:d} ms")
+def step(context, milliseconds):
+    context.world.run(milliseconds / 1000)
+    for call in context.calls:
+        answer = context.world.answers[call]
+        assert isinstance(answer, caller_messages.Refused), answer
+        assert answer.retry_after_s >= 1
+
+
+@behave.then("both callers are told that it is accepted")
+def step(context):
+    for call in context.calls:
+        answer = context.world.answers[call]
+        assert isinstance(answer, caller_messages.Accepted), answer
+
+
+@behave.then("one record exists")
+def step(context):
+    keys = [key for key in context.world.store.items if JOB in key]
+    assert keys.count(f"jobs/{JOB}") == 1
+    assert context.world.starts == 1
+    assert not context.world.violations
+
+
+@behave.then("its tasks are gone within {seconds:g} s and stay away")
+def step(context, seconds):
+    context.world.run(seconds)
+    assert not context.world.list_runs()
+    context.world.run(10.0)
+    assert not context.world.list_runs()
+
+
+@behave.then("the caller is told that it is gone")
+def step(context):
+    answer = context.world.answers[context.calls[-1]]
+    assert isinstance(answer, caller_messages.Gone), answer
+
+
+@behave.then("the caller is told that the job is invalid")
+def step(context):
+    answer = context.world.answers[context.calls[-1]]
+    assert isinstance(answer, caller_messages.Invalid), answer
+
+
+@behave.then("configuration {version:d} is in force")
+def step(context, version):
+    assert context.node.batch.configuration.version == version
