Learn harm by pair of images

A fit over 4,669 listings by pair shows that each such image harms only some serving images: one raises two of five by 22 and 34 times its share and the other three not at all. Ruled out: harm by image alone, and the order by harm that it needed (removed). Change: harm, budgets, pace and placement go by the pair; tasks that fill go beside serving tasks that they leave as they are.

--- a/features/batch_load.feature
+++ b/features/batch_load.feature
@@ -28,6 +28,12 @@
     Then another serving task goes to the worker with one
     And a task of an unknown image goes to the worker without
 
+  Scenario: Harm that depends on the pair of images
+    Guards against keeping an image away from all serving tasks for the harm
+    that it does to one.
+    Given image "loud" harms "soft" servers but not "hard" ones
+    Then tasks of image "loud" go beside "hard" servers
+
   Scenario: One data centre full, another with room
     Guards against jobs that wait while another data centre has room.
     Given summaries of a full own and an empty other data centre
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -170,8 +170,10 @@
 
 @behave.then('image "loud" is harmful and "calm" is harmless')
 def step(context):
-    assert not context.harm.is_harmless("loud"), context.harm
-    assert context.harm.is_harmless("calm"), context.harm
+    loud = context.harm.get_harm("served", "loud")
+    calm = context.harm.get_harm("served", "calm")
+    assert loud >= harm_module.HARMLESS, context.harm
+    assert calm < harm_module.HARMLESS, context.harm
 
 
 @behave.then('only runs of image "loud" are paced while the tail is high')
@@ -220,7 +222,8 @@
 
 @behave.then("a task of an unknown image goes to the worker without")
 def step(context):
-    context.batch.harm.harms["new"] = placement.MODERATE_HARM
+    pair = harm_module.Pair("served", "new")
+    context.batch.harm.harms[pair] = harm_module.FIRST_HARM
     assert choose(context, make_step(1, fills=True, image="new")) == "w-1"
 
 
@@ -255,3 +258,22 @@
 @behave.then("a job that needs room goes to the own data centre")
 def step(context):
     assert choose_partition(context) == OWN
+
+
+@behave.given('image "loud" harms "soft" servers but not "hard" ones')
+def step(context):
+    workers = make_worker("w-1", 32), make_worker("w-2", 32)
+    make_partition(context, *workers)
+    for worker, image in zip(workers, ("soft", "hard"), strict=True):
+        serving = make_step(1, tail_target_ms=TAIL_TARGET_MS, image=image)
+        add_run(worker, serving)
+        context.batch.harm.bases[image] = BASE_MS
+    harms = context.batch.harm.harms
+    harms[harm_module.Pair("soft", "loud")] = 20.0
+    harms[harm_module.Pair("hard", "loud")] = 0.0
+
+
+@behave.then('tasks of image "loud" go beside "hard" servers')
+def step(context):
+    task = make_step(1, fills=True, image="loud")
+    assert choose(context, task) == "w-2"
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -1,8 +1,8 @@
 """Pace of tasks that fill beside tasks that must keep a tail target.
 
 Readings lag by about half a second, so a pace is changed, its effect awaited,
-and changed again; it falls faster than it rises. Images that were learned to
-be harmless keep their full pace unless nothing else helps.
+and changed again; it falls faster than it rises. Images that harm no serving
+image of a worker keep their full pace there unless nothing else helps.
 """
 
 from sapphirestall_core import messages
@@ -43,34 +43,46 @@
     )
 
 
-def choose_pace(
-    worker: state.Worker, harm: harm_module.Harm, now: float
-) -> int:
-    """Returns the percent at which harmful runs may work on a worker.
-
-    The pace follows from the learned harm of what runs there. Where the tails
-    are higher than that lets expect, the worker's trust falls, and with it the
-    rise that is allowed.
-    """
+def update_trust(worker: state.Worker, now: float) -> None:
+    """Lowers the trust in the learned harm where tails are higher than that."""
     worst = find_worst(worker)
     if worst < 1.0:
         worker.missed_since = None
     elif worker.missed_since is None:
         worker.missed_since = now
-    if now - worker.trust_changed_at >= SETTLE_S:
-        if worst >= HIGH_SHARE:
-            worker.trust = max(LOWEST_TRUST, worker.trust * TRUST_FALL)
-            worker.trust_changed_at = now
-        elif worst < LOW_SHARE and worker.trust < 1.0:
-            worker.trust = min(1.0, worker.trust * TRUST_RISE)
-            worker.trust_changed_at = now
-    budget = harm.find_budget(worker, TARGET_SHARE)
-    rise = harm_module.predict(worker, harm)
-    if budget is None or rise <= 0:
-        return state.FULL_PACE_PERCENT
-    allowed = max(0.0, budget) * worker.trust
-    pace = int(state.FULL_PACE_PERCENT * min(1.0, allowed / rise))
-    return pace if pace >= LOWEST_PERCENT else 0
+    if now - worker.trust_changed_at < SETTLE_S:
+        return
+    if worst >= HIGH_SHARE:
+        worker.trust = max(LOWEST_TRUST, worker.trust * TRUST_FALL)
+        worker.trust_changed_at = now
+    elif worst < LOW_SHARE and worker.trust < 1.0:
+        worker.trust = min(1.0, worker.trust * TRUST_RISE)
+        worker.trust_changed_at = now
+
+
+def choose_paces(
+    worker: state.Worker, harm: harm_module.Harm
+) -> dict[str, int]:
+    """Returns the percent at which each image that fills may work."""
+    paces: dict[str, int] = {}
+    images = {
+        run.task.step.image
+        for run in worker.runs.values()
+        if run.task.step.fills
+    }
+    budgets = harm.find_budgets(worker, TARGET_SHARE) if images else {}
+    for serving, budget in budgets.items():
+        rise = harm.predict(worker, serving)
+        allowed = budget * worker.trust
+        if rise <= allowed:
+            continue
+        pace = int(state.FULL_PACE_PERCENT * allowed / rise)
+        if pace < LOWEST_PERCENT:
+            pace = 0
+        for image in images:
+            if harm.get_harm(serving, image) >= harm_module.HARMLESS:
+                paces[image] = min(pace, paces.get(image, pace))
+    return paces
 
 
 def adjust(
@@ -80,7 +92,9 @@
     now: float,
 ) -> dispatch.Effects:
     """Orders the pace that the newest readings call for."""
-    worker.pace = choose_pace(worker, harm, now)
+    update_trust(worker, now)
+    paces = choose_paces(worker, harm)
+    worker.pace = min(paces.values(), default=state.FULL_PACE_PERCENT)
     missed = (
         worker.missed_since is not None and now - worker.missed_since > MISSED_S
     )
@@ -89,9 +103,10 @@
         step = run.task.step
         if not step.fills or run.phase is not state.RunPhase.RUNNING:
             continue
-        pace = worker.pace
-        if harm.is_harmless(step.image) and not missed:
-            pace = state.FULL_PACE_PERCENT
+        pace = paces.get(step.image, state.FULL_PACE_PERCENT)
+        if missed:
+            # What was learned does not explain the tails.
+            pace = min(pace, int(state.FULL_PACE_PERCENT * worker.trust))
         ends = (0, state.FULL_PACE_PERCENT)
         small = abs(pace - run.pace) < LEAST_CHANGE_PERCENT
         if pace == run.pace or (small and pace not in ends):
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -7,7 +7,6 @@
 from sapphirestall_core import messages
 from sapphirestall_core import resources
 from sapphirestall_core.batch import dispatch
-from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import objectives
@@ -16,8 +15,6 @@
 from sapphirestall_core.batch import worker_messages
 
 PART = "starts"
-# Images are ranked by these bounds of their harm, as readings are rough.
-HARM_BOUNDS = (harm_module.HARMLESS, placement.MODERATE_HARM)
 
 
 @attrs.frozen
@@ -48,7 +45,7 @@
         return []
     effects: dispatch.Effects = []
     refused: list[Refusal] = []
-    for task in list(_list_waiting(partition, batch.harm, now)):
+    for task in list(_list_waiting(partition, now)):
         service = task.job.queue.service
         step = task.step
         if _is_refused(refused, task, service):
@@ -98,20 +95,15 @@
 
 
 def _list_waiting(
-    partition: state.Partition, harm: harm_module.Harm, now: float
+    partition: state.Partition, now: float
 ) -> Iterator[state.Task]:
-    """Yields waiting tasks by priority, prospect, harm and arrival.
-
-    What harms less goes first: the rise that tail targets allow is scarcer
-    than processors, and carries more work of an image that harms less.
-    """
+    """Yields waiting tasks by priority, prospect and order of arrival."""
     settled = not partition.unsettled or now >= partition.settled_at
     ordered = sorted(
         partition.jobs.values(),
         key=lambda job: (
             job.queue.priority,
             objectives.judge(job, now),
-            find_harm_rank(job, harm),
             job.created,
         ),
     )
@@ -126,19 +118,6 @@
             yield from list(step.waiting.values())
 
 
-def find_harm_rank(job: state.Job, harm: harm_module.Harm) -> int:
-    """Returns a coarse rank of the harm of a job's waiting tasks."""
-    worst = max(
-        (
-            harm.get_harm(step.step.image)
-            for step in job.steps
-            if step.step.fills and step.waiting
-        ),
-        default=0.0,
-    )
-    return sum(worst >= bound for bound in HARM_BOUNDS)
-
-
 def start(
     batch: state.Batch,
     partition: state.Partition,
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -13,8 +13,8 @@
 SERVING_IDLE_SHARE = 0.6
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
-# Images below this fit beside serving tasks in useful numbers.
-MODERATE_HARM = 8.0
+# Harmless, moderate and strong harm are told apart by these bounds.
+HARM_BOUNDS = (harm_module.HARMLESS, 8.0)
 
 
 def accepts(worker: state.Worker, service: str, now: float) -> bool:
@@ -81,7 +81,6 @@
     """Returns the preference for a worker; the lowest comes first.
 
     Tasks with a tail target are packed, so that some workers have none: tasks
-    whose image disturbs them go there, and harmless ones beside them.
     """
     step = task.step
     failed = float(worker.entry.worker_id in task.failed_on)
@@ -98,28 +97,34 @@
         return (*first, -serving, -reserved)
     if not step.fills:
         return (*first, used)
-    if harm.is_harmless(step.image):
-        return (*first, -float(serving > 0), used)
-    if harm.get_harm(step.image) < MODERATE_HARM:
-        # Leaves the workers without serving tasks to what harms more.
-        return (*first, -float(serving > 0), used)
-    return (*first, serving, used)
+    # Workers without serving tasks are left to what harms all others.
+    level = rank_harm(harm.find_harm(worker, step.image))
+    return (*first, level, -float(serving > 0), used)
+
+
+def rank_harm(harm: float) -> int:
+    """Returns a coarse level of harm, as readings are rough."""
+    return sum(harm >= bound for bound in HARM_BOUNDS)
 
 
 def allows_harm(
     worker: state.Worker, task: state.Task, harm: harm_module.Harm
 ) -> bool:
     """Tells whether a task that fills leaves the worker's tails in bounds."""
-    if harm.is_harmless(task.step.image):
+    image = task.step.image
+    if harm.find_harm(worker, image) < harm_module.HARMLESS:
         return True
-    budget = harm.find_budget(worker, pacing.TARGET_SHARE)
-    if budget is None:
-        return True
-    budget *= worker.trust
     capacity = max(1, worker.entry.capacity.cpu_millis)
     share = task.step.amount.cpu_millis / capacity
-    rise = harm.get_harm(task.step.image) * share
-    return harm_module.predict(worker, harm) + rise <= budget
+    budgets = harm.find_budgets(worker, pacing.TARGET_SHARE)
+    for serving, budget in budgets.items():
+        pair_harm = harm.get_harm(serving, image)
+        if pair_harm < harm_module.HARMLESS:
+            continue
+        rise = harm.predict(worker, serving) + pair_harm * share
+        if rise > budget * worker.trust:
+            return False
+    return True
 
 
 def choose_worker(
