Stop runs that are paced low, so that their tasks go elsewhere

Change: a run that is paced to 35% or less for a second is stopped, one a worker and look, if it can resume or has hardly begun; its task waits for another place.

--- a/features/batch_load.feature
+++ b/features/batch_load.feature
@@ -44,3 +44,10 @@
     Given summaries of a full own and an empty other data centre
     When the other data centre has been silent for 4 s
     Then a job that needs room goes to the own data centre
+
+  Scenario: A run that is paced low holds memory that others need
+    Guards against work that neither runs nor makes room.
+    Given image "loud" harms "soft" servers but not "hard" ones
+    And five runs of image "loud" beside "soft" servers
+    When the owner has adjusted the pace for 3 s
+    Then one of these runs is stopped at a time
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -277,3 +277,37 @@
 def step(context):
     task = make_step(1, fills=True, image="loud")
     assert choose(context, task) == "w-2"
+
+
+@behave.given('five runs of image "loud" beside "soft" servers')
+def step(context):
+    worker = context.partition.workers["w-1"]
+    for _ in range(5):
+        step = make_step(1, fills=True, image="loud", checkpointing=True)
+        add_run(worker, step)
+    context.worker = worker
+
+
+@behave.when("the owner has adjusted the pace for {seconds:g} s")
+def step(context, seconds):
+    context.worker.trust = 0.2
+    context.stops = []
+    now = NOW
+    while now < NOW + seconds:
+        now += 0.5
+        effects = pacing.adjust(
+            context.partition, context.worker, context.batch.harm, now
+        )
+        stops = [
+            effect
+            for effect in effects
+            if isinstance(effect, worker_messages.StopRun)
+        ]
+        context.stops.append(len(stops))
+        context.worker.trust = 0.2
+
+
+@behave.then("one of these runs is stopped at a time")
+def step(context):
+    assert sum(context.stops) >= 2, context.stops
+    assert max(context.stops) == 1, context.stops
--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -21,6 +21,8 @@
 HIGHEST_HARM = 60.0
 # A pair below this is harmless: it is neither paced nor kept apart.
 HARMLESS = 2.0
+# Share of each target that tasks that fill may use up by expectation.
+TARGET_SHARE = 0.9
 # Weight of one observation.
 HARM_STEP = 0.25
 BASE_STEP = 0.1
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -8,12 +8,11 @@
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import harm as harm_module
+from sapphirestall_core.batch import orders
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_messages
 
 PART = "pacing"
-# Share of each target that tasks that fill may use up by expectation.
-TARGET_SHARE = 0.9
 # Share of a target from which the expectation is taken as too good, and below
 # which it may be trusted more again.
 HIGH_SHARE = 0.95
@@ -27,6 +26,12 @@
 LOWEST_PERCENT = 8
 # Smaller changes of a pace are not worth an order.
 LEAST_CHANGE_PERCENT = 10
+# A run that is paced this low for this long makes room, as it holds memory and
+# may be harmless elsewhere; one a worker and look.
+RELOCATE_PERCENT = 35
+RELOCATE_S = 1.0
+# A run that cannot resume is stopped only before this progress, in percent.
+LITTLE_PROGRESS_PERCENT = 15
 # After a target was missed for this long, harmless images are paced as well.
 MISSED_S = 1.5
 
@@ -70,7 +75,9 @@
         for run in worker.runs.values()
         if run.task.step.fills
     }
-    budgets = harm.find_budgets(worker, TARGET_SHARE) if images else {}
+    budgets = (
+        harm.find_budgets(worker, harm_module.TARGET_SHARE) if images else {}
+    )
     for serving, budget in budgets.items():
         rise = harm.predict(worker, serving)
         allowed = budget * worker.trust
@@ -109,19 +116,21 @@
             pace = min(pace, int(state.FULL_PACE_PERCENT * worker.trust))
         ends = (0, state.FULL_PACE_PERCENT)
         small = abs(pace - run.pace) < LEAST_CHANGE_PERCENT
-        if pace == run.pace or (small and pace not in ends):
-            continue
-        run.pace = pace
-        effects.append(
-            worker_messages.PaceRun(
-                worker.target,
-                partition.name,
-                partition.token,
-                run.task.name,
-                run.number,
-                pace,
+        if pace != run.pace and (not small or pace in ends):
+            run.pace = pace
+            effects.append(
+                worker_messages.PaceRun(
+                    worker.target,
+                    partition.name,
+                    partition.token,
+                    run.task.name,
+                    run.number,
+                    pace,
+                )
             )
-        )
+        low = pace <= RELOCATE_PERCENT
+        run.paced_since = (run.paced_since or now) if low else None
+    effects += _relocate(partition, worker, now)
     if not effects:
         return []
     fields = {
@@ -132,3 +141,31 @@
         "runs": len(effects),
     }
     return [messages.Log(PART, "changed", fields), *effects]
+
+
+def _relocate(
+    partition: state.Partition, worker: state.Worker, now: float
+) -> dispatch.Effects:
+    """Stops the run that was paced low for longest; its task waits again."""
+    stuck = [
+        run
+        for run in worker.runs.values()
+        if run.paced_since is not None
+        and now - run.paced_since >= RELOCATE_S
+        and run.phase is state.RunPhase.RUNNING
+        and (
+            run.task.step.checkpointing or run.percent < LITTLE_PROGRESS_PERCENT
+        )
+    ]
+    if not stuck:
+        return []
+    run = min(stuck, key=lambda run: run.paced_since or now)
+    fields = {
+        "worker": worker.entry.worker_id,
+        "job": run.task.name.job_id,
+        "task": f"{run.task.name.step}.{run.task.name.index}",
+        "pace": run.pace,
+        "percent": run.percent,
+    }
+    log = messages.Log(PART, "relocate", fields)
+    return [log, *orders.stop(partition, worker, run, now)]
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -5,7 +5,6 @@
 from sapphirestall_core import resources
 from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import state
 
 # A task that serves users holds its processors for load peaks; tasks that fill
@@ -116,7 +115,7 @@
         return True
     capacity = max(1, worker.entry.capacity.cpu_millis)
     share = task.step.amount.cpu_millis / capacity
-    budgets = harm.find_budgets(worker, pacing.TARGET_SHARE)
+    budgets = harm.find_budgets(worker, harm_module.TARGET_SHARE)
     for serving, budget in budgets.items():
         pair_harm = harm.get_harm(serving, image)
         if pair_harm < harm_module.HARMLESS:
