--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -26,8 +26,6 @@
 # Another data centre is taken for work that fills only if it has this much
 # less load; the own one is nearer.
 LOAD_ADVANTAGE = 0.15
-# Load that outweighs a partition in which an image harms all serving tasks.
-HARM_COST = 0.5
 # Jobs moved in one look at the summaries, which lag.
 MOVES_LIMIT = 3
 
@@ -109,29 +107,20 @@
         return own
     widest = max(steps, key=lambda step: step.count * step.amount.cpu_millis)
     if widest.fills:
-        chosen = _choose_cheapest(fresh, own, widest)
+        chosen = _choose_least_loaded(fresh, own)
     else:
         chosen = _choose_roomiest(fresh, own, widest)
     _expect(batch, chosen, steps)
     return chosen
 
 
-def find_cost(summary: records.SummaryRecord, step: model.Step) -> float:
-    """Returns the cost of sending work that fills to a partition.
-
-    It rises with the load, and the more so the fewer workers the image leaves
-    as they are. An image that the owner does not know is taken as harmless.
-    """
-    harmless = summary.harmless.get(step.image, 1.0)
-    return summary.fill_load + HARM_COST * (1 - harmless)
-
-
-def _choose_cheapest(
-    fresh: dict[str, records.SummaryRecord], own: str, step: model.Step
+def _choose_least_loaded(
+    fresh: dict[str, records.SummaryRecord], own: str
 ) -> str:
-    costs = {name: find_cost(fresh[name], step) for name in fresh}
-    least = min(costs, key=lambda name: costs[name])
-    if own not in costs or costs[own] - costs[least] > LOAD_ADVANTAGE:
+    least = min(fresh, key=lambda name: fresh[name].fill_load)
+    if own not in fresh:
+        return least
+    if fresh[own].fill_load - fresh[least].fill_load > LOAD_ADVANTAGE:
         return least
     return own
 
@@ -275,9 +264,8 @@
     if own is None or not others:
         return None
     if step.fills:
-        best = min(others, key=lambda name: find_cost(others[name], step))
-        advantage = find_cost(own, step) - find_cost(others[best], step)
-        if advantage <= LOAD_ADVANTAGE:
+        best = min(others, key=lambda name: others[name].fill_load)
+        if own.fill_load - others[best].fill_load <= LOAD_ADVANTAGE:
             return None
     else:
         best = max(
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -9,7 +9,6 @@
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
-from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
@@ -342,7 +341,7 @@
         return []
     if now < partition.summary_at + SUMMARY_INTERVAL_S:
         return []
-    summary = make_summary(partition, batch.harm, now)
+    summary = make_summary(partition, now)
     unchanged = summary == partition.summary
     if unchanged and now < partition.summary_at + SUMMARY_HEARTBEAT_S:
         return []
@@ -360,7 +359,7 @@
 
 
 def make_summary(
-    partition: state.Partition, harm: harm_module.Harm, now: float
+    partition: state.Partition, now: float
 ) -> records.SummaryRecord:
     """Returns what the owner publishes of its partition."""
     pending: dict[str, list[str]] = {}
@@ -387,26 +386,9 @@
             records.Room(room.cpu_millis, room.memory_mb)
             for room in free[:ROOMS_PUBLISHED]
         ),
-        {
-            image: _find_harmless_share(usable, image, harm)
-            for image in sorted(harm.list_filling())
-        },
     )
 
 
-def _find_harmless_share(
-    usable: list[state.Worker], image: str, harm: harm_module.Harm
-) -> float:
-    """Returns the share of idle processors where an image is harmless."""
-    idle = sum(placement.find_idle_cpu(worker) for worker in usable)
-    harmless = sum(
-        placement.find_idle_cpu(worker)
-        for worker in usable
-        if harm.find_harm(worker, image) < harm_module.HARMLESS
-    )
-    return round(harmless / max(1, idle), 1)
-
-
 @dispatch.resume.register(SummaryWrite)
 def end_summary(
     purpose: SummaryWrite,
--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -101,10 +101,6 @@
             harm = self.get_harm(serving, image) + change
             self.harms[Pair(serving, image)] = min(HIGHEST_HARM, max(0.0, harm))
 
-    def list_filling(self) -> set[str]:
-        """Returns the images that fill of which something is known."""
-        return {pair.filling for pair in self.harms}
-
     def find_budgets(
         self, worker: state.Worker, margin: float
     ) -> dict[str, float]:
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -109,14 +109,11 @@
         fill_load: Processors that all unfinished tasks that fill ask for, as a
             share of those that other tasks leave unused.
         rooms: Room of the workers that have most.
-        harmless: Share of those processors beside which each known image
-            that fills is harmless.
     """
 
     pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     fill_load: float = 0.0
     rooms: tuple[Room, ...] = ()
-    harmless: dict[str, float] = attrs.field(factory=dict)
 
 
 def name_job_key(job_id: str) -> str:
