Count moved jobs as pending until their new owner shows them

Change: the mover counts a moved job as pending for 7 s more; ids are counted once; owners write at least every 0.9 s and are no target after 2.2 s of silence.

--- a/features/batch_load.feature
+++ b/features/batch_load.feature
@@ -51,3 +51,11 @@
     And five runs of image "loud" beside "soft" servers
     When the owner has adjusted the pace for 3 s
     Then one of these runs is stopped at a time
+
+  Scenario: A job is moved to an owner that is cut off right after
+    Guards against a number of pending jobs that leaves out jobs nobody shows.
+    Given summaries of a full own and an empty other data centre
+    And a waiting job that was moved to the other data centre
+    Then the own summary still counts the job as pending
+    And a job that two summaries name is counted once
+    And the own summary no longer counts the job after 10 s
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -1,10 +1,14 @@
 """Steps for batch_load.feature."""
 
+import attrs
 import behave
 
 from sapphirestall_core import messages
 from sapphirestall_core import resources
+from sapphirestall_core import store_messages
 from sapphirestall_core.batch import balance
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
@@ -311,3 +315,50 @@
 def step(context):
     assert sum(context.stops) >= 2, context.stops
     assert max(context.stops) == 1, context.stops
+
+
+@behave.given("a waiting job that was moved to the other data centre")
+def step(context):
+    job = add_job(context, 7, 2, 1, make_step(2))
+    record = attrs.evolve(job.record, partition=OTHER)
+    loaded = state.LoadedJob(record, job.revision, job.created)
+    reply = store_messages.StoreReply(
+        balance.Move(OWN, context.partition.token, loaded),
+        store_messages.Committed(99),
+        NOW,
+    )
+    instance.handle(reply, context.batch, NOW)
+    assert not context.partition.jobs
+    context.job_id = record.job_id
+
+
+def list_pending(context, now):
+    summary = commits.make_summary(context.partition, now)
+    return [job_id for ids in summary.pending.values() for job_id in ids]
+
+
+@behave.then("the own summary still counts the job as pending")
+def step(context):
+    assert list_pending(context, NOW + 1) == [context.job_id]
+
+
+@behave.then("a job that two summaries name is counted once")
+def step(context):
+    queue = make_queue(2)
+    pending = {queue.name: (context.job_id,)}
+    for name in (OWN, OTHER):
+        context.batch.summaries[name] = records.SummaryRecord(pending)
+    context.batch.summaries_at = NOW
+    call = caller_messages.StateCalled("call", "host", queue.prefix, 3.0)
+    effects = instance.handle(call, context.batch, NOW)
+    shown = [
+        effect.answer
+        for effect in effects
+        if isinstance(effect, caller_messages.AnswerCaller)
+    ]
+    assert shown == [caller_messages.PendingShown(1)], shown
+
+
+@behave.then("the own summary no longer counts the job after {seconds:g} s")
+def step(context, seconds):
+    assert list_pending(context, NOW + seconds) == []
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -22,7 +22,7 @@
 SUMMARY_AGE_S = 0.9
 RETRY_S = 0.2
 # Owners write their summaries at least this often, or are cut off.
-SUMMARY_SILENCE_S = 3.0
+SUMMARY_SILENCE_S = 2.2
 # Another data centre is taken for work that fills only if it has this much
 # less load; the own one is nearer.
 LOAD_ADVANTAGE = 0.15
@@ -315,6 +315,9 @@
     outcome = reply.outcome
     if isinstance(outcome, store_messages.Committed):
         loaded = attrs.evolve(purpose.loaded, revision=outcome.revision)
+        record = loaded.record
+        if record.partition != partition.name:
+            partition.sent[record.job_id] = (record.queue.name, now)
         event = commits.JobSeen(partition.name, loaded)
         return dispatch.handle(event, batch, now)
     if isinstance(outcome, store_messages.Conflict):
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -26,7 +26,10 @@
 SUMMARY_INTERVAL_S = 0.7
 # A summary that does not change is written again after this time, so that
 # others can tell an owner that has nothing new from one that is cut off.
-SUMMARY_HEARTBEAT_S = 1.4
+SUMMARY_HEARTBEAT_S = 0.9
+# A job that was moved is counted as pending here as well for this long, as its
+# new owner may be cut off before it shows it.
+SENT_S = 7.0
 # Enough for the tasks of a usual job, and small enough for a summary.
 ROOMS_PUBLISHED = 8
 
@@ -371,6 +374,11 @@
         for step in job.steps:
             if step.released and step.step.fills:
                 filling += len(step.open) * step.step.amount.cpu_millis
+    for job_id, (queue, sent_at) in list(partition.sent.items()):
+        if now - sent_at > SENT_S or job_id in partition.jobs:
+            del partition.sent[job_id]
+        else:
+            pending.setdefault(queue, []).append(job_id)
     usable = [
         worker
         for worker in partition.workers.values()
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -421,8 +421,9 @@
 def _show_pending(
     batch: state.Batch, call: state.Call, now: float
 ) -> dispatch.Effects:
-    count = sum(
-        len(summary.pending.get(call.queue.name, ()))
-        for summary in batch.summaries.values()
-    )
+    # A job that was just moved may stand in two summaries.
+    pending: set[str] = set()
+    for summary in batch.summaries.values():
+        pending.update(summary.pending.get(call.queue.name, ()))
+    count = len(pending)
     return _finish(batch, call, caller_messages.PendingShown(count), now)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -234,6 +234,7 @@
         committing: Whether a commit is in flight.
         commit_due: Whether a timer will start a commit.
         pass_due: Whether a timer will start tasks.
+        sent: Jobs that were moved away: queue and time.
         summary: The summary as last published.
         summary_at: When the summary was last written.
         summary_writing: Whether a write of it is in flight.
@@ -262,6 +263,7 @@
     committing: bool = False
     commit_due: bool = False
     pass_due: bool = False
+    sent: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     summary: records.SummaryRecord | None = None
     summary_at: float = -1e9
     summary_writing: bool = False
