Start a task of a starved job in spite of expected harm

Change: when nothing of a job has run for 1.5 s, one task is placed whatever harm is expected; its pace keeps the tails in bounds, and it is not stopped for that pace.

--- a/features/batch_load.feature
+++ b/features/batch_load.feature
@@ -59,3 +59,10 @@
     Then the own summary still counts the job as pending
     And a job that two summaries name is counted once
     And the own summary no longer counts the job after 10 s
+
+  Scenario: An image that harms every serving task near it
+    Guards against a job that never starts, though processors are free.
+    Given image "loud" harms "soft" servers but not "hard" ones
+    And only the worker with "soft" servers is left
+    When a large job of image "loud" waits for 2 s
+    Then one of its tasks has started, and the owner lets it run
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -362,3 +362,37 @@
 @behave.then("the own summary no longer counts the job after {seconds:g} s")
 def step(context, seconds):
     assert list_pending(context, NOW + seconds) == []
+
+
+@behave.given('only the worker with "soft" servers is left')
+def step(context):
+    context.partition.workers.pop("w-2")
+
+
+@behave.when('a large job of image "loud" waits for {seconds:g} s')
+def step(context, seconds):
+    amount = resources.Vector(8 * CORE_MILLIS, 100, 0)
+    large = model.Step(
+        3, amount, estimate_s=1.0, fills=True, image="loud", checkpointing=True
+    )
+    context.job = add_job(context, 9, 2, 0, large)
+    now = NOW
+    while now <= NOW + seconds:
+        timer = messages.TimerFired(passes.PassDue(OWN))
+        instance.handle(timer, context.batch, now)
+        now += 0.25
+
+
+@behave.then("one of its tasks has started, and the owner lets it run")
+def step(context):
+    assert count_started(context.job) == 1
+    worker = context.partition.workers["w-1"]
+    for run in worker.runs.values():
+        run.phase = state.RunPhase.RUNNING
+    for number in range(20):
+        effects = pacing.adjust(
+            context.partition, worker, context.batch.harm, NOW + number
+        )
+        assert not any(
+            isinstance(effect, worker_messages.StopRun) for effect in effects
+        )
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -153,6 +153,7 @@
         if run.paced_since is not None
         and now - run.paced_since >= RELOCATE_S
         and run.phase is state.RunPhase.RUNNING
+        and not run.starved
         and (
             run.task.step.checkpointing or run.percent < LITTLE_PROGRESS_PERCENT
         )
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -15,6 +15,8 @@
 from sapphirestall_core.batch import worker_messages
 
 PART = "starts"
+# A job of which nothing runs may wait this long for a place without harm.
+STARVED_S = 1.5
 
 
 @attrs.frozen
@@ -48,7 +50,7 @@
     for task in list(_list_waiting(partition, now)):
         service = task.job.queue.service
         step = task.step
-        if _is_refused(refused, task, service):
+        if _is_refused(refused, task, service) and not is_starved(task, now):
             _note_refusal(task, now)
             continue
         usable = [
@@ -56,7 +58,10 @@
             for name, worker in partition.workers.items()
             if name in partition.roster
         ]
-        worker = placement.choose_worker(task, usable, service, batch.harm, now)
+        starved = is_starved(task, now)
+        worker = placement.choose_worker(
+            task, usable, service, batch.harm, now, starved=starved
+        )
         if worker is None:
             _note_refusal(task, now)
             if not step.required_label and not step.max_per_worker:
@@ -65,9 +70,22 @@
                 )
             continue
         effects += start(batch, partition, worker, task, now)
+        if task.run is not None:
+            task.run.starved = starved
     return effects
 
 
+def is_starved(task: state.Task, now: float) -> bool:
+    """Tells whether a job has waited for long with nothing running."""
+    if task.refused_at is None or now - task.refused_at < STARVED_S:
+        return False
+    return not any(
+        other.run is not None
+        for step in task.job.steps
+        for other in step.open.values()
+    )
+
+
 def _note_refusal(task: state.Task, now: float) -> None:
     if task.refused_at is None:
         task.refused_at = now
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -132,14 +132,21 @@
     service: str,
     harm: harm_module.Harm,
     now: float,
+    *,
+    starved: bool = False,
 ) -> state.Worker | None:
-    """Returns the worker for a task, or None where none has room."""
+    """Returns the worker for a task, or None where none has room.
+
+    A starved task is placed whatever harm is expected of it; its pace then
+    keeps the tails in bounds.
+    """
     best = None
     best_rank: tuple[float, ...] = ()
     for worker in workers:
         if not accepts(worker, service, now) or not _fits(worker, task):
             continue
-        if task.step.fills and not allows_harm(worker, task, harm):
+        harmful = task.step.fills and not allows_harm(worker, task, harm)
+        if harmful and not starved:
             continue
         worker_rank = rank(worker, task, harm)
         if best is None or worker_rank < best_rank:
