--- a/features/steps/architecture_steps.py
+++ b/features/steps/architecture_steps.py
@@ -77,6 +77,7 @@
     "kv-" + "txn",
     "kv-" + "range",
     "last" + "_seen",
+    "until" + "_ms",
     "fencing" + "_token",
     "estimated" + "_ms",
     "may" + "_miss",
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -86,17 +86,17 @@
     wait_s: float,
 ) -> worker_messages.HoldLease:
     """Returns a hold; active owners extend the leases with it."""
-    until_ms = None
+    lease_end_ms = None
     # A worker that does not answer gets no longer lease: its runs would have
     # to be waited for as long as it is asked.
     if partition.phase is state.Phase.ACTIVE and not worker.silent:
-        until_ms = leases.extend(worker, lease_s, now)
+        lease_end_ms = leases.extend(worker, lease_s, now)
     return worker_messages.HoldLease(
         worker.target,
         partition.name,
         partition.token,
         worker.acknowledged,
-        until_ms,
+        lease_end_ms,
         wait_s,
     )
 
--- a/packages/core/src/sapphirestall_core/batch/holds.py
+++ b/packages/core/src/sapphirestall_core/batch/holds.py
@@ -146,7 +146,7 @@
         return listing.clock_ms > run.stopped_clock_ms
     if run.started_clock_ms is not None:
         return listing.clock_ms > run.started_clock_ms + LISTING_MARGIN_MS
-    return listing.clock_ms > run.until_ms
+    return listing.clock_ms > run.lease_end_ms
 
 
 def _take_row(
@@ -185,7 +185,7 @@
         row.number,
         state.RunPhase.RUNNING,
         now,
-        worker.until_ms,
+        worker.lease_end_ms,
     )
     run.started_clock_ms = worker.clock_ms
     task.run = run
--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -33,8 +33,8 @@
 def assume_lease(worker: state.Worker, lease_s: float) -> None:
     """Records that a former owner may have extended the leases just before."""
     if worker.clock_ms is not None:
-        until_ms = worker.clock_ms + int(lease_s * 1000)
-        worker.until_ms = max(worker.until_ms, until_ms)
+        lease_end_ms = worker.clock_ms + int(lease_s * 1000)
+        worker.lease_end_ms = max(worker.lease_end_ms, lease_end_ms)
 
 
 def extend(worker: state.Worker, lease_s: float, now: float) -> int | None:
@@ -42,12 +42,12 @@
     clock_ms = estimate_clock(worker, now)
     if clock_ms is None:
         return None
-    until_ms = clock_ms + int(lease_s * 1000)
-    worker.until_ms = max(worker.until_ms, until_ms)
-    return until_ms
+    lease_end_ms = clock_ms + int(lease_s * 1000)
+    worker.lease_end_ms = max(worker.lease_end_ms, lease_end_ms)
+    return lease_end_ms
 
 
 def has_lapsed(worker: state.Worker, now: float) -> bool:
     """Tells whether every lease that was ever asked for has ended."""
     clock_ms = estimate_clock(worker, now)
-    return clock_ms is not None and clock_ms > worker.until_ms + MARGIN_MS
+    return clock_ms is not None and clock_ms > worker.lease_end_ms + MARGIN_MS
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -144,8 +144,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Orders a worker to start a task."""
-    until_ms = leases.extend(worker, leases.START_LEASE_S, now)
-    if until_ms is None:
+    lease_end_ms = leases.extend(worker, leases.START_LEASE_S, now)
+    if lease_end_ms is None:
         return []
     job = task.job
     run = state.Run(
@@ -154,7 +154,7 @@
         task.next_number,
         state.RunPhase.STARTING,
         now,
-        until_ms,
+        lease_end_ms,
     )
     task.next_number += 1
     task.refused_at = None
@@ -181,7 +181,7 @@
         task.name,
         run.number,
         job.record.spec,
-        until_ms,
+        lease_end_ms,
         task.checkpoint,
     )
     return [log, order]
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -60,7 +60,7 @@
     """A run of a task that a worker may have.
 
     Attributes:
-        until_ms: End of the lease on the worker's clock that its start asks.
+        lease_end_ms: End of the lease of its start, on the worker's clock.
         started_clock_ms: Worker's clock when it confirmed the start.
         stop_sent_at: When a stop was last sent.
         stopped_clock_ms: Worker's clock when it confirmed a stop; None before.
@@ -76,7 +76,7 @@
     number: int
     phase: RunPhase
     started_at: float
-    until_ms: int
+    lease_end_ms: int
     started_clock_ms: int | None = None
     stop_sent_at: float = -1e9
     stopped_clock_ms: int | None = None
@@ -162,7 +162,7 @@
     Attributes:
         clock_ms: Last reading of the worker's clock; None before the first.
         clock_at: When the reading arrived.
-        until_ms: Latest end of a lease that any call asked for.
+        lease_end_ms: Latest end of a lease that any call asked for.
         contact_at: When the worker last answered.
         acknowledged: Position of ends that the worker may forget.
         seen: Position up to which ends were processed.
@@ -187,7 +187,7 @@
     target: worker_messages.Target
     clock_ms: int | None = None
     clock_at: float = 0.0
-    until_ms: int = 0
+    lease_end_ms: int = 0
     contact_at: float | None = None
     acknowledged: int = 0
     seen: int = 0
--- a/packages/core/src/sapphirestall_core/batch/worker_messages.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_messages.py
@@ -35,12 +35,12 @@
 
     Attributes:
         acknowledged: Position up to which the worker may forget ends.
-        until_ms: End of the lease on the worker's clock; None keeps it.
+        lease_end_ms: End of the lease on the worker's clock; None keeps it.
         wait_s: Time for which the worker may wait for an end, in seconds.
     """
 
     acknowledged: int
-    until_ms: int | None
+    lease_end_ms: int | None
     wait_s: float
 
 
@@ -51,7 +51,7 @@
     task: model.TaskName
     number: int
     spec: str
-    until_ms: int
+    lease_end_ms: int
     checkpoint: str
 
 
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -140,7 +140,7 @@
         if run.started_clock_ms is None:
             run.phase = state.RunPhase.STOPPING
             run.stop_sent_at = -1e9
-            run.until_ms = UNKNOWN_CLOCK_MS
+            run.lease_end_ms = UNKNOWN_CLOCK_MS
         else:
             run.started_clock_ms = -holds.LISTING_MARGIN_MS
         run.stopped_clock_ms = None
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -40,7 +40,7 @@
     born_at: float = 0.0
     speed: float = 0.985
     fence: int = 0
-    until_ms: int = 0
+    lease_end_ms: int = 0
     running: dict[tuple[model.TaskName, int], Running] = attrs.field(
         factory=dict
     )
@@ -55,7 +55,7 @@
 
     def advance(self, now: float) -> None:
         """Ends what is done, stopped or lapsed by now."""
-        lapses_at = self.born_at + self.until_ms / (self.speed * 1000)
+        lapses_at = self.born_at + self.lease_end_ms / (self.speed * 1000)
         for key, run in list(self.running.items()):
             done_at = run.ends_at or math.inf
             stopped_at = run.stops_at or math.inf
@@ -95,11 +95,11 @@
         """Forgets ends up to a position."""
         self.ended = [end for end in self.ended if end.position > position]
 
-    def extend(self, until_ms: int | None, now: float) -> None:
+    def extend(self, lease_end_ms: int | None, now: float) -> None:
         """Extends the lease, never shortens it."""
-        if until_ms is not None:
+        if lease_end_ms is not None:
             most = self.read_clock(now) + int(self.lease_max_s * 1000)
-            self.until_ms = max(self.until_ms, min(until_ms, most))
+            self.lease_end_ms = max(self.lease_end_ms, min(lease_end_ms, most))
 
     def count_reserved(self) -> resources.Vector:
         """Returns what runs take; those that fill take no processors."""
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -224,7 +224,7 @@
         key = (call.task, call.number)
         if key in worker.running:
             return worker_messages.Done(clock_ms)
-        worker.extend(call.until_ms, self.now)
+        worker.extend(call.lease_end_ms, self.now)
         step = self.jobs[call.task.job_id][call.task.step]
         self._check(worker, call.task, step)
         ends_at = None
@@ -276,7 +276,7 @@
     ) -> str:
         if call.number <= worker.voided.get(call.task, 0):
             return "old"
-        return "late" if call.until_ms < clock_ms else ""
+        return "late" if call.lease_end_ms < clock_ms else ""
 
     def _check(
         self,
@@ -502,7 +502,7 @@
     world.note_done(worker)
     world.note_acknowledged(worker, call.acknowledged)
     worker.acknowledge(call.acknowledged)
-    worker.extend(call.until_ms, world.now)
+    worker.extend(call.lease_end_ms, world.now)
     until = world.now + call.wait_s
 
     def poll() -> None:
