Remove state of the batch side that nothing reads

Cause: a reading of the whole change found fields that are written or declared and never read (marks of a partition, the time of the store's last answer), an unused argument, and a worker's pace that follows from the paces of its images. Change: removed; the log line derives the percent it shows. No behaviour changes.

--- a/packages/core/src/sapphirestall_core/batch/dispatch.py
+++ b/packages/core/src/sapphirestall_core/batch/dispatch.py
@@ -85,7 +85,6 @@
                 )
             )
         batch.store_down_at = None
-        batch.store_ok_at = now
     elif batch.store_down_at is None:
         batch.store_down_at = now
         effects.append(
--- a/packages/core/src/sapphirestall_core/batch/holds.py
+++ b/packages/core/src/sapphirestall_core/batch/holds.py
@@ -116,7 +116,7 @@
         listed.add((row.task, row.number))
         effects += _take_row(partition, worker, row, now)
     for key, run in list(worker.runs.items()):
-        if key not in listed and _is_over(batch, run, listing):
+        if key not in listed and _is_over(run, listing):
             effects.append(
                 contact.make_log(
                     "run_absent",
@@ -138,9 +138,7 @@
     return effects
 
 
-def _is_over(
-    batch: state.Batch, run: state.Run, listing: worker_messages.Listing
-) -> bool:
+def _is_over(run: state.Run, listing: worker_messages.Listing) -> bool:
     """Tells whether a run that is not listed can't be there any more."""
     if run.stopped_clock_ms is not None:
         return listing.clock_ms > run.stopped_clock_ms
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -101,7 +101,6 @@
     """Orders the pace that the newest readings call for."""
     update_trust(worker, now)
     paces = choose_paces(worker, harm)
-    worker.pace = min(paces.values(), default=state.FULL_PACE_PERCENT)
     missed = (
         worker.missed_since is not None and now - worker.missed_since > MISSED_S
     )
@@ -135,7 +134,7 @@
         return []
     fields = {
         "worker": worker.entry.worker_id,
-        "percent": worker.pace,
+        "percent": min(paces.values(), default=state.FULL_PACE_PERCENT),
         "worst_share": round(find_worst(worker), 2),
         "trust": round(worker.trust, 2),
         "runs": len(effects),
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -176,7 +176,6 @@
         silent: Whether the last call got no answer.
         suspended_until: No starts before this time.
         failures: Failed runs since the last one that was done.
-        pace: Percent at which harmful runs that fill may work.
         trust: Factor on the rise of tails that runs that fill may cause.
         trust_changed_at: When it was last changed.
         missed_since: Since when a tail target is missed.
@@ -201,7 +200,6 @@
     silent: bool = False
     suspended_until: float = -1e9
     failures: int = 0
-    pace: int = FULL_PACE_PERCENT
     trust: float = 1.0
     trust_changed_at: float = -1e9
     missed_since: float | None = None
@@ -232,7 +230,6 @@
         changes: Job records that changed while the owner loaded.
         loaded_progress: Progress records read at the takeover; None before.
         dirty: Jobs whose progress differs from the store's.
-        marks: Ends processed by worker when the commit in flight was made.
         committing: Whether a commit is in flight.
         commit_due: Whether a timer will start a commit.
         pass_due: Whether a timer will start tasks.
@@ -261,7 +258,6 @@
     workers: dict[str, Worker] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     dirty: dict[str, Job] = attrs.field(factory=dict)
-    marks: dict[str, int] = attrs.field(factory=dict)
     committing: bool = False
     commit_due: bool = False
     pass_due: bool = False
@@ -321,7 +317,6 @@
         taking: Partitions whose owner key is being written.
         fenced: Token by partition that workers refused.
         owners_following: Whether a call follows the owner keys.
-        store_ok_at: When the store last answered.
         store_down_at: Since when calls to the store fail; None if they work.
         jobs_loading: Whether the job records are being read.
         jobs_following: Whether a call follows the job records.
@@ -346,7 +341,6 @@
     taking: set[str] = attrs.field(factory=set)
     fenced: dict[str, int] = attrs.field(factory=dict)
     owners_following: bool = False
-    store_ok_at: float = -1e9
     store_down_at: float | None = None
     jobs_loading: bool = False
     jobs_following: bool = False
