Try: follow the load of serving tasks, learn harm as lost headroom

The old model learned a rise of the tail against a fixed base. Listings of a play without pacing show that the inverse of the tail is linear in the load and in the shares of harmful images, that a job's tasks share their load, which swings within 10 s, and that tails explode when more processors are ordered than there are. Ruled out: harm between serving images (fit: about zero); noise of readings (within 1 ms). Change: a step's headroom (target by tail) is followed with its slope; harms are learned per pair as lost headroom with a variance; the most harmful images are paced first; no more processors are ordered than serving tasks leave; serving images are kept together.

--- a/packages/core/src/sapphirestall_core/batch/holds.py
+++ b/packages/core/src/sapphirestall_core/batch/holds.py
@@ -129,7 +129,7 @@
             )
             passes.drop_run(worker, run)
     partition.unsettled.discard(worker.entry.worker_id)
-    batch.harm.learn(worker)
+    batch.harm.learn(worker, now)
     effects += pacing.adjust(partition, worker, batch.harm, now)
     if len(worker.runs) < before or listing.ended:
         effects += passes.plan(partition)
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -1,7 +1,7 @@
 """Pace of tasks that fill beside tasks that must keep a tail target.
 
 Readings lag by about half a second, so a pace is changed, its effect awaited,
-and changed again; it falls faster than it rises. Images that harm no serving
+and changed again; it falls faster than it losss. Images that harm no serving
 image of a worker keep their full pace there unless nothing else helps.
 """
 
@@ -15,12 +15,12 @@
 PART = "pacing"
 # Share of a target from which the expectation is taken as too good, and below
 # which it may be trusted more again.
-HIGH_SHARE = 0.95
-LOW_SHARE = 0.8
+HIGH_SHARE = 1.0
+LOW_SHARE = 0.85
 # Readings show the effect of a pace after this time, in seconds.
 SETTLE_S = 0.7
-TRUST_FALL = 0.6
-TRUST_RISE = 1.15
+TRUST_FALL = 0.7
+TRUST_RISE = 1.4
 LOWEST_TRUST = 0.05
 # A lower pace than this is not worth the memory that its runs hold.
 LOWEST_PERCENT = 8
@@ -66,32 +66,47 @@
 
 
 def choose_paces(
-    worker: state.Worker, harm: harm_module.Harm
+    worker: state.Worker, harm: harm_module.Harm, now: float
 ) -> dict[str, int]:
     """Returns the percent at which each image that fills may work."""
     paces: dict[str, int] = {}
-    images = {
-        run.task.step.image
-        for run in worker.runs.values()
-        if run.task.step.fills
-    }
-    budgets = (
-        harm.find_budgets(worker, harm_module.TARGET_SHARE) if images else {}
-    )
+    if not any(run.task.step.fills for run in worker.runs.values()):
+        return paces
+    budgets = harm.find_budgets(worker, now, harm_module.AHEAD_S)
     for serving, budget in budgets.items():
-        rise = harm.predict(worker, serving)
-        allowed = budget * worker.trust
-        if rise <= allowed:
-            continue
-        pace = int(state.FULL_PACE_PERCENT * allowed / rise)
-        if pace < LOWEST_PERCENT:
-            pace = 0
-        for image in images:
-            if harm.get_harm(serving, image) >= harm_module.HARMLESS:
-                paces[image] = min(pace, paces.get(image, pace))
+        losses = harm.predict(worker, serving)
+        excess = sum(losses.values()) - budget * worker.trust
+        # What harms most for the work that it does makes room first.
+        for image in sorted(losses, key=lambda i: -harm.get_harm(serving, i)):
+            if excess <= 0 or losses[image] <= 0:
+                break
+            cut = min(excess, losses[image])
+            excess -= cut
+            share = 1 - cut / losses[image]
+            pace = int(state.FULL_PACE_PERCENT * share)
+            if pace < LOWEST_PERCENT:
+                pace = 0
+            paces[image] = min(pace, paces.get(image, pace))
     return paces
 
 
+def find_common_pace(
+    worker: state.Worker, harm: harm_module.Harm, now: float
+) -> int:
+    """Returns the percent at which all that fills finds idle processors.
+
+    Tails grow beyond all bounds where work is ordered for more processors than
+    there are.
+    """
+    if not worker.filled_cpu or not worker.serving_cpu:
+        return state.FULL_PACE_PERCENT
+    others = worker.reserved.cpu_millis - worker.serving_cpu
+    serving = harm.find_serving_cpu(worker, now)
+    idle = worker.entry.capacity.cpu_millis - others - serving
+    share = max(0.0, idle / worker.filled_cpu)
+    return int(state.FULL_PACE_PERCENT * min(1.0, share))
+
+
 def adjust(
     partition: state.Partition,
     worker: state.Worker,
@@ -100,7 +115,8 @@
 ) -> dispatch.Effects:
     """Orders the pace that the newest readings call for."""
     update_trust(worker, now)
-    paces = choose_paces(worker, harm)
+    paces = choose_paces(worker, harm, now)
+    common = find_common_pace(worker, harm, now)
     missed = (
         worker.missed_since is not None and now - worker.missed_since > MISSED_S
     )
@@ -109,7 +125,7 @@
         step = run.task.step
         if not step.fills or run.phase is not state.RunPhase.RUNNING:
             continue
-        pace = paces.get(step.image, state.FULL_PACE_PERCENT)
+        pace = min(common, paces.get(step.image, state.FULL_PACE_PERCENT))
         if missed:
             # What was learned does not explain the tails.
             pace = min(pace, int(state.FULL_PACE_PERCENT * worker.trust))
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -12,8 +12,10 @@
 SERVING_IDLE_SHARE = 0.6
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
+# The headroom of serving tasks must last this long for a start, in seconds.
+PLACEMENT_AHEAD_S = 1.0
 # Harmless, moderate and strong harm are told apart by these bounds.
-HARM_BOUNDS = (harm_module.HARMLESS, 8.0)
+HARM_BOUNDS = (harm_module.HARMLESS, 6.0)
 
 
 def accepts(worker: state.Worker, service: str, now: float) -> bool:
@@ -93,7 +95,7 @@
     first = (failed, far, suspect)
     if step.tail_target_ms:
         reserved = worker.reserved.cpu_millis / capacity
-        return (*first, -serving, -reserved)
+        return (*first, count_other_servers(worker, step), -serving, -reserved)
     if not step.fills:
         return (*first, used)
     # Workers without serving tasks are left to what harms all others.
@@ -101,13 +103,25 @@
     return (*first, level, -float(serving > 0), used)
 
 
+def count_other_servers(worker: state.Worker, step: model.Step) -> int:
+    """Returns how many serving runs of other images a worker has."""
+    return sum(
+        1
+        for run in worker.runs.values()
+        if run.task.step.tail_target_ms and run.task.step.image != step.image
+    )
+
+
 def rank_harm(harm: float) -> int:
     """Returns a coarse level of harm, as readings are rough."""
     return sum(harm >= bound for bound in HARM_BOUNDS)
 
 
 def allows_harm(
-    worker: state.Worker, task: state.Task, harm: harm_module.Harm
+    worker: state.Worker,
+    task: state.Task,
+    harm: harm_module.Harm,
+    now: float,
 ) -> bool:
     """Tells whether a task that fills leaves the worker's tails in bounds."""
     image = task.step.image
@@ -115,13 +129,13 @@
         return True
     capacity = max(1, worker.entry.capacity.cpu_millis)
     share = task.step.amount.cpu_millis / capacity
-    budgets = harm.find_budgets(worker, harm_module.TARGET_SHARE)
+    budgets = harm.find_budgets(worker, now, PLACEMENT_AHEAD_S)
     for serving, budget in budgets.items():
         pair_harm = harm.get_harm(serving, image)
         if pair_harm < harm_module.HARMLESS:
             continue
-        rise = harm.predict(worker, serving) + pair_harm * share
-        if rise > budget * worker.trust:
+        loss = sum(harm.predict(worker, serving).values()) + pair_harm * share
+        if loss > budget * worker.trust:
             return False
     return True
 
@@ -145,7 +159,7 @@
     for worker in workers:
         if not accepts(worker, service, now) or not _fits(worker, task):
             continue
-        harmful = task.step.fills and not allows_harm(worker, task, harm)
+        harmful = task.step.fills and not allows_harm(worker, task, harm, now)
         if harmful and not starved:
             continue
         worker_rank = rank(worker, task, harm)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -8,6 +8,7 @@
 from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import trends
 from sapphirestall_core.batch import worker_messages
 
 FULL_PACE_PERCENT = 100
@@ -69,6 +70,8 @@
         paced_since: Since when the pace is low; None if it is not.
         percent: Progress last listed.
         reading: Tail latency in milliseconds or processors, as last listed.
+        overloaded: Whether a tail that grew far beyond its target has not
+            settled yet.
     """
 
     task: "Task"
@@ -85,6 +88,7 @@
     paced_since: float | None = None
     percent: int = 0
     reading: float = 0.0
+    overloaded: bool = False
 
 
 @attrs.define(slots=True, eq=False)
@@ -120,6 +124,9 @@
         done: Indexes of tasks that are done.
         waiting: Tasks that may start, by index.
         released: Whether all steps before this one are done.
+        headroom: Headroom of its tail target without tasks that fill beside it;
+            None before the first reading.
+        headroom_at: When that was last corrected.
     """
 
     step: model.Step
@@ -127,6 +134,8 @@
     done: set[int] = attrs.field(factory=set)
     waiting: dict[int, Task] = attrs.field(factory=dict)
     released: bool = False
+    headroom: trends.Trend | None = None
+    headroom_at: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -176,7 +185,8 @@
         silent: Whether the last call got no answer.
         suspended_until: No starts before this time.
         failures: Failed runs since the last one that was done.
-        trust: Factor on the rise of tails that runs that fill may cause.
+        learned_at: When its readings were last learned from.
+        trust: Factor on the headroom that runs that fill may cost.
         trust_changed_at: When it was last changed.
         missed_since: Since when a tail target is missed.
         missing_since: Since when the platform's list lacks the worker.
@@ -200,6 +210,7 @@
     silent: bool = False
     suspended_until: float = -1e9
     failures: int = 0
+    learned_at: float = -1e9
     trust: float = 1.0
     trust_changed_at: float = -1e9
     missed_since: float | None = None
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/trends.py
@@ -0,0 +1,82 @@
+"""A quantity that varies smoothly, followed through rough readings.
+
+The estimate holds a value, its slope and the covariance of both, as a Kalman
+filter with white acceleration does.
+"""
+
+import attrs
+
+# An estimate is not carried on along its slope for longer than this, in
+# seconds; what varies by turns has turned by then.
+LONGEST_STRETCH_S = 1.0
+
+
+@attrs.frozen(slots=True)
+class Trend:
+    """An estimate of a value and of its change.
+
+    Attributes:
+        slope: Change in a second.
+        variance: Variance of the value.
+        covariance: Covariance of value and slope.
+        slope_variance: Variance of the slope.
+    """
+
+    value: float
+    slope: float
+    variance: float
+    covariance: float
+    slope_variance: float
+
+
+def start(value: float, variance: float, slope_variance: float) -> Trend:
+    """Returns an estimate without a known slope."""
+    return Trend(value, 0.0, variance, 0.0, slope_variance)
+
+
+def advance(trend: Trend, elapsed_s: float, acceleration: float) -> Trend:
+    """Returns the estimate after a time without readings.
+
+    Args:
+        trend: The estimate before.
+        elapsed_s: Time since then, in seconds.
+        acceleration: Variance by which the slope changes in a second.
+    """
+    stretch_s = min(elapsed_s, LONGEST_STRETCH_S)
+    variance = (
+        trend.variance
+        + 2 * stretch_s * trend.covariance
+        + stretch_s**2 * trend.slope_variance
+        + acceleration * stretch_s**3 / 3
+    )
+    covariance = (
+        trend.covariance
+        + stretch_s * trend.slope_variance
+        + acceleration * stretch_s**2 / 2
+    )
+    return Trend(
+        trend.value + trend.slope * stretch_s,
+        trend.slope if elapsed_s <= LONGEST_STRETCH_S else 0.0,
+        variance,
+        covariance,
+        trend.slope_variance + acceleration * stretch_s,
+    )
+
+
+def correct(trend: Trend, error: float, variance: float) -> Trend:
+    """Returns the estimate after a reading.
+
+    Args:
+        trend: The estimate for the time of the reading.
+        error: Reading less the estimate.
+        variance: Variance of that error, that of the estimate included.
+    """
+    gain = trend.variance / variance
+    slope_gain = trend.covariance / variance
+    return Trend(
+        trend.value + gain * error,
+        trend.slope + slope_gain * error,
+        trend.variance * (1 - gain),
+        trend.covariance * (1 - gain),
+        trend.slope_variance - slope_gain * trend.covariance,
+    )
