Route work that fills by the room its images have; share learned harm

Cause: jobs of harmful images waited in data centres whose serving tasks they harm, while others had room; each owner learned all harms anew. Ruled out: lack of processors (idle: about 540 of 900, work that fills uses 210). Change: owners publish for each image the processors it may still use, and the harms they know; the accepting instance chooses by both. The idle share of serving tasks comes from their followed load instead of a constant. The scenarios of harm move to a feature of their own.

--- /dev/null
+++ b/features/builders.py
@@ -0,0 +1,91 @@
+"""Builders of the batch side's state for the steps of several features."""
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import instance
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
+from sapphirestall_core.batch import worker_messages
+
+OWN, OTHER = "north", "south"
+NOW = 1000.0
+CORE_MILLIS = 1000
+TAIL_TARGET_MS = 18
+BASE_MS = 8.0
+
+
+def make_queue(priority):
+    name = f"priority-{priority}"
+    return model.Queue(
+        name, "host", f"/{name}/", "service", priority, 3, 2.0, 1.0
+    )
+
+
+def make_step(count, **fields):
+    amount = resources.Vector(CORE_MILLIS, 100, 0)
+    return model.Step(count, amount, estimate_s=1.0, **fields)
+
+
+def make_worker(name, cores):
+    entry = model.WorkerEntry(
+        name,
+        1,
+        "service",
+        f"{name}:1",
+        OWN,
+        resources.Vector(cores * CORE_MILLIS, 64_000, 0),
+        ("a", "r1"),
+        False,
+    )
+    target = worker_messages.Target(name, 1, f"{name}:1")
+    worker = state.Worker(entry, target, clock_ms=1000, clock_at=NOW)
+    worker.contact_at = NOW
+    worker.listed = True
+    return worker
+
+
+def make_partition(context, *workers):
+    identity = state.Identity("e-1", "1", OWN, (OWN, OTHER))
+    context.batch = instance.build(identity)
+    context.batch.configuration = model.Configuration(
+        1, (make_queue(0), make_queue(2))
+    )
+    partition = state.Partition(OWN, 1, NOW - 500, state.Phase.ACTIVE, 1)
+    partition.roster = frozenset(w.entry.worker_id for w in workers)
+    partition.workers = {w.entry.worker_id: w for w in workers}
+    context.batch.partitions[OWN] = partition
+    context.partition = partition
+
+
+def add_job(context, number, priority, age_s, *steps):
+    record = records.JobRecord(
+        f"{number:016x}",
+        make_queue(priority),
+        OWN,
+        model.JobState.ACCEPTED,
+        "x",
+        steps,
+        accepted_ms=int((NOW - age_s) * 1000),
+    )
+    loaded = state.LoadedJob(record, number + 10, number + 10)
+    takeover.see_job(context.batch, context.partition, loaded, NOW)
+    return context.partition.jobs[record.job_id]
+
+
+def add_run(worker, step, image_pace=100):
+    record = records.JobRecord(
+        f"{len(worker.runs):016x}",
+        make_queue(2),
+        OWN,
+        model.JobState.ACCEPTED,
+    )
+    job = state.Job(record, make_queue(2), 1, 1, [state.StepState(step, {})])
+    task = state.Task(job, model.TaskName(record.job_id, 0, 0, 0), step)
+    run = state.Run(
+        task, worker.entry.worker_id, 1, state.RunPhase.RUNNING, NOW, 0
+    )
+    run.pace = image_pace
+    passes.reserve(worker, run)
+    return run
--- /dev/null
+++ b/features/steps/batch_harm_steps.py
@@ -0,0 +1,419 @@
+"""Steps for batch_harm.feature."""
+
+import math
+
+import behave
+
+from features import builders
+from sapphirestall_core import messages
+from sapphirestall_core import resources
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import balance
+from sapphirestall_core.batch import commits
+from sapphirestall_core.batch import harm as harm_module
+from sapphirestall_core.batch import instance
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import pacing
+from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import records
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import worker_messages
+
+# Headroom of the serving tasks by themselves, and its loss to image "loud".
+BASE_HEADROOM = 2.25
+LOUD_HARM = 9.0
+WORKER_MILLIS = 32_000
+# Time between the listings of a worker, in seconds.
+LISTING_S = 0.4
+
+
+def find_tail(headroom, loud_cpu):
+    """Returns the tail beside a use of processors by image "loud"."""
+    left = headroom - LOUD_HARM * loud_cpu / WORKER_MILLIS
+    return builders.TAIL_TARGET_MS / max(0.1, left)
+
+
+def set_harm(context, serving, filling, value):
+    pair = harm_module.Pair(serving, filling)
+    context.batch.harm.harms[pair] = harm_module.Estimate(value, 0.2)
+
+
+def count_started(job):
+    return sum(
+        task.run is not None
+        for step in job.steps
+        for task in step.open.values()
+    )
+
+
+@behave.given(
+    'the tails of a serving task rise with image "loud", not with "calm"'
+)
+def step(context):
+    builders.make_partition(context, builders.make_worker("w-1", 32))
+    worker = context.partition.workers["w-1"]
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    context.serving = builders.add_run(worker, serving)
+    context.loud = builders.add_run(
+        worker, builders.make_step(1, fills=True, image="loud")
+    )
+    context.calm = builders.add_run(
+        worker, builders.make_step(1, fills=True, image="calm")
+    )
+
+
+@behave.when("the owner has seen {count:d} listings")
+def step(context, count):
+    worker = context.partition.workers["w-1"]
+    context.harm = harm_module.Harm()
+    for number in range(count):
+        loud_cpu = 3200.0 * (number % 2)
+        calm_cpu = 3200.0 * (number // 2 % 2)
+        context.loud.reading = loud_cpu
+        context.calm.reading = calm_cpu
+        context.serving.reading = find_tail(BASE_HEADROOM, loud_cpu)
+        context.harm.learn(worker, builders.NOW + 0.4 * number)
+
+
+@behave.then('image "loud" is harmful and "calm" is harmless')
+def step(context):
+    loud = context.harm.get_harm("served", "loud")
+    calm = context.harm.get_harm("served", "calm")
+    assert loud >= harm_module.HARMLESS, context.harm
+    assert calm < harm_module.HARMLESS, context.harm
+
+
+@behave.then('only runs of image "loud" are paced while the tail is high')
+def step(context):
+    worker = context.partition.workers["w-1"]
+    for _ in range(5):
+        step = builders.make_step(1, fills=True, image="loud")
+        builders.add_run(worker, step)
+    context.serving.reading = builders.TAIL_TARGET_MS * 1.5
+    now = builders.NOW + 20
+    effects = pacing.adjust(context.partition, worker, context.harm, now)
+    paced = {
+        effect.task.job_id
+        for effect in effects
+        if isinstance(effect, worker_messages.PaceRun)
+    }
+    assert context.loud.task.name.job_id in paced
+    assert context.calm.task.name.job_id not in paced
+
+
+@behave.given("two workers, one of which has a serving task")
+def step(context):
+    workers = builders.make_worker("w-1", 32), builders.make_worker("w-2", 32)
+    builders.make_partition(context, *workers)
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    builders.add_run(workers[1], serving)
+
+
+def choose(context, step):
+    job = builders.add_job(context, 99, 2, 0, step)
+    chosen = placement.choose_worker(
+        job.steps[0].open[0],
+        context.partition.workers.values(),
+        "service",
+        context.batch.harm,
+        builders.NOW,
+    )
+    context.partition.jobs.clear()
+    return chosen.entry.worker_id
+
+
+@behave.then("another serving task goes to the worker with one")
+def step(context):
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    assert choose(context, serving) == "w-2"
+
+
+@behave.then("a task of an unknown image goes to the worker without")
+def step(context):
+    pair = harm_module.Pair("served", "new")
+    assert pair not in context.batch.harm.harms
+    assert (
+        choose(context, builders.make_step(1, fills=True, image="new")) == "w-1"
+    )
+
+
+@behave.given('image "loud" harms "soft" servers but not "hard" ones')
+def step(context):
+    workers = builders.make_worker("w-1", 32), builders.make_worker("w-2", 32)
+    builders.make_partition(context, *workers)
+    for worker, image in zip(workers, ("soft", "hard"), strict=True):
+        serving = builders.make_step(
+            1, tail_target_ms=builders.TAIL_TARGET_MS, image=image
+        )
+        builders.add_run(worker, serving)
+    set_harm(context, "soft", "loud", LOUD_HARM)
+    set_harm(context, "hard", "loud", 0.0)
+
+
+@behave.then('tasks of image "loud" go beside "hard" servers')
+def step(context):
+    task = builders.make_step(1, fills=True, image="loud")
+    assert choose(context, task) == "w-2"
+
+
+@behave.given('five runs of image "loud" beside "soft" servers')
+def step(context):
+    worker = context.partition.workers["w-1"]
+    for _ in range(5):
+        step = builders.make_step(
+            1, fills=True, image="loud", checkpointing=True
+        )
+        builders.add_run(worker, step)
+    context.worker = worker
+
+
+@behave.when("the owner has adjusted the pace for {seconds:g} s")
+def step(context, seconds):
+    context.worker.trust = 0.2
+    context.stops = []
+    now = builders.NOW
+    while now < builders.NOW + seconds:
+        now += 0.5
+        effects = pacing.adjust(
+            context.partition, context.worker, context.batch.harm, now
+        )
+        stops = [
+            effect
+            for effect in effects
+            if isinstance(effect, worker_messages.StopRun)
+        ]
+        context.stops.append(len(stops))
+        context.worker.trust = 0.2
+
+
+@behave.then("one of these runs is stopped at a time")
+def step(context):
+    assert sum(context.stops) >= 2, context.stops
+    assert max(context.stops) == 1, context.stops
+
+
+@behave.given('only the worker with "soft" servers is left')
+def step(context):
+    context.partition.workers.pop("w-2")
+
+
+@behave.when('a large job of image "loud" waits for {seconds:g} s')
+def step(context, seconds):
+    amount = resources.Vector(8 * builders.CORE_MILLIS, 100, 0)
+    large = model.Step(
+        3, amount, estimate_s=1.0, fills=True, image="loud", checkpointing=True
+    )
+    context.job = builders.add_job(context, 9, 2, 0, large)
+    now = builders.NOW
+    while now <= builders.NOW + seconds:
+        timer = messages.TimerFired(passes.PassDue(builders.OWN))
+        instance.handle(timer, context.batch, now)
+        now += 0.25
+
+
+@behave.then("one of its tasks has started, and the owner lets it run")
+def step(context):
+    assert count_started(context.job) == 1
+    worker = context.partition.workers["w-1"]
+    for run in worker.runs.values():
+        run.phase = state.RunPhase.RUNNING
+    for number in range(20):
+        effects = pacing.adjust(
+            context.partition, worker, context.batch.harm, builders.NOW + number
+        )
+        assert not any(
+            isinstance(effect, worker_messages.StopRun) for effect in effects
+        )
+
+
+@behave.given("a serving task whose load swings within {period_s:g} s")
+def step(context, period_s):
+    builders.make_partition(context, builders.make_worker("w-1", 32))
+    context.worker = context.partition.workers["w-1"]
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    context.serving = builders.add_run(context.worker, serving)
+    context.period_s = period_s
+    set_harm(context, "served", "loud", LOUD_HARM)
+
+
+@behave.given('six runs of image "loud" beside it')
+def step(context):
+    for _ in range(6):
+        run = builders.add_run(
+            context.worker, builders.make_step(1, fills=True, image="loud")
+        )
+        # Too far to be stopped for another place, as nothing would be saved.
+        run.percent = 50
+
+
+@behave.when("the owner adjusts the pace for {seconds:g} s")
+def step(context, seconds):
+    context.missed = context.looks = 0
+    context.done_millis = 0.0
+    now = builders.NOW
+    while now < builders.NOW + seconds:
+        now += LISTING_S
+        # Readings show the time that lies a listing back.
+        angle = 2 * math.pi * (now - LISTING_S) / context.period_s
+        headroom = 2.6 + 0.9 * math.sin(angle)
+        loud_cpu = 0.0
+        for run in context.worker.runs.values():
+            if run.task.step.fills:
+                run.reading = run.pace / 100 * builders.CORE_MILLIS
+                loud_cpu += run.reading
+        context.serving.reading = find_tail(headroom, loud_cpu)
+        context.batch.harm.learn(context.worker, now)
+        pacing.adjust(
+            context.partition, context.worker, context.batch.harm, now
+        )
+        context.looks += 1
+        context.missed += context.serving.reading >= builders.TAIL_TARGET_MS
+        context.done_millis += loud_cpu
+
+
+@behave.then("the tail is over its target in less than {share:d} of 100 looks")
+def step(context, share):
+    assert context.missed / context.looks < share / 100, context.missed
+
+
+@behave.then("the runs have worked at more than {share:d} of 100 of their pace")
+def step(context, share):
+    most = 6 * builders.CORE_MILLIS * context.looks
+    assert context.done_millis / most > share / 100, context.done_millis / most
+
+
+@behave.given("a worker whose serving tasks use half of their processors")
+def step(context):
+    builders.make_partition(context, builders.make_worker("w-1", 32))
+    context.worker = context.partition.workers["w-1"]
+    amount = resources.Vector(24 * builders.CORE_MILLIS, 100, 0)
+    serving = model.Step(
+        1, amount, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    context.serving = builders.add_run(context.worker, serving)
+    # Half of the headroom that a serving task has without load.
+    headroom = harm_module.FIRST_IDLE_HEADROOM / 2
+    context.serving.reading = builders.TAIL_TARGET_MS / headroom
+
+
+@behave.given("runs of harmless images that ask for {cores:d} processors")
+def step(context, cores):
+    set_harm(context, "served", "calm", 0.0)
+    amount = resources.Vector(cores // 4 * builders.CORE_MILLIS, 100, 0)
+    for _ in range(4):
+        step = model.Step(1, amount, fills=True, image="calm")
+        builders.add_run(context.worker, step)
+
+
+@behave.when("the owner adjusts the pace")
+def step(context):
+    harm = context.batch.harm
+    for number in range(10):
+        now = builders.NOW + number
+        harm.learn(context.worker, now)
+        pacing.adjust(context.partition, context.worker, harm, now)
+
+
+@behave.then("the runs are paced to {percent:d} percent")
+def step(context, percent):
+    paces = {
+        run.pace for run in context.worker.runs.values() if run.task.step.fills
+    }
+    assert all(abs(pace - percent) <= 5 for pace in paces), paces
+
+
+@behave.given('two workers, one with "soft" and one with "hard" servers')
+def step(context):
+    workers = builders.make_worker("w-1", 32), builders.make_worker("w-2", 32)
+    builders.make_partition(context, *workers)
+    for worker, image in zip(workers, ("soft", "hard"), strict=True):
+        builders.add_run(
+            worker,
+            builders.make_step(
+                1, tail_target_ms=builders.TAIL_TARGET_MS, image=image
+            ),
+        )
+
+
+@behave.then('another "{image}" server goes beside the one of its image')
+def step(context, image):
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image=image
+    )
+    expected = {"soft": "w-1", "hard": "w-2"}[image]
+    assert choose(context, serving) == expected
+
+
+@behave.given('runs of images "loud" and "calm" beside a serving task')
+def step(context):
+    builders.make_partition(context, builders.make_worker("w-1", 32))
+    context.worker = context.partition.workers["w-1"]
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    context.serving = builders.add_run(context.worker, serving)
+    set_harm(context, "served", "loud", LOUD_HARM)
+    set_harm(context, "served", "calm", 1.0)
+    context.runs = {}
+    for image in ("loud", "calm"):
+        context.runs[image] = [
+            builders.add_run(
+                context.worker, builders.make_step(1, fills=True, image=image)
+            )
+            for _ in range(4)
+        ]
+
+
+@behave.when("the headroom of the serving task falls to {headroom:g}")
+def step(context, headroom):
+    context.serving.reading = builders.TAIL_TARGET_MS / headroom
+    harm = context.batch.harm
+    for number in range(4):
+        now = builders.NOW + number
+        harm.learn(context.worker, now)
+        pacing.adjust(context.partition, context.worker, harm, now)
+
+
+@behave.then('image "loud" is paced and "calm" works at its full pace')
+def step(context):
+    assert all(run.pace < 100 for run in context.runs["loud"])
+    assert all(run.pace == 100 for run in context.runs["calm"])
+
+
+@behave.given(
+    'an owner that has learned that image "loud" harms "soft" servers'
+)
+def step(context):
+    builders.make_partition(context, builders.make_worker("w-1", 32))
+    set_harm(context, "soft", "loud", LOUD_HARM)
+    context.summary = commits.make_summary(
+        context.partition, context.batch.harm, builders.NOW
+    )
+
+
+@behave.when("another instance reads its summary")
+def step(context):
+    identity = state.Identity("e-2", "1", builders.OWN, (builders.OWN,))
+    context.reader = instance.build(identity)
+    key = records.name_summary_key(builders.OWN)
+    found = store_messages.Found(key, context.summary, 0, 5, 5)
+    reply = store_messages.StoreReply(
+        balance.SummaryRead(),
+        store_messages.Listed((found,), 9),
+        builders.NOW,
+    )
+    instance.handle(reply, context.reader, builders.NOW)
+
+
+@behave.then("that instance expects the same harm")
+def step(context):
+    assert context.reader.harm.get_harm("soft", "loud") == LOUD_HARM
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -26,6 +26,8 @@
 # Another data centre is taken for work that fills only if it has this much
 # less load; the own one is nearer.
 LOAD_ADVANTAGE = 0.15
+# Less room than this, in thousandths of a processor, is taken as this.
+LEAST_ROOM_MILLIS = 500
 # Jobs moved in one look at the summaries, which lag.
 MOVES_LIMIT = 3
 
@@ -107,20 +109,40 @@
         return own
     widest = max(steps, key=lambda step: step.count * step.amount.cpu_millis)
     if widest.fills:
-        chosen = _choose_least_loaded(fresh, own)
+        chosen = _choose_least_loaded(fresh, own, steps)
     else:
         chosen = _choose_roomiest(fresh, own, widest)
     _expect(batch, chosen, steps)
     return chosen
 
 
+def find_fill_load(
+    summary: records.SummaryRecord, steps: tuple[model.Step, ...]
+) -> float:
+    """Returns the load of a partition for a job of steps that fill.
+
+    It is that of all such work, or what the job asks for as a share of what
+    its images may still use, whichever is higher.
+    """
+    load = summary.fill_load
+    for step in steps:
+        room = summary.fill_rooms.get(step.image)
+        if room is not None and step.fills:
+            asked = step.count * step.amount.cpu_millis
+            load = max(load, asked / max(room, LEAST_ROOM_MILLIS))
+    return load
+
+
 def _choose_least_loaded(
-    fresh: dict[str, records.SummaryRecord], own: str
+    fresh: dict[str, records.SummaryRecord],
+    own: str,
+    steps: tuple[model.Step, ...],
 ) -> str:
-    least = min(fresh, key=lambda name: fresh[name].fill_load)
-    if own not in fresh:
-        return least
-    if fresh[own].fill_load - fresh[least].fill_load > LOAD_ADVANTAGE:
+    loads = {
+        name: find_fill_load(summary, steps) for name, summary in fresh.items()
+    }
+    least = min(loads, key=lambda name: loads[name])
+    if own not in loads or loads[own] - loads[least] > LOAD_ADVANTAGE:
         return least
     return own
 
@@ -146,7 +168,15 @@
         asked = first.count * first.amount.cpu_millis
         room = sum(room.cpu_millis for room in summary.rooms)
         load = summary.fill_load + asked / max(asked, room, 1)
-        batch.summaries[name] = attrs.evolve(summary, fill_load=load)
+        fill_rooms = dict(summary.fill_rooms)
+        for step in steps:
+            if step.image in fill_rooms:
+                left = fill_rooms[step.image]
+                left -= step.count * step.amount.cpu_millis
+                fill_rooms[step.image] = max(0, left)
+        batch.summaries[name] = attrs.evolve(
+            summary, fill_load=load, fill_rooms=fill_rooms
+        )
         return
     rooms = list(summary.rooms)
     for _ in range(first.count):
@@ -264,8 +294,13 @@
     if own is None or not others:
         return None
     if step.fills:
-        best = min(others, key=lambda name: others[name].fill_load)
-        if own.fill_load - others[best].fill_load <= LOAD_ADVANTAGE:
+        steps = job.record.steps
+        loads = {
+            name: find_fill_load(summary, steps)
+            for name, summary in others.items()
+        }
+        best = min(loads, key=lambda name: loads[name])
+        if find_fill_load(own, steps) - loads[best] <= LOAD_ADVANTAGE:
             return None
     else:
         best = max(
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -9,10 +9,12 @@
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import rooms
 from sapphirestall_core.batch import state
 
 PART = "commits"
@@ -344,7 +346,7 @@
         return []
     if now < partition.summary_at + SUMMARY_INTERVAL_S:
         return []
-    summary = make_summary(partition, now)
+    summary = make_summary(partition, batch.harm, now)
     unchanged = summary == partition.summary
     if unchanged and now < partition.summary_at + SUMMARY_HEARTBEAT_S:
         return []
@@ -362,7 +364,7 @@
 
 
 def make_summary(
-    partition: state.Partition, now: float
+    partition: state.Partition, harm: harm_module.Harm, now: float
 ) -> records.SummaryRecord:
     """Returns what the owner publishes of its partition."""
     pending: dict[str, list[str]] = {}
@@ -390,10 +392,12 @@
     return records.SummaryRecord(
         {name: tuple(ids) for name, ids in pending.items()},
         round(filling / max(1, idle), 2),
+        rooms.find_fill_rooms(usable, harm, now),
         tuple(
             records.Room(room.cpu_millis, room.memory_mb)
             for room in free[:ROOMS_PUBLISHED]
         ),
+        rooms.list_harms(harm),
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -40,6 +40,10 @@
 # Variance by which the slope of a headroom changes in a second, as the load
 # varies.
 LOAD_ACCELERATION = 0.4
+# The headroom of serving tasks must last this long for a start, in seconds.
+PLACEMENT_AHEAD_S = 1.0
+# A harm below this is taken as this, as it is not known more exactly.
+LEAST_HARM = 0.3
 # An order shows its effect after this time, in seconds.
 AHEAD_S = 0.6
 # Growth of the variance of a harm with each observation.
@@ -186,17 +190,20 @@
             budgets[image] = min(budget, budgets.get(image, budget))
         return budgets
 
-    def find_serving_cpu(self, worker: state.Worker, now: float) -> int:
-        """Returns the processors that serving runs use, in thousandths."""
+    def find_serving_load(self, worker: state.Worker, now: float) -> float:
+        """Returns the share of their processors that serving runs use."""
         used = 0.0
+        asked = 0
         for runs in group_serving(worker):
             step = find_step(runs[0])
             idle = self.idle.get(step.step.image, FIRST_IDLE_HEADROOM)
             own = expect_headroom(step, now)
             value = own.value + min(0.0, own.slope) * AHEAD_S
             load = min(1.0, max(LEAST_LOAD, 1 - value / idle))
-            used += load * len(runs) * step.step.amount.cpu_millis
-        return int(used)
+            cpu_millis = len(runs) * step.step.amount.cpu_millis
+            asked += cpu_millis
+            used += load * cpu_millis
+        return used / asked if asked else 0.0
 
     def predict(self, worker: state.Worker, serving: str) -> dict[str, float]:
         """Returns the headroom that each image costs at full pace."""
@@ -211,6 +218,26 @@
             losses[step.image] = losses.get(step.image, 0.0) + loss
         return losses
 
+    def find_slacks(self, worker: state.Worker, now: float) -> dict[str, float]:
+        """Returns the headroom that further work may cost, by serving image."""
+        return {
+            serving: budget * worker.trust
+            - sum(self.predict(worker, serving).values())
+            for serving, budget in self.find_budgets(
+                worker, now, PLACEMENT_AHEAD_S
+            ).items()
+        }
+
+    def find_room(
+        self, worker: state.Worker, slacks: dict[str, float], filling: str
+    ) -> int:
+        """Returns the processors that an image may use, in thousandths."""
+        share = 1.0
+        for serving, slack in slacks.items():
+            harm = max(self.get_harm(serving, filling), LEAST_HARM)
+            share = min(share, max(0.0, slack) / harm)
+        return int(share * worker.entry.capacity.cpu_millis)
+
 
 def find_step(run: state.Run) -> state.StepState:
     """Returns the step that a run belongs to."""
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -13,6 +13,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import rooms
 from sapphirestall_core.batch import state
 
 PART = "intake"
@@ -410,6 +411,7 @@
         if isinstance(found.value, records.SummaryRecord):
             name = found.key.removeprefix(records.SUMMARIES)
             batch.summaries[name] = found.value
+            rooms.take_harms(batch.harm, found.value.harms)
             known = batch.summary_changes.get(name)
             if known is None or known[0] != found.revision:
                 batch.summary_changes[name] = (found.revision, now)
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import orders
+from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_messages
 
@@ -90,9 +91,7 @@
     return paces
 
 
-def find_common_pace(
-    worker: state.Worker, harm: harm_module.Harm, now: float
-) -> int:
+def find_common_pace(worker: state.Worker) -> int:
     """Returns the percent at which all that fills finds idle processors.
 
     Tails grow beyond all bounds where work is ordered for more processors than
@@ -100,9 +99,7 @@
     """
     if not worker.filled_cpu or not worker.serving_cpu:
         return state.FULL_PACE_PERCENT
-    others = worker.reserved.cpu_millis - worker.serving_cpu
-    serving = harm.find_serving_cpu(worker, now)
-    idle = worker.entry.capacity.cpu_millis - others - serving
+    idle = placement.find_idle_cpu(worker)
     share = max(0.0, idle / worker.filled_cpu)
     return int(state.FULL_PACE_PERCENT * min(1.0, share))
 
@@ -115,8 +112,9 @@
 ) -> dispatch.Effects:
     """Orders the pace that the newest readings call for."""
     update_trust(worker, now)
+    worker.serving_load = harm.find_serving_load(worker, now)
     paces = choose_paces(worker, harm, now)
-    common = find_common_pace(worker, harm, now)
+    common = find_common_pace(worker)
     missed = (
         worker.missed_since is not None and now - worker.missed_since > MISSED_S
     )
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -7,13 +7,8 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import state
 
-# A task that serves users holds its processors for load peaks; tasks that fill
-# may count on this share of them.
-SERVING_IDLE_SHARE = 0.6
 # No start on a worker whose last answer is older than this.
 CONTACT_LIMIT_S = 3.0
-# The headroom of serving tasks must last this long for a start, in seconds.
-PLACEMENT_AHEAD_S = 1.0
 # Harmless, moderate and strong harm are told apart by these bounds.
 HARM_BOUNDS = (harm_module.HARMLESS, 6.0)
 
@@ -40,7 +35,7 @@
 def find_idle_cpu(worker: state.Worker) -> int:
     """Returns the processors that tasks that fill can expect to use."""
     free = worker.entry.capacity.cpu_millis - worker.reserved.cpu_millis
-    return free + int(worker.serving_cpu * SERVING_IDLE_SHARE)
+    return free + int(worker.serving_cpu * (1 - worker.serving_load))
 
 
 def find_room(worker: state.Worker, step: model.Step) -> resources.Vector:
@@ -124,20 +119,9 @@
     now: float,
 ) -> bool:
     """Tells whether a task that fills leaves the worker's tails in bounds."""
-    image = task.step.image
-    if harm.find_harm(worker, image) < harm_module.HARMLESS:
-        return True
-    capacity = max(1, worker.entry.capacity.cpu_millis)
-    share = task.step.amount.cpu_millis / capacity
-    budgets = harm.find_budgets(worker, now, PLACEMENT_AHEAD_S)
-    for serving, budget in budgets.items():
-        pair_harm = harm.get_harm(serving, image)
-        if pair_harm < harm_module.HARMLESS:
-            continue
-        loss = sum(harm.predict(worker, serving).values()) + pair_harm * share
-        if loss > budget * worker.trust:
-            return False
-    return True
+    slacks = harm.find_slacks(worker, now)
+    room = harm.find_room(worker, slacks, task.step.image)
+    return task.step.amount.cpu_millis <= room
 
 
 def choose_worker(
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -100,6 +100,19 @@
     memory_mb: int
 
 
+@attrs.frozen(slots=True)
+class KnownHarm:
+    """Headroom that a serving image loses to one that fills beside it.
+
+    Attributes:
+        loss: Loss if the image that fills uses all processors of a worker.
+    """
+
+    serving: str
+    filling: str
+    loss: float
+
+
 @attrs.frozen(slots=True)
 class SummaryRecord:
     """What an owner publishes of its partition.
@@ -108,12 +121,17 @@
         pending: Ids of accepted jobs of which no task has started, by queue.
         fill_load: Processors that all unfinished tasks that fill ask for, as a
             share of those that other tasks leave unused.
+        fill_rooms: Processors, in thousandths, that each known image which
+            fills could still use without too much harm.
         rooms: Room of the workers that have most.
+        harms: What the owner has learned of images, for other owners.
     """
 
     pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     fill_load: float = 0.0
+    fill_rooms: dict[str, int] = attrs.field(factory=dict)
     rooms: tuple[Room, ...] = ()
+    harms: tuple[KnownHarm, ...] = ()
 
 
 def name_job_key(job_id: str) -> str:
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -12,6 +12,8 @@
 from sapphirestall_core.batch import worker_messages
 
 FULL_PACE_PERCENT = 100
+# Share of their processors that serving tasks use, before it is known.
+FIRST_SERVING_LOAD = 0.4
 
 
 @attrs.frozen
@@ -178,6 +180,7 @@
         reserved: Processors and memory of runs; of runs that fill, memory.
         filled_cpu: Processors that runs that fill ask for, in thousandths.
         serving_cpu: Processors reserved by runs with a tail target.
+        serving_load: Share of these that such runs use.
         runs: Runs that may exist on the worker, by task and number.
         orphans: Listed runs that belong to no task that wants them.
         listed: Whether the worker told this owner what runs there.
@@ -203,6 +206,7 @@
     reserved: resources.Vector = attrs.field(factory=resources.Vector)
     filled_cpu: int = 0
     serving_cpu: int = 0
+    serving_load: float = FIRST_SERVING_LOAD
     runs: dict[tuple[model.TaskName, int], Run] = attrs.field(factory=dict)
     orphans: set[tuple[model.TaskName, int]] = attrs.field(factory=set)
     listed: bool = False
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -9,6 +9,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import holds
@@ -85,6 +86,8 @@
     return [
         *_load(batch, partition),
         *workers.read_entries(batch),
+        # Former owners tell there what they have learned of images.
+        *balance.read_summaries(batch),
     ]
 
 
