Let harmful images leave their room to harmless ones

Cause: a paced run counted with all that it would cost at full pace, so that no further work was placed beside it, though the harmful run is paced first. Change: an image's room counts only the loss to images that harm no more.

--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -218,24 +218,28 @@
             losses[step.image] = losses.get(step.image, 0.0) + loss
         return losses
 
-    def find_slacks(self, worker: state.Worker, now: float) -> dict[str, float]:
-        """Returns the headroom that further work may cost, by serving image."""
-        return {
-            serving: budget * worker.trust
-            - sum(self.predict(worker, serving).values())
-            for serving, budget in self.find_budgets(
-                worker, now, PLACEMENT_AHEAD_S
-            ).items()
-        }
-
     def find_room(
-        self, worker: state.Worker, slacks: dict[str, float], filling: str
+        self, worker: state.Worker, budgets: dict[str, float], filling: str
     ) -> int:
-        """Returns the processors that an image may use, in thousandths."""
+        """Returns the processors that an image may use, in thousandths.
+
+        Images that harm more leave their room to it, as they are paced first.
+
+        Args:
+            worker: The worker.
+            budgets: Headroom that may be lost, by serving image.
+            filling: The image.
+        """
         share = 1.0
-        for serving, slack in slacks.items():
+        for serving, budget in budgets.items():
             harm = max(self.get_harm(serving, filling), LEAST_HARM)
-            share = min(share, max(0.0, slack) / harm)
+            taken = sum(
+                loss
+                for image, loss in self.predict(worker, serving).items()
+                if self.get_harm(serving, image) <= harm
+            )
+            slack = max(0.0, budget * worker.trust - taken)
+            share = min(share, slack / harm)
         return int(share * worker.entry.capacity.cpu_millis)
 
 
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -119,8 +119,8 @@
     now: float,
 ) -> bool:
     """Tells whether a task that fills leaves the worker's tails in bounds."""
-    slacks = harm.find_slacks(worker, now)
-    room = harm.find_room(worker, slacks, task.step.image)
+    budgets = harm.find_budgets(worker, now, harm_module.PLACEMENT_AHEAD_S)
+    room = harm.find_room(worker, budgets, task.step.image)
     return task.step.amount.cpu_millis <= room
 
 
--- a/packages/core/src/sapphirestall_core/batch/rooms.py
+++ b/packages/core/src/sapphirestall_core/batch/rooms.py
@@ -32,9 +32,9 @@
         idle = placement.find_idle_cpu(worker) - worker.filled_cpu
         if idle <= 0:
             continue
-        slacks = harm.find_slacks(worker, now)
+        budgets = harm.find_budgets(worker, now, harm_module.PLACEMENT_AHEAD_S)
         for image in images:
-            found[image] += min(idle, harm.find_room(worker, slacks, image))
+            found[image] += min(idle, harm.find_room(worker, budgets, image))
     return {
         image: room // ROUNDING_MILLIS * ROUNDING_MILLIS
         for image, room in found.items()
