Keep a moved job at rest until its move is known to have ended

A write that moved a job got no answer while the store was away; a read of all records showed the job unchanged, which let the old owner start it; then the repeated write landed and the new owner started it as well. Change: only a newer record, or the read after the move's own conflict, ends the rest.

--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -46,3 +46,11 @@
     When a move of a waiting job meets a conflict
     And the job's record is read at the second attempt
     Then the job may start
+
+  Scenario: A job rests while it is unknown whether it was moved
+    Guards against a task that two owners run: a read of the unchanged record
+    let the old owner start it, and then the write that moved it landed.
+    Given an active owner and a worker that it has just called
+    When a move of a waiting job gets no answer
+    And all job records are read and show the job unchanged
+    Then the job rests
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -229,3 +229,23 @@
 @behave.then("the job may start")
 def step(context):
     assert not context.partition.jobs[JOB].moving
+
+
+@behave.when("a move of a waiting job gets no answer")
+def step(context):
+    job = context.partition.jobs[JOB]
+    job.moving = True
+    loaded = state.LoadedJob(job.record, job.revision, job.created)
+    lost = store_messages.Unavailable(True, "lost")
+    reply(context, balance.Move(SITE, TOKEN, loaded), lost)
+
+
+@behave.when("all job records are read and show the job unchanged")
+def step(context):
+    found = make_found(context.partition.jobs[JOB].revision)
+    reply(context, takeover.JobsRead(), store_messages.Listed((found,), 99))
+
+
+@behave.then("the job rests")
+def step(context):
+    assert context.partition.jobs[JOB].moving
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -353,9 +353,9 @@
         record = loaded.record
         if record.partition != partition.name:
             partition.sent[record.job_id] = (record.queue.name, now)
-        event = commits.JobSeen(partition.name, loaded)
+        event = commits.JobSeen(partition.name, loaded, settles_move=True)
         return dispatch.handle(event, batch, now)
     if isinstance(outcome, store_messages.Conflict):
         job_id = purpose.loaded.record.job_id
-        return [commits.read_record(partition, job_id)]
+        return [commits.read_record(partition, job_id, settles_move=True)]
     return [messages.StartTimer(MoveDue(purpose), RETRY_S, 0.3)]
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -52,11 +52,17 @@
 
 @attrs.frozen
 class RevisionsRead(store_messages.Purpose):
-    """Reads a job's record again after a conflict."""
+    """Reads a job's record again after a conflict.
+
+    Attributes:
+        settles_move: Whether the conflict was that of a move, which therefore
+            can't take effect any more.
+    """
 
     partition: str
     token: int
     job_id: str
+    settles_move: bool = False
 
 
 @attrs.frozen
@@ -270,11 +276,11 @@
 
 
 def read_record(
-    partition: state.Partition, job_id: str
+    partition: state.Partition, job_id: str, settles_move: bool = False
 ) -> store_messages.StoreEffect:
     """Returns the call that reads a job's record after a conflict."""
     return store_messages.StoreGet(
-        RevisionsRead(partition.name, partition.token, job_id),
+        RevisionsRead(partition.name, partition.token, job_id, settles_move),
         records.name_job_key(job_id),
         records.JobRecord,
     )
@@ -288,15 +294,21 @@
     partition = batch.find_owned(timer.purpose.partition, timer.purpose.token)
     if partition is None:
         return []
-    return [read_record(partition, timer.purpose.job_id)]
+    purpose = timer.purpose
+    return [read_record(partition, purpose.job_id, purpose.settles_move)]
 
 
 @attrs.frozen
 class JobSeen(messages.Event):
-    """A job record was read again."""
+    """A job record was read again.
+
+    Attributes:
+        settles_move: Whether it is known how a move of the job has ended.
+    """
 
     partition: str
     loaded: state.LoadedJob
+    settles_move: bool = False
 
 
 @dispatch.resume.register(RevisionsRead)
@@ -316,7 +328,8 @@
         loaded = state.LoadedJob(
             outcome.value, outcome.revision, outcome.create_revision
         )
-        return dispatch.handle(JobSeen(partition.name, loaded), batch, now)
+        event = JobSeen(partition.name, loaded, purpose.settles_move)
+        return dispatch.handle(event, batch, now)
     return [messages.StartTimer(RecordDue(purpose), RETRY_S, 0.3)]
 
 
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -87,7 +87,9 @@
 ) -> dispatch.Effects:
     """Takes a job record that was read after a conflict."""
     partition = batch.partitions[event.partition]
-    return takeover.see_job(batch, partition, event.loaded, now)
+    return takeover.see_job(
+        batch, partition, event.loaded, now, settles_move=event.settles_move
+    )
 
 
 @dispatch.handle.register(workers.RosterDue)
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -430,8 +430,18 @@
     partition: state.Partition,
     loaded: state.LoadedJob,
     now: float,
+    *,
+    settles_move: bool = False,
 ) -> dispatch.Effects:
-    """Takes a job record that is new or has changed."""
+    """Takes a job record that is new or has changed.
+
+    Args:
+        batch: State of this instance.
+        partition: The partition that it concerns.
+        loaded: The record.
+        now: Monotonic clock of the process, in seconds.
+        settles_move: Whether it is known how a move of the job has ended.
+    """
     record = loaded.record
     known = partition.jobs.get(record.job_id)
     if record.state is not model.JobState.ACCEPTED:
@@ -443,7 +453,7 @@
     if record.job_id in partition.ended:
         return []
     if known is not None:
-        return _update_job(partition, known, loaded)
+        return _update_job(partition, known, loaded, settles_move)
     if not records.concerns(record, partition.name):
         return []
     progress = (partition.loaded_progress or {}).get(record.job_id)
@@ -465,9 +475,13 @@
 
 
 def _update_job(
-    partition: state.Partition, known: state.Job, loaded: state.LoadedJob
+    partition: state.Partition,
+    known: state.Job,
+    loaded: state.LoadedJob,
+    settles_move: bool,
 ) -> dispatch.Effects:
-    if loaded.revision >= known.revision:
+    # A move without an answer may still land while the record is unchanged.
+    if settles_move or loaded.revision > known.revision:
         known.moving = False
     if loaded.revision <= known.revision:
         return passes.plan(partition)
