Keep the jobs of a serving image in one data centre

Cause: with every serving image in every data centre an image that fills found no place without harm. Ruled out: grouping within a data centre alone (mixed workers 57% of the time, as half of the serving jobs spread their tasks). Change: jobs with a tail target go to the data centre that a hash of their image names, if they fit there.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -6,6 +6,8 @@
 write of the job's record under the owner's key and the record's revision.
 """
 
+import zlib
+
 import attrs
 
 from sapphirestall_core import messages
@@ -108,7 +110,9 @@
     if not fresh:
         return own
     widest = max(steps, key=lambda step: step.count * step.amount.cpu_millis)
-    if widest.fills:
+    if widest.tail_target_ms:
+        chosen = _choose_by_image(fresh, widest)
+    elif widest.fills:
         chosen = _choose_least_loaded(fresh, own, steps)
     else:
         chosen = _choose_roomiest(fresh, own, widest)
@@ -147,6 +151,29 @@
     return own
 
 
+def _choose_by_image(
+    fresh: dict[str, records.SummaryRecord], step: model.Step
+) -> str:
+    """Returns a partition with room, preferably the same for each image.
+
+    Serving images that are kept apart suffer from different images that fill,
+    so that each of these finds a partition where it does no harm.
+    """
+    fitting = {
+        name: count_fitting(step, summary.rooms, step.count)
+        for name, summary in fresh.items()
+    }
+    return max(
+        fitting,
+        key=lambda name: (fitting[name], _hash_image(step.image, name)),
+    )
+
+
+def _hash_image(image: str, partition: str) -> int:
+    """Returns a number that orders the partitions for an image."""
+    return zlib.crc32(f"{image}/{partition}".encode())
+
+
 def _choose_roomiest(
     fresh: dict[str, records.SummaryRecord], own: str, step: model.Step
 ) -> str:
