Try: follow the load of a step with a factor of each task

Change: a factor for each run beside the load of the step. Runs that stay paced for 3 s are stopped whatever their progress.

--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -3,11 +3,14 @@
 The tail of a serving task behaves like that of a queue: it is inversely
 proportional to the capacity that its load leaves. The headroom of a task, its
 target divided by its tail, therefore falls linearly with all that loads it:
-its own users, which vary within seconds, and the work that fills beside it, by
-the harm of the pair of images times the share of the worker's processors that
-the image uses. An image may harm some serving images and leave others as they
-are. Headrooms and harms are learned from the listings, which are rough and lag
-by about half a second; both are kept with their variance, as a Kalman filter
+its own users, and the work that fills beside it, by the harm of the pair of
+images times the share of the worker's processors that the image uses. An image
+may harm some serving images and leave others as they are.
+
+The tasks of a step have their users in common: their load rises and falls
+together, by a factor of each task. So the load is followed for the step, which
+tells it from the harm on single workers. Readings are rough and lag by about
+half a second; loads and harms are kept with their variance, as a Kalman filter
 does.
 """
 
@@ -27,27 +30,28 @@
 FIRST_HARM = 4.0
 FIRST_VARIANCE = 36.0
 HIGHEST_HARM = 40.0
-# A pair below this is harmless: it is neither paced nor kept apart.
+# A pair below this is harmless: its image is not kept apart.
 HARMLESS = 1.5
-# Headroom of a serving task without disturbance, before the first listing.
-FIRST_HEADROOM = 2.0
-FIRST_HEADROOM_VARIANCE = 0.8
-FIRST_SLOPE_VARIANCE = 0.3
-# Headroom of an image without load, before a higher one was seen.
-FIRST_IDLE_HEADROOM = 4.0
-# Share of their processors that serving tasks use at least.
-LEAST_LOAD = 0.1
-# Variance by which the slope of a headroom changes in a second, as the load
-# varies.
-LOAD_ACCELERATION = 0.4
-# The headroom of serving tasks must last this long for a start, in seconds.
-PLACEMENT_AHEAD_S = 1.0
 # A harm below this is taken as this, as it is not known more exactly.
 LEAST_HARM = 0.3
-# An order shows its effect after this time, in seconds.
-AHEAD_S = 0.6
 # Growth of the variance of a harm with each observation.
 HARM_VARIANCE_STEP = 0.05
+# Headroom of an image without load, before a higher one was seen.
+FIRST_IDLE_HEADROOM = 4.0
+# Load of a step before its first listing, as the headroom that it costs.
+FIRST_LOAD = 2.0
+FIRST_LOAD_VARIANCE = 0.8
+FIRST_SLOPE_VARIANCE = 0.3
+# Variance by which the slope of a load changes in a second.
+LOAD_ACCELERATION = 0.4
+# Share of their processors that serving tasks use at least.
+LEAST_LOAD_SHARE = 0.1
+# Weight of a reading in the factor of a task, and the bounds of the factor.
+FACTOR_STEP = 0.1
+FACTOR_BOUNDS = (0.5, 2.0)
+# A factor is learned only from loads above, and losses below, these headrooms.
+FACTOR_LEAST_LOAD = 0.8
+FACTOR_MOST_LOSS = 0.5
 # Error of a reading of the headroom, and of a loss that is computed from
 # readings of the processors in use, as shares of their values.
 READING_ERROR = 0.07
@@ -58,6 +62,10 @@
 # cause is gone, so nothing is learned until it has been above the next bound.
 OVERLOADED = 0.5
 RECOVERED = 1.2
+# An order shows its effect after this time, in seconds.
+AHEAD_S = 0.6
+# The headroom of serving tasks must last this long for a start, in seconds.
+PLACEMENT_AHEAD_S = 1.0
 # Listings that follow closer than this, in seconds, show the same readings.
 LEARN_INTERVAL_S = 0.25
 # Below this share of the processors an observation says nothing of an image.
@@ -100,13 +108,16 @@
         """Returns the learned harm of a pair of images."""
         return self.harms.get(Pair(serving, filling), UNKNOWN_HARM).value
 
+    def get_idle(self, serving: str) -> float:
+        """Returns the headroom of a serving image without load."""
+        return self.idle.get(serving, FIRST_IDLE_HEADROOM)
+
     def find_harm(self, worker: state.Worker, filling: str) -> float:
         """Returns the highest harm that an image does on a worker."""
         return max(
             (
-                self.get_harm(step.image, filling)
-                for step in (run.task.step for run in worker.runs.values())
-                if step.tail_target_ms
+                self.get_harm(run.task.step.image, filling)
+                for run in list_serving(worker)
             ),
             default=0.0,
         )
@@ -118,75 +129,76 @@
         worker.learned_at = now
         shares = list_shares(worker)
         for runs in group_serving(worker):
-            target_ms = runs[0].task.step.tail_target_ms
-            readings = [run.reading for run in runs if run.reading > 0]
-            if readings:
-                observed = target_ms * len(readings) / sum(readings)
-                self._learn_step(runs, observed, shares, now)
+            settled = [run for run in runs if _is_settled(run)]
+            if settled:
+                self._learn_step(settled, shares, now)
 
     def _learn_step(
-        self,
-        runs: list[state.Run],
-        observed: float,
-        shares: Mapping[str, float],
-        now: float,
+        self, runs: list[state.Run], shares: Mapping[str, float], now: float
     ) -> None:
-        """Corrects the headroom of a step and the harms by one observation.
+        """Corrects the load of a step and the harms by one listing.
 
         Args:
-            runs: Runs of the step on one worker; they share their load.
-            observed: Headroom that they have.
+            runs: Runs of the step on one worker.
             shares: Processors in use beside them, by image.
             now: Time of the listing.
         """
-        was_overloaded = runs[0].overloaded
-        for run in runs:
-            run.overloaded = observed < (
-                RECOVERED if was_overloaded else OVERLOADED
-            )
-        if was_overloaded:
-            return
         step = find_step(runs[0])
-        own = expect_headroom(step, now)
+        serving = step.step.image
+        headrooms = [step.step.tail_target_ms / run.reading for run in runs]
+        observed = sum(headrooms) / len(runs)
+        factor = sum(run.load_factor for run in runs) / len(runs)
+        load = expect_load(step, now)
         known = {
-            image: self.harms.get(Pair(step.step.image, image), UNKNOWN_HARM)
+            image: self.harms.get(Pair(serving, image), UNKNOWN_HARM)
             for image in shares
         }
         loss = sum(
             known[image].value * share for image, share in shares.items()
         )
-        variance = own.variance
-        variance += (READING_ERROR * observed) ** 2 + (LOSS_ERROR * loss) ** 2
+        variance = (READING_ERROR * observed) ** 2 + (LOSS_ERROR * loss) ** 2
+        variance += factor * factor * load.variance
         for image, share in shares.items():
             variance += share * share * known[image].variance
-        error = observed - (own.value - loss)
+        error = observed - (self.get_idle(serving) - factor * load.value - loss)
         for image, share in shares.items():
             old = known[image]
             gain = -share * old.variance / variance
             value = min(HIGHEST_HARM, max(0.0, old.value + gain * error))
             rest = old.variance * (1 + gain * share) + HARM_VARIANCE_STEP
-            self.harms[Pair(step.step.image, image)] = Estimate(value, rest)
-        step.headroom = trends.correct(own, error, variance)
-        step.headroom_at = now
-        idle = self.idle.get(step.step.image, FIRST_IDLE_HEADROOM)
-        self.idle[step.step.image] = max(idle, step.headroom.value)
-
-    def find_budgets(
-        self, worker: state.Worker, now: float, ahead_s: float
-    ) -> dict[str, float]:
-        """Returns the headroom that may be lost, by serving image.
+            self.harms[Pair(serving, image)] = Estimate(value, rest)
+        step.load = trends.correct(load, error, variance, -factor)
+        step.load_at = now
+        self.idle[serving] = max(self.get_idle(serving), observed)
+        if step.load.value > FACTOR_LEAST_LOAD and loss < FACTOR_MOST_LOSS:
+            for run, headroom in zip(runs, headrooms, strict=True):
+                cost = self.get_idle(serving) - headroom - loss
+                _learn_factor(run, cost / step.load.value)
+
+    def find_headroom(
+        self, run: state.Run, now: float, ahead_s: float
+    ) -> float:
+        """Returns the headroom of a run without tasks that fill beside it.
 
         Args:
-            worker: The worker.
+            run: The run.
             now: Time at which it is asked.
             ahead_s: Time for which the headroom has to last, in seconds.
         """
+        load = expect_load(find_step(run), now)
+        most = load.value + max(0.0, load.slope) * ahead_s
+        idle = self.get_idle(run.task.step.image)
+        return idle - run.load_factor * max(0.0, most)
+
+    def find_budgets(
+        self, worker: state.Worker, now: float, ahead_s: float
+    ) -> dict[str, float]:
+        """Returns the headroom that may be lost, by serving image."""
         budgets: dict[str, float] = {}
-        for runs in group_serving(worker):
-            own = expect_headroom(find_step(runs[0]), now)
-            value = own.value + min(0.0, own.slope) * ahead_s
-            budget = max(0.0, value - KEPT_HEADROOM)
-            image = runs[0].task.step.image
+        for run in list_serving(worker):
+            headroom = self.find_headroom(run, now, ahead_s)
+            budget = max(0.0, headroom - KEPT_HEADROOM)
+            image = run.task.step.image
             budgets[image] = min(budget, budgets.get(image, budget))
         return budgets
 
@@ -194,15 +206,13 @@
         """Returns the share of their processors that serving runs use."""
         used = 0.0
         asked = 0
-        for runs in group_serving(worker):
-            step = find_step(runs[0])
-            idle = self.idle.get(step.step.image, FIRST_IDLE_HEADROOM)
-            own = expect_headroom(step, now)
-            value = own.value + min(0.0, own.slope) * AHEAD_S
-            load = min(1.0, max(LEAST_LOAD, 1 - value / idle))
-            cpu_millis = len(runs) * step.step.amount.cpu_millis
+        for run in list_serving(worker):
+            step = run.task.step
+            idle = self.get_idle(step.image)
+            share = 1 - self.find_headroom(run, now, AHEAD_S) / idle
+            cpu_millis = step.amount.cpu_millis
             asked += cpu_millis
-            used += load * cpu_millis
+            used += min(1.0, max(LEAST_LOAD_SHARE, share)) * cpu_millis
         return used / asked if asked else 0.0
 
     def predict(self, worker: state.Worker, serving: str) -> dict[str, float]:
@@ -243,28 +253,48 @@
         return int(share * worker.entry.capacity.cpu_millis)
 
 
+def _is_settled(run: state.Run) -> bool:
+    """Tells whether a reading shows the present; notes what overflows."""
+    if run.reading <= 0:
+        return False
+    headroom = run.task.step.tail_target_ms / run.reading
+    was_overloaded = run.overloaded
+    run.overloaded = headroom < (RECOVERED if was_overloaded else OVERLOADED)
+    return not was_overloaded
+
+
+def _learn_factor(run: state.Run, factor: float) -> None:
+    low, high = FACTOR_BOUNDS
+    change = FACTOR_STEP * (factor - run.load_factor)
+    run.load_factor = min(high, max(low, run.load_factor + change))
+
+
 def find_step(run: state.Run) -> state.StepState:
     """Returns the step that a run belongs to."""
     return run.task.job.steps[run.task.name.step]
 
 
-def expect_headroom(step: state.StepState, now: float) -> trends.Trend:
-    """Returns the headroom that a step has without tasks that fill."""
-    if step.headroom is None:
+def expect_load(step: state.StepState, now: float) -> trends.Trend:
+    """Returns the load of a step's serving tasks."""
+    if step.load is None:
         return trends.start(
-            FIRST_HEADROOM, FIRST_HEADROOM_VARIANCE, FIRST_SLOPE_VARIANCE
+            FIRST_LOAD, FIRST_LOAD_VARIANCE, FIRST_SLOPE_VARIANCE
         )
-    elapsed_s = max(0.0, now - step.headroom_at)
-    return trends.advance(step.headroom, elapsed_s, LOAD_ACCELERATION)
+    elapsed_s = max(0.0, now - step.load_at)
+    return trends.advance(step.load, elapsed_s, LOAD_ACCELERATION)
+
+
+def list_serving(worker: state.Worker) -> list[state.Run]:
+    """Returns the serving runs of a worker."""
+    return [run for run in worker.runs.values() if run.task.step.tail_target_ms]
 
 
 def group_serving(worker: state.Worker) -> list[list[state.Run]]:
     """Returns the serving runs of a worker, grouped by step."""
     groups: dict[tuple[str, int], list[state.Run]] = {}
-    for run in worker.runs.values():
-        if run.task.step.tail_target_ms:
-            key = (run.task.name.job_id, run.task.name.step)
-            groups.setdefault(key, []).append(run)
+    for run in list_serving(worker):
+        key = (run.task.name.job_id, run.task.name.step)
+        groups.setdefault(key, []).append(run)
     return list(groups.values())
 
 
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -31,8 +31,10 @@
 # may be harmless elsewhere; one a worker and look.
 RELOCATE_PERCENT = 35
 RELOCATE_S = 1.0
-# A run that cannot resume is stopped only before this progress, in percent.
+# A run that cannot resume is stopped only before this progress, in percent, or
+# after it has been paced low for this long.
 LITTLE_PROGRESS_PERCENT = 15
+STUCK_S = 3.0
 # After a target was missed for this long, harmless images are paced as well.
 MISSED_S = 1.5
 
@@ -168,7 +170,9 @@
         and run.phase is state.RunPhase.RUNNING
         and not run.starved
         and (
-            run.task.step.checkpointing or run.percent < LITTLE_PROGRESS_PERCENT
+            run.task.step.checkpointing
+            or run.percent < LITTLE_PROGRESS_PERCENT
+            or now - run.paced_since >= STUCK_S
         )
     ]
     if not stuck:
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -74,6 +74,7 @@
         reading: Tail latency in milliseconds or processors, as last listed.
         overloaded: Whether a tail that grew far beyond its target has not
             settled yet.
+        load_factor: Load of a serving task by that of all tasks of its step.
     """
 
     task: "Task"
@@ -91,6 +92,7 @@
     percent: int = 0
     reading: float = 0.0
     overloaded: bool = False
+    load_factor: float = 1.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -126,9 +128,9 @@
         done: Indexes of tasks that are done.
         waiting: Tasks that may start, by index.
         released: Whether all steps before this one are done.
-        headroom: Headroom of its tail target without tasks that fill beside it;
-            None before the first reading.
-        headroom_at: When that was last corrected.
+        load: Load of serving tasks, as the headroom that it costs; None before
+            the first reading.
+        load_at: When that was last corrected.
     """
 
     step: model.Step
@@ -136,8 +138,8 @@
     done: set[int] = attrs.field(factory=set)
     waiting: dict[int, Task] = attrs.field(factory=dict)
     released: bool = False
-    headroom: trends.Trend | None = None
-    headroom_at: float = 0.0
+    load: trends.Trend | None = None
+    load_at: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
--- a/packages/core/src/sapphirestall_core/batch/trends.py
+++ b/packages/core/src/sapphirestall_core/batch/trends.py
@@ -63,20 +63,23 @@
     )
 
 
-def correct(trend: Trend, error: float, variance: float) -> Trend:
+def correct(
+    trend: Trend, error: float, variance: float, weight: float = 1.0
+) -> Trend:
     """Returns the estimate after a reading.
 
     Args:
         trend: The estimate for the time of the reading.
-        error: Reading less the estimate.
+        error: Reading less what the estimate lets expect.
         variance: Variance of that error, that of the estimate included.
+        weight: Change of the reading with the value.
     """
-    gain = trend.variance / variance
-    slope_gain = trend.covariance / variance
+    gain = weight * trend.variance / variance
+    slope_gain = weight * trend.covariance / variance
     return Trend(
         trend.value + gain * error,
         trend.slope + slope_gain * error,
-        trend.variance * (1 - gain),
-        trend.covariance * (1 - gain),
-        trend.slope_variance - slope_gain * trend.covariance,
+        trend.variance * (1 - weight * gain),
+        trend.covariance * (1 - weight * gain),
+        trend.slope_variance - weight * slope_gain * trend.covariance,
     )
