Follow owner keys and job records together

After a cut healed, an owner that had been replaced read the job records before it heard of its successor, and started a job that was newer than the successor's key; the successor takes such jobs as unknown to all earlier owners and started it too. Ruled out: workers that miss a fence (both runs lay on different workers, of which the successor had called one). Change: owner keys and job records lie under one prefix and are read and followed in one call, in the order of their writes; what a later page of a list shows as newer than its first page is left to the follow. Three scenarios. The module takeover is split for it.

--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -54,3 +54,24 @@
     When a move of a waiting job gets no answer
     And all job records are read and show the job unchanged
     Then the job rests
+
+  Scenario: A replaced owner reads a job that came after its successor
+    Guards against a task that two owners run: the successor takes a job newer
+    than its own key as unknown to all earlier owners.
+    Given an active owner and a worker that it has just called
+    When the owner follows the records of jobs
+    Then what it reads covers the owner keys
+    When it reads a newer owner key and a job that came after it
+    Then it has resigned and knows nothing of the job
+
+  Scenario: A replaced owner follows a job that came after its successor
+    Guards against the same when changes come one by one.
+    Given an active owner and a worker that it has just called
+    When it follows a newer owner key and a job that came after it
+    Then it has resigned and knows nothing of the job
+
+  Scenario: A list whose later pages are newer than its owner key
+    Guards against the same when a list is no snapshot.
+    Given an active owner and a worker that it has just called
+    When a later page of the list shows a job that is newer than the first
+    Then it waits for the follow to show the job
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -7,6 +7,7 @@
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import records
 from standins import batch_world
 
 SITE = "north"
@@ -146,7 +147,7 @@
 @behave.then("one record exists")
 def step(context):
     keys = [key for key in context.world.store.items if JOB in key]
-    assert keys.count(f"jobs/{JOB}") == 1
+    assert keys.count(records.name_job_key(JOB)) == 1
     assert context.world.starts == 1
     assert not context.world.violations
 
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -1,5 +1,6 @@
 """Steps for batch_takeover.feature."""
 
+import attrs
 import behave
 
 from sapphirestall_core import messages
@@ -9,6 +10,7 @@
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import instance
+from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
@@ -46,6 +48,12 @@
     )
 
 
+def make_owner(token, instance_id="e-1/1"):
+    record = records.OwnerRecord(instance_id)
+    key = records.name_owner_key(SITE)
+    return store_messages.Found(key, record, 0, token, token)
+
+
 def reply(context, purpose, outcome):
     event = store_messages.StoreReply(purpose, outcome, NOW)
     return instance.handle(event, context.batch, NOW)
@@ -106,8 +114,8 @@
     found = make_found(TOKEN - 10)
     reply(
         context,
-        takeover.JobsRead(),
-        store_messages.Listed((found,), TOKEN + 1),
+        live_records.JobsRead(),
+        store_messages.Listed((make_owner(TOKEN), found), TOKEN + 1),
     )
     load_rest(context)
 
@@ -115,12 +123,16 @@
 @behave.when("a followed change names a new job")
 def step(context):
     changed = store_messages.Followed((make_found(TOKEN + 2),), TOKEN + 2)
-    reply(context, takeover.JobsFollow(), changed)
+    reply(context, live_records.JobsFollow(), changed)
 
 
 @behave.when("the read that was under way returns no jobs")
 def step(context):
-    reply(context, takeover.JobsRead(), store_messages.Listed((), TOKEN + 1))
+    reply(
+        context,
+        live_records.JobsRead(),
+        store_messages.Listed((make_owner(TOKEN),), TOKEN + 1),
+    )
 
 
 @behave.when("the owner has loaded everything else")
@@ -243,9 +255,73 @@
 @behave.when("all job records are read and show the job unchanged")
 def step(context):
     found = make_found(context.partition.jobs[JOB].revision)
-    reply(context, takeover.JobsRead(), store_messages.Listed((found,), 99))
+    reply(
+        context,
+        live_records.JobsRead(),
+        store_messages.Listed((make_owner(TOKEN), found), 99),
+    )
 
 
 @behave.then("the job rests")
 def step(context):
     assert context.partition.jobs[JOB].moving
+
+
+NEW_JOB = "00000000000000bb"
+
+
+def make_new_job(revision):
+    found = make_found(revision)
+    record = attrs.evolve(found.value, job_id=NEW_JOB)
+    key = records.name_job_key(NEW_JOB)
+    return store_messages.Found(key, record, 0, revision, revision)
+
+
+@behave.when("the owner follows the records of jobs")
+def step(context):
+    context.follow = next(
+        effect
+        for effect in live_records.read(context.batch)
+        if isinstance(effect, store_messages.StoreList)
+    )
+
+
+@behave.then("what it reads covers the owner keys")
+def step(context):
+    key = records.name_owner_key(SITE)
+    assert key.startswith(context.follow.prefix), context.follow
+
+
+@behave.when("it reads a newer owner key and a job that came after it")
+def step(context):
+    entries = (make_owner(TOKEN + 7, "e-2/1"), make_new_job(TOKEN + 8))
+    listed = store_messages.Listed(entries, TOKEN + 9)
+    reply(context, live_records.JobsRead(), listed)
+
+
+@behave.when("it follows a newer owner key and a job that came after it")
+def step(context):
+    changes = (make_owner(TOKEN + 7, "e-2/1"), make_new_job(TOKEN + 8))
+    followed = store_messages.Followed(changes, TOKEN + 9)
+    reply(context, live_records.JobsFollow(), followed)
+
+
+@behave.when(
+    "a later page of the list shows a job that is newer than the first"
+)
+def step(context):
+    entries = (make_owner(TOKEN), make_new_job(TOKEN + 8))
+    listed = store_messages.Listed(entries, TOKEN + 2)
+    reply(context, live_records.JobsRead(), listed)
+
+
+@behave.then("it has resigned and knows nothing of the job")
+def step(context):
+    assert SITE not in context.batch.partitions
+    assert NEW_JOB not in context.partition.jobs
+
+
+@behave.then("it waits for the follow to show the job")
+def step(context):
+    assert SITE in context.batch.partitions
+    assert NEW_JOB not in context.partition.jobs
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -6,7 +6,7 @@
 write of the job's record under the owner's key and the record's revision.
 """
 
-import zlib
+import hashlib
 
 import attrs
 
@@ -169,9 +169,10 @@
     )
 
 
-def _hash_image(image: str, partition: str) -> int:
-    """Returns a number that orders the partitions for an image."""
-    return zlib.crc32(f"{image}/{partition}".encode())
+def _hash_image(image: str, partition: str) -> bytes:
+    """Returns a digest that orders the partitions for an image."""
+    text = f"{image}/{partition}"
+    return hashlib.blake2b(text.encode(), digest_size=4).digest()
 
 
 def _choose_roomiest(
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import holds
 from sapphirestall_core.batch import intake
+from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
@@ -17,7 +18,16 @@
 from sapphirestall_core.batch import workers
 
 # Importing a part registers its handlers with `dispatch`.
-PARTS = (commits, configuration, intake, ownership, passes, takeover, workers)
+PARTS = (
+    commits,
+    configuration,
+    intake,
+    live_records,
+    ownership,
+    passes,
+    takeover,
+    workers,
+)
 # An instance that lost the store for this long takes no new connections.
 STORE_LOST_S = 1.5
 # Longest time that a graceful shutdown waits for calls in flight.
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -302,17 +302,26 @@
         return [messages.StartTimer(FollowDue(), FOLLOW_RETRY_S, 0.3)]
     effects: dispatch.Effects = []
     for change in outcome.changes:
-        name = change.key.removeprefix(records.OWNERS)
-        if isinstance(change, store_messages.Found):
-            effects += _see_owner(batch, name, change, now)
-            continue
-        owned = batch.partitions.get(name)
-        if owned is not None and change.revision > owned.token:
-            effects += resign(batch, name, "key_removed", now)
-        effects += _see_absent(batch, name, now)
+        effects += see_change(batch, change, now)
     return effects + _follow(batch, outcome.revision)
 
 
+def see_change(
+    batch: state.Batch,
+    change: store_messages.Found | store_messages.Removed,
+    now: float,
+) -> dispatch.Effects:
+    """Takes one change of an owner key."""
+    name = change.key.removeprefix(records.OWNERS)
+    if isinstance(change, store_messages.Found):
+        return _see_owner(batch, name, change, now)
+    effects: dispatch.Effects = []
+    owned = batch.partitions.get(name)
+    if owned is not None and change.revision > owned.token:
+        effects += resign(batch, name, "key_removed", now)
+    return effects + _see_absent(batch, name, now)
+
+
 @dispatch.expire.register(FollowDue)
 def follow_again(
     timer: FollowDue, batch: state.Batch, now: float
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -4,9 +4,11 @@
 
 from sapphirestall_core.batch import model
 
-JOBS = "jobs/"
+# Owner keys and job records, which owners follow together.
+LIVE = "live/"
+JOBS = LIVE + "jobs/"
+OWNERS = LIVE + "owners/"
 PROGRESS = "progress/"
-OWNERS = "owners/"
 ROSTERS = "rosters/"
 SUMMARIES = "summaries/"
 
@@ -79,6 +81,9 @@
     instance_id: str
 
 
+LIVE_DOCUMENTS = JobRecord | OwnerRecord
+
+
 @attrs.frozen(slots=True)
 class RosterRecord:
     """Workers on which runs of a partition may exist, and its generation.
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import holds
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
+from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import orders
 from sapphirestall_core.batch import ownership
@@ -25,8 +26,6 @@
 
 PART = "takeover"
 RETRY_S = 0.2
-# A connection can go silent for good; a follow ends after this and a margin.
-JOBS_WAIT_S = 1.5
 # A former owner that workers refuse has noticed it after this time, as it
 # calls each worker at least this often.
 FORMER_OWNER_S = 3.0
@@ -49,21 +48,11 @@
     roster: records.RosterRecord
 
 
-@attrs.frozen
-class JobsRead(store_messages.Purpose):
-    """Reads all job records."""
-
-
 @attrs.frozen
 class ProgressRead(store_messages.Purpose):
     """Reads all progress records."""
 
 
-@attrs.frozen
-class JobsFollow(store_messages.Purpose):
-    """Waits for changes of the job records."""
-
-
 @attrs.frozen
 class LoadDue(messages.Timer):
     """Reads again what a partition still lacks."""
@@ -72,11 +61,6 @@
     token: int
 
 
-@attrs.frozen
-class JobsDue(messages.Timer):
-    """Reads the job records again after a failure."""
-
-
 @dispatch.handle.register(ownership.PartitionTaken)
 def load(
     event: ownership.PartitionTaken, batch: state.Batch, now: float
@@ -102,22 +86,12 @@
             )
         )
     if partition.loaded is None:
-        effects += read_jobs(batch)
+        effects += live_records.read(batch)
     elif partition.loaded_progress is None:
         effects += _read_progress()
     return effects
 
 
-def read_jobs(batch: state.Batch) -> dispatch.Effects:
-    """Reads all job records, unless that is under way."""
-    if batch.jobs_loading:
-        return []
-    batch.jobs_loading = True
-    return [
-        store_messages.StoreList(JobsRead(), records.JOBS, records.JobRecord)
-    ]
-
-
 def _read_progress() -> dispatch.Effects:
     return [
         store_messages.StoreList(
@@ -137,6 +111,14 @@
     return _load(batch, partition)
 
 
+@dispatch.handle.register(live_records.JobsLoaded)
+def load_progress(
+    event: live_records.JobsLoaded, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Reads the progress once the job records are known."""
+    return _read_progress()
+
+
 def _retry(partition: state.Partition) -> dispatch.Effects:
     timer = LoadDue(partition.name, partition.token)
     return [messages.StartTimer(timer, RETRY_S, 0.3)]
@@ -232,120 +214,6 @@
     ]
 
 
-@dispatch.resume.register(JobsRead)
-def take_jobs(
-    purpose: JobsRead,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Takes all job records; owners that load go on with the progress."""
-    batch.jobs_loading = False
-    outcome = reply.outcome
-    if not isinstance(outcome, store_messages.Listed):
-        return [messages.StartTimer(JobsDue(), RETRY_S, 0.3)]
-    effects: dispatch.Effects = []
-    by_partition: dict[str, list[state.LoadedJob]] = {
-        name: [] for name in batch.partitions
-    }
-    for found in outcome.entries:
-        record = found.value
-        assert isinstance(record, records.JobRecord)
-        for name, chosen in by_partition.items():
-            if records.concerns(record, name) or _is_known(batch, name, record):
-                chosen.append(
-                    state.LoadedJob(
-                        record, found.revision, found.create_revision
-                    )
-                )
-    for name, loaded in by_partition.items():
-        partition = batch.partitions[name]
-        if partition.phase is state.Phase.LOADING:
-            partition.loaded = loaded
-            continue
-        for job in loaded:
-            effects += see_job(batch, partition, job, now)
-    if any(
-        partition.loaded is not None and partition.loaded_progress is None
-        for partition in batch.partitions.values()
-    ):
-        effects += _read_progress()
-    if not batch.jobs_following:
-        effects += _follow(batch, outcome.revision)
-    return effects
-
-
-@dispatch.expire.register(JobsDue)
-def read_jobs_again(
-    timer: JobsDue, batch: state.Batch, now: float
-) -> dispatch.Effects:
-    """Reads the job records again."""
-    return read_jobs(batch) if batch.partitions else []
-
-
-def _follow(batch: state.Batch, revision: int) -> dispatch.Effects:
-    batch.jobs_following = True
-    return [
-        store_messages.StoreFollow(
-            JobsFollow(),
-            records.JOBS,
-            revision,
-            records.JobRecord,
-            JOBS_WAIT_S,
-        )
-    ]
-
-
-@dispatch.resume.register(JobsFollow)
-def take_job_changes(
-    purpose: JobsFollow,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Takes changed job records and goes on following them."""
-    batch.jobs_following = False
-    outcome = reply.outcome
-    if not isinstance(outcome, store_messages.Followed):
-        return [messages.StartTimer(JobsDue(), RETRY_S, 0.3)]
-    if not batch.partitions:
-        return []
-    effects: dispatch.Effects = []
-    for change in outcome.changes:
-        if not isinstance(change, store_messages.Found):
-            continue
-        record = change.value
-        assert isinstance(record, records.JobRecord)
-        loaded = state.LoadedJob(
-            record, change.revision, change.create_revision
-        )
-        for partition in batch.partitions.values():
-            effects += _see_change(batch, partition, loaded, now)
-    return effects + _follow(batch, outcome.revision)
-
-
-def _is_known(batch: state.Batch, name: str, record: records.JobRecord) -> bool:
-    partition = batch.partitions[name]
-    return record.job_id in partition.jobs
-
-
-def _see_change(
-    batch: state.Batch,
-    partition: state.Partition,
-    loaded: state.LoadedJob,
-    now: float,
-) -> dispatch.Effects:
-    record = loaded.record
-    known = _is_known(batch, partition.name, record)
-    if not known and not records.concerns(record, partition.name):
-        return []
-    if partition.phase is state.Phase.ACTIVE:
-        return see_job(batch, partition, loaded, now)
-    # The read that is under way may be older than this change.
-    partition.changes.append(loaded)
-    return []
-
-
 @dispatch.resume.register(ProgressRead)
 def take_progress(
     purpose: ProgressRead,
--- a/packages/core/src/sapphirestall_core/store_messages.py
+++ b/packages/core/src/sapphirestall_core/store_messages.py
@@ -1,5 +1,7 @@
 """Calls to the platform's key-value store and their outcomes."""
 
+from typing import Any
+
 import attrs
 
 from sapphirestall_core import messages
@@ -22,7 +24,7 @@
     """Reads one key and decodes its value as `document`."""
 
     key: str
-    document: type
+    document: Any
 
 
 @attrs.frozen
@@ -53,7 +55,7 @@
     """Reads all keys with a prefix and decodes them as `document`."""
 
     prefix: str
-    document: type
+    document: Any
 
 
 @attrs.frozen
@@ -120,13 +122,14 @@
     """Waits for changes under a prefix and returns them with their values.
 
     Attributes:
+        document: Type of the values; a union if there are several.
         after_revision: Changes up to this revision are known.
         wait_s: Time after which the call returns without a change.
     """
 
     prefix: str
     after_revision: int
-    document: type
+    document: Any
     wait_s: float
 
 
