--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -8,8 +8,8 @@
 may harm some serving images and leave others as they are.
 
 The tasks of a step have their users in common: their load rises and falls
-together, by a factor of each task. So the load is followed for the step, which
-tells it from the harm on single workers. Readings are rough and lag by about
+together. So the load is followed for the step, which tells it from the harm on
+single workers. Readings are rough and lag by about
 half a second; loads and harms are kept with their variance, as a Kalman filter
 does.
 """
@@ -46,12 +46,6 @@
 LOAD_ACCELERATION = 0.4
 # Share of their processors that serving tasks use at least.
 LEAST_LOAD_SHARE = 0.1
-# Weight of a reading in the factor of a task, and the bounds of the factor.
-FACTOR_STEP = 0.1
-FACTOR_BOUNDS = (0.5, 2.0)
-# A factor is learned only from loads above, and losses below, these headrooms.
-FACTOR_LEAST_LOAD = 0.8
-FACTOR_MOST_LOSS = 0.5
 # Error of a reading of the headroom, and of a loss that is computed from
 # readings of the processors in use, as shares of their values.
 READING_ERROR = 0.07
@@ -147,7 +141,6 @@
         serving = step.step.image
         headrooms = [step.step.tail_target_ms / run.reading for run in runs]
         observed = sum(headrooms) / len(runs)
-        factor = sum(run.load_factor for run in runs) / len(runs)
         load = expect_load(step, now)
         known = {
             image: self.harms.get(Pair(serving, image), UNKNOWN_HARM)
@@ -157,23 +150,19 @@
             known[image].value * share for image, share in shares.items()
         )
         variance = (READING_ERROR * observed) ** 2 + (LOSS_ERROR * loss) ** 2
-        variance += factor * factor * load.variance
+        variance += load.variance
         for image, share in shares.items():
             variance += share * share * known[image].variance
-        error = observed - (self.get_idle(serving) - factor * load.value - loss)
+        error = observed - (self.get_idle(serving) - load.value - loss)
         for image, share in shares.items():
             old = known[image]
             gain = -share * old.variance / variance
             value = min(HIGHEST_HARM, max(0.0, old.value + gain * error))
             rest = old.variance * (1 + gain * share) + HARM_VARIANCE_STEP
             self.harms[Pair(serving, image)] = Estimate(value, rest)
-        step.load = trends.correct(load, error, variance, -factor)
+        step.load = trends.correct(load, error, variance, -1.0)
         step.load_at = now
         self.idle[serving] = max(self.get_idle(serving), observed)
-        if step.load.value > FACTOR_LEAST_LOAD and loss < FACTOR_MOST_LOSS:
-            for run, headroom in zip(runs, headrooms, strict=True):
-                cost = self.get_idle(serving) - headroom - loss
-                _learn_factor(run, cost / step.load.value)
 
     def find_headroom(
         self, run: state.Run, now: float, ahead_s: float
@@ -188,7 +177,7 @@
         load = expect_load(find_step(run), now)
         most = load.value + max(0.0, load.slope) * ahead_s
         idle = self.get_idle(run.task.step.image)
-        return idle - run.load_factor * max(0.0, most)
+        return idle - max(0.0, most)
 
     def find_budgets(
         self, worker: state.Worker, now: float, ahead_s: float
@@ -263,12 +252,6 @@
     return not was_overloaded
 
 
-def _learn_factor(run: state.Run, factor: float) -> None:
-    low, high = FACTOR_BOUNDS
-    change = FACTOR_STEP * (factor - run.load_factor)
-    run.load_factor = min(high, max(low, run.load_factor + change))
-
-
 def find_step(run: state.Run) -> state.StepState:
     """Returns the step that a run belongs to."""
     return run.task.job.steps[run.task.name.step]
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -74,7 +74,6 @@
         reading: Tail latency in milliseconds or processors, as last listed.
         overloaded: Whether a tail that grew far beyond its target has not
             settled yet.
-        load_factor: Load of a serving task by that of all tasks of its step.
     """
 
     task: "Task"
@@ -92,7 +91,6 @@
     percent: int = 0
     reading: float = 0.0
     overloaded: bool = False
-    load_factor: float = 1.0
 
 
 @attrs.define(slots=True, eq=False)
