--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -17,6 +17,13 @@
     Then both calls are refused within 10 ms
     And no record exists
 
+  Scenario: Callers return while the store is away for some seconds
+    Guards against callers that use up their few attempts within one outage.
+    Given an instance beside a store
+    When the store has been away for 2 s
+    And a job is handed in
+    Then the caller is asked to return after 2 s
+
   Scenario: The same id arrives at two instances
     Guards against a job that is stored or run twice.
     Given an instance beside a store
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -137,6 +137,13 @@
         assert answer.retry_after_s >= 1
 
 
+@behave.then("the caller is asked to return after {seconds:d} s")
+def step(context, seconds):
+    context.world.run(0.01)
+    answer = context.world.answers[context.calls[-1]]
+    assert answer.retry_after_s == seconds, answer
+
+
 @behave.then("both callers are told that it is accepted")
 def step(context):
     for call in context.calls:
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -24,6 +24,10 @@
 RETRY_DELAYS_S = (0.05, 0.15, 0.4)
 # Callers return after this time; one second is the smallest whole value.
 RETRY_AFTER_S = 1
+# Callers give up after a few attempts. Once the store has been away for longer
+# than a moment they return later, so that their last attempt still meets it.
+LONG_RETRY_AFTER_S = 2
+LONG_AWAY_S = 0.6
 # Callers may be told a number of pending jobs that is two seconds old.
 SUMMARY_AGE_S = 0.7
 # Calls are refused at once after the store has failed for this long.
@@ -124,11 +128,20 @@
     return down_at is not None and now - down_at > STORE_DOWN_S
 
 
+def find_retry_after(batch: state.Batch, now: float) -> int:
+    """Returns when a caller should return that the store keeps waiting."""
+    down_at = batch.store_down_at
+    if down_at is not None and now - down_at > LONG_AWAY_S:
+        return LONG_RETRY_AFTER_S
+    return RETRY_AFTER_S
+
+
 def _refuse_unsent(
     batch: state.Batch, call: state.Call, now: float
 ) -> dispatch.Effects:
     """Refuses a call of which nothing was sent to the store."""
-    answer = caller_messages.Refused("store_unavailable", RETRY_AFTER_S)
+    retry_after_s = find_retry_after(batch, now)
+    answer = caller_messages.Refused("store_unavailable", retry_after_s)
     away_s = round(now - (batch.store_down_at or now), 3)
     return _finish(batch, call, answer, now, store_away_s=away_s)
 
@@ -274,7 +287,8 @@
     if call.ambiguous:
         answer = caller_messages.Undecided("store_no_answer")
     else:
-        answer = caller_messages.Refused("store_unavailable", RETRY_AFTER_S)
+        retry_after_s = find_retry_after(batch, now)
+        answer = caller_messages.Refused("store_unavailable", retry_after_s)
     return _finish(batch, call, answer, now, detail=outcome.detail)
 
 
@@ -402,7 +416,7 @@
     if not isinstance(reply.outcome, store_messages.Listed):
         for call in calls:
             refusal = caller_messages.Refused(
-                "store_unavailable", RETRY_AFTER_S
+                "store_unavailable", find_retry_after(batch, now)
             )
             effects += _finish(batch, call, refusal, now)
         return effects
