Remove the records of jobs that ended long ago

Cause: records of ended jobs stayed in the store and in each owner's memory for ever, although their retention was read from the settings.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -62,3 +62,13 @@
     Given an instance beside a store
     When configuration 5 is read and then configuration 4
     Then configuration 5 is in force
+
+  Scenario: Records of jobs that ended long ago
+    Guards against a store that grows with every job, and against a state that
+    is gone while callers may still ask for it.
+    Given an instance beside a store
+    When a job is handed in
+    And 100 s pass after it was handed in
+    Then its record shows that it is completed
+    When 60 s pass after it was handed in
+    Then its record is gone
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -182,3 +182,20 @@
 @behave.then("configuration {version:d} is in force")
 def step(context, version):
     assert context.node.batch.configuration.version == version
+
+
+@behave.when("{seconds:g} s pass after it was handed in")
+def step(context, seconds):
+    context.world.run(seconds)
+
+
+@behave.then("its record shows that it is completed")
+def step(context):
+    assert context.world.get_state(JOB) is model.JobState.COMPLETED
+
+
+@behave.then("its record is gone")
+def step(context):
+    assert context.world.get_state(JOB) is None
+    partition = context.node.batch.partitions[SITE]
+    assert JOB not in partition.ended
--- a/packages/core/src/sapphirestall_core/batch/harm.py
+++ b/packages/core/src/sapphirestall_core/batch/harm.py
@@ -142,27 +142,42 @@
         headrooms = [step.step.tail_target_ms / run.reading for run in runs]
         observed = sum(headrooms) / len(runs)
         load = expect_load(step, now)
-        known = {
-            image: self.harms.get(Pair(serving, image), UNKNOWN_HARM)
-            for image in shares
-        }
         loss = sum(
-            known[image].value * share for image, share in shares.items()
+            self.get_harm(serving, image) * share
+            for image, share in shares.items()
         )
         variance = (READING_ERROR * observed) ** 2 + (LOSS_ERROR * loss) ** 2
         variance += load.variance
         for image, share in shares.items():
-            variance += share * share * known[image].variance
+            known = self.harms.get(Pair(serving, image), UNKNOWN_HARM)
+            variance += share * share * known.variance
         error = observed - (self.get_idle(serving) - load.value - loss)
+        self._learn_harms(serving, shares, error, variance)
+        step.load = trends.correct(load, error, variance, -1.0)
+        step.load_at = now
+        self.idle[serving] = max(self.get_idle(serving), observed)
+
+    def _learn_harms(
+        self,
+        serving: str,
+        shares: Mapping[str, float],
+        error: float,
+        variance: float,
+    ) -> None:
+        """Corrects the harms to an image.
+
+        Args:
+            serving: The image.
+            shares: Processors in use beside it, by image.
+            error: Headroom observed less that expected.
+            variance: Variance of the error.
+        """
         for image, share in shares.items():
-            old = known[image]
+            old = self.harms.get(Pair(serving, image), UNKNOWN_HARM)
             gain = -share * old.variance / variance
             value = min(HIGHEST_HARM, max(0.0, old.value + gain * error))
             rest = old.variance * (1 + gain * share) + HARM_VARIANCE_STEP
             self.harms[Pair(serving, image)] = Estimate(value, rest)
-        step.load = trends.correct(load, error, variance, -1.0)
-        step.load_at = now
-        self.idle[serving] = max(self.get_idle(serving), observed)
 
     def find_headroom(
         self, run: state.Run, now: float, ahead_s: float
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -254,6 +254,7 @@
         summary_writing: Whether a write of it is in flight.
         ended: When the final state of each ended job was seen, with the
             revision of its record.
+        cleaned_at: When records of ended jobs were last removed.
     """
 
     name: str
@@ -281,6 +282,7 @@
     summary_at: float = -1e9
     summary_writing: bool = False
     ended: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    cleaned_at: float = -1e9
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -12,6 +12,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import orders
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_messages
 
@@ -163,6 +164,7 @@
             effects += _tick_worker(batch, partition, worker, now)
         effects += commits.tick(batch, partition, now)
         effects += balance.tick(batch, partition, now)
+        effects += retention.tick(batch, partition, now)
         # Also places tasks for which a suspension or a silence has ended.
         effects += passes.plan(partition)
     return effects
