--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -166,6 +166,9 @@
 @behave.then('a job of image "{image}" goes to the {which} data centre')
 def step(context, image, which):
     steps = (builders.make_step(8, fills=True, image=image),)
+    # Each choice is expected to add load, which is no part of this scenario.
+    summaries = dict(context.batch.summaries)
     chosen = balance.choose_partition(context.batch, steps, builders.NOW)
+    context.batch.summaries = summaries
     expected = {"own": builders.OWN, "other": builders.OTHER}[which]
     assert chosen == expected, chosen
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -5,14 +5,22 @@
 
 import attrs
 
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import leases
+from sapphirestall_core.batch import live_records
+from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import takeover
 
 TAKEOVER = "batch_takeover.feature"
 OWNERSHIP = "batch_ownership.feature"
+INTAKE = "batch_intake.feature"
+HARM = "batch_harm.feature"
+LOAD = "batch_load.feature"
 
 
 def assume_no_lease() -> None:
@@ -61,16 +69,51 @@
 
 def drop_changes_while_loading() -> None:
     """Forgets job records that change while their owner loads."""
-    see_change = takeover._see_change
+    see_change = live_records._see_change
 
-    def mutated(
-        batch: state.Batch, partition: state.Partition, *rest: Any
-    ) -> Any:
-        if partition.phase is state.Phase.LOADING:
+    def mutated(batch: state.Batch, *rest: Any) -> Any:
+        if any(
+            partition.phase is state.Phase.LOADING
+            for partition in batch.partitions.values()
+        ):
             return []
-        return see_change(batch, partition, *rest)
+        return see_change(batch, *rest)
+
+    live_records._see_change = mutated
+
+
+def ignore_owner_keys() -> None:
+    """Takes job records without the changes of owner keys before them."""
+    live_records._check_owners = lambda *_: []
+    ownership.see_change = lambda *_: []
+
+
+def wake_moved_jobs() -> None:
+    """Lets a moved job start again as soon as its record is read."""
+    update_job = takeover._update_job
+    takeover._update_job = lambda partition, known, loaded, _: update_job(
+        partition, known, loaded, True
+    )
+
+
+def keep_ended_records() -> None:
+    """Never removes the record of a job."""
+    retention.tick = lambda *_: []
+
+
+def pace_nothing() -> None:
+    """Lets harmful images work at their full pace."""
+    pacing.choose_paces = lambda *_: {}
+
+
+def order_busy_processors() -> None:
+    """Lets work that fills ask for processors that are in use."""
+    pacing.find_common_pace = lambda *_: state.FULL_PACE_PERCENT
 
-    takeover._see_change = mutated
+
+def route_by_load_alone() -> None:
+    """Sends work that fills where it harms the serving tasks."""
+    balance.find_fill_load = lambda summary, _: summary.fill_load
 
 
 def keep_runs_of_replaced_workers() -> None:
@@ -110,4 +153,34 @@
         f"{OWNERSHIP}: An owner is killed between an end and its commit",
         acknowledge_before_commit,
     ),
+    (
+        "owner keys before jobs",
+        f"{TAKEOVER}: A replaced owner follows a job that came after",
+        ignore_owner_keys,
+    ),
+    (
+        "rest of moved jobs",
+        f"{TAKEOVER}: A job rests while it is unknown whether it was moved",
+        wake_moved_jobs,
+    ),
+    (
+        "removal of records",
+        f"{INTAKE}: Records of jobs that ended long ago",
+        keep_ended_records,
+    ),
+    (
+        "pace of harmful images",
+        f"{HARM}: Load of a serving task that swings",
+        pace_nothing,
+    ),
+    (
+        "idle processors",
+        f"{HARM}: More work that fills than processors are idle",
+        order_busy_processors,
+    ),
+    (
+        "rooms by image",
+        f"{LOAD}: Images that find room in different data centres",
+        route_by_load_alone,
+    ),
 )
