Split the modules of callers' calls and of commits

Summaries, checks of new jobs and the answers of calls are modules of their own; the lines that read a record for a state and for a cancellation stood twice.

--- a/features/steps/batch_harm_steps.py
+++ b/features/steps/batch_harm_steps.py
@@ -9,7 +9,6 @@
 from sapphirestall_core import resources
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import balance
-from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
@@ -18,6 +17,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import worker_messages
 
 # Headroom of the serving tasks by themselves, and its loss to image "loud".
@@ -395,7 +395,7 @@
 def step(context):
     builders.make_partition(context, builders.make_worker("w-1", 32))
     set_harm(context, "soft", "loud", LOUD_HARM)
-    context.summary = commits.make_summary(
+    context.summary = summaries.make_summary(
         context.partition, context.batch.harm, builders.NOW
     )
 
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -8,11 +8,11 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import caller_messages
-from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summaries
 
 
 def count_started(job):
@@ -114,7 +114,7 @@
 
 
 def list_pending(context, now):
-    summary = commits.make_summary(context.partition, context.batch.harm, now)
+    summary = summaries.make_summary(context.partition, context.batch.harm, now)
     return [job_id for ids in summary.pending.values() for job_id in ids]
 
 
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/calls.py
@@ -0,0 +1,90 @@
+"""Calls of callers that wait for the store, and their answers."""
+
+from sapphirestall_core import messages
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import state
+
+PART = "intake"
+# Callers return after this time; one second is the smallest whole value.
+RETRY_AFTER_S = 1
+# Callers give up after a few attempts. Once the store has been away for longer
+# than a moment they return later, so that their last attempt still meets it.
+LONG_RETRY_AFTER_S = 2
+LONG_AWAY_S = 0.6
+# Calls are refused at once after the store has failed for this long.
+STORE_DOWN_S = 0.3
+
+
+def make_answer(
+    call_id: str, answer: caller_messages.Answer, **fields: object
+) -> dispatch.Effects:
+    """Returns the effects that answer a call."""
+    name = type(answer).__name__
+    effects: dispatch.Effects = [caller_messages.AnswerCaller(call_id, answer)]
+    code = getattr(answer, "code", "")
+    if code:
+        effects.append(messages.CountRefusal(PART, code))
+        fields = {"code": code, **fields}
+    if code or not isinstance(
+        answer, caller_messages.StateShown | caller_messages.PendingShown
+    ):
+        effects.append(messages.Log(PART, name, {"call": call_id, **fields}))
+    return effects
+
+
+def finish(
+    batch: state.Batch,
+    call: state.Call,
+    answer: caller_messages.Answer,
+    now: float,
+    **fields: object,
+) -> dispatch.Effects:
+    """Answers a call that waited for the store."""
+    batch.calls.pop(call.call_id, None)
+    took_ms = round((now - call.started_at) * 1000)
+    return make_answer(
+        call.call_id,
+        answer,
+        job=call.job_id,
+        attempts=call.attempts,
+        took_ms=took_ms,
+        **fields,
+    )
+
+
+def open_call(
+    event: caller_messages.CallerCalled, batch: state.Batch, now: float
+) -> state.Call | caller_messages.Answer:
+    """Returns a new call, or the answer where there is no queue for it."""
+    if batch.configuration is None:
+        return caller_messages.Refused("no_configuration", RETRY_AFTER_S)
+    queue = batch.configuration.find_queue(event.host, event.path)
+    if queue is None:
+        return caller_messages.QueueUnknown()
+    job_id = event.path[len(queue.prefix) :]
+    return state.Call(event.call_id, queue, job_id, now + event.deadline_s, now)
+
+
+def is_store_down(batch: state.Batch, now: float) -> bool:
+    """Tells whether calls to the store have failed for a while."""
+    down_at = batch.store_down_at
+    return down_at is not None and now - down_at > STORE_DOWN_S
+
+
+def find_retry_after(batch: state.Batch, now: float) -> int:
+    """Returns when a caller should return that the store keeps waiting."""
+    down_at = batch.store_down_at
+    if down_at is not None and now - down_at > LONG_AWAY_S:
+        return LONG_RETRY_AFTER_S
+    return RETRY_AFTER_S
+
+
+def refuse_unsent(
+    batch: state.Batch, call: state.Call, now: float
+) -> dispatch.Effects:
+    """Refuses a call of which nothing was sent to the store."""
+    retry_after_s = find_retry_after(batch, now)
+    answer = caller_messages.Refused("store_unavailable", retry_after_s)
+    away_s = round(now - (batch.store_down_at or now), 3)
+    return finish(batch, call, answer, now, store_away_s=away_s)
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -9,12 +9,9 @@
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
-from sapphirestall_core.batch import harm as harm_module
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import ownership
-from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
-from sapphirestall_core.batch import rooms
 from sapphirestall_core.batch import state
 
 PART = "commits"
@@ -25,15 +22,6 @@
 ENTRIES_LIMIT = 32
 ENTRIES_PER_JOB = 4
 JOBS_LIMIT = (ENTRIES_LIMIT - 1) // ENTRIES_PER_JOB
-SUMMARY_INTERVAL_S = 0.7
-# A summary that does not change is written again after this time, so that
-# others can tell an owner that has nothing new from one that is cut off.
-SUMMARY_HEARTBEAT_S = 0.9
-# A job that was moved is counted as pending here as well for this long, as its
-# new owner may be cut off before it shows it.
-SENT_S = 7.0
-# Enough for the tasks of a usual job, and small enough for a summary.
-ROOMS_PUBLISHED = 8
 
 
 @attrs.frozen
@@ -72,15 +60,6 @@
     purpose: RevisionsRead
 
 
-@attrs.frozen
-class SummaryWrite(store_messages.Purpose):
-    """Publishes the summary of a partition."""
-
-    partition: str
-    token: int
-    summary: records.SummaryRecord
-
-
 @attrs.frozen
 class CommitDue(messages.Timer):
     """Starts a commit."""
@@ -349,85 +328,3 @@
         return []
     event = EndsCommitted(partition.name, tuple(moved))
     return dispatch.handle(event, batch, now)
-
-
-def tick(
-    batch: state.Batch, partition: state.Partition, now: float
-) -> dispatch.Effects:
-    """Publishes the summary when it has changed, and now and then."""
-    if partition.phase is not state.Phase.ACTIVE or partition.summary_writing:
-        return []
-    if now < partition.summary_at + SUMMARY_INTERVAL_S:
-        return []
-    summary = make_summary(partition, batch.harm, now)
-    unchanged = summary == partition.summary
-    if unchanged and now < partition.summary_at + SUMMARY_HEARTBEAT_S:
-        return []
-    partition.summary_at = now
-    partition.summary_writing = True
-    key = records.name_summary_key(partition.name)
-    owner = (records.name_owner_key(partition.name), partition.token)
-    return [
-        store_messages.StoreTransaction(
-            SummaryWrite(partition.name, partition.token, summary),
-            (owner,),
-            (store_messages.Put(key, summary),),
-        )
-    ]
-
-
-def make_summary(
-    partition: state.Partition, harm: harm_module.Harm, now: float
-) -> records.SummaryRecord:
-    """Returns what the owner publishes of its partition."""
-    pending: dict[str, list[str]] = {}
-    filling = 0
-    for job in partition.jobs.values():
-        if not job.started and job.record.partition == partition.name:
-            name = job.queue.name
-            pending.setdefault(name, []).append(job.record.job_id)
-        for step in job.steps:
-            if step.released and step.step.fills:
-                filling += len(step.open) * step.step.amount.cpu_millis
-    for job_id, (queue, sent_at) in list(partition.sent.items()):
-        if now - sent_at > SENT_S or job_id in partition.jobs:
-            del partition.sent[job_id]
-        else:
-            pending.setdefault(queue, []).append(job_id)
-    usable = [
-        worker
-        for worker in partition.workers.values()
-        if placement.is_usable(worker, now)
-    ]
-    idle = sum(placement.find_idle_cpu(worker) for worker in usable)
-    free = [worker.entry.capacity.minus(worker.reserved) for worker in usable]
-    free.sort(key=lambda room: -room.cpu_millis)
-    return records.SummaryRecord(
-        {name: tuple(ids) for name, ids in pending.items()},
-        round(filling / max(1, idle), 2),
-        rooms.find_fill_rooms(usable, harm, now),
-        tuple(
-            records.Room(room.cpu_millis, room.memory_mb)
-            for room in free[:ROOMS_PUBLISHED]
-        ),
-        rooms.list_harms(harm),
-    )
-
-
-@dispatch.resume.register(SummaryWrite)
-def end_summary(
-    purpose: SummaryWrite,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Notes what was published."""
-    partition = batch.find_owned(purpose.partition, purpose.token)
-    if partition is None:
-        return []
-    partition.summary_writing = False
-    if isinstance(reply.outcome, store_messages.Committed):
-        partition.summary = purpose.summary
-    if isinstance(reply.outcome, store_messages.Conflict):
-        return ownership.resign(batch, partition.name, "conflict", now)
-    return []
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -14,6 +14,7 @@
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
 from sapphirestall_core.batch import workers
 
@@ -25,6 +26,7 @@
     live_records,
     ownership,
     passes,
+    summaries,
     takeover,
     workers,
 )
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -10,28 +10,18 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import calls
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import rooms
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import submissions
 
-PART = "intake"
-JOB_ID_LENGTH = 16
-JOB_ID_DIGITS = frozenset("0123456789abcdefABCDEF")
-SPEC_LIMIT_BYTES = 4000
 # Pauses before a store call that had no effect is repeated, in seconds.
 RETRY_DELAYS_S = (0.05, 0.15, 0.4)
-# Callers return after this time; one second is the smallest whole value.
-RETRY_AFTER_S = 1
-# Callers give up after a few attempts. Once the store has been away for longer
-# than a moment they return later, so that their last attempt still meets it.
-LONG_RETRY_AFTER_S = 2
-LONG_AWAY_S = 0.6
 # Callers may be told a number of pending jobs that is two seconds old.
 SUMMARY_AGE_S = 0.7
-# Calls are refused at once after the store has failed for this long.
-STORE_DOWN_S = 0.3
 # A store call takes milliseconds; a call is not begun with less time left.
 CALL_MARGIN_S = 0.1
 SHOWN = {
@@ -75,125 +65,22 @@
     purpose: CallPurpose
 
 
-def _answer(
-    call_id: str, answer: caller_messages.Answer, **fields: object
-) -> dispatch.Effects:
-    name = type(answer).__name__
-    effects: dispatch.Effects = [caller_messages.AnswerCaller(call_id, answer)]
-    code = getattr(answer, "code", "")
-    if code:
-        effects.append(messages.CountRefusal(PART, code))
-        fields = {"code": code, **fields}
-    if code or not isinstance(
-        answer, caller_messages.StateShown | caller_messages.PendingShown
-    ):
-        effects.append(messages.Log(PART, name, {"call": call_id, **fields}))
-    return effects
-
-
-def _finish(
-    batch: state.Batch,
-    call: state.Call,
-    answer: caller_messages.Answer,
-    now: float,
-    **fields: object,
-) -> dispatch.Effects:
-    batch.calls.pop(call.call_id, None)
-    took_ms = round((now - call.started_at) * 1000)
-    return _answer(
-        call.call_id,
-        answer,
-        job=call.job_id,
-        attempts=call.attempts,
-        took_ms=took_ms,
-        **fields,
-    )
-
-
-def _open_call(
-    event: caller_messages.CallerCalled, batch: state.Batch, now: float
-) -> state.Call | caller_messages.Answer:
-    if batch.configuration is None:
-        return caller_messages.Refused("no_configuration", RETRY_AFTER_S)
-    queue = batch.configuration.find_queue(event.host, event.path)
-    if queue is None:
-        return caller_messages.QueueUnknown()
-    job_id = event.path[len(queue.prefix) :]
-    return state.Call(event.call_id, queue, job_id, now + event.deadline_s, now)
-
-
-def _is_store_down(batch: state.Batch, now: float) -> bool:
-    """Tells whether calls to the store have failed for a while."""
-    down_at = batch.store_down_at
-    return down_at is not None and now - down_at > STORE_DOWN_S
-
-
-def find_retry_after(batch: state.Batch, now: float) -> int:
-    """Returns when a caller should return that the store keeps waiting."""
-    down_at = batch.store_down_at
-    if down_at is not None and now - down_at > LONG_AWAY_S:
-        return LONG_RETRY_AFTER_S
-    return RETRY_AFTER_S
-
-
-def _refuse_unsent(
-    batch: state.Batch, call: state.Call, now: float
-) -> dispatch.Effects:
-    """Refuses a call of which nothing was sent to the store."""
-    retry_after_s = find_retry_after(batch, now)
-    answer = caller_messages.Refused("store_unavailable", retry_after_s)
-    away_s = round(now - (batch.store_down_at or now), 3)
-    return _finish(batch, call, answer, now, store_away_s=away_s)
-
-
-def _is_job_id(text: str) -> bool:
-    return len(text) == JOB_ID_LENGTH and set(text) <= JOB_ID_DIGITS
-
-
-def find_fault(
-    steps: tuple[model.Step, ...], spec: str, schedule: model.Schedule
-) -> caller_messages.Invalid | None:
-    """Returns why a job can't be taken, or None."""
-    if len(spec.encode()) > SPEC_LIMIT_BYTES:
-        return caller_messages.Invalid("spec_too_long", "spec is too long")
-    if not steps:
-        return caller_messages.Invalid("no_steps", "the job has no steps")
-    for number, step in enumerate(steps):
-        if step.count < 1 or any(not 0 <= i < number for i in step.after):
-            return caller_messages.Invalid(
-                "bad_step", f"step {number} has a bad count or order"
-            )
-        if step.gang or step.same_rack:
-            return caller_messages.Invalid(
-                "unsupported", f"step {number} asks for a gang or one rack"
-            )
-    if schedule.count:
-        return caller_messages.Invalid(
-            "unsupported", "scheduled jobs are not supported"
-        )
-    return None
-
-
 @dispatch.handle.register(caller_messages.SubmitCalled)
 def submit(
     event: caller_messages.SubmitCalled, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Takes a job: checks it, then writes its record."""
-    call = _open_call(event, batch, now)
+    call = calls.open_call(event, batch, now)
     if isinstance(call, caller_messages.Answer):
-        return _answer(event.call_id, call, path=event.path)
+        return calls.make_answer(event.call_id, call, path=event.path)
     if batch.stopping:
-        refusal = caller_messages.Refused("shutting_down", RETRY_AFTER_S)
-        return _answer(event.call_id, refusal, job=call.job_id)
-    if _is_store_down(batch, now):
-        return _refuse_unsent(batch, call, now)
-    fault = find_fault(event.steps, event.spec, event.schedule)
-    if fault is None and not _is_job_id(call.job_id):
-        fault = caller_messages.Invalid("bad_job_id", "not 16 hex digits")
-    if fault is None and call.queue.advice is not None:
-        fault = caller_messages.Invalid("unsupported", "queue needs advice")
+        refusal = caller_messages.Refused("shutting_down", calls.RETRY_AFTER_S)
+        return calls.make_answer(event.call_id, refusal, job=call.job_id)
+    if calls.is_store_down(batch, now):
+        return calls.refuse_unsent(batch, call, now)
+    fault = submissions.find_fault(event, call.job_id, call.queue)
     if fault is not None:
-        return _answer(event.call_id, fault, job=call.job_id)
+        return calls.make_answer(event.call_id, fault, job=call.job_id)
     call.record = records.JobRecord(
         call.job_id,
         call.queue,
@@ -215,12 +102,12 @@
     event: caller_messages.StateCalled, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Shows the state of a job, or the pending jobs of a queue."""
-    call = _open_call(event, batch, now)
+    call = calls.open_call(event, batch, now)
     if isinstance(call, caller_messages.Answer):
-        return _answer(event.call_id, call, path=event.path)
+        return calls.make_answer(event.call_id, call, path=event.path)
     batch.calls[call.call_id] = call
-    if _is_store_down(batch, now):
-        return _refuse_unsent(batch, call, now)
+    if calls.is_store_down(batch, now):
+        return calls.refuse_unsent(batch, call, now)
     if call.job_id:
         return _send(StateRead(call.call_id), call)
     if now - batch.summaries_at <= SUMMARY_AGE_S:
@@ -234,12 +121,12 @@
     event: caller_messages.CancelCalled, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Cancels a job: reads its record, then writes it as cancelled."""
-    call = _open_call(event, batch, now)
+    call = calls.open_call(event, batch, now)
     if isinstance(call, caller_messages.Answer):
-        return _answer(event.call_id, call, path=event.path)
+        return calls.make_answer(event.call_id, call, path=event.path)
     batch.calls[call.call_id] = call
-    if _is_store_down(batch, now):
-        return _refuse_unsent(batch, call, now)
+    if calls.is_store_down(batch, now):
+        return calls.refuse_unsent(batch, call, now)
     return _send(CancelRead(call.call_id), call)
 
 
@@ -280,16 +167,16 @@
             if isinstance(purpose, CancelWrite):
                 again = CancelRead(call.call_id)
             return [
-                messages.CountRetry(PART, "store_unavailable"),
+                messages.CountRetry(calls.PART, "store_unavailable"),
                 messages.StartTimer(CallRetryDue(again), delay_s, 0.3),
             ]
     answer: caller_messages.Answer
     if call.ambiguous:
         answer = caller_messages.Undecided("store_no_answer")
     else:
-        retry_after_s = find_retry_after(batch, now)
+        retry_after_s = calls.find_retry_after(batch, now)
         answer = caller_messages.Refused("store_unavailable", retry_after_s)
-    return _finish(batch, call, answer, now, detail=outcome.detail)
+    return calls.finish(batch, call, answer, now, detail=outcome.detail)
 
 
 @dispatch.resume.register(Submission)
@@ -307,7 +194,7 @@
         return _handle_failure(purpose, reply.outcome, batch, call, now)
     repeat = isinstance(reply.outcome, store_messages.Conflict)
     assert call.record is not None
-    return _finish(
+    return calls.finish(
         batch,
         call,
         caller_messages.Accepted(),
@@ -318,26 +205,48 @@
     )
 
 
-@dispatch.resume.register(StateRead)
-def end_state(
-    purpose: StateRead,
+@attrs.frozen(slots=True)
+class FoundJob:
+    """A job's record that was read for a caller's call."""
+
+    call: state.Call
+    record: records.JobRecord
+    found: store_messages.Found
+
+
+def _take_record(
+    purpose: CallPurpose,
     reply: store_messages.StoreReply,
     batch: state.Batch,
     now: float,
-) -> dispatch.Effects:
-    """Shows the state that the store holds."""
+) -> FoundJob | dispatch.Effects:
+    """Returns the record that was read, or what its absence leads to."""
     call = batch.calls.get(purpose.call_id)
     if call is None:
         return []
     outcome = reply.outcome
     if isinstance(outcome, store_messages.Absent):
-        return _finish(batch, call, caller_messages.Gone(), now)
+        return calls.finish(batch, call, caller_messages.Gone(), now)
     if not isinstance(outcome, store_messages.Found):
         return _handle_failure(purpose, outcome, batch, call, now)
-    record = outcome.value
-    assert isinstance(record, records.JobRecord)
+    assert isinstance(outcome.value, records.JobRecord)
+    return FoundJob(call, outcome.value, outcome)
+
+
+@dispatch.resume.register(StateRead)
+def end_state(
+    purpose: StateRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Shows the state that the store holds."""
+    job = _take_record(purpose, reply, batch, now)
+    if not isinstance(job, FoundJob):
+        return job
+    record = job.record
     shown = SHOWN.get(record.state) or _name_progress(batch, record)
-    return _finish(batch, call, caller_messages.StateShown(shown), now)
+    return calls.finish(batch, job.call, caller_messages.StateShown(shown), now)
 
 
 def _name_progress(batch: state.Batch, record: records.JobRecord) -> str:
@@ -355,19 +264,13 @@
     now: float,
 ) -> dispatch.Effects:
     """Writes the record as cancelled unless the job has ended."""
-    call = batch.calls.get(purpose.call_id)
-    if call is None:
-        return []
-    outcome = reply.outcome
-    if isinstance(outcome, store_messages.Absent):
-        return _finish(batch, call, caller_messages.Gone(), now)
-    if not isinstance(outcome, store_messages.Found):
-        return _handle_failure(purpose, outcome, batch, call, now)
-    record = outcome.value
-    assert isinstance(record, records.JobRecord)
+    job = _take_record(purpose, reply, batch, now)
+    if not isinstance(job, FoundJob):
+        return job
+    call, record, found = job.call, job.record, job.found
     if record.state is not model.JobState.ACCEPTED:
         answer = caller_messages.Cancelled()
-        return _finish(batch, call, answer, now, state=record.state)
+        return calls.finish(batch, call, answer, now, state=record.state)
     cancelled = attrs.evolve(
         record,
         state=model.JobState.CANCELLED,
@@ -378,8 +281,8 @@
     return [
         store_messages.StoreTransaction(
             CancelWrite(call.call_id),
-            ((outcome.key, outcome.revision),),
-            (store_messages.Put(outcome.key, cancelled),),
+            ((found.key, found.revision),),
+            (store_messages.Put(found.key, cancelled),),
         )
     ]
 
@@ -396,7 +299,7 @@
     if call is None:
         return []
     if isinstance(reply.outcome, store_messages.Committed):
-        return _finish(batch, call, caller_messages.Cancelled(), now)
+        return calls.finish(batch, call, caller_messages.Cancelled(), now)
     if isinstance(reply.outcome, store_messages.Conflict):
         return _send(CancelRead(call.call_id), call)
     return _handle_failure(purpose, reply.outcome, batch, call, now)
@@ -411,14 +314,14 @@
 ) -> dispatch.Effects:
     """Takes the summaries and answers the calls that wait for them."""
     batch.summaries_reading = False
-    calls, batch.pending_calls = batch.pending_calls, []
+    waiting, batch.pending_calls = batch.pending_calls, []
     effects: dispatch.Effects = []
     if not isinstance(reply.outcome, store_messages.Listed):
-        for call in calls:
+        for call in waiting:
             refusal = caller_messages.Refused(
-                "store_unavailable", find_retry_after(batch, now)
+                "store_unavailable", calls.find_retry_after(batch, now)
             )
-            effects += _finish(batch, call, refusal, now)
+            effects += calls.finish(batch, call, refusal, now)
         return effects
     batch.summaries_at = now
     for found in reply.outcome.entries:
@@ -429,7 +332,7 @@
             known = batch.summary_changes.get(name)
             if known is None or known[0] != found.revision:
                 batch.summary_changes[name] = (found.revision, now)
-    for call in calls:
+    for call in waiting:
         effects += _show_pending(batch, call, now)
     return effects
 
@@ -442,4 +345,4 @@
     for summary in batch.summaries.values():
         pending.update(summary.pending.get(call.queue.name, ()))
     count = len(pending)
-    return _finish(batch, call, caller_messages.PendingShown(count), now)
+    return calls.finish(batch, call, caller_messages.PendingShown(count), now)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/submissions.py
@@ -0,0 +1,46 @@
+"""Checks of jobs before they are accepted."""
+
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import model
+
+JOB_ID_LENGTH = 16
+JOB_ID_DIGITS = frozenset("0123456789abcdefABCDEF")
+SPEC_LIMIT_BYTES = 4000
+
+
+def _is_job_id(text: str) -> bool:
+    return len(text) == JOB_ID_LENGTH and set(text) <= JOB_ID_DIGITS
+
+
+def find_fault(
+    event: caller_messages.SubmitCalled, job_id: str, queue: model.Queue
+) -> caller_messages.Invalid | None:
+    """Returns why a job can't be taken, or None."""
+    if not _is_job_id(job_id):
+        return caller_messages.Invalid("bad_job_id", "not 16 hex digits")
+    if queue.advice is not None:
+        return caller_messages.Invalid("unsupported", "queue needs advice")
+    if len(event.spec.encode()) > SPEC_LIMIT_BYTES:
+        return caller_messages.Invalid("spec_too_long", "spec is too long")
+    if event.schedule.count:
+        return caller_messages.Invalid(
+            "unsupported", "scheduled jobs are not supported"
+        )
+    return _find_step_fault(event.steps)
+
+
+def _find_step_fault(
+    steps: tuple[model.Step, ...],
+) -> caller_messages.Invalid | None:
+    if not steps:
+        return caller_messages.Invalid("no_steps", "the job has no steps")
+    for number, step in enumerate(steps):
+        if step.count < 1 or any(not 0 <= i < number for i in step.after):
+            return caller_messages.Invalid(
+                "bad_step", f"step {number} has a bad count or order"
+            )
+        if step.gang or step.same_rack:
+            return caller_messages.Invalid(
+                "unsupported", f"step {number} asks for a gang or one rack"
+            )
+    return None
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -4,7 +4,6 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import balance
-from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import holds
@@ -14,6 +13,7 @@
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import worker_messages
 
 ENTRIES_INTERVAL_S = 1.0
@@ -162,7 +162,7 @@
             effects += [log, *passes.plan(partition)]
         for worker in list(partition.workers.values()):
             effects += _tick_worker(batch, partition, worker, now)
-        effects += commits.tick(batch, partition, now)
+        effects += summaries.publish(batch, partition, now)
         effects += balance.tick(batch, partition, now)
         effects += retention.tick(batch, partition, now)
         # Also places tasks for which a suspension or a silence has ended.
