--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -57,3 +57,10 @@
     Guards against a listing of a worker that knows nothing of before.
     Given a listing of a later life of the worker
     Then the reply is a refusal as reborn
+
+  Scenario: Owner keys and job records are told apart in one list
+    Guards against owner keys that an owner skips as unreadable when it reads
+    them together with job records.
+    Given a list of an owner key, a job record and an unreadable value
+    Then the owner key and the job record are decoded as such
+    And the unreadable value is reported and skipped
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -1,14 +1,20 @@
 """Steps for platform_documents.feature."""
 
+import base64
 import json
+import time
 
 import behave
+import cattrs
 
 from sapphirestall_core import errors
+from sapphirestall_core import resources
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import records
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_platform import documents
 from sapphirestall_platform import settings
+from sapphirestall_platform import store
 from sapphirestall_platform import workers
 
 SETTINGS = {
@@ -156,3 +162,57 @@
 @behave.then("the reply is a refusal as reborn")
 def step(context):
     assert context.reply == worker_messages.Rejected("reborn")
+
+
+def make_item(key, value):
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "revision": 7,
+        "created": 5,
+    }
+
+
+@behave.given("a list of an owner key, a job record and an unreadable value")
+def step(context):
+    context.reports = []
+    context.store = store.Store(
+        None,
+        "127.0.0.1:1",
+        cattrs.Converter(omit_if_default=True),
+        context.reports.append,
+        time.monotonic,
+        lambda text, fields: context.reports.append((text, fields["key"])),
+    )
+    queue = model.Queue("q", "host", "/q/", "service", 0, 3, 2.0, 1.0)
+    step = model.Step(2, resources.Vector(1000, 100, 0), image="calm")
+    context.job = records.JobRecord(
+        "0123456789abcdef",
+        queue,
+        "sefrou",
+        model.JobState.ACCEPTED,
+        "x",
+        (step,),
+        {"0.1": records.MovedTask("imouzzer", 3)},
+    )
+    context.owner = records.OwnerRecord("edge-sefrou-1/ab")
+    converter = context.store.converter
+    job = json.dumps(converter.unstructure(context.job)).encode()
+    owner = json.dumps(converter.unstructure(context.owner)).encode()
+    items = [
+        make_item(records.name_owner_key("sefrou"), owner),
+        make_item(records.name_job_key(context.job.job_id), job),
+        make_item(records.JOBS + "foreign", b"\xff{"),
+    ]
+    context.found = context.store.decode_all(items, records.LIVE_DOCUMENTS)
+
+
+@behave.then("the owner key and the job record are decoded as such")
+def step(context):
+    values = [found.value for found in context.found]
+    assert values == [context.owner, context.job], values
+
+
+@behave.then("the unreadable value is reported and skipped")
+def step(context):
+    assert context.reports == [("skipped", records.JOBS + "foreign")]
