Log why an owner waits before it starts tasks again

The collected logs told how long a new owner waited for a worker, but not for which partition, whether the worker had announced that it leaves, when the platform's list lost it, or that a process stopped with partitions it still owned. New: a line when a worker disappears from the list, and the partition, token and time held in settled_by_time; stopped names partitions and commits that are pending.

--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -208,8 +208,14 @@
         return [again]
     if batch.calls and not timed_out:
         return [again]
-    log = messages.Log("process", "stopped", {"calls": len(batch.calls)})
-    return [log, messages.Exit()]
+    fields = {
+        "calls": len(batch.calls),
+        # Partitions whose keys stay in the store until the lease expires.
+        "partitions": len(batch.partitions),
+        "commits_pending": commits_pending,
+        "took_s": round(now - batch.shutdown_requested_at, 3),
+    }
+    return [messages.Log("process", "stopped", fields), messages.Exit()]
 
 
 @dispatch.handle_store_reply.register(ownership.LeaseEnd)
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -119,10 +119,26 @@
                 worker.deregistered_since = None
             elif worker.deregistered_since is None:
                 worker.deregistered_since = now
+                effects.append(_log_deregistered(partition, worker, now))
         effects += dispatch.handle(RosterDue(partition.name), batch, now)
     return effects
 
 
+def _log_deregistered(
+    partition: state.Partition, worker: state.Worker, now: float
+) -> messages.Log:
+    """Returns a log line about a worker that the platform's list now lacks."""
+    answered_at = worker.last_answer_at
+    return contact.make_log(
+        "deregistered",
+        partition,
+        worker.entry.worker_id,
+        draining=worker.entry.draining,
+        contact_age_s=round(now - answered_at, 3) if answered_at else "",
+        runs=len(worker.runs),
+    )
+
+
 def _apply_entry(
     batch: state.Batch,
     partition: state.Partition,
@@ -205,7 +221,14 @@
             names = sorted(partition.unlisted_workers)
             partition.unlisted_workers.clear()
             log = messages.Log(
-                contact.PART, "settled_by_time", {"workers": names}
+                contact.PART,
+                "settled_by_time",
+                {
+                    "partition": partition.name,
+                    "token": partition.token,
+                    "workers": names,
+                    "held_s": round(now - partition.acquired_at, 3),
+                },
             )
             effects += [log, *passes.request_pass(partition)]
         for worker in list(partition.workers.values()):
