--- /dev/null
+++ b/features/batch_departure.feature
@@ -0,0 +1,81 @@
+Feature: Departure of workers and owners
+
+  Scenario: Long-running tasks leave a draining worker before it exits
+    Guards against long-running tasks that stay on a worker until it exits
+    although others have capacity, so that they wait until their owner has
+    found out.
+    Given an owner of three workers with long-running tasks
+    When a worker with long-running tasks drains for 4 s and then exits
+    And 9 s pass after the departure
+    Then no task was without a run for more than 1 s
+    And no invariant was violated
+
+  Scenario: Tasks of a worker that exits soon after its notice start again
+    Guards against a wait for the lease of runs that ended with their worker:
+    the worker announced its departure, and the platform's list lacks it.
+    Given an owner of three workers with long-running tasks
+    When a worker with long-running tasks announces its departure
+    And the worker exits as soon as its owner has read the list
+    And 7 s pass after the departure
+    Then no task was without a run for more than 5 s
+    And no invariant was violated
+
+  Scenario: A new owner does not wait for a worker that announced its departure
+    Guards against a successor that waits until the leases of all former runs
+    must have expired, although the only worker without a listing has left.
+    Given an owner of three workers with long-running tasks
+    When a worker with long-running tasks announces its departure
+    And the worker exits and its owner is killed when the owner has read the list
+    And 9 s pass after the departure
+    Then no task was without a run for more than 7 s
+    And no invariant was violated
+
+  Scenario: Tasks of a crashed worker start again if workers grant long leases
+    Guards against tasks that wait for a lease of 10 s, the longest that some
+    deployments grant, after their worker has crashed.
+    Given an owner of three workers that grant leases of 10 s
+    When a worker with long-running tasks crashes
+    And 9 s pass after the departure
+    Then no task was without a run for more than 7 s
+    And no invariant was violated
+
+  Scenario: A draining worker that still runs its tasks has not left
+    Guards against tasks that run twice: an entry may disappear during an
+    outage of the store although its worker continues to run.
+    Given an owner of three workers in full use
+    When a worker drains and its entry disappears for 3 s
+    And 12 s pass after the departure
+    Then no task was without a run for more than 1 s
+    And no invariant was violated
+
+  Scenario: An entry that returns does not end the runs of its worker
+    Guards against tasks that run twice: the entry of a draining worker
+    disappeared during an outage of the store and returned 2 s after it, while
+    the worker did not answer.
+    Given an owner of three workers in full use
+    When a draining worker does not answer and its entry disappears for 2 s
+    And 12 s pass after the departure
+    Then no task ran on another worker while the entry was missing
+    And no invariant was violated
+
+  Scenario: An owner with ends to commit gives up its partitions at a shutdown
+    Guards against an owner that exits without waiting for its commits and
+    leaves its keys in the store until their lease expires, so that its
+    partitions have no owner meanwhile.
+    Given an owner of three workers with short tasks
+    When the owner is asked to shut down while ends wait for their commit
+    And 1 s pass
+    Then the process has ended and another instance owns the partition
+    And no invariant was violated
+
+  Scenario Outline: Any instance acquires a partition of its data centre soon
+    Guards against a partition without an owner for seconds: the random part of
+    an instance's delay had no upper bound, and only that instance was left.
+    Given an instance with <processors> processors that owns <owned> partitions
+    Then it would acquire each of 1000 partitions within <seconds> s
+
+    Examples:
+      | processors | owned | seconds |
+      | 0.2        | 0     | 1.5     |
+      | 0.2        | 8     | 3.5     |
+      | 2.0        | 8     | 3.5     |
--- /dev/null
+++ b/features/steps/batch_departure_steps.py
@@ -0,0 +1,262 @@
+"""Steps for batch_departure.feature."""
+
+import attrs
+import behave
+
+from sapphirestall_core import messages
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import state
+from standins import batch_world
+
+DATA_CENTRE = "north"
+JOB = f"{1:016x}"
+START_S = 3.0
+STEP_S = 0.05
+
+
+@attrs.define
+class TaskGaps:
+    """Times without a run of the tasks of a job.
+
+    Attributes:
+        world: Simulation that runs the tasks.
+        tasks: The tasks.
+        without_run_since: When each task was last seen without a run first.
+        longest_s: Longest time without a run of each task, in seconds.
+    """
+
+    world: batch_world.BatchWorld
+    tasks: list[model.TaskName]
+    without_run_since: dict[model.TaskName, float] = attrs.field(factory=dict)
+    longest_s: dict[model.TaskName, float] = attrs.field(factory=dict)
+
+    def run(self, seconds):
+        """Runs the simulation and measures the times without a run."""
+        end = self.world.now + seconds
+        while self.world.now < end:
+            self.world.run(STEP_S)
+            running = {task for _, task, _ in self.world.list_runs()}
+            for task in self.tasks:
+                self.measure(task, is_running=task in running)
+
+    def measure(self, task, *, is_running):
+        """Updates the times of one task."""
+        now = self.world.now
+        since = self.without_run_since.setdefault(task, now)
+        gap_s = now - since
+        self.longest_s[task] = max(self.longest_s.get(task, 0.0), gap_s)
+        if is_running:
+            del self.without_run_since[task]
+
+
+def make_world(context, cpu_millis, limits=batch_world.LIMITS):
+    world = batch_world.BatchWorld(1, limits=limits)
+    for number in range(3):
+        world.add_worker(f"w-{number}", DATA_CENTRE, cpu_millis)
+    for number in range(2):
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+    context.world = world
+
+
+def submit_long_running_tasks(context, count):
+    world = context.world
+    amount = resources.Vector(1000, 100, 0)
+    step = model.Step(count, amount, long_running=True)
+    world.submit(world.nodes[0], JOB, step)
+    world.run(2.0)
+    tasks = [model.TaskName(JOB, 0, 0, index) for index in range(count)]
+    context.gaps = TaskGaps(world, tasks)
+    assert len(world.list_runs()) == count, world.list_runs()
+    context.worker_id = choose_worker(world)
+
+
+def choose_worker(world):
+    """Returns the worker with the most runs."""
+    names = [name for name, _, _ in world.list_runs()]
+    return max(sorted(set(names)), key=names.count)
+
+
+def find_owner(context):
+    owner = context.world.find_owner(DATA_CENTRE)
+    assert owner is not None
+    return owner
+
+
+def wait_for_list(context):
+    """Waits until the owner has read the worker's entry as draining."""
+
+    def is_draining():
+        partition = find_owner(context).batch.partitions[DATA_CENTRE]
+        return partition.workers[context.worker_id].entry.draining
+
+    for _ in range(60):
+        if is_draining():
+            return
+        context.gaps.run(STEP_S)
+    raise AssertionError("the owner has not read the entry")
+
+
+@behave.given("an owner of three workers with long-running tasks")
+def step(context):
+    make_world(context, 8000)
+    submit_long_running_tasks(context, 6)
+
+
+@behave.given("an owner of three workers that grant leases of 10 s")
+def step(context):
+    make_world(context, 8000, state.Limits(worker_lease_s=10.0))
+    submit_long_running_tasks(context, 6)
+
+
+@behave.given("an owner of three workers in full use")
+def step(context):
+    make_world(context, 2000)
+    submit_long_running_tasks(context, 6)
+
+
+@behave.given("an owner of three workers with short tasks")
+def step(context):
+    make_world(context, 8000)
+    world = context.world
+    world.run_duration_s = (0.5, 0.5)
+    amount = resources.Vector(1000, 100, 0)
+    world.submit(world.nodes[0], JOB, model.Step(8, amount))
+
+
+@behave.when(
+    "a worker with long-running tasks drains for {seconds:g} s and then exits"
+)
+def step(context, seconds):
+    context.world.drain_worker(context.worker_id)
+    context.gaps.run(seconds)
+    context.world.end_worker(context.worker_id)
+
+
+@behave.when("a worker with long-running tasks announces its departure")
+def step(context):
+    context.world.drain_worker(context.worker_id)
+
+
+@behave.when("the worker exits as soon as its owner has read the list")
+def step(context):
+    wait_for_list(context)
+    context.world.end_worker(context.worker_id)
+
+
+@behave.when(
+    "the worker exits and its owner is killed when the owner has read the list"
+)
+def step(context):
+    wait_for_list(context)
+    # The owner has stored what it knows of the worker.
+    context.gaps.run(STEP_S)
+    context.world.end_worker(context.worker_id)
+    context.world.kill(find_owner(context))
+
+
+@behave.when("a worker with long-running tasks crashes")
+def step(context):
+    context.world.end_worker(context.worker_id)
+
+
+def hide_entry(context, seconds):
+    world, name = context.world, context.worker_id
+    world.drain_worker(name)
+    wait_for_list(context)
+    entry = world.listed_workers.pop(name)
+
+    def restore():
+        world.listed_workers[name] = entry
+
+    world.schedule(seconds, restore)
+
+
+@behave.when("a worker drains and its entry disappears for {seconds:g} s")
+def step(context, seconds):
+    hide_entry(context, seconds)
+
+
+@behave.when(
+    "a draining worker does not answer and its entry disappears for"
+    " {seconds:g} s"
+)
+def step(context, seconds):
+    world, name = context.world, context.worker_id
+    for node in world.nodes:
+        node.unreachable_workers.add(name)
+        world.schedule(
+            seconds + 0.5,
+            lambda node=node: node.unreachable_workers.discard(name),
+        )
+    hide_entry(context, seconds)
+    # Room for the tasks, which the owner must not use.
+    world.add_worker("w-new", DATA_CENTRE, 8000)
+
+
+@behave.when("{seconds:g} s pass after the departure")
+def step(context, seconds):
+    context.gaps.run(seconds)
+
+
+@behave.when("the owner is asked to shut down while ends wait for their commit")
+def step(context):
+    world = context.world
+    context.owner = find_owner(context)
+    partition = context.owner.batch.partitions[DATA_CENTRE]
+    for _ in range(400):
+        world.run(0.005)
+        if partition.dirty_jobs or partition.commit_in_flight:
+            break
+    assert partition.dirty_jobs or partition.commit_in_flight
+    world.deliver(context.owner, messages.ShutdownRequested())
+
+
+@behave.given(
+    "an instance with {processors:g} processors that owns {owned:d} partitions"
+)
+def step(context, processors, owned):
+    identity = state.Identity("e-0", "1", DATA_CENTRE, processors=processors)
+    context.batch = state.Batch(identity)
+    for number in range(owned):
+        name = f"{DATA_CENTRE}/{number}"
+        context.batch.partitions[name] = state.Partition(name, 1, 0.0)
+
+
+@behave.then("no task was without a run for more than {seconds:g} s")
+def step(context, seconds):
+    longest_s = context.gaps.longest_s
+    late = {str(task): s for task, s in longest_s.items() if s > seconds}
+    assert longest_s and not late, late
+
+
+@behave.then("no task ran on another worker while the entry was missing")
+def step(context):
+    world = context.world
+    assert not world.violations, world.violations
+    runs = world.list_runs()
+    assert len(runs) == len(context.gaps.tasks), runs
+    assert all(name != "w-new" for name, _, _ in runs), runs
+
+
+@behave.then("the process has ended and another instance owns the partition")
+def step(context):
+    assert not context.owner.alive
+    owner = context.world.find_owner(DATA_CENTRE)
+    assert owner is not None and owner is not context.owner
+
+
+@behave.then(
+    "it would acquire each of {count:d} partitions within {seconds:g} s"
+)
+def step(context, count, seconds):
+    delays_s = []
+    for number in range(count):
+        name = f"{DATA_CENTRE}/r{number}"
+        context.batch.known_partitions[name] = DATA_CENTRE
+        delays_s.append(
+            ownership.compute_acquisition_delay(context.batch, name)
+        )
+    assert max(delays_s) <= seconds, max(delays_s)
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -116,6 +116,7 @@
             of the worker, and not only listings.
         late_commands_survive_restart: Whether a later incarnation of a worker
             carries out late commands that were sent to an earlier one.
+        limits: Time limits of the deployment.
     """
 
     seed: int
@@ -152,6 +153,7 @@
     run_duration_s: tuple[float, float] = (0.5, 2.0)
     all_replies_name_incarnation: bool = False
     late_commands_survive_restart: bool = False
+    limits: state.Limits = LIMITS
 
     def __attrs_post_init__(self) -> None:
         """Seeds the random numbers of the simulation."""
@@ -166,7 +168,7 @@
             f"{next(self.numbers):x}",
             data_centre,
             0.0,
-            LIMITS,
+            self.limits,
             processors,
         )
         node = Node(name, instance.build(identity))
@@ -194,12 +196,22 @@
             rack,
         )
         worker = batch_worker.BatchWorker(
-            entry, LIMITS.worker_lease_s, self.now
+            entry, self.limits.worker_lease_s, self.now
         )
         self.workers[name] = worker
         self.listed_workers[name] = entry
         return worker
 
+    def drain_worker(self, name: str) -> None:
+        """Makes a worker announce that it will leave."""
+        entry = attrs.evolve(self.listed_workers[name], draining=True)
+        self.listed_workers[name] = entry
+
+    def end_worker(self, name: str) -> None:
+        """Ends a worker, which the platform's list then lacks."""
+        del self.workers[name]
+        self.listed_workers.pop(name, None)
+
     def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedules an action after a delay in seconds."""
         entry = (self.now + delay_s, next(self.numbers), action)
@@ -598,7 +610,9 @@
     """
 
     def act() -> None:
-        worker = world.workers[call.target.worker_id]
+        worker = world.workers.get(call.target.worker_id)
+        if worker is None:
+            return
         same = worker.entry.started_at_ms == call.target.started_at_ms
         if same or world.late_commands_survive_restart:
             execute(call, world, lambda _: None)
@@ -617,7 +631,10 @@
     A call reaches the worker by its id alone, so it is carried out by a later
     incarnation than the one that it was meant for as well.
     """
-    worker = world.workers[call.target.worker_id]
+    worker = world.workers.get(call.target.worker_id)
+    if worker is None:
+        answer(worker_messages.NoAnswer("the worker has ended"))
+        return
     worker.advance(world.now)
     if call.token < worker.fence:
         clock_ms = worker.read_clock(world.now)
@@ -677,7 +694,7 @@
     until = world.now + call.wait_s
 
     def poll() -> None:
-        if world.workers[call.target.worker_id] is not worker:
+        if world.workers.get(call.target.worker_id) is not worker:
             answer(worker_messages.NoAnswer("the worker has ended"))
             return
         worker.advance(world.now)
