Give up partitions at a shutdown even while commits are pending

Cause: the shutdown waited for commits only in the condition under which it resigned; with commits pending it skipped the resignation and went on to the check for calls in flight, found none and exited.

Change: it waits at most 0.3 s for commits, then resigns and ends the store lease in any case. Ends that are not committed are not acknowledged, so the workers list them again for the next owner.

The scenario 'An owner with ends to commit gives up its partitions at a shutdown' failed before (the process ended and the key stayed) and passes.

--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -40,8 +40,12 @@
 # An instance that has not reached the store for this long gets no new
 # connections.
 MAX_STORE_OUTAGE_S = 1.5
-# Longest time for which a shutdown waits for commits and calls in flight.
+# Longest time for which a shutdown waits for commits, in seconds. An owner that
+# shuts down starts no tasks, so its partitions should get another owner soon.
+COMMIT_WAIT_S = 0.3
+# Longest time for which a shutdown waits for calls in flight, in seconds.
 DRAIN_TIMEOUT_S = 2.0
+DRAIN_CHECK_INTERVAL_S = 0.05
 
 
 def build(identity: state.Identity) -> state.Batch:
@@ -186,38 +190,50 @@
     """Resigns, ends the store lease and then ends the process.
 
     Each step waits for what is in flight: first for commits, then for the end
-    of the lease and for callers' calls. After `DRAIN_TIMEOUT_S` nothing is
-    waited for.
+    of the lease and for callers' calls.
     """
-    timed_out = now - batch.shutdown_requested_at > DRAIN_TIMEOUT_S
-    commits_pending = any(
-        partition.dirty_jobs or partition.commit_in_flight
-        for partition in batch.partitions.values()
-    )
-    again = messages.StartTimer(DrainDue(), 0.05)
-    effects: dispatch.Effects = []
-    if batch.lease_id and (timed_out or not commits_pending):
-        for name in list(batch.partitions):
-            effects += ownership.resign(batch, name, "stopping", now)
-        end = ownership.LeaseEnd()
-        effects.append(store_messages.StoreEndLease(end, batch.lease_id))
-        batch.lease_id = ""
-        batch.lease_call_in_flight = True
-        return [*effects, again]
-    if batch.lease_call_in_flight and not timed_out:
-        return [again]
-    if batch.calls and not timed_out:
+    waited_s = now - batch.shutdown_requested_at
+    again = messages.StartTimer(DrainDue(), DRAIN_CHECK_INTERVAL_S)
+    if batch.lease_id:
+        if _has_pending_commits(batch) and waited_s <= COMMIT_WAIT_S:
+            return [again]
+        return [*_give_up_partitions(batch, now), again]
+    in_flight = batch.lease_call_in_flight or batch.calls
+    if in_flight and waited_s <= DRAIN_TIMEOUT_S:
         return [again]
     fields = {
         "calls": len(batch.calls),
-        # Partitions whose keys stay in the store until the lease expires.
-        "partitions": len(batch.partitions),
-        "commits_pending": commits_pending,
-        "took_s": round(now - batch.shutdown_requested_at, 3),
+        "lease_end_unanswered": batch.lease_call_in_flight,
+        "took_s": round(waited_s, 3),
     }
     return [messages.Log("process", "stopped", fields), messages.Exit()]
 
 
+def _has_pending_commits(batch: state.Batch) -> bool:
+    """Returns whether effects of ended runs are not in the store yet."""
+    return any(
+        partition.dirty_jobs or partition.commit_in_flight
+        for partition in batch.partitions.values()
+    )
+
+
+def _give_up_partitions(batch: state.Batch, now: float) -> dispatch.Effects:
+    """Resigns all partitions and ends the store lease of their owner keys.
+
+    Ends that are not committed are not acknowledged either, so the workers list
+    them again for the next owner.
+    """
+    effects: dispatch.Effects = []
+    pending = _has_pending_commits(batch)
+    for name in list(batch.partitions):
+        effects += ownership.resign(batch, name, "stopping", now)
+    log = messages.Log("process", "resigned", {"commits_pending": pending})
+    call = store_messages.StoreEndLease(ownership.LeaseEnd(), batch.lease_id)
+    batch.lease_id = ""
+    batch.lease_call_in_flight = True
+    return [*effects, log, call]
+
+
 @dispatch.handle_store_reply.register(ownership.LeaseEnd)
 def end_lease(
     purpose: ownership.LeaseEnd,
