Bound the delay before an instance acquires a partition

The random part of the delay, by which instances that find a partition without an owner differ, had no upper bound: up to 10.7 s for 0.2 processors and 1000 partitions. It is a fixed property of instance and partition, so a data centre whose other instances restart left such a partition without an owner each time. The scenario 'Any instance acquires a partition of its data centre soon' failed before for 0.2 processors (10.7 s and 12.7 s) and passes.

--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -45,6 +45,9 @@
 # delays differ by instance and partition, so that few instances write the same
 # owner key at the same time.
 MEAN_ACQUISITION_DELAY_S = 0.3
+# Upper bound of the random delay, because it is possible that only instances
+# whose hash selects a long one are left.
+MAX_RANDOM_DELAY_S = 1.5
 # Extra delay of an instance with one processor for each partition that it
 # already owns, so that instances with fewer partitions acquire first.
 DELAY_PER_PARTITION_S = 0.6
@@ -432,7 +435,8 @@
     processors = max(MIN_PROCESSORS, batch.identity.processors)
     owned_s = DELAY_PER_PARTITION_S * owned / processors
     delay_s = min(owned_s, MAX_DELAY_FOR_OWNED_S)
-    delay_s -= MEAN_ACQUISITION_DELAY_S * math.log(fraction) / processors
+    random_s = -MEAN_ACQUISITION_DELAY_S * math.log(fraction) / processors
+    delay_s += min(random_s, MAX_RANDOM_DELAY_S)
     if batch.known_partitions.get(name) != batch.identity.data_centre:
         delay_s += REMOTE_DELAY_S
     return delay_s
