Request run leases of 6 s at most

Some deployments let workers grant leases of 10 s, and owners requested the longest. A task on a crashed worker then waited 10.2 s, and a new owner 13.2 s for a worker that sent no listing, before they started elsewhere; a task that lasts may be without a run for 9 s. A takeover takes at most half of a lease of 6 s, which the other deployments have used all along.

The wait for runs of former owners counts with the shorter lease too.

'Tasks of a crashed worker start again if workers grant long leases' failed before (9 s without a run) and passes.

--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -212,7 +212,7 @@
     """
     if ownership.may_have_successor(batch, partition, now):
         return None
-    return batch.identity.limits.worker_lease_s
+    return leases.choose_run_lease(batch.identity.limits)
 
 
 def finish_poll(worker: state.Worker, number: int) -> bool:
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -30,7 +30,7 @@
 
     Args:
         partition: Partition of the owner.
-        lease_s: Longest lease that a worker grants, in seconds.
+        lease_s: Longest lease that an owner requests, in seconds.
         now: Monotonic time, in seconds.
     """
     partition.unlisted_workers |= set(partition.workers)
@@ -45,7 +45,7 @@
 
     Args:
         partition: Partition of the owner.
-        lease_s: Longest lease that a worker grants, in seconds.
+        lease_s: Longest lease that an owner requests, in seconds.
         now: Monotonic time, in seconds.
     """
     if partition.first_answer_at is not None:
@@ -60,7 +60,7 @@
 
     Args:
         partition: Partition of the owner, which is active.
-        lease_s: Longest lease that a worker grants, in seconds.
+        lease_s: Longest lease that an owner requests, in seconds.
         now: Monotonic time, in seconds.
     """
     assert partition.active_at is not None
--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -9,6 +9,9 @@
 
 # Largest error of a clock, as a fraction of the measured time.
 MAX_CLOCK_DRIFT = 0.02
+# Longest lease that owners request for runs, even if workers grant longer ones.
+# The tasks of a crashed worker wait for its end before they start elsewhere.
+MAX_RUN_LEASE_S = 6.0
 # Lease of a newly started run; the next poll extends it. A worker refuses a
 # start command that it receives after the end of this lease.
 START_LEASE_S = 2.5
@@ -20,6 +23,11 @@
 EXPIRY_MARGIN_MS = 50
 
 
+def choose_run_lease(limits: state.Limits) -> float:
+    """Returns the duration of the lease that polls request, in seconds."""
+    return min(limits.worker_lease_s, MAX_RUN_LEASE_S)
+
+
 def estimate_clock(worker: state.Worker, now: float) -> int | None:
     """Returns a lower bound of a worker's clock.
 
@@ -50,7 +58,7 @@
 
     Args:
         worker: The worker that has answered.
-        lease_s: Longest lease that the worker grants, in seconds.
+        lease_s: Longest lease that an owner requests, in seconds.
         clock_ms: Clock of the worker in its answer, in milliseconds. It may
             differ from the reading that was kept.
     """
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -58,7 +58,7 @@
         return _handle_failed_poll(batch, partition, worker, reply, now)
     stale = reply.clock_ms < max(worker.clock_ms or 0, worker.listed_clock_ms)
     contact.record_answer(worker, reply.clock_ms, now)
-    lease_s = batch.identity.limits.worker_lease_s
+    lease_s = leases.choose_run_lease(batch.identity.limits)
     former_runs.record_contact(partition, lease_s, now)
     if not worker.listing_received:
         leases.assume_longest_lease(worker, lease_s, reply.clock_ms)
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -14,6 +14,7 @@
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import interference_exchange
 from sapphirestall_core.batch import job_changes
+from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
@@ -276,7 +277,7 @@
     ):
         return []
     partition.phase = state.Phase.ACTIVE
-    lease_s = batch.identity.limits.worker_lease_s
+    lease_s = leases.choose_run_lease(batch.identity.limits)
     former_runs.start_wait(partition, lease_s, now)
     effects: dispatch.Effects = []
     for job in _merge_changes(partition):
