Give up the runs of a worker that left after announcing it

Cause: an exited worker was treated like one that does not answer.

Change: the runs of a draining worker are given up once its entry has been missing from the list for 2.5 s, over several reads, while it answered no call.

--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -26,6 +26,10 @@
 # Refusal reason: another worker answers at the address, so this worker and its
 # runs no longer exist.
 REPLACED = "replaced"
+# The worker announced its departure and has exited.
+DEPARTED = "departed"
+# Reasons for which no start can be carried out late.
+FINAL_REASONS = (REPLACED, DEPARTED)
 # Refusal reason: a newer incarnation of the worker answers than the call named.
 # It may have carried out the call.
 RESTARTED = "reborn"
@@ -116,12 +120,12 @@
     """Removes the runs of a worker and queues their tasks for another start.
 
     A run whose start got no answer is kept while a restarted worker may still
-    carry out the start, unless another worker has replaced this one.
+    carry out the start, unless this worker is gone for good.
     """
     lost = [
         run
         for run in worker.runs.values()
-        if reason == REPLACED or not may_start_late(run, now)
+        if reason in FINAL_REASONS or not may_start_late(run, now)
     ]
     for run in lost:
         passes.remove_run(worker, run)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -219,6 +219,19 @@
     critical_path_s: float | None = None
 
 
+@attrs.frozen(slots=True)
+class Absence:
+    """Period in which no read of the platform's list showed a worker.
+
+    Attributes:
+        since: Monotonic time of the first such read, in seconds.
+        until: Monotonic time of the last such read, in seconds.
+    """
+
+    since: float
+    until: float
+
+
 @attrs.define(slots=True, eq=False)
 class Worker:
     """A worker of an owned partition.
@@ -278,8 +291,8 @@
             seconds.
         target_missed_since: Monotonic time since which a serving run on the
             worker misses its target, in seconds; None if none does.
-        deregistered_since: Monotonic time since which the platform's list lacks
-            the worker, in seconds; None if it has it.
+        absence: Period in which the platform's list has lacked the worker; None
+            if it has it.
     """
 
     entry: model.WorkerEntry
@@ -313,7 +326,7 @@
     trust: float = 1.0
     trust_changed_at: float = -1e9
     target_missed_since: float | None = None
-    deregistered_since: float | None = None
+    absence: Absence | None = None
 
 
 class Phase(enum.Enum):
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -10,6 +10,7 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import leases
@@ -114,31 +115,11 @@
         for entry in by_partition.get(partition.name, ()):
             present.add(entry.worker_id)
             effects += _apply_entry(batch, partition, entry, now)
-        for name, worker in partition.workers.items():
-            if name in present:
-                worker.deregistered_since = None
-            elif worker.deregistered_since is None:
-                worker.deregistered_since = now
-                effects.append(_log_deregistered(partition, worker, now))
+        effects += departures.record_absences(partition, present, now)
         effects += dispatch.handle(RosterDue(partition.name), batch, now)
     return effects
 
 
-def _log_deregistered(
-    partition: state.Partition, worker: state.Worker, now: float
-) -> messages.Log:
-    """Returns a log line about a worker that the platform's list now lacks."""
-    answered_at = worker.last_answer_at
-    return contact.make_log(
-        "deregistered",
-        partition,
-        worker.entry.worker_id,
-        draining=worker.entry.draining,
-        contact_age_s=round(now - answered_at, 3) if answered_at else "",
-        runs=len(worker.runs),
-    )
-
-
 def _apply_entry(
     batch: state.Batch,
     partition: state.Partition,
@@ -268,17 +249,16 @@
         if until < now:
             del worker.abandoned_starts[key]
     lease_s = batch.identity.limits.worker_lease_s
-    if worker.runs and leases.have_expired(worker, lease_s, now):
+    if departures.has_left(worker, now):
+        effects += departures.give_up_worker(partition, worker, now)
+    elif worker.runs and leases.have_expired(worker, lease_s, now):
         effects += contact.requeue_lost_runs(partition, worker, "lapsed", now)
     for run in list(worker.runs.values()):
         stopping = run.phase is state.RunPhase.STOPPING
         if stopping or commands.is_start_overdue(run, now):
             effects += commands.stop(partition, worker, run, now)
-    has_left = (
-        worker.deregistered_since is not None
-        and age_s > 3 * contact.LONG_POLL_S
-    )
-    if has_left and not worker.runs:
+    is_gone = worker.absence is not None and age_s > 3 * contact.LONG_POLL_S
+    if is_gone and not worker.runs:
         partition.workers.pop(worker.entry.worker_id, None)
         effects.append(
             contact.make_log("left", partition, worker.entry.worker_id)
