Store in the roster which workers drain

Cause: the new owner could not tell a worker that had announced its departure from one that may still run tasks for the former owner.

Change: the roster names the draining workers. A new owner waits for the listing of such a worker only until its entry has been missing for 2.5 s. A record without the new field reads as before.

'A new owner does not wait for a worker that announced its departure' failed before (9 s without a run) and passes.

--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -2,7 +2,9 @@
 
 A worker that is going to leave drains first. Its entry in the platform's list
 disappears when it exits, and all its runs end with it. They are given up then,
-without waiting for the end of their leases.
+without waiting for the end of their leases. The roster of a partition names the
+draining workers, so that a new owner that finds no entry of such a worker does
+not wait for its runs either.
 """
 
 from collections.abc import Collection
@@ -10,10 +12,11 @@
 from sapphirestall_core import messages
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
 
 # An entry that disappeared while the store was unavailable returns within about
-# 2 s after the outage if its worker still runs, so a draining worker whose entry
+# 2 s after the outage if its worker still runs. A draining worker whose entry
 # is missing for longer has exited.
 REREGISTRATION_S = 2.5
 
@@ -36,6 +39,12 @@
         if worker.absence is None:
             effects.append(_log_deregistered(partition, worker, now))
         worker.absence = _extend_absence(worker.absence, now)
+    for name in partition.former_draining_workers:
+        if name in present or name in partition.workers:
+            partition.former_absences.pop(name, None)
+        else:
+            absence = partition.former_absences.get(name)
+            partition.former_absences[name] = _extend_absence(absence, now)
     return effects
 
 
@@ -64,12 +73,16 @@
     Its entry has been missing for `REREGISTRATION_S`, and it has answered no
     call for as long.
     """
-    absence = worker.absence
-    if not worker.entry.draining or absence is None:
+    if not worker.entry.draining or worker.absence is None:
         return False
     answered_at = worker.last_answer_at
     if answered_at is not None and now - answered_at < REREGISTRATION_S:
         return False
+    return _outlasts_registration(worker.absence)
+
+
+def _outlasts_registration(absence: state.Absence) -> bool:
+    """Returns whether a worker that runs would have been registered again."""
     return absence.until - absence.since >= REREGISTRATION_S
 
 
@@ -79,3 +92,33 @@
     """Removes all runs of a worker that has exited and queues their tasks."""
     partition.unlisted_workers.discard(worker.entry.worker_id)
     return contact.requeue_lost_runs(partition, worker, contact.DEPARTED, now)
+
+
+def list_draining_workers(partition: state.Partition) -> frozenset[str]:
+    """Returns the workers to be stored as draining in the roster.
+
+    They include those that a former owner stored and whose runs may exist.
+    """
+    draining = {
+        name
+        for name, worker in partition.workers.items()
+        if worker.entry.draining
+    }
+    former = partition.former_draining_workers & partition.unlisted_workers
+    return frozenset(draining | former)
+
+
+def settle_former_workers(partition: state.Partition) -> dispatch.Effects:
+    """Stops waiting for workers that left under a former owner."""
+    departed = {
+        name
+        for name, absence in partition.former_absences.items()
+        if name in partition.unlisted_workers
+        and _outlasts_registration(absence)
+    }
+    if not departed:
+        return []
+    partition.unlisted_workers -= departed
+    fields = {"partition": partition.name, "workers": sorted(departed)}
+    log = messages.Log(contact.PART, "former_departed", fields)
+    return [log, *passes.request_pass(partition)]
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -152,10 +152,12 @@
     Attributes:
         generation: Number of owners that the partition has had.
         workers: Ids of the workers.
+        draining: Ids of those that have announced their departure.
     """
 
     generation: int
     workers: tuple[str, ...] = ()
+    draining: tuple[str, ...] = ()
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -349,11 +349,15 @@
         phase: How far the takeover has come.
         generation: Number of owners that the partition has had.
         roster: Workers on which runs may exist, as written to the store.
+        roster_draining: Workers that the roster names as draining.
         roster_revision: Store revision of the roster; None before it was read.
         roster_write_in_flight: Whether a write of the roster is in flight.
         workers_listed: Whether the platform's list of workers was read.
         unlisted_workers: Workers on which runs of former owners may exist,
             because no listing has shown all runs there yet.
+        former_draining_workers: Workers that a former owner stored as draining.
+        former_absences: Periods in which the platform's list has lacked such
+            workers, for those that this owner has never seen in the list.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
         first_answer_at: Monotonic time at which a worker first answered this
@@ -393,10 +397,13 @@
     phase: Phase = Phase.LOADING
     generation: int = 0
     roster: frozenset[str] = frozenset()
+    roster_draining: frozenset[str] = frozenset()
     roster_revision: int | None = None
     roster_write_in_flight: bool = False
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
+    former_draining_workers: set[str] = attrs.field(factory=set)
+    former_absences: dict[str, Absence] = attrs.field(factory=dict)
     former_runs_end_at: float = math.inf
     first_answer_at: float | None = None
     active_at: float | None = None
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -10,6 +10,7 @@
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import interference_exchange
@@ -152,6 +153,7 @@
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.roster_revision is None:
             partition.unlisted_workers |= set(outcome.value.workers)
+            partition.former_draining_workers |= set(outcome.value.draining)
         partition.roster_revision = outcome.revision
         partition.generation = max(
             partition.generation, outcome.value.generation
@@ -167,8 +169,9 @@
     """Writes the roster if it does not match the workers of the partition.
 
     A worker gets runs only after a roster that names it was written, so that
-    a successor knows where runs may exist. The first write of an owner also
-    raises the generation.
+    a successor knows where runs may exist. The roster also names the workers
+    that drain, so that a successor does not wait for those that have left. The
+    first write of an owner also raises the generation.
     """
     if (
         partition.roster_write_in_flight
@@ -178,11 +181,15 @@
         return []
     loading = partition.phase is state.Phase.LOADING
     names = frozenset(partition.workers) | partition.unlisted_workers
-    if not loading and names == partition.roster:
+    draining = departures.list_draining_workers(partition)
+    written = (partition.roster, partition.roster_draining)
+    if not loading and (names, draining) == written:
         return []
     partition.roster_write_in_flight = True
     generation = partition.generation + (1 if loading else 0)
-    roster = records.RosterRecord(generation, tuple(sorted(names)))
+    roster = records.RosterRecord(
+        generation, tuple(sorted(names)), tuple(sorted(draining))
+    )
     key = records.make_roster_key(partition.name)
     expected = (
         (records.make_owner_key(partition.name), partition.token),
@@ -225,6 +232,7 @@
         return _retry(partition)
     partition.roster_revision = outcome.revision
     partition.roster = frozenset(purpose.roster.workers)
+    partition.roster_draining = frozenset(purpose.roster.draining)
     partition.generation = purpose.roster.generation
     return [
         *activate(batch, partition, now),
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -196,6 +196,7 @@
         for worker in partition.workers.values():
             effects += _poll_if_idle(batch, partition, worker, now)
     for partition in list(batch.partitions.values()):
+        effects += departures.settle_former_workers(partition)
         if partition.unlisted_workers and former_runs.have_ended(
             partition, now
         ):
