Show a task that moves between partitions and never runs

In a step that allows one task a worker, a task moves to and fro between two partitions that both run another task of the step, 20 times in 30 s, while a worker of a third partition is free.

--- /dev/null
+++ b/features/steps/batch_moves_steps.py
@@ -0,0 +1,75 @@
+"""Steps for batch_moves.feature."""
+
+import behave
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from standins import batch_world
+
+DATA_CENTRE = "north"
+START_S = 6.0
+
+
+def make_rack_name(partition):
+    """Returns the first rack of a partition."""
+    return f"r1-{partition * model.RACKS_PER_PARTITION + 1}"
+
+
+@behave.given("six partitions with one worker each")
+def step(context):
+    world = batch_world.BatchWorld(1)
+    for number in range(6):
+        rack = make_rack_name(number)
+        world.add_worker(f"w-{number}", DATA_CENTRE, 32_000, rack)
+    for number in range(6):
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+    context.world = world
+
+
+@behave.when(
+    "{jobs:d} jobs with one task for each of five workers are submitted"
+)
+def step(context, jobs):
+    world = context.world
+    amount = resources.Vector(1000, 100, 0)
+    step = model.Step(5, amount, long_running=True, max_per_worker=1)
+    for number in range(jobs):
+        world.submit(world.nodes[0], f"{number:016x}", step)
+
+
+@behave.when("a worker with a task of each job crashes")
+def step(context):
+    world = context.world
+    names = [name for name, _, _ in world.list_runs()]
+    context.world.end_worker(max(sorted(set(names)), key=names.count))
+
+
+@behave.when("{seconds:g} s pass in all partitions")
+def step(context, seconds):
+    context.world.run(seconds)
+
+
+@behave.then("all tasks of the jobs run")
+def step(context):
+    world = context.world
+    running = {task for _, task, _ in world.list_runs()}
+    missing = [
+        f"{job_id}.{number}.{index}"
+        for job_id, steps in world.jobs.items()
+        for number, step in enumerate(steps)
+        for index in range(step.count)
+        if model.TaskName(job_id, 0, number, index) not in running
+    ]
+    moves = [
+        log.fields
+        for node in world.nodes
+        for _, log in node.logs
+        if log.part == "balance"
+    ]
+    assert not missing, f"{missing} after {len(moves)} moves"
+
+
+@behave.then("the workers of all partitions have recorded no violation")
+def step(context):
+    assert not context.world.violations, context.world.violations[:5]
