Try each partition for a waiting task before one is tried again

Cause: a waiting task moves to the partition that its summary shows as best. The summary tells free capacity, not which workers the step's constraints leave: of a step that allows one task a worker, a partition whose only free worker runs another of its tasks looks as good as one with an unused worker. The choice depends on a hash of the task, so the same partitions came first each time.

Change: a move records which partitions have found no worker since the task's last run, and others come first. Tasks of the step that a partition has already are taken to use workers with free capacity. The partition that a task leaves no longer counts against the limit of copies of the job's record.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -121,7 +121,7 @@
     }
     record: records.JobRecord | None = None
     if any(step.step.long_running for step in job.steps):
-        record = _plan_task_moves(batch, job, others, now)
+        record = _plan_task_moves(batch, partition, job, others, now)
     elif is_idle(partition, job):
         record = _plan_job_move(batch, partition, job, others)
     if record is None:
@@ -158,6 +158,7 @@
 
 def _plan_task_moves(
     batch: state.Batch,
+    partition: state.Partition,
     job: state.Job,
     others: dict[str, records.SummaryRecord],
     now: float,
@@ -166,6 +167,7 @@
 
     Args:
         batch: State of this instance.
+        partition: Partition that has the tasks.
         job: The job.
         others: Summaries of the other partitions that can run the job.
         now: Monotonic time, in seconds.
@@ -183,19 +185,78 @@
                 or now - task.unplaced_since < MOVE_DELAY_S
             ):
                 continue
-            copies = {move.partition for move in moved.values()}
-            at_limit = len(copies) >= MAX_COPIES
-            names = [name for name in others if not at_limit or name in copies]
-            key = records.make_task_key(number, index)
-            subject = f"{job.record.job_id}.{key}"
-            name = routing.choose_for_task(batch, names, step.step, subject)
-            if name is not None:
-                moved[key] = records.MovedTask(name, task.next_run_number)
+            planned = attrs.evolve(job.record, moved=moved)
+            move = _plan_task_move(batch, partition, planned, task, others)
+            if move is not None:
+                moved[records.make_task_key(number, index)] = move
     if moved == job.record.moved:
         return None
     return attrs.evolve(job.record, moved=moved)
 
 
+def _plan_task_move(
+    batch: state.Batch,
+    partition: state.Partition,
+    record: records.JobRecord,
+    task: state.Task,
+    others: dict[str, records.SummaryRecord],
+) -> records.MovedTask | None:
+    """Chooses a partition for a waiting long-running task.
+
+    Prefers partitions that have not tried to run the task since its last run.
+    A summary shows free capacity, but not whether the constraints of the step
+    allow a worker to run the task, so that the task could otherwise move
+    between partitions that cannot run it.
+
+    Args:
+        batch: State of this instance.
+        partition: Partition that has the task.
+        record: Record of the job with the moves that are planned already.
+        task: The task.
+        others: Summaries of the other partitions that can run the job.
+
+    Returns:
+        The move; None if no other partition has enough free capacity.
+    """
+    number, index = task.name.step, task.name.index
+    key = records.make_task_key(number, index)
+    copies = {
+        move.partition
+        for other_key, move in record.moved.items()
+        if other_key != key
+    }
+    names = [
+        name for name in others if len(copies) < MAX_COPIES or name in copies
+    ]
+    tried = (*_list_tried_partitions(record, task, partition), partition.name)
+    untried = [name for name in names if name not in tried]
+    placed = records.count_step_tasks(record, number)
+    subject = f"{record.job_id}.{key}"
+    name = routing.choose_for_task(batch, untried, task.step, subject, placed)
+    if name is None:
+        tried = (partition.name,)
+        name = routing.choose_for_task(batch, names, task.step, subject, placed)
+    if name is None:
+        return None
+    return records.MovedTask(name, task.next_run_number, tried)
+
+
+def _list_tried_partitions(
+    record: records.JobRecord, task: state.Task, partition: state.Partition
+) -> tuple[str, ...]:
+    """Returns the partitions that found no worker for a task before this one.
+
+    Returns:
+        None of them if the task has run in this partition.
+    """
+    number, index = task.name.step, task.name.index
+    move = record.moved.get(records.make_task_key(number, index))
+    first_number = jobs.find_first_run_number(record, number, index, partition)
+    if move is None or task.next_run_number != first_number:
+        return ()
+    return move.tried
+
+
 def _plan_job_move(
     batch: state.Batch,
     partition: state.Partition,
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -28,10 +28,13 @@
     Attributes:
         partition: Partition whose owner runs the task.
         first_number: Lowest number that the next run of the task may have.
+        tried: Partitions whose owners found no worker for the task since its
+            last run.
     """
 
     partition: str
     first_number: int
+    tried: tuple[str, ...] = ()
 
 
 @attrs.frozen(slots=True)
@@ -291,6 +294,16 @@
     return tuple(sorted(names))
 
 
+def count_step_tasks(record: JobRecord, step: int) -> dict[str, int]:
+    """Returns the number of tasks of a step that each partition has."""
+    counts: dict[str, int] = {}
+    for index in range(record.steps[step].count):
+        moved = record.moved.get(make_task_key(step, index))
+        name = moved.partition if moved else record.partition
+        counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
 def make_accepted_state(record: JobRecord) -> StateRecord:
     """Returns the state of a job that has not ended."""
     return StateRecord(
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -316,11 +316,14 @@
     names: Iterable[str],
     step: model.Step,
     subject: str,
+    placed: dict[str, int] | None = None,
 ) -> str | None:
     """Chooses a partition with free capacity for a single task.
 
     Partitions that could run a second such task are preferred, since summaries
-    lag and another owner may use the free capacity first.
+    lag and another owner may use the free capacity first. If only some tasks of
+    the step may share a worker, those that a partition has already are taken to
+    use workers with free capacity.
 
     Args:
         batch: State of this instance.
@@ -328,18 +331,20 @@
         step: Step of the task.
         subject: Name of the task, by which the choice among equal partitions
             differs.
+        placed: Number of tasks of the step that each partition has already.
 
     Returns:
         Name of the partition; None if no partition has enough free capacity.
     """
-    fitting = {
-        name: count_fitting_tasks(
-            step, batch.summaries[name].rooms, MAX_COUNTED_TASKS
-        )
-        for name in names
-    }
+    fitting = {}
+    for name in names:
+        rooms = batch.summaries[name].rooms
+        used = (placed or {}).get(name, 0) if step.max_per_worker else 0
+        count = count_fitting_tasks(step, rooms, MAX_COUNTED_TASKS + used)
+        if count:
+            fitting[name] = max(0, count - used)
     chosen = max(
-        (name for name, count in fitting.items() if count),
+        fitting,
         key=lambda name: (fitting[name], _hash_pair(subject, name)),
         default=None,
     )
