Check in the soak that long-running tasks run again in time

The soak counted the departure of a worker and the restart of an instance as disturbances, so it never checked how long tasks wait after them, and its long-running jobs had at most two tasks without limits per worker. Planned work now allows no longer wait for a task that lasts, and such jobs have up to four tasks, half of them on different workers.

--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -24,10 +24,13 @@
     Attributes:
         start: Monotonic time of its start, in seconds.
         end: Monotonic time of its end, in seconds; infinite while it lasts.
+        is_planned: Whether it is planned work, such as the restart of an
+            instance or the announced departure of a worker.
     """
 
     start: float
     end: float = float("inf")
+    is_planned: bool = False
 
 
 @attrs.define
@@ -43,9 +46,9 @@
     )
 
     @contextlib.contextmanager
-    def record(self, *parties: str) -> Iterator[None]:
+    def record(self, *parties: str, is_planned: bool = False) -> Iterator[None]:
         """Records a disturbance of parties that lasts as long as the block."""
-        span = Span(time.monotonic())
+        span = Span(time.monotonic(), is_planned=is_planned)
         for party in parties:
             self.spans[party].append(span)
         try:
@@ -54,7 +57,12 @@
             span.end = time.monotonic()
 
     def was_undisturbed(
-        self, start: float, end: float, *parties: str, margin_s: float
+        self,
+        start: float,
+        end: float,
+        *parties: str,
+        margin_s: float,
+        except_planned: bool = False,
     ) -> bool:
         """Returns whether no disturbance affected a period.
 
@@ -65,10 +73,12 @@
                 the store; without any, the disturbances of all parties count.
             margin_s: Time before the period in which no disturbance may have
                 lasted either, in seconds.
+            except_planned: Whether planned work counts as no disturbance.
         """
         names = {*parties, STORE, ALL_PARTIES} if parties else set(self.spans)
         return not any(
             span.start <= end and span.end >= start - margin_s
             for name in names
             for span in self.spans.get(name, ())
+            if not (except_planned and span.is_planned)
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -272,7 +272,7 @@
     fault: RollingRestart, deployment: deployment_module.Deployment
 ) -> None:
     for name in fault.instances:
-        with deployment.disturbances.record(name):
+        with deployment.disturbances.record(name, is_planned=True):
             deployment.instances[name].stop()
             await deployment.wait_stopped(name)
             deployment.restart(name)
@@ -478,7 +478,7 @@
 async def _(
     fault: WorkerDrained, deployment: deployment_module.Deployment
 ) -> None:
-    with deployment.disturbances.record(fault.worker):
+    with deployment.disturbances.record(fault.worker, is_planned=True):
         if not deployment.drain(fault.worker):
             return
         await asyncio.sleep(DRAIN_DURATION_S)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -28,6 +28,9 @@
 IDLE_LIMIT_S = 3.0
 # The same for each task of a long-running job, even if other tasks of it run.
 LONG_RUNNING_IDLE_LIMIT_S = 6.0
+# From the end of the last run of a long-running task until the idle time counts
+# that is not due to a disturbance; planned work is none.
+RESTART_LIMIT_S = 6.0
 
 # Time before an idle period in which there must be no disturbance either.
 IDLE_MARGIN_S = 4.0
@@ -223,6 +226,8 @@
         for job_history in self.history.jobs.values():
             self._check_cancelled(job_history, now)
             self._check_idle(job_history, now)
+            if job_history.job.is_long_running:
+                self._check_restarts(job_history, now)
 
     def _check_cancelled(
         self, job_history: history_module.JobHistory, now: float
@@ -271,6 +276,40 @@
             self._report(job_history, "accepted jobs make progress", text)
             job_history.idle_since = None
 
+    def _check_restarts(
+        self, job_history: history_module.JobHistory, now: float
+    ) -> None:
+        """Checks that long-running tasks start again soon after a run.
+
+        Planned work, such as the departure of a worker, allows no longer wait.
+        """
+        job = job_history.job
+        is_open = (
+            job_history.accepted_at
+            and job_history.cancel_sent_at is None
+            and job_history.ended_at is None
+        )
+        is_calm = self.disturbances.was_undisturbed(
+            now - IDLE_LIMIT_S, now, margin_s=IDLE_MARGIN_S, except_planned=True
+        )
+        for (number, index), task in job_history.tasks.items():
+            if (
+                not (is_open and is_calm)
+                or task.runs
+                or not self._has_free_capacity(job.steps[number], job)
+            ):
+                task.waiting_since = None
+                continue
+            task.waiting_since = task.waiting_since or now
+            last_run_at = max(
+                task.last_ended_at, job_history.accepted_at or now
+            )
+            idle_from = max(task.waiting_since, last_run_at + RESTART_LIMIT_S)
+            if now - idle_from > IDLE_LIMIT_S:
+                text = f"{number}.{index} has no run since {last_run_at:.3f}"
+                self._report(job_history, "tasks that last run again", text)
+                task.waiting_since = None
+
     def _could_start(self, job_history: history_module.JobHistory) -> bool:
         """Returns whether a task that does not run has ample free capacity.
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -66,6 +66,8 @@
         acknowledged_failed_runs: Failed runs that were acknowledged.
         checkpoints: Checkpoints that its runs have saved.
         started_at: When the most recent run started.
+        waiting_since: Since when the task could start but does not; None if it
+            runs or could not start.
     """
 
     done_at: float | None = None
@@ -76,6 +78,7 @@
     acknowledged_failed_runs: set[tuple[str, int]] = attrs.field(factory=set)
     checkpoints: set[str] = attrs.field(factory=set)
     started_at: float = 0.0
+    waiting_since: float | None = None
 
 
 @attrs.define(eq=False)
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -101,7 +101,9 @@
 
 def _draw_long_running(rng: random.Random) -> tuple[model.Step, ...]:
     amount = resources.Vector(rng.choice((250, 500)), 300, 0)
-    step = model.Step(rng.randint(1, 2), amount, long_running=True)
+    step = model.Step(rng.randint(1, 4), amount, long_running=True)
+    if rng.random() < 0.5:
+        step = attrs.evolve(step, max_per_worker=1)
     if rng.random() < 0.5:
         step = attrs.evolve(step, image="counter", tail_target_ms=50)
     return (step,)
