Refuse deeply nested documents in every decoder

An entry among those of the workers that is nested 1,000 to 1,024 deep passes orjson, whose limit is 1,024, and then fails with RecursionError in the `repr` of the error text. The read ends without its event, and as the core has one read in flight at a time, the list is never read again. In the same way the configuration was never read again, a call to a worker got no reply, and a caller's call ended with status 500.

Change: one module holds the errors that all decoders of both daemons catch, the depth limit that request bodies already had (64), and bounded descriptions of values and errors.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -81,3 +81,74 @@
     Given a list of an owner key, a job record and an unreadable value
     Then the owner key and the job record are decoded as such
     And the unreadable value is logged and skipped
+
+  Scenario Outline: A list with an entry nested <depth> deep is read
+    Guards against a read that ends with RecursionError and is never repeated.
+    Given the store lists a valid worker and an entry nested <depth> deep
+    When the list of workers is read twice
+    Then each read passes on the valid worker
+    And the entry "w-2" was logged once, in at most 300 characters
+
+    Examples:
+      | depth  |
+      | 65     |
+      | 900    |
+      | 1010   |
+      | 1022   |
+      | 1024   |
+      | 100000 |
+
+  Scenario Outline: A configuration nested <depth> deep ends only its own read
+    Guards against a configuration that is never read again, because the read
+    ended with RecursionError.
+    Given the store holds a configuration nested <depth> deep
+    When the configuration is read
+    Then the core is told that no configuration was read
+
+    Examples:
+      | depth |
+      | 65    |
+      | 1010  |
+      | 1022  |
+
+  Scenario Outline: A stored record nested <depth> deep is skipped
+    Guards against an owner that no longer follows its partition, because a call
+    to the store ended without a reply.
+    Given the store has an owner key and a record nested <depth> deep
+    When the owner lists and follows the records of its partition
+    Then both replies contain the owner key only
+
+    Examples:
+      | depth |
+      | 65    |
+      | 1010  |
+      | 1020  |
+
+  Scenario Outline: A worker's answer with a <part> nested <depth> deep is refused
+    Guards against a call without a reply, after which the worker is never
+    polled again.
+    Given a worker that answers with a <part> nested <depth> deep
+    When the worker is polled
+    Then the reply is NoAnswer, in at most 300 characters
+
+    Examples:
+      | part       | depth |
+      | clock      | 1010  |
+      | task       | 1010  |
+      | number     | 1010  |
+      | reason     | 1010  |
+      | reason     | 1022  |
+      | end        | 65    |
+      | body       | 1024  |
+
+  Scenario Outline: A submission with a spec nested <depth> deep is refused
+    Guards against a caller's call that ends with RecursionError instead of an
+    answer.
+    When a submission with a spec nested <depth> deep is served
+    Then the call is answered with status 400
+
+    Examples:
+      | depth |
+      | 65    |
+      | 1010  |
+      | 1023  |
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 
@@ -11,14 +12,21 @@
 
 from sapphirestall_core import errors
 from sapphirestall_core import resources
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import worker_messages
+from sapphirestall_core.batch import workers as core_workers
+from sapphirestall_entry import counters
+from sapphirestall_platform import call_report
 from sapphirestall_platform import documents
 from sapphirestall_platform import front
 from sapphirestall_platform import settings
 from sapphirestall_platform import store
+from sapphirestall_platform import transport
 from sapphirestall_platform import workers
+from sapphirestall_standins import documents as standin_documents
 
 SETTINGS = {
     "node": "edge-sefrou-1",
@@ -48,6 +56,77 @@
 POLL = worker_messages.HoldLease(TARGET, "sefrou", 1, 0, None, 0.0, 1)
 
 
+class FixedSession:
+    """Answers each request with the same body, as an HTTP session would."""
+
+    def __init__(self, body, status=200):
+        self.status = status
+        self.body = body
+
+    @contextlib.asynccontextmanager
+    async def request(self, *_, **__):
+        """Yields the response."""
+        yield self
+
+    async def read(self):
+        """Returns the body of the response."""
+        return self.body
+
+
+def make_store(context, answer=None):
+    """Makes a client of a store that answers each call alike."""
+    context.events = []
+    context.reports = []
+    session = FixedSession(json.dumps(answer).encode())
+    context.store = store.Store(
+        transport.Transport(session),
+        "127.0.0.1:1",
+        cattrs.Converter(omit_if_default=True),
+        context.events.append,
+        time.monotonic,
+        lambda text, fields: context.reports.append((text, fields)),
+    )
+
+
+def make_list(items):
+    """Returns a store's answer to both a read and a watch of a prefix."""
+    return {
+        **standin_documents.encode_page(items, False, 9),
+        **standin_documents.encode_events(items, 9),
+    }
+
+
+def make_workers(context, body, status=200):
+    """Makes a client of workers that answer each call alike."""
+    context.events = []
+    context.reports = []
+    client = transport.Transport(FixedSession(body.encode(), status))
+    context.workers = workers.Workers(
+        client,
+        client,
+        context.events.append,
+        time.monotonic,
+        lambda text, fields: context.reports.append((text, fields)),
+        call_report.CallReport(counters.Counters(), lambda *_: None),
+    )
+
+
+def make_request(body, headers=(), path="/x/1", method="POST"):
+    async def receive():
+        return {"type": "http.request", "body": body}
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "query_string": b"",
+        "headers": [(b"host", b"h"), *headers],
+        "server": ("h", 80),
+        "scheme": "http",
+    }
+    return requests.Request(scope, receive)
+
+
 def write_settings(values):
     return "\n".join(f"{name}={value}" for name, value in values.items())
 
@@ -139,20 +218,8 @@
     "a call with the body {body} is refused before it reaches the core"
 )
 def step(context, body):
-    async def receive():
-        return {"type": "http.request", "body": body.encode()}
-
-    scope = {
-        "type": "http",
-        "method": "POST",
-        "path": "/x/1",
-        "query_string": b"",
-        "headers": [(b"host", b"h")],
-        "server": ("h", 80),
-        "scheme": "http",
-    }
     try:
-        asyncio.run(front.decode(requests.Request(scope, receive), "c-1"))
+        asyncio.run(front.decode(make_request(body.encode()), "c-1"))
     except (errors.InvalidMessageError, ValueError):
         return
     raise AssertionError(f"{body} was accepted")
@@ -213,15 +280,7 @@
 
 @behave.given("a list of an owner key, a job record and an unreadable value")
 def step(context):
-    context.reports = []
-    context.store = store.Store(
-        None,
-        "127.0.0.1:1",
-        cattrs.Converter(omit_if_default=True),
-        context.reports.append,
-        time.monotonic,
-        lambda text, fields: context.reports.append((text, fields["key"])),
-    )
+    make_store(context)
     queue = model.Queue("q", "host", "/q/", "service", 0, 3, 2.0, 1.0)
     step = model.Step(2, resources.Vector(1000, 100, 0), image="calm")
     context.job = records.JobRecord(
@@ -252,6 +311,140 @@
 
 @behave.then("the unreadable value is logged and skipped")
 def step(context):
-    assert context.reports == [
-        ("skipped", records.make_job_key("sefrou/r1", "foreign"))
+    ((text, fields),) = context.reports
+    key = records.make_job_key("sefrou/r1", "foreign")
+    assert (text, fields["key"]) == ("skipped", key)
+
+
+def make_nested(depth):
+    return "[" * depth + "]" * depth
+
+
+@behave.given(
+    "the store lists a valid worker and an entry nested {depth:d} deep"
+)
+def step(context, depth):
+    entry = json.dumps({**ENTRY, "state": "X"})
+    entry = entry.replace('"X"', make_nested(depth - 1))
+    items = [
+        make_item("servers/w-2", entry.encode()),
+        make_item("servers/w-1", json.dumps(ENTRY).encode()),
+    ]
+    make_store(context, make_list(items))
+
+
+@behave.when("the list of workers is read twice")
+def step(context):
+    for _ in range(2):
+        asyncio.run(context.store.read_workers())
+
+
+@behave.then("each read passes on the valid worker")
+def step(context):
+    entry = documents.decode_worker("w-1", ENTRY)
+    expected = core_workers.EntriesRead((entry,))
+    assert context.events == [expected, expected], context.events
+
+
+@behave.then(
+    'the entry "{name}" was logged once, in at most {length:d} characters'
+)
+def step(context, name, length):
+    ((text, fields),) = context.reports
+    assert text == "skipped", text
+    assert fields["key"] == f"servers/{name}", fields
+    assert len(str(fields)) <= length, fields
+
+
+@behave.given("the store holds a configuration nested {depth:d} deep")
+def step(context, depth):
+    text = f'{{"version": {make_nested(depth - 1)}}}'
+    make_store(context, make_item("op/config", text.encode()))
+
+
+@behave.when("the configuration is read")
+def step(context):
+    asyncio.run(context.store.read_configuration())
+
+
+@behave.then("the core is told that no configuration was read")
+def step(context):
+    assert context.events == [configuration.ConfigurationRead(None)]
+
+
+@behave.given("the store has an owner key and a record nested {depth:d} deep")
+def step(context, depth):
+    text = f'{{"job_id": {make_nested(depth - 1)}}}'
+    owner = json.dumps({"instance_id": "edge-sefrou-1/ab"})
+    items = [
+        make_item(records.make_job_key("sefrou/r1", "x"), text.encode()),
+        make_item(records.make_live_owner_key("sefrou/r1"), owner.encode()),
     ]
+    make_store(context, make_list(items))
+
+
+@behave.when("the owner lists and follows the records of its partition")
+def step(context):
+    prefix = records.make_live_prefix("sefrou/r1")
+    document = records.LiveDocument
+    purpose = store_messages.Purpose()
+    for effect in (
+        store_messages.StoreList(purpose, prefix, document),
+        store_messages.StoreFollow(purpose, prefix, 7, document, 1.0),
+    ):
+        asyncio.run(context.store.call(effect))
+
+
+@behave.then("both replies contain the owner key only")
+def step(context):
+    listed, followed = (event.outcome for event in context.events)
+    owner = records.OwnerRecord("edge-sefrou-1/ab")
+    assert [found.value for found in listed.entries] == [owner], listed
+    assert [found.value for found in followed.changes] == [owner], followed
+
+
+ANSWERS = {
+    "clock": '{"clock_ms": X, "running": [], "ended": []}',
+    "task": '{"clock_ms": 1, "running": [[X, 1, "", 0]], "ended": []}',
+    "number": (
+        '{"clock_ms": 1, "running": [["a.0.0.0", X, "", 0]], "ended": []}'
+    ),
+    "end": (
+        '{"clock_ms": 1, "running": [], "ended": [[1, "a.0.0.0", 1, X, ""]]}'
+    ),
+    "reason": '{"clock_ms": 1, "reason": X}',
+    "body": "X",
+}
+
+
+@behave.given("a worker that answers with a {part} nested {depth:d} deep")
+def step(context, part, depth):
+    text = ANSWERS[part].replace("X", make_nested(depth))
+    make_workers(context, text, 409 if part == "reason" else 200)
+
+
+@behave.when("the worker is polled")
+def step(context):
+    asyncio.run(context.workers.call(POLL))
+
+
+@behave.then("the reply is NoAnswer, in at most {length:d} characters")
+def step(context, length):
+    (event,) = context.events
+    assert isinstance(event.reply, worker_messages.NoAnswer), event
+    assert len(event.reply.detail) <= length, event
+
+
+@behave.when("a submission with a spec nested {depth:d} deep is served")
+def step(context, depth):
+    body = f'{{"spec": {make_nested(depth - 1)}, "steps": []}}'
+    front_end = front.FrontEnd(
+        None, time.monotonic, None, counters.Counters(), "edge-sefrou-1"
+    )
+    request = make_request(body.encode())
+    context.response = asyncio.run(front_end.serve(request))
+
+
+@behave.then("the call is answered with status {status:d}")
+def step(context, status):
+    assert context.response.status_code == status, context.response.body
--- a/packages/entry/src/sapphirestall_entry/bodies.py
+++ b/packages/entry/src/sapphirestall_entry/bodies.py
@@ -6,10 +6,7 @@
 from starlette import requests
 
 from sapphirestall_core import errors
-
-# Merging and comparing of documents is recursive; deeper nesting would exceed
-# the recursion limit.
-MAX_DEPTH = 64
+from sapphirestall_entry import decoding
 
 
 class BodyTooLargeError(errors.InvalidMessageError):
@@ -63,27 +60,9 @@
         raise errors.InvalidMessageError(
             f"expected an object, got {type(tree).__name__}", step="decode"
         )
-    if _is_deeper(tree, MAX_DEPTH):
-        raise errors.InvalidMessageError(
-            f"nested deeper than {MAX_DEPTH} levels", step="decode"
-        )
+    decoding.check_depth(tree)
     return tree
 
 
 def _reject_constant(name: str) -> None:
     raise ValueError(f"{name} is not a JSON value")
-
-
-def _is_deeper(tree: object, limit: int) -> bool:
-    nodes: list[object] = [tree]
-    for _ in range(limit):
-        children: list[object] = []
-        for node in nodes:
-            if isinstance(node, dict):
-                children += node.values()
-            elif isinstance(node, list):
-                children += node
-        if not children:
-            return False
-        nodes = children
-    return True
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -6,6 +6,8 @@
 
 import cattrs
 
+from sapphirestall_entry import decoding
+
 
 def make_converter(
     *, forbid_extra_keys: bool = False, omit_if_default: bool = False
@@ -50,25 +52,25 @@
 
 def _read_string(value: Any, _: type) -> str:
     if not isinstance(value, str):
-        raise TypeError(f"{value!r:.80} is not a string")
+        raise TypeError(f"{decoding.describe(value)} is not a string")
     return value
 
 
 def _read_integer(value: Any, _: type) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r:.80} is not an integer")
+        raise TypeError(f"{decoding.describe(value)} is not an integer")
     return value
 
 
 def _read_number(value: Any, _: type) -> float:
     if not isinstance(value, int | float) or isinstance(value, bool):
-        raise TypeError(f"{value!r:.80} is not a number")
+        raise TypeError(f"{decoding.describe(value)} is not a number")
     return float(value)
 
 
 def _read_boolean(value: Any, _: type) -> bool:
     if not isinstance(value, bool):
-        raise TypeError(f"{value!r:.80} is not a boolean")
+        raise TypeError(f"{decoding.describe(value)} is not a boolean")
     return value
 
 
@@ -81,11 +83,13 @@
     # cattrs would accept a string as a sequence of its characters and a map as
     # a sequence of its keys.
     if not isinstance(value, list | tuple):
-        raise TypeError(f"{value!r:.80} is not a list")
+        raise TypeError(f"{decoding.describe(value)} is not a list")
     kind, inner = typing.get_origin(target), typing.get_args(target)
     if kind is list or inner[1:] == (...,):
         return kind(converter.structure(item, inner[0]) for item in value)
     if len(value) != len(inner):
-        raise TypeError(f"{value!r:.80} does not have {len(inner)} items")
+        raise TypeError(
+            f"{decoding.describe(value)} does not have {len(inner)} items"
+        )
     pairs = zip(value, inner, strict=True)
     return tuple(converter.structure(item, part) for item, part in pairs)
--- a/packages/entry/src/sapphirestall_entry/store.py
+++ b/packages/entry/src/sapphirestall_entry/store.py
@@ -13,6 +13,7 @@
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_entry import context as context_module
+from sapphirestall_entry import decoding
 
 CALL_TIMEOUT_S = 2.0
 # Shorter than the time limit of the call. A call that could not connect then
@@ -20,16 +21,6 @@
 CONNECT_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 30.0
 
-# Exceptions raised when an answer of an unexpected form is decoded.
-_DECODE_ERRORS = (
-    cattrs.BaseValidationError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-
 
 class UnexpectedStatusError(Exception):
     """The store answered with a status that the protocol does not define.
@@ -85,9 +76,9 @@
             return store_messages.Unavailable(ambiguous, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return store_messages.Unavailable(is_write, f"{error!r:.200}")
-        except _DECODE_ERRORS as error:
+        except decoding.DECODE_ERRORS as error:
             self.context.counters.count_refusal("store", "invalid_answer")
-            detail = f"invalid answer: {error!r:.200}"
+            detail = f"invalid answer: {decoding.describe_error(error)}"
             return store_messages.Unavailable(is_write, detail)
 
     async def exchange(
@@ -133,7 +124,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            *_DECODE_ERRORS,
+            *decoding.DECODE_ERRORS,
         ):
             self.context.counters.count_retry("store", "instances_unread")
             event = membership.InstancesUnread()
@@ -191,7 +182,7 @@
         for item in raw:
             try:
                 found.append(self.decode(item, document))
-            except _DECODE_ERRORS:
+            except decoding.DECODE_ERRORS:
                 self.context.counters.count_refusal("store", "invalid_value")
         return tuple(found)
 
