Let an unreadable item of a list cost only that item

An item that is not an object ended the read of the workers' list without its event: the error was raised in the handler that logs the unreadable item. The list was then never read again. An event of a watch without a text as its key failed the whole watch, which returned to it with each call. A store that names the same page as its next one was read without end.

Cause: the loops that decode items existed twice and asked the unreadable item for its key; pages were not compared.

Change: `Store.decode_each` decodes the items of all lists and watches. A page that ends where the page before ended is an invalid answer.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -152,3 +152,32 @@
       | 65    |
       | 1010  |
       | 1023  |
+
+  Scenario Outline: An item of a list that is <item> costs only itself
+    Guards against a list that is never read again, and against an owner that
+    no longer follows its partition, because of one item.
+    Given a store whose lists contain the item <item> and valid ones
+    When the list of workers is read twice
+    Then each read passes on the valid worker
+    When the owner lists and follows the records of its partition
+    Then both replies contain the owner key only
+
+    Examples:
+      | item                                      |
+      | 7                                         |
+      | null                                      |
+      | []                                        |
+      | {}                                        |
+      | {"key": "servers/x"}                      |
+      | {"key": 5, "value": "e30="}               |
+      | {"key": "servers/x", "value": 5}          |
+      | {"key": "servers/x", "value": "e30"}      |
+      | {"key": "servers/x", "value": "*e30=*"}   |
+      | {"key": "servers/x", "value": "\u00e9"}   |
+      | {"key": ["servers/x"], "removed": true}   |
+
+  Scenario: A list whose next page is the same page again is not read further
+    Guards against a read that never ends.
+    Given a store that announces a further page with each page
+    When the list of workers is read
+    Then the core is told that the list was not read
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -52,6 +52,7 @@
     "labels": ["a", "r1-3"],
     "born": 5,
 }
+READ_TIMEOUT_S = 1.0
 TARGET = worker_messages.Target("w-1", 5, "127.0.0.1:8080")
 POLL = worker_messages.HoldLease(TARGET, "sefrou", 1, 0, None, 0.0, 1)
 
@@ -70,6 +71,7 @@
 
     async def read(self):
         """Returns the body of the response."""
+        await asyncio.sleep(0)
         return self.body
 
 
@@ -300,7 +302,9 @@
         make_item(records.make_job_key("sefrou/r1", context.job.job_id), job),
         make_item(records.make_job_key("sefrou/r1", "foreign"), b"\xff{"),
     ]
-    context.found = context.store.decode_all(items, records.LiveDocument)
+    context.found = context.store.decode_each(
+        items, lambda item: context.store.decode(item, records.LiveDocument)
+    )
 
 
 @behave.then("the owner key and the job record are decoded as such")
@@ -397,7 +401,7 @@
 
 @behave.then("both replies contain the owner key only")
 def step(context):
-    listed, followed = (event.outcome for event in context.events)
+    listed, followed = (event.outcome for event in context.events[-2:])
     owner = records.OwnerRecord("edge-sefrou-1/ab")
     assert [found.value for found in listed.entries] == [owner], listed
     assert [found.value for found in followed.changes] == [owner], followed
@@ -448,3 +452,37 @@
 @behave.then("the call is answered with status {status:d}")
 def step(context, status):
     assert context.response.status_code == status, context.response.body
+
+
+def make_valid_items():
+    owner = json.dumps({"instance_id": "edge-sefrou-1/ab"})
+    key = records.make_live_owner_key("sefrou/r1")
+    return [
+        make_item("servers/w-1", json.dumps(ENTRY).encode()),
+        make_item(key, owner.encode()),
+    ]
+
+
+@behave.given("a store whose lists contain the item {item} and valid ones")
+def step(context, item):
+    make_store(context, make_list([json.loads(item), *make_valid_items()]))
+
+
+@behave.given("a store that announces a further page with each page")
+def step(context):
+    answer = standin_documents.encode_page(make_valid_items(), True, 9)
+    make_store(context, answer)
+
+
+@behave.when("the list of workers is read")
+def step(context):
+    async def read():
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            await context.store.read_workers()
+
+    asyncio.run(read())
+
+
+@behave.then("the core is told that the list was not read")
+def step(context):
+    assert context.events == [core_workers.EntriesRead(None)], context.events
