--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -36,6 +36,97 @@
       | capacity | []        |
       | born     | "today"   |
 
+  Scenario Outline: An entry with <field> <value> names no usable worker
+    Guards against calls that fail each time, against capacity that no worker
+    has or that cannot be written, and against partitions whose name is no key
+    of the store.
+    Given a worker's entry with "<field>" set to <value>
+    Then the entry is refused
+
+    Examples: addresses to which no call can be made
+      | field   | value               |
+      | address | "10.0.0.1:99999"    |
+      | address | "10.0.0.1:65536"    |
+      | address | "10.0.0.1:0"        |
+      | address | "10.0.0.1:-1"       |
+      | address | "10.0.0.1:"         |
+      | address | "10.0.0.1:http"     |
+      | address | "10.0.0.1:\u0663"   |
+      | address | ":80"               |
+      | address | "a b:80"            |
+      | address | "a..b:80"           |
+      | address | "user@host:80"      |
+      | address | "host:80/path:80"   |
+      | address | "[::1:80"           |
+      | address | "host\r\n:80"       |
+
+    Examples: amounts
+      | field    | value                         |
+      | capacity | {"cpu": -1}                   |
+      | capacity | {"mem_mb": -1}                |
+      | capacity | {"gpu": -9223372036854775808} |
+      | capacity | {"cpu": 4294967296}           |
+      | capacity | {"cpu": 4611686018427387904}  |
+      | capacity | {"cpu": 18446744073709551615} |
+      | born     | -1                            |
+      | born     | 9007199254740992              |
+      | born     | 9223372036854775808           |
+
+    Examples: names
+      | field   | value            |
+      | zone    | ""               |
+      | zone    | "a/b"            |
+      | zone    | "a\nb"           |
+      | service | ""               |
+      | labels  | ["a", 7]         |
+      | labels  | ["a", null]      |
+      | labels  | ["a", ["r1"]]    |
+      | labels  | ["a", {"r": 1}]  |
+      | labels  | ["a", "r/1"]     |
+      | labels  | "ar"             |
+
+  Scenario Outline: An entry with a <field> of <length> bytes is refused
+    Guards against keys of more than 200 bytes, which the store refuses, and
+    against a rack whose number no longer converts, which fails in the core and
+    hides all workers.
+    Given a worker's entry with a <field> of <length> bytes
+    Then the entry is refused
+
+    Examples:
+      | field | length  |
+      | rack  | 81      |
+      | rack  | 4301    |
+      | rack  | 1000000 |
+      | zone  | 81      |
+      | zone  | 1000000 |
+
+  Scenario: The longest names of a worker's entry fit into the keys
+    Guards against a partition whose records the store refuses.
+    Given a worker's entry with the longest zone and rack
+    Then no key of its partition is longer than 200 bytes
+
+  Scenario Outline: The address <address> is that of a worker
+    Guards against workers that are skipped because of an unusual address.
+    Given a worker's entry with "address" set to "<address>"
+    Then a call to the address can be made
+
+    Examples:
+      | address              |
+      | 127.0.0.1:1          |
+      | 127.0.0.1:65535      |
+      | [::1]:8080           |
+      | worker-1.example:80  |
+      | localhost:80         |
+
+  Scenario Outline: A worker with the id <name> is skipped
+    Guards against a header that cannot be sent, so that each call fails.
+    Then an entry with the id <name> is refused
+
+    Examples:
+      | name       |
+      | ""         |
+      | "w\r\nX: 1" |
+
   Scenario: A worker's entry is decoded
     Guards against fields that are confused with each other.
     Given a worker's entry
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -9,6 +9,7 @@
 import behave
 import cattrs
 from starlette import requests
+import yarl
 
 from sapphirestall_core import errors
 from sapphirestall_core import resources
@@ -52,6 +53,7 @@
     "labels": ["a", "r1-3"],
     "born": 5,
 }
+JOB_ID = "0123456789abcdef"
 READ_TIMEOUT_S = 1.0
 TARGET = worker_messages.Target("w-1", 5, "127.0.0.1:8080")
 POLL = worker_messages.HoldLease(TARGET, "sefrou", 1, 0, None, 0.0, 1)
@@ -189,6 +191,53 @@
     context.entry = {**ENTRY, field: json.loads(value)}
 
 
+@behave.given("a worker's entry with a {field} of {length:d} bytes")
+def step(context, field, length):
+    changes = {
+        "rack": {"labels": ["a", "9" * length]},
+        "zone": {"zone": "z" * length},
+    }
+    context.entry = {**ENTRY, **changes[field]}
+
+
+@behave.given("a worker's entry with the longest zone and rack")
+def step(context):
+    longest = documents.MAX_NAME_BYTES
+    labels = ["a", "r" + "9" * (longest - 1)]
+    context.entry = {**ENTRY, "zone": "z" * longest, "labels": labels}
+
+
+@behave.then("no key of its partition is longer than {length:d} bytes")
+def step(context, length):
+    name = documents.decode_worker("w-1", context.entry).partition
+    keys = (
+        records.make_job_key(name, JOB_ID),
+        records.make_progress_key(name, JOB_ID),
+        records.make_ended_key(name, JOB_ID),
+        records.make_live_owner_key(name),
+        records.make_owner_key(name),
+        records.make_roster_key(name),
+        records.make_summary_key(name),
+    )
+    assert max(len(key) for key in keys) <= length, keys
+
+
+@behave.then("a call to the address can be made")
+def step(context):
+    worker = documents.decode_worker("w-1", context.entry)
+    url = yarl.URL(f"http://{worker.address}/x", encoded=True)
+    assert url.host and url.port
+
+
+@behave.then("an entry with the id {name} is refused")
+def step(context, name):
+    try:
+        documents.decode_worker(json.loads(name), ENTRY)
+    except errors.InvalidMessageError:
+        return
+    raise AssertionError("accepted")
+
+
 @behave.then("the entry is refused")
 def step(context):
     try:
