Refuse figures and reasons of workers that the core can't use

An answer 409 with the reason "replaced" or "reborn" in its body was taken for the adapter's own findings, after which the runs of the worker count as ended and start a second time. A clock of another type in a refusal reached the core's arithmetic; negative run numbers, clocks near 2**63, measurements of infinity and checkpoints of any type and length were passed on. An answer that cannot be decoded was logged with each call.

Cause: rows and refusals were converted without a check of type or range.

A rough figure or a checkpoint that can't be used is left out. A listing with any other unreadable row is refused as a whole, as a run that is left out seems to have ended. `logs.FaultLog` writes one line about a fault that comes back; the clients of the store and of the workers share it.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -272,3 +272,65 @@
     Given a store that announces a further page with each page
     When the list of workers is read
     Then the core is told that the list was not read
+
+  Scenario Outline: A worker's answer <status> with <fields> is refused
+    Guards against figures and reasons that the core computes with or takes for
+    its own, after which it loses the reply or the runs of the worker.
+    Given a worker that answers <status> with <fields>
+    When the worker is polled
+    Then the reply is NoAnswer, in at most 300 characters
+
+    Examples: figures
+      | status | fields                                             |
+      | 200    | "clock_ms": -1                                     |
+      | 200    | "clock_ms": 9223372036854775807                    |
+      | 200    | "clock_ms": 1e300                                  |
+      | 409    | "clock_ms": "soon"                                 |
+      | 503    | "clock_ms": []                                     |
+      | 200    | "born": "5"                                        |
+      | 200    | "running": [["a.0.0.0", -1, "", 0]]                |
+      | 200    | "running": [["a.0.0.0", 9007199254740992, "", 0]]  |
+      | 200    | "running": [["a.0.0.0", 1, "", 1e300]]             |
+      | 200    | "running": [["a.0.-1.0", 1, "", 0]]                |
+      | 200    | "running": ["abcd"]                                |
+      | 200    | "running": {"a.0.0.0": 1}                          |
+      | 200    | "ended": [[1e300, "a.0.0.0", 1, "done", ""]]       |
+      | 200    | "ended": [[1, "a.0.0.0", 1, "finished", ""]]       |
+
+    Examples: reasons
+      | status | fields               |
+      | 409    | "reason": "replaced" |
+      | 409    | "reason": "reborn"   |
+      | 409    | "reason": 7          |
+      | 409    | "reason": null       |
+
+  Scenario Outline: A run with <part> <value> is listed without it
+    Guards against a rough figure or a checkpoint that cannot be stored, and
+    against a worker whose runs are lost because of it.
+    Given a worker that lists a run with the <part> <value>
+    When the worker is polled
+    Then the run is listed without a <part>
+
+    Examples:
+      | part        | value   |
+      | measurement | -1      |
+      | measurement | 1e300   |
+      | measurement | "inf"   |
+      | measurement | "nan"   |
+      | measurement | [1]     |
+      | measurement | true    |
+      | checkpoint  | 7       |
+      | checkpoint  | [["c"]] |
+      | checkpoint  | {}      |
+
+  Scenario: A checkpoint that is too long to be stored is not used
+    Guards against the progress of a job that no longer fits into a value.
+    Given a worker that lists a run with a checkpoint of 1025 bytes
+    When the worker is polled
+    Then the run is listed without a checkpoint
+
+  Scenario: A worker that answers each call alike is logged once
+    Guards against log lines with each poll that displace all others.
+    Given a worker that answers 200 with "clock_ms": -1
+    When the worker is polled 3 times
+    Then 3 replies are passed on and 1 line is logged
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -535,3 +535,49 @@
 @behave.then("the core is told that the list was not read")
 def step(context):
     assert context.events == [core_workers.EntriesRead(None)], context.events
+
+
+def make_answer(fields):
+    """Returns the body of a listing in which some fields are replaced."""
+    listing = {"clock_ms": 1, "running": [], "ended": [], "reason": "room"}
+    return json.dumps({**listing, **json.loads(fields)})
+
+
+def list_run(context, checkpoint="c1", measurement=7):
+    row = ["a.0.0.0", 1, checkpoint, 0, measurement]
+    make_workers(context, make_answer(json.dumps({"running": [row]})))
+
+
+@behave.given("a worker that answers {status:d} with {fields}")
+def step(context, status, fields):
+    make_workers(context, make_answer(f"{{{fields}}}"), status)
+
+
+@behave.given("a worker that lists a run with the {part:w} {value}")
+def step(context, part, value):
+    list_run(context, **{part: json.loads(value)})
+
+
+@behave.given("a worker that lists a run with a checkpoint of {length:d} bytes")
+def step(context, length):
+    list_run(context, checkpoint="c" * length)
+
+
+@behave.then("the run is listed without a {part}")
+def step(context, part):
+    (event,) = context.events
+    (run,) = event.reply.running
+    assert not getattr(run, part), run
+    assert run.checkpoint or run.measurement, run
+
+
+@behave.when("the worker is polled {count:d} times")
+def step(context, count):
+    for _ in range(count):
+        asyncio.run(context.workers.call(POLL))
+
+
+@behave.then("{replies:d} replies are passed on and {lines:d} line is logged")
+def step(context, replies, lines):
+    assert len(context.events) == replies, context.events
+    assert len(context.reports) == lines, context.reports
--- a/packages/entry/src/sapphirestall_entry/logs.py
+++ b/packages/entry/src/sapphirestall_entry/logs.py
@@ -1,6 +1,7 @@
 """Configuration of logging and format of log lines."""
 
 from collections.abc import Callable
+from collections.abc import Hashable
 from collections.abc import Mapping
 import logging
 import os
@@ -8,6 +9,8 @@
 import sys
 import time
 
+import attrs
+
 FORMAT = "%(asctime)s %(levelname)s %(message)s"
 # A value that contains one of these characters is quoted.
 QUOTED_CHARACTERS = re.compile(r"[ \"'=]")
@@ -17,6 +20,7 @@
 # number of lines must not grow with the load.
 LINES_PER_S = 300
 BURST_LINES = 1000
+MAX_REPORTED_FAULTS = 10_000
 
 
 def configure(level: str) -> None:
@@ -82,6 +86,31 @@
         return True
 
 
+@attrs.define
+class FaultLog:
+    """Writes one line about a fault, however often it comes back.
+
+    Attributes:
+        report: Writes a log line with a text and fields.
+        reported: Keys of the faults that were reported. Once there are
+            `MAX_REPORTED_FAULTS`, it is emptied, as others choose the keys.
+    """
+
+    report: Callable[[str, dict[str, object]], None]
+    reported: set[Hashable] = attrs.field(factory=set)
+
+    def report_once(
+        self, key: Hashable, text: str, fields: dict[str, object]
+    ) -> None:
+        """Writes a log line unless one was written for the same key."""
+        if key in self.reported:
+            return
+        if len(self.reported) >= MAX_REPORTED_FAULTS:
+            self.reported.clear()
+        self.reported.add(key)
+        self.report(text, fields)
+
+
 def configure_stdout() -> None:
     """Writes log lines to standard output without blocking."""
     # The format has no fields for thread and process, so collecting them would
