Let an unreadable queue cost only that queue

One item of `routes` or `services` that is not an object, or has a field that cannot be read, cost the whole version of the configuration. An instance that started with it had no queues at all. Negative and huge factors, attempts and durations were adopted.

Cause: the lists of the configuration were decoded as a whole, without bounds.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -334,3 +334,30 @@
     Given a worker that answers 200 with "clock_ms": -1
     When the worker is polled 3 times
     Then 3 replies are passed on and 1 line is logged
+
+  Scenario Outline: An unreadable item of <list> <item> costs only itself
+    Guards against an instance that has no configuration, and no queues at all,
+    because of one item.
+    Given a configuration whose <list> contain <item> and valid ones
+    When the configuration is read twice
+    Then each read passes on the valid queue and service
+    And 1 line is logged about the configuration
+
+    Examples:
+      | list     | item                                                 |
+      | routes   | the item 7                                           |
+      | routes   | the item null                                        |
+      | routes   | the item ["q"]                                       |
+      | routes   | the item {}                                          |
+      | routes   | the item {"name": ["q"]}                             |
+      | routes   | one with the field "advice" of 7                     |
+      | routes   | one with the field "advice" of ["a"]                 |
+      | routes   | one with the field "advice" of {"each_ms": "1"}      |
+      | routes   | one with the field "stretch" of -1                   |
+      | routes   | one with the field "stretch" of 1e300                |
+      | routes   | one with the field "priority" of 9223372036854775807 |
+      | routes   | one with the field "max_attempts" of -1              |
+      | routes   | one with the field "target_latency_ms" of -5         |
+      | services | the item 7                                           |
+      | services | the item {"name": null}                              |
+      | services | the item {"name": "s", "standby": 1}                 |
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -581,3 +581,48 @@
 def step(context, replies, lines):
     assert len(context.events) == replies, context.events
     assert len(context.reports) == lines, context.reports
+
+
+ROUTE = {"name": "q", "host": "h", "prefix": "/q/", "service": "s"}
+SERVICE = {"name": "s"}
+
+
+def hold_configuration(context, name, item):
+    value = {"version": 3, "routes": [ROUTE], "services": [SERVICE]}
+    value[name] = [item, *value[name]]
+    make_store(context, make_item("op/config", json.dumps(value).encode()))
+
+
+@behave.given(
+    "a configuration whose {name} contain the item {item} and valid ones"
+)
+def step(context, name, item):
+    hold_configuration(context, name, json.loads(item))
+
+
+@behave.given(
+    'a configuration whose {name} contain one with the field "{field}" of '
+    "{value} and valid ones"
+)
+def step(context, name, field, value):
+    hold_configuration(context, name, {**ROUTE, field: json.loads(value)})
+
+
+@behave.when("the configuration is read twice")
+def step(context):
+    for _ in range(2):
+        asyncio.run(context.store.read_configuration())
+
+
+@behave.then("each read passes on the valid queue and service")
+def step(context):
+    for event in context.events:
+        found = event.configuration
+        assert found is not None, context.reports
+        assert [queue.name for queue in found.queues] == ["q"], found
+        assert [service.name for service in found.services] == ["s"], found
+
+
+@behave.then("{count:d} line is logged about the configuration")
+def step(context, count):
+    assert len(context.reports) == count, context.reports
