Check the types of stored records

A stored record with fields of another type was converted without an error: a list became its text, "no" became true, "ab" two items, and "nan" a load that no comparison holds for. Such values then failed in the core, or in the next write, which lost the event.

Cause: the platform's process used a plain cattrs converter, while the other daemon already had one that checks types.

Change: both use `converters.make_converter`, here with a limit for integers. Its hook for texts was also used for enumerations and left their text as it is; these have a hook of their own now, as the state of a job is compared by identity.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -361,3 +361,51 @@
       | services | the item 7                                           |
       | services | the item {"name": null}                              |
       | services | the item {"name": "s", "standby": 1}                 |
+
+  Scenario Outline: A stored record with <field> <value> is skipped
+    Guards against a record whose fields are converted into others without an
+    error, and then fail in the core or in the next write.
+    Given a stored job record with "<field>" set to <value>
+    Then the record is skipped
+
+    Examples:
+      | field        | value                   |
+      | spec         | [["x"]]                 |
+      | spec         | 7                       |
+      | partition    | null                    |
+      | accepted_ms  | "12"                    |
+      | accepted_ms  | 1.5                     |
+      | first_number | true                    |
+      | first_number | 9007199254740992        |
+      | first_number | 18446744073709551615    |
+      | has_progress | "no"                    |
+      | steps        | "ab"                    |
+      | steps        | {"count": 1}            |
+      | steps        | [{"count": 1e300}]      |
+      | moved        | [["0.1", 3]]            |
+      | moved        | {"0.1": 3}              |
+      | queue        | {"name": ["q"]}         |
+
+  Scenario Outline: A stored <record> with <fields> is skipped
+    Guards against figures in what owners publish that fail in the core of every
+    other instance.
+    Given a stored <record> with <fields>
+    Then the record is skipped
+
+    Examples:
+      | record             | fields                                       |
+      | SummaryRecord      | "fill_load": "nan"                           |
+      | SummaryRecord      | "pending": {"q": "ab"}                       |
+      | SummaryRecord      | "rooms": [{"cpu_millis": "1", "memory_mb": 1}] |
+      | InterferenceRecord | "harms": [{"serving": "a", "filling": "b", "loss": "inf"}] |
+      | ProgressRecord     | "steps": [{"done": "12"}]                    |
+      | ProgressRecord     | "steps": [{"failed": {"1": ["2"]}}]          |
+      | RosterRecord       | "generation": "3"                            |
+      | StateRecord        | "queue": "q", "partition": "p", "state": ["accepted"] |
+      | StateRecord        | "queue": "q", "partition": "p", "state": "gone" |
+
+  Scenario: The state of a job is decoded as one of the known states
+    Guards against a text in its place, which is identical to no state, so that
+    a cancellation is answered without being stored.
+    Given a stored state of a job that is accepted
+    Then its state is the known state
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -7,7 +7,6 @@
 import time
 
 import behave
-import cattrs
 from starlette import requests
 import yarl
 
@@ -85,7 +84,7 @@
     context.store = store.Store(
         transport.Transport(session),
         "127.0.0.1:1",
-        cattrs.Converter(omit_if_default=True),
+        store.make_converter(),
         context.events.append,
         time.monotonic,
         lambda text, fields: context.reports.append((text, fields)),
@@ -626,3 +625,46 @@
 @behave.then("{count:d} line is logged about the configuration")
 def step(context, count):
     assert len(context.reports) == count, context.reports
+
+
+def decode_record(context, document, value):
+    make_store(context)
+    item = make_item("x", json.dumps(value).encode())
+    context.found = context.store.decode_each(
+        [item], lambda item: context.store.decode(item, document)
+    )
+
+
+@behave.given('a stored job record with "{field}" set to {value}')
+def step(context, field, value):
+    queue = {**ROUTE, "priority": 0, "max_attempts": 1, "stretch": 1.0}
+    queue["target_latency_s"] = 1.0
+    record = {"job_id": JOB_ID, "queue": queue, "partition": "sefrou/r1"}
+    document = records.LiveDocument
+    decode_record(context, document, record)
+    assert context.found, context.reports
+    decode_record(context, document, {**record, field: json.loads(value)})
+
+
+@behave.given("a stored {record:w} with {fields}")
+def step(context, record, fields):
+    value = json.loads(f"{{{fields}}}")
+    decode_record(context, getattr(records, record), value)
+
+
+@behave.then("the record is skipped")
+def step(context):
+    assert not context.found, context.found
+    assert len(context.reports) == 1, context.reports
+
+
+@behave.given("a stored state of a job that is accepted")
+def step(context):
+    value = {"queue": "q", "partition": "sefrou/r1", "state": "accepted"}
+    decode_record(context, records.StateRecord, value)
+
+
+@behave.then("its state is the known state")
+def step(context):
+    (found,) = context.found
+    assert found.value.state is model.JobState.ACCEPTED, found
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -1,6 +1,7 @@
 """Conversion between attrs classes and trees of JSON or CBOR values."""
 
 import base64
+import enum
 import typing
 from typing import Any
 
@@ -10,7 +11,10 @@
 
 
 def make_converter(
-    *, forbid_extra_keys: bool = False, omit_if_default: bool = False
+    *,
+    forbid_extra_keys: bool = False,
+    omit_if_default: bool = False,
+    max_integer: int | None = None,
 ) -> cattrs.Converter:
     """Returns a converter that checks the types of all values.
 
@@ -22,6 +26,7 @@
         forbid_extra_keys: Whether unknown fields are errors.
         omit_if_default: Whether fields that have their default value are left
             out when an object is written.
+        max_integer: Largest absolute value of an integer; None for no limit.
     """
     converter = cattrs.Converter(
         forbid_extra_keys=forbid_extra_keys, omit_if_default=omit_if_default
@@ -32,7 +37,11 @@
     converter.register_unstructure_hook(bytes, _write_bytes)
     converter.register_structure_hook(bytes, _read_bytes)
     converter.register_structure_hook(str, _read_string)
-    converter.register_structure_hook(int, _read_integer)
+    # Otherwise the hook for `str` is used for the members of enumerations too.
+    converter.register_structure_hook(enum.StrEnum, _read_member)
+    converter.register_structure_hook(
+        int, lambda value, _: _read_integer(value, max_integer)
+    )
     converter.register_structure_hook(float, _read_number)
     converter.register_structure_hook(bool, _read_boolean)
     converter.register_structure_hook_func(
@@ -56,9 +65,15 @@
     return value
 
 
-def _read_integer(value: Any, _: type) -> int:
+def _read_member(value: Any, target: type[enum.StrEnum]) -> enum.StrEnum:
+    return target(_read_string(value, str))
+
+
+def _read_integer(value: Any, maximum: int | None) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError(f"{decoding.describe(value)} is not an integer")
+    if maximum is not None and abs(value) > maximum:
+        raise ValueError(f"{decoding.describe(value)} is too large")
     return value
 
 
--- a/packages/entry/src/sapphirestall_entry/decoding.py
+++ b/packages/entry/src/sapphirestall_entry/decoding.py
@@ -16,6 +16,9 @@
 # Documents are decoded, compared and described recursively; deeper nesting
 # would exceed the recursion limit.
 MAX_DEPTH = 64
+# Larger integers are not exact as floats, and their sums may exceed the 64 bits
+# that can be encoded.
+MAX_INTEGER = 2**53 - 1
 MAX_DESCRIPTION_CHARACTERS = 60
 MAX_ERROR_CHARACTERS = 120
 
