--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -143,6 +143,35 @@
       | {"spec": "x", "steps": [{"cpu": 1}]}              |
       | {"spec": "x", "steps": [{"count": 1, "cpu": -1}]} |
       | {"spec": "x", "steps": [{"count": true}]}         |
+      | {"spec": "x", "steps": [7]}                       |
+      | {"spec": "x", "steps": {"count": 1}}              |
+
+  Scenario Outline: A step with <field> <value> is refused
+    Guards against figures that exceed what the core and the store can carry.
+    Then a step with "<field>" set to <value> is refused
+
+    Examples:
+      | field         | value                |
+      | count         | -1                   |
+      | count         | 9223372036854775807  |
+      | cpu           | 4294967296           |
+      | cpu           | 18446744073709551615 |
+      | mem_mb        | 9223372036854775807  |
+      | gpu           | -1                   |
+      | estimated_ms  | -1                   |
+      | estimated_ms  | 1e300                |
+      | anti_affinity | -1                   |
+      | target_ms     | -1                   |
+      | target_ms     | 9223372036854775807  |
+      | may_miss      | -1                   |
+      | after         | [-1]                 |
+      | after         | ["0"]                |
+      | image         | 7                    |
+
+  Scenario: An image name of 201 bytes is refused
+    Guards against an interference record that no longer fits into a value of
+    the store, because it contains the names of all images.
+    Then a job whose image has a name of 201 bytes is refused
 
   Scenario Outline: A body that cannot be written to the store is refused
     Guards against a call that fails at each attempt as if the store were
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -53,6 +53,7 @@
     "born": 5,
 }
 JOB_ID = "0123456789abcdef"
+CHUNK_BYTES = 65536
 READ_TIMEOUT_S = 1.0
 TARGET = worker_messages.Target("w-1", 5, "127.0.0.1:8080")
 POLL = worker_messages.HoldLease(TARGET, "sefrou", 1, 0, None, 0.0, 1)
@@ -668,3 +669,62 @@
 def step(context):
     (found,) = context.found
     assert found.value.state is model.JobState.ACCEPTED, found
+
+
+def is_refused(body):
+    try:
+        documents.decode_submission(body)
+    except errors.InvalidMessageError:
+        return True
+    return False
+
+
+@behave.then('a step with "{field}" set to {value} is refused')
+def step(context, field, value):
+    plain = {"count": 1}
+    assert not is_refused({"spec": "x", "steps": [plain]})
+    changed = {**plain, field: json.loads(value)}
+    assert is_refused({"spec": "x", "steps": [changed]})
+
+
+@behave.then("a job whose image has a name of {length:d} bytes is refused")
+def step(context, length):
+    steps = [{"count": 1, "image": "i" * length}]
+    assert is_refused({"spec": "x", "steps": steps})
+
+
+@behave.when("a submission with a body of {size:d} MB is decoded")
+def step(context, size):
+    context.sent = 0
+
+    async def receive():
+        context.sent += CHUNK_BYTES
+        more = context.sent < size * 10**6
+        body = b" " * CHUNK_BYTES
+        return {"type": "http.request", "body": body, "more_body": more}
+
+    request = requests.Request(make_request(b"").scope, receive)
+    try:
+        asyncio.run(front.decode(request, "c-1"))
+    except errors.InvalidMessageError:
+        return
+    raise AssertionError("accepted")
+
+
+@behave.then("at most {size:d} MB of it was read")
+def step(context, size):
+    assert context.sent <= size * 10**6, context.sent
+
+
+DEADLINES = {
+    "5000 digits": "9" * 5000,
+    "no text": "",
+    "superscript two": "\u00b2",
+}
+
+
+@behave.then("a request with the deadline {text} may take {seconds:g} s")
+def step(context, text, seconds):
+    value = DEADLINES.get(text, text).encode("latin-1")
+    request = make_request(b"", [(b"deadline-ms", value)])
+    assert front.read_deadline(request) == seconds
