--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -438,3 +438,23 @@
     a cancellation is answered without being stored.
     Given a stored state of a job that is accepted
     Then its state is the known state
+
+  Scenario: A body over the limit is not read to its end
+    Guards against a caller that fills the memory of the process.
+    When a submission with a body of 64 MB is decoded
+    Then at most 1 MB of it was read
+
+  Scenario Outline: A deadline of <text> is <seconds> s
+    Guards against a header that ends a call without an answer.
+    Then a request with the deadline <text> may take <seconds> s
+
+    Examples:
+      | text                 | seconds |
+      | 1500                 | 1.5     |
+      | 99999999999999999999 | 60      |
+      | -5                   | 3       |
+      | soon                 | 3       |
+      | 1e3                  | 3       |
+      | 5000 digits          | 60      |
+      | no text              | 3       |
+      | superscript two      | 3       |
