Refuse jobs of more than 20,000 tasks

A step with a count of 2**31 was accepted. The owner of its partition builds the state of each task when it reads the record. The states of 1,000,000 tasks take 651 MB and 5 s (20,000: 19 MB and 0.1 s), so the owner ends, and the next owner reads the same record.

Cause: nothing limited the number of tasks.

Change: a job has at most 20,000 tasks, whose progress still fits into a value of the store. The answer is 400 with `too_many_tasks`.

The new scenarios failed before: the job was not refused.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -60,6 +60,19 @@
       | one rack   |
       | a schedule |
 
+  Scenario Outline: A job with <count> steps of <tasks> tasks is rejected
+    Guards against a job whose tasks fill the memory of each owner in turn.
+    Given one instance with a store
+    When a job with <count> steps of <tasks> tasks is submitted
+    Then the caller is told that the job is invalid
+    And no record of the job exists
+
+    Examples:
+      | count | tasks      |
+      | 1     | 20001      |
+      | 3     | 10000      |
+      | 1     | 2147483647 |
+
   Scenario: An older configuration arrives after a newer one
     Guards against reverting to an older version.
     Given one instance with a store
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -199,3 +199,29 @@
     assert context.world.get_state(JOB) is None
     keys = [key for key in context.world.store.items if JOB in key]
     assert not keys, keys
+
+
+@behave.when("a job with {count:d} steps of {tasks:d} tasks is submitted")
+def step(context, count, tasks):
+    steps = [model.Step(tasks, AMOUNT)] * count
+    call_id = context.world.submit(context.node, JOB, *steps)
+    context.call_ids.append(call_id)
+
+
+CALL_KINDS = {
+    "state": caller_messages.StateCalled,
+    "cancel": caller_messages.CancelCalled,
+}
+
+
+@behave.when("a {kind:w} is called for {name}")
+def step(context, kind, name):
+    job_id = "0" * 300 if name == "300 digits" else name
+    path = f"/jobs/{job_id}"
+    call_id = context.world.call(context.node, CALL_KINDS[kind], path)
+    context.call_ids.append(call_id)
+
+
+@behave.then("it is answered before the store answers")
+def step(context):
+    assert context.call_ids[-1] in context.world.answers
--- a/packages/core/src/sapphirestall_core/batch/submissions.py
+++ b/packages/core/src/sapphirestall_core/batch/submissions.py
@@ -6,9 +6,12 @@
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 MAX_SPEC_BYTES = 4000
+# The progress of all tasks of a job must fit into one value of the store.
+MAX_TASKS = 20_000
 
 
-def _is_job_id(text: str) -> bool:
+def is_job_id(text: str) -> bool:
+    """Returns whether a job can have an id."""
     return len(text) == JOB_ID_LENGTH and set(text) <= HEX_DIGITS
 
 
@@ -25,7 +28,7 @@
     Returns:
         The answer that rejects the job, or None if the job is valid.
     """
-    if not _is_job_id(job_id):
+    if not is_job_id(job_id):
         return caller_messages.Invalid("bad_job_id", "not 16 hex digits")
     if queue.advice is not None:
         return caller_messages.Invalid("unsupported", "queue needs advice")
@@ -52,4 +55,8 @@
             return caller_messages.Invalid(
                 "unsupported", f"step {number} asks for a gang or one rack"
             )
+    if sum(step.count for step in steps) > MAX_TASKS:
+        return caller_messages.Invalid(
+            "too_many_tasks", f"the job has more than {MAX_TASKS} tasks"
+        )
     return None
