Answer calls for impossible job ids without the store

A GET or DELETE for an id of more than 195 bytes led to a key that the store refuses. The refusal counts as a failed store call, after which the instance refuses the calls of all callers until a call succeeds.

Cause: only submissions were checked for a valid id.

Change: the answer for an id that no job can have is 410, without a call to the store.

The new scenarios failed before: no answer before that of the store.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -73,6 +73,22 @@
       | 3     | 10000      |
       | 1     | 2147483647 |
 
+  Scenario Outline: A <kind> for an id that no job can have needs no store
+    Guards against a key that the store refuses, after which the instance
+    considers the store unavailable and refuses all calls.
+    Given one instance with a store
+    When a <kind> is called for <id>
+    Then it is answered before the store answers
+    And the caller is told that the job does not exist
+
+    Examples:
+      | kind  | id                 |
+      | state | soon               |
+      | state | 00000000000000cc/1 |
+      | state | 300 digits         |
+      | cancel | soon              |
+      | cancel | 300 digits        |
+
   Scenario: An older configuration arrives after a newer one
     Guards against reverting to an older version.
     Given one instance with a store
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -124,6 +124,8 @@
     call = calls.make_call(event, batch, now)
     if isinstance(call, caller_messages.Answer):
         return calls.make_answer(event.call_id, call, path=event.path)
+    if call.job_id and not submissions.is_job_id(call.job_id):
+        return calls.make_answer(event.call_id, caller_messages.Gone())
     batch.calls[call.call_id] = call
     if calls.is_store_down(batch, now):
         return calls.refuse_without_store(batch, call, now)
@@ -143,6 +145,8 @@
     call = calls.make_call(event, batch, now)
     if isinstance(call, caller_messages.Answer):
         return calls.make_answer(event.call_id, call, path=event.path)
+    if not submissions.is_job_id(call.job_id):
+        return calls.make_answer(event.call_id, caller_messages.Gone())
     batch.calls[call.call_id] = call
     if calls.is_store_down(batch, now):
         return calls.refuse_without_store(batch, call, now)
