--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -17,11 +17,19 @@
     Then the settings are refused naming "<name>"
 
     Examples:
-      | name               | value |
-      | node               |       |
-      | bounds.hold_max_ms | soon  |
-      | bounds.stop_ms     | -1    |
-      | platform.address   |       |
+      | name               | value   |
+      | node               |         |
+      | bounds.hold_max_ms | soon    |
+      | bounds.stop_ms     | -1      |
+      | platform.address   |         |
+      | bounds.hold_max_ms | inf     |
+      | bounds.hold_max_ms | nan     |
+      | bounds.hold_max_ms | 1e400   |
+      | bounds.stop_ms     | 1e300   |
+      | limits.cpu_share   | inf     |
+      | limits.cores       | 1e300   |
+      | platform.address   | store   |
+      | platform.address   | h:99999 |
 
   Scenario Outline: An invalid entry in the list is not taken for a worker
     Guards against tasks for an entry that no worker wrote.
--- a/features/servers.feature
+++ b/features/servers.feature
@@ -7,6 +7,18 @@
     When the daemon is started
     Then it exits with code 6 and names the error "listen_failed"
 
+  Scenario Outline: The address <address> cannot be listened on
+    Guards against a daemon that ends without one of its exit codes.
+    When a socket is opened on <address>
+    Then the error "listen_failed" names <address>
+
+    Examples:
+      | address         |
+      | 127.0.0.1:65536 |
+      | 127.0.0.1:-1    |
+      | 127.0.0.1:http  |
+      | 127.0.0.1       |
+
   Scenario: Background tasks end before the process closes its sessions
     Guards against calls that timers start while the process exits. They used
     closed sessions and were logged as faults.
--- a/features/steps/servers_steps.py
+++ b/features/steps/servers_steps.py
@@ -7,7 +7,9 @@
 
 import behave
 
+from sapphirestall_core import errors
 from sapphirestall_entry import background
+from sapphirestall_entry import servers
 from standins import fleet
 
 EXIT_LIMIT_S = 30
@@ -47,6 +49,19 @@
     assert name in context.process.stderr, context.process.stderr
 
 
+@behave.when("a socket is opened on {address}")
+def step(context, address):
+    try:
+        servers.open_socket(address).close()
+    except errors.ListenError as error:
+        context.error = error
+
+
+@behave.then('the error "{code}" names {address}')
+def step(context, code, address):
+    assert (context.error.code, context.error.peer) == (code, address)
+
+
 @behave.given("a background task that waits")
 def step(context):
     context.faults = []
--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -85,7 +85,7 @@
     host, _, port = address.rpartition(":")
     try:
         return socket.create_server((host, int(port)), backlog=BACKLOG)
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
         raise errors.ListenError(
             str(error), step="listen", peer=address
         ) from error
