Report unreadable answers to the entry daemon as failures

An answer of a worker that is no object, lacks a field or is nested deeply ended the entry daemon's call without its event, and the worker was never polled again. A health answer nested deeply ended the poll of an executor in the same way.

Cause: only some of the errors of decoding were handled, and only around the transfer; each client had a list of its own.

Change: the clients and the codec of the entry daemon use `decoding.DECODE_ERRORS`, and refusals are decoded as a typed `Refusal`. `describe_error` allows for errors whose text fails: that of cattrs for a key that is not a text raised TypeError, which the damaged frames of peers.feature found.

The new scenarios failed before, among others with "AttributeError: 'list' object has no attribute 'get'" and "RecursionError: maximum recursion depth exceeded while decoding a JSON array".

--- a/features/steps/worker_calls_steps.py
+++ b/features/steps/worker_calls_steps.py
@@ -5,15 +5,22 @@
 import os
 import socket
 import time
+import types
 
+import aiohttp
 from aiohttp import web
 import behave
 
+from sapphirestall_core import request_messages
+from sapphirestall_core import task_messages
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import worker_messages
+from sapphirestall_entry import converters
 from sapphirestall_entry import counters as counters_module
+from sapphirestall_entry import executors
 from sapphirestall_entry import lateness
 from sapphirestall_entry import logs
+from sapphirestall_entry import workers as entry_workers
 from sapphirestall_platform import call_report
 from sapphirestall_platform import composition
 from sapphirestall_platform import transport
@@ -293,3 +300,57 @@
     waits = context.counters.connection_waits.get({})
     assert waits["count"] == context.count - opened, waits
     assert waits["sum"] > 0.03, waits
+
+
+BODIES = {
+    "100000 lists": b"[" * 100_000 + b"]" * 100_000,
+    "bytes that are not UTF-8": b"\xff\xfe\xfd",
+}
+
+
+@behave.given("a worker that answers the entry daemon {status:d} with {body}")
+def step(context, status, body):
+    async def serve(request):
+        return web.Response(
+            body=BODIES.get(body, body.encode()),
+            status=status,
+            content_type="application/json",
+        )
+
+    context.serve = serve
+
+
+async def call_from_entry_daemon(context):
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", context.serve)
+    runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    context.events = []
+    adapters = types.SimpleNamespace(
+        clock=lambda: 0.0,
+        identity=types.SimpleNamespace(instance_id="entry-1"),
+        feed=context.events.append,
+    )
+    poll = task_messages.PollWorker("w-1", address, 1, 0.0, 1, 1.0)
+    health = request_messages.PollHealth("executor-1", address)
+    async with aiohttp.ClientSession() as session:
+        converter = converters.make_converter()
+        client = entry_workers.Workers(adapters, session, converter)
+        await client.call(poll)
+        await executors.Executors(adapters, session).poll(health)
+    await runner.cleanup()
+
+
+@behave.when("the entry daemon polls it and reads its health")
+def step(context):
+    asyncio.run(call_from_entry_daemon(context))
+
+
+@behave.then("both calls report a failure")
+def step(context):
+    found = [type(event) for event in context.events]
+    expected = [task_messages.WorkerFailed, request_messages.HealthUnread]
+    assert found == expected, context.events
--- a/features/worker_calls.feature
+++ b/features/worker_calls.feature
@@ -72,3 +72,22 @@
     Given a worker that answers commands at once and polls after 1 s
     When 4 polls and then a command are sent to it
     Then the command was answered within 0.5 s
+
+  Scenario Outline: An unreadable answer <body> to the entry daemon is a failure
+    Guards against a call without an event, after which the worker is never
+    polled again.
+    Given a worker that answers the entry daemon <status> with <body>
+    When the entry daemon polls it and reads its health
+    Then both calls report a failure
+
+    Examples:
+      | status | body              |
+      | 200    | []                |
+      | 200    | 7                 |
+      | 200    | {}                |
+      | 409    | []                |
+      | 409    | {}                |
+      | 409    | {"code": 7}       |
+      | 409    | {"code": "x", "highest_epoch": "9"} |
+      | 200    | 100000 lists      |
+      | 200    | bytes that are not UTF-8 |
--- a/packages/entry/src/sapphirestall_entry/codec.py
+++ b/packages/entry/src/sapphirestall_entry/codec.py
@@ -4,12 +4,12 @@
 import io
 from typing import Any
 
-import cattrs
 import cbor2
 
 from sapphirestall_core import errors
 from sapphirestall_core import peer_messages
 from sapphirestall_entry import converters
+from sapphirestall_entry import decoding
 
 # Fields that have their default value are left out, which keeps heartbeats, by
 # far the most frequent frames, short.
@@ -50,16 +50,8 @@
             raise ValueError("trailing bytes after the message")
         message_type = _list_types()[tree.pop("type")]
         return _converter.structure(tree, message_type)
-    except (
-        cbor2.CBORError,
-        cattrs.BaseValidationError,
-        AttributeError,
-        LookupError,
-        OverflowError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except (cbor2.CBORError, *decoding.DECODE_ERRORS) as error:
+        detail = f"invalid frame: {decoding.describe_error(error)}"
         raise errors.InvalidMessageError(
-            f"invalid frame: {error!r:.200}", step="decode", peer=peer
+            detail, step=decoding.ERROR_STEP, peer=peer
         ) from error
--- a/packages/entry/src/sapphirestall_entry/decoding.py
+++ b/packages/entry/src/sapphirestall_entry/decoding.py
@@ -6,6 +6,7 @@
 
 import binascii
 from collections.abc import Iterable
+import contextlib
 from typing import Any
 
 import cattrs
@@ -86,5 +87,8 @@
         context = f"{error.message}: "
     while isinstance(cause, BaseExceptionGroup):
         cause = cause.exceptions[0]
-    text = f"{context}{type(cause).__name__}: {cause}"
-    return text[:MAX_ERROR_CHARACTERS]
+    text = type(cause).__name__
+    # The text of an error that names a key fails if the key is not a text.
+    with contextlib.suppress(*DECODE_ERRORS):
+        text += f": {cause}"
+    return f"{context}{text}"[:MAX_ERROR_CHARACTERS]
--- a/packages/entry/src/sapphirestall_entry/executors.py
+++ b/packages/entry/src/sapphirestall_entry/executors.py
@@ -9,6 +9,7 @@
 from sapphirestall_core import outcomes
 from sapphirestall_core import request_messages
 from sapphirestall_entry import context as context_module
+from sapphirestall_entry import decoding
 
 HEALTH_TIMEOUT_S = 0.5
 CONNECT_JITTER = 0.2
@@ -162,9 +163,7 @@
             aiohttp.ClientError,
             OSError,
             TimeoutError,
-            ValueError,
-            LookupError,
-            TypeError,
+            *decoding.DECODE_ERRORS,
         ):
             event = request_messages.HealthUnread(effect.executor_id)
         self.context.feed(event)
--- a/packages/entry/src/sapphirestall_entry/workers.py
+++ b/packages/entry/src/sapphirestall_entry/workers.py
@@ -10,10 +10,25 @@
 from sapphirestall_core import messages
 from sapphirestall_core import task_messages
 from sapphirestall_entry import context as context_module
+from sapphirestall_entry import decoding
 
 CALL_TIMEOUT_S = 1.5
 
 
+@attrs.frozen
+class Refusal:
+    """Body of an answer with which a worker refuses a call.
+
+    Attributes:
+        code: Reason code.
+        highest_epoch: Highest epoch that the worker has seen; 0 if the refusal
+            does not tell it.
+    """
+
+    code: str
+    highest_epoch: int = 0
+
+
 @attrs.define
 class Workers:
     """Calls workers; each call results in exactly one event.
@@ -40,21 +55,35 @@
         }
         try:
             status, raw = await self._exchange(effect.address, path, body)
+            event = self._decode(effect, sent_at, status, raw)
         except aiohttp.ClientConnectorError:
             event = make_failed(effect, sent_at, "unreachable", False, 0)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            *decoding.DECODE_ERRORS,
+        ):
             event = make_failed(effect, sent_at, "unreachable", True, 0)
-        else:
-            if status == 200:
-                event = make_done(effect, sent_at, raw, self.converter)
-            else:
-                epoch = raw.get("highest_epoch", 0)
-                event = make_failed(effect, sent_at, raw["code"], False, epoch)
         self.context.feed(event)
 
+    def _decode(
+        self,
+        effect: task_messages.WorkerEffect,
+        sent_at: float,
+        status: int,
+        raw: Any,
+    ) -> messages.Event:
+        if status == 200:
+            return make_done(effect, sent_at, raw, self.converter)
+        refusal = self.converter.structure(raw, Refusal)
+        return make_failed(
+            effect, sent_at, refusal.code, False, refusal.highest_epoch
+        )
+
     async def _exchange(
         self, address: str, path: str, body: dict[str, Any]
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> tuple[int, Any]:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         url = f"http://{address}{path}"
         async with self.session.post(
@@ -121,7 +150,7 @@
 def make_done(
     effect: task_messages.WorkerEffect,
     sent_at: float,
-    raw: dict[str, Any],
+    raw: Any,
     converter: cattrs.Converter,
 ) -> messages.Event:
     """Returns the event for a call that the worker carried out.
@@ -132,8 +161,9 @@
         raw: Body of the answer.
         converter: Converts the report in the body.
     """
+    checkpoint = converter.structure(raw.get("checkpoint", ""), str)
     return task_messages.CommandDone(
-        effect.worker_id, sent_at, effect, raw.get("checkpoint", "")
+        effect.worker_id, sent_at, effect, checkpoint
     )
 
 
@@ -141,7 +171,7 @@
 def _(
     effect: task_messages.PollWorker,
     sent_at: float,
-    raw: dict[str, Any],
+    raw: Any,
     converter: cattrs.Converter,
 ) -> messages.Event:
     report = converter.structure(raw, task_messages.WorkerReport)
