--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -60,6 +60,35 @@
       | one rack   |
       | a schedule |
 
+  Scenario Outline: A job with <count> steps of <tasks> tasks is rejected
+    Guards against a job whose tasks fill the memory of each owner in turn.
+    Given one instance with a store
+    When a job with <count> steps of <tasks> tasks is submitted
+    Then the caller is told that the job is invalid
+    And no record of the job exists
+
+    Examples:
+      | count | tasks      |
+      | 1     | 20001      |
+      | 3     | 10000      |
+      | 1     | 2147483647 |
+
+  Scenario Outline: A <kind> for an id that no job can have needs no store
+    Guards against a key that the store refuses, after which the instance
+    considers the store unavailable and refuses all calls.
+    Given one instance with a store
+    When a <kind> is called for <id>
+    Then it is answered before the store answers
+    And the caller is told that the job does not exist
+
+    Examples:
+      | kind  | id                 |
+      | state | soon               |
+      | state | 00000000000000cc/1 |
+      | state | 300 digits         |
+      | cancel | soon              |
+      | cancel | 300 digits        |
+
   Scenario: An older configuration arrives after a newer one
     Guards against reverting to an older version.
     Given one instance with a store
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -2,23 +2,31 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 
 import behave
-import cattrs
 from starlette import requests
+import yarl
 
 from sapphirestall_core import errors
 from sapphirestall_core import resources
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import worker_messages
+from sapphirestall_core.batch import workers as core_workers
+from sapphirestall_entry import counters
+from sapphirestall_platform import call_report
 from sapphirestall_platform import documents
 from sapphirestall_platform import front
 from sapphirestall_platform import settings
 from sapphirestall_platform import store
+from sapphirestall_platform import transport
 from sapphirestall_platform import workers
+from sapphirestall_standins import documents as standin_documents
 
 SETTINGS = {
     "node": "edge-sefrou-1",
@@ -44,10 +52,85 @@
     "labels": ["a", "r1-3"],
     "born": 5,
 }
+JOB_ID = "0123456789abcdef"
+CHUNK_BYTES = 65536
+READ_TIMEOUT_S = 1.0
 TARGET = worker_messages.Target("w-1", 5, "127.0.0.1:8080")
 POLL = worker_messages.HoldLease(TARGET, "sefrou", 1, 0, None, 0.0, 1)
 
 
+class FixedSession:
+    """Answers each request with the same body, as an HTTP session would."""
+
+    def __init__(self, body, status=200):
+        self.status = status
+        self.body = body
+
+    @contextlib.asynccontextmanager
+    async def request(self, *_, **__):
+        """Yields the response."""
+        yield self
+
+    async def read(self):
+        """Returns the body of the response."""
+        await asyncio.sleep(0)
+        return self.body
+
+
+def make_store(context, answer=None):
+    """Makes a client of a store that answers each call alike."""
+    context.events = []
+    context.reports = []
+    session = FixedSession(json.dumps(answer).encode())
+    context.store = store.Store(
+        transport.Transport(session),
+        "127.0.0.1:1",
+        store.make_converter(),
+        context.events.append,
+        time.monotonic,
+        lambda text, fields: context.reports.append((text, fields)),
+    )
+
+
+def make_list(items):
+    """Returns a store's answer to both a read and a watch of a prefix."""
+    return {
+        **standin_documents.encode_page(items, False, 9),
+        **standin_documents.encode_events(items, 9),
+    }
+
+
+def make_workers(context, body, status=200):
+    """Makes a client of workers that answer each call alike."""
+    context.events = []
+    context.reports = []
+    client = transport.Transport(FixedSession(body.encode(), status))
+    context.workers = workers.Workers(
+        client,
+        client,
+        context.events.append,
+        time.monotonic,
+        lambda text, fields: context.reports.append((text, fields)),
+        call_report.CallReport(counters.Counters(), lambda *_: None),
+    )
+
+
+def make_request(body, headers=(), path="/x/1", method="POST"):
+    async def receive():
+        return {"type": "http.request", "body": body}
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "query_string": b"",
+        "headers": [(b"host", b"h"), *headers],
+        "server": ("h", 80),
+        "scheme": "http",
+    }
+    return requests.Request(scope, receive)
+
+
 def write_settings(values):
     return "\n".join(f"{name}={value}" for name, value in values.items())
 
@@ -108,6 +191,53 @@
     context.entry = {**ENTRY, field: json.loads(value)}
 
 
+@behave.given("a worker's entry with a {field} of {length:d} bytes")
+def step(context, field, length):
+    changes = {
+        "rack": {"labels": ["a", "9" * length]},
+        "zone": {"zone": "z" * length},
+    }
+    context.entry = {**ENTRY, **changes[field]}
+
+
+@behave.given("a worker's entry with the longest zone and rack")
+def step(context):
+    longest = documents.MAX_NAME_BYTES
+    labels = ["a", "r" + "9" * (longest - 1)]
+    context.entry = {**ENTRY, "zone": "z" * longest, "labels": labels}
+
+
+@behave.then("no key of its partition is longer than {length:d} bytes")
+def step(context, length):
+    name = documents.decode_worker("w-1", context.entry).partition
+    keys = (
+        records.make_job_key(name, JOB_ID),
+        records.make_progress_key(name, JOB_ID),
+        records.make_ended_key(name, JOB_ID),
+        records.make_live_owner_key(name),
+        records.make_owner_key(name),
+        records.make_roster_key(name),
+        records.make_summary_key(name),
+    )
+    assert max(len(key) for key in keys) <= length, keys
+
+
+@behave.then("a call to the address can be made")
+def step(context):
+    worker = documents.decode_worker("w-1", context.entry)
+    url = yarl.URL(f"http://{worker.address}/x", encoded=True)
+    assert url.host and url.port
+
+
+@behave.then("an entry with the id {name} is refused")
+def step(context, name):
+    try:
+        documents.decode_worker(json.loads(name), ENTRY)
+    except errors.InvalidMessageError:
+        return
+    raise AssertionError("accepted")
+
+
 @behave.then("the entry is refused")
 def step(context):
     try:
@@ -139,20 +269,8 @@
     "a call with the body {body} is refused before it reaches the core"
 )
 def step(context, body):
-    async def receive():
-        return {"type": "http.request", "body": body.encode()}
-
-    scope = {
-        "type": "http",
-        "method": "POST",
-        "path": "/x/1",
-        "query_string": b"",
-        "headers": [(b"host", b"h")],
-        "server": ("h", 80),
-        "scheme": "http",
-    }
     try:
-        asyncio.run(front.decode(requests.Request(scope, receive), "c-1"))
+        asyncio.run(front.decode(make_request(body.encode()), "c-1"))
     except (errors.InvalidMessageError, ValueError):
         return
     raise AssertionError(f"{body} was accepted")
@@ -213,15 +331,7 @@
 
 @behave.given("a list of an owner key, a job record and an unreadable value")
 def step(context):
-    context.reports = []
-    context.store = store.Store(
-        None,
-        "127.0.0.1:1",
-        cattrs.Converter(omit_if_default=True),
-        context.reports.append,
-        time.monotonic,
-        lambda text, fields: context.reports.append((text, fields["key"])),
-    )
+    make_store(context)
     queue = model.Queue("q", "host", "/q/", "service", 0, 3, 2.0, 1.0)
     step = model.Step(2, resources.Vector(1000, 100, 0), image="calm")
     context.job = records.JobRecord(
@@ -241,7 +351,9 @@
         make_item(records.make_job_key("sefrou/r1", context.job.job_id), job),
         make_item(records.make_job_key("sefrou/r1", "foreign"), b"\xff{"),
     ]
-    context.found = context.store.decode_all(items, records.LiveDocument)
+    context.found = context.store.decode_each(
+        items, lambda item: context.store.decode(item, records.LiveDocument)
+    )
 
 
 @behave.then("the owner key and the job record are decoded as such")
@@ -252,6 +364,367 @@
 
 @behave.then("the unreadable value is logged and skipped")
 def step(context):
-    assert context.reports == [
-        ("skipped", records.make_job_key("sefrou/r1", "foreign"))
+    ((text, fields),) = context.reports
+    key = records.make_job_key("sefrou/r1", "foreign")
+    assert (text, fields["key"]) == ("skipped", key)
+
+
+def make_nested(depth):
+    return "[" * depth + "]" * depth
+
+
+@behave.given(
+    "the store lists a valid worker and an entry nested {depth:d} deep"
+)
+def step(context, depth):
+    entry = json.dumps({**ENTRY, "state": "X"})
+    entry = entry.replace('"X"', make_nested(depth - 1))
+    items = [
+        make_item("servers/w-2", entry.encode()),
+        make_item("servers/w-1", json.dumps(ENTRY).encode()),
+    ]
+    make_store(context, make_list(items))
+
+
+@behave.when("the list of workers is read twice")
+def step(context):
+    for _ in range(2):
+        asyncio.run(context.store.read_workers())
+
+
+@behave.then("each read passes on the valid worker")
+def step(context):
+    entry = documents.decode_worker("w-1", ENTRY)
+    expected = core_workers.EntriesRead((entry,))
+    assert context.events == [expected, expected], context.events
+
+
+@behave.then(
+    'the entry "{name}" was logged once, in at most {length:d} characters'
+)
+def step(context, name, length):
+    ((text, fields),) = context.reports
+    assert text == "skipped", text
+    assert fields["key"] == f"servers/{name}", fields
+    assert len(str(fields)) <= length, fields
+
+
+@behave.given("the store holds a configuration nested {depth:d} deep")
+def step(context, depth):
+    text = f'{{"version": {make_nested(depth - 1)}}}'
+    make_store(context, make_item("op/config", text.encode()))
+
+
+@behave.when("the configuration is read")
+def step(context):
+    asyncio.run(context.store.read_configuration())
+
+
+@behave.then("the core is told that no configuration was read")
+def step(context):
+    assert context.events == [configuration.ConfigurationRead(None)]
+
+
+@behave.given("the store has an owner key and a record nested {depth:d} deep")
+def step(context, depth):
+    text = f'{{"job_id": {make_nested(depth - 1)}}}'
+    owner = json.dumps({"instance_id": "edge-sefrou-1/ab"})
+    items = [
+        make_item(records.make_job_key("sefrou/r1", "x"), text.encode()),
+        make_item(records.make_live_owner_key("sefrou/r1"), owner.encode()),
     ]
+    make_store(context, make_list(items))
+
+
+@behave.when("the owner lists and follows the records of its partition")
+def step(context):
+    prefix = records.make_live_prefix("sefrou/r1")
+    document = records.LiveDocument
+    purpose = store_messages.Purpose()
+    for effect in (
+        store_messages.StoreList(purpose, prefix, document),
+        store_messages.StoreFollow(purpose, prefix, 7, document, 1.0),
+    ):
+        asyncio.run(context.store.call(effect))
+
+
+@behave.then("both replies contain the owner key only")
+def step(context):
+    listed, followed = (event.outcome for event in context.events[-2:])
+    owner = records.OwnerRecord("edge-sefrou-1/ab")
+    assert [found.value for found in listed.entries] == [owner], listed
+    assert [found.value for found in followed.changes] == [owner], followed
+
+
+ANSWERS = {
+    "clock": '{"clock_ms": X, "running": [], "ended": []}',
+    "task": '{"clock_ms": 1, "running": [[X, 1, "", 0]], "ended": []}',
+    "number": (
+        '{"clock_ms": 1, "running": [["a.0.0.0", X, "", 0]], "ended": []}'
+    ),
+    "end": (
+        '{"clock_ms": 1, "running": [], "ended": [[1, "a.0.0.0", 1, X, ""]]}'
+    ),
+    "reason": '{"clock_ms": 1, "reason": X}',
+    "body": "X",
+}
+
+
+@behave.given("a worker that answers with a {part} nested {depth:d} deep")
+def step(context, part, depth):
+    text = ANSWERS[part].replace("X", make_nested(depth))
+    make_workers(context, text, 409 if part == "reason" else 200)
+
+
+@behave.when("the worker is polled")
+def step(context):
+    asyncio.run(context.workers.call(POLL))
+
+
+@behave.then("the reply is NoAnswer, in at most {length:d} characters")
+def step(context, length):
+    (event,) = context.events
+    assert isinstance(event.reply, worker_messages.NoAnswer), event
+    assert len(event.reply.detail) <= length, event
+
+
+@behave.when("a submission with a spec nested {depth:d} deep is served")
+def step(context, depth):
+    body = f'{{"spec": {make_nested(depth - 1)}, "steps": []}}'
+    front_end = front.FrontEnd(
+        None, time.monotonic, None, counters.Counters(), "edge-sefrou-1"
+    )
+    request = make_request(body.encode())
+    context.response = asyncio.run(front_end.serve(request))
+
+
+@behave.then("the call is answered with status {status:d}")
+def step(context, status):
+    assert context.response.status_code == status, context.response.body
+
+
+def make_valid_items():
+    owner = json.dumps({"instance_id": "edge-sefrou-1/ab"})
+    key = records.make_live_owner_key("sefrou/r1")
+    return [
+        make_item("servers/w-1", json.dumps(ENTRY).encode()),
+        make_item(key, owner.encode()),
+    ]
+
+
+@behave.given("a store whose lists contain the item {item} and valid ones")
+def step(context, item):
+    make_store(context, make_list([json.loads(item), *make_valid_items()]))
+
+
+@behave.given("a store that announces a further page with each page")
+def step(context):
+    answer = standin_documents.encode_page(make_valid_items(), True, 9)
+    make_store(context, answer)
+
+
+@behave.when("the list of workers is read")
+def step(context):
+    async def read():
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            await context.store.read_workers()
+
+    asyncio.run(read())
+
+
+@behave.then("the core is told that the list was not read")
+def step(context):
+    assert context.events == [core_workers.EntriesRead(None)], context.events
+
+
+def make_answer(fields):
+    """Returns the body of a listing in which some fields are replaced."""
+    listing = {"clock_ms": 1, "running": [], "ended": [], "reason": "room"}
+    return json.dumps({**listing, **json.loads(fields)})
+
+
+def list_run(context, checkpoint="c1", measurement=7):
+    row = ["a.0.0.0", 1, checkpoint, 0, measurement]
+    make_workers(context, make_answer(json.dumps({"running": [row]})))
+
+
+@behave.given("a worker that answers {status:d} with {fields}")
+def step(context, status, fields):
+    make_workers(context, make_answer(f"{{{fields}}}"), status)
+
+
+@behave.given("a worker that lists a run with the {part:w} {value}")
+def step(context, part, value):
+    list_run(context, **{part: json.loads(value)})
+
+
+@behave.given("a worker that lists a run with a checkpoint of {length:d} bytes")
+def step(context, length):
+    list_run(context, checkpoint="c" * length)
+
+
+@behave.then("the run is listed without a {part}")
+def step(context, part):
+    (event,) = context.events
+    (run,) = event.reply.running
+    assert not getattr(run, part), run
+    assert run.checkpoint or run.measurement, run
+
+
+@behave.when("the worker is polled {count:d} times")
+def step(context, count):
+    for _ in range(count):
+        asyncio.run(context.workers.call(POLL))
+
+
+@behave.then("{replies:d} replies are passed on and {lines:d} line is logged")
+def step(context, replies, lines):
+    assert len(context.events) == replies, context.events
+    assert len(context.reports) == lines, context.reports
+
+
+ROUTE = {"name": "q", "host": "h", "prefix": "/q/", "service": "s"}
+SERVICE = {"name": "s"}
+
+
+def hold_configuration(context, name, item):
+    value = {"version": 3, "routes": [ROUTE], "services": [SERVICE]}
+    value[name] = [item, *value[name]]
+    make_store(context, make_item("op/config", json.dumps(value).encode()))
+
+
+@behave.given(
+    "a configuration whose {name} contain the item {item} and valid ones"
+)
+def step(context, name, item):
+    hold_configuration(context, name, json.loads(item))
+
+
+@behave.given(
+    'a configuration whose {name} contain one with the field "{field}" of '
+    "{value} and valid ones"
+)
+def step(context, name, field, value):
+    hold_configuration(context, name, {**ROUTE, field: json.loads(value)})
+
+
+@behave.when("the configuration is read twice")
+def step(context):
+    for _ in range(2):
+        asyncio.run(context.store.read_configuration())
+
+
+@behave.then("each read passes on the valid queue and service")
+def step(context):
+    for event in context.events:
+        found = event.configuration
+        assert found is not None, context.reports
+        assert [queue.name for queue in found.queues] == ["q"], found
+        assert [service.name for service in found.services] == ["s"], found
+
+
+@behave.then("{count:d} line is logged about the configuration")
+def step(context, count):
+    assert len(context.reports) == count, context.reports
+
+
+def decode_record(context, document, value):
+    make_store(context)
+    item = make_item("x", json.dumps(value).encode())
+    context.found = context.store.decode_each(
+        [item], lambda item: context.store.decode(item, document)
+    )
+
+
+@behave.given('a stored job record with "{field}" set to {value}')
+def step(context, field, value):
+    queue = {**ROUTE, "priority": 0, "max_attempts": 1, "stretch": 1.0}
+    queue["target_latency_s"] = 1.0
+    record = {"job_id": JOB_ID, "queue": queue, "partition": "sefrou/r1"}
+    document = records.LiveDocument
+    decode_record(context, document, record)
+    assert context.found, context.reports
+    decode_record(context, document, {**record, field: json.loads(value)})
+
+
+@behave.given("a stored {record:w} with {fields}")
+def step(context, record, fields):
+    value = json.loads(f"{{{fields}}}")
+    decode_record(context, getattr(records, record), value)
+
+
+@behave.then("the record is skipped")
+def step(context):
+    assert not context.found, context.found
+    assert len(context.reports) == 1, context.reports
+
+
+@behave.given("a stored state of a job that is accepted")
+def step(context):
+    value = {"queue": "q", "partition": "sefrou/r1", "state": "accepted"}
+    decode_record(context, records.StateRecord, value)
+
+
+@behave.then("its state is the known state")
+def step(context):
+    (found,) = context.found
+    assert found.value.state is model.JobState.ACCEPTED, found
+
+
+def is_refused(body):
+    try:
+        documents.decode_submission(body)
+    except errors.InvalidMessageError:
+        return True
+    return False
+
+
+@behave.then('a step with "{field}" set to {value} is refused')
+def step(context, field, value):
+    plain = {"count": 1}
+    assert not is_refused({"spec": "x", "steps": [plain]})
+    changed = {**plain, field: json.loads(value)}
+    assert is_refused({"spec": "x", "steps": [changed]})
+
+
+@behave.then("a job whose image has a name of {length:d} bytes is refused")
+def step(context, length):
+    steps = [{"count": 1, "image": "i" * length}]
+    assert is_refused({"spec": "x", "steps": steps})
+
+
+@behave.when("a submission with a body of {size:d} MB is decoded")
+def step(context, size):
+    context.sent = 0
+
+    async def receive():
+        context.sent += CHUNK_BYTES
+        more = context.sent < size * 10**6
+        body = b" " * CHUNK_BYTES
+        return {"type": "http.request", "body": body, "more_body": more}
+
+    request = requests.Request(make_request(b"").scope, receive)
+    try:
+        asyncio.run(front.decode(request, "c-1"))
+    except errors.InvalidMessageError:
+        return
+    raise AssertionError("accepted")
+
+
+@behave.then("at most {size:d} MB of it was read")
+def step(context, size):
+    assert context.sent <= size * 10**6, context.sent
+
+
+DEADLINES = {
+    "5000 digits": "9" * 5000,
+    "no text": "",
+    "superscript two": "\u00b2",
+}
+
+
+@behave.then("a request with the deadline {text} may take {seconds:g} s")
+def step(context, text, seconds):
+    value = DEADLINES.get(text, text).encode("latin-1")
+    request = make_request(b"", [(b"deadline-ms", value)])
+    assert front.read_deadline(request) == seconds
--- a/packages/entry/src/sapphirestall_entry/converters.py
+++ b/packages/entry/src/sapphirestall_entry/converters.py
@@ -1,14 +1,20 @@
 """Conversion between attrs classes and trees of JSON or CBOR values."""
 
 import base64
+import enum
 import typing
 from typing import Any
 
 import cattrs
 
+from sapphirestall_entry import decoding
+
 
 def make_converter(
-    *, forbid_extra_keys: bool = False, omit_if_default: bool = False
+    *,
+    forbid_extra_keys: bool = False,
+    omit_if_default: bool = False,
+    max_integer: int | None = None,
 ) -> cattrs.Converter:
     """Returns a converter that checks the types of all values.
 
@@ -20,6 +26,7 @@
         forbid_extra_keys: Whether unknown fields are errors.
         omit_if_default: Whether fields that have their default value are left
             out when an object is written.
+        max_integer: Largest absolute value of an integer; None for no limit.
     """
     converter = cattrs.Converter(
         forbid_extra_keys=forbid_extra_keys, omit_if_default=omit_if_default
@@ -30,7 +37,11 @@
     converter.register_unstructure_hook(bytes, _write_bytes)
     converter.register_structure_hook(bytes, _read_bytes)
     converter.register_structure_hook(str, _read_string)
-    converter.register_structure_hook(int, _read_integer)
+    # Otherwise the hook for `str` is used for the members of enumerations too.
+    converter.register_structure_hook(enum.StrEnum, _read_member)
+    converter.register_structure_hook(
+        int, lambda value, _: _read_integer(value, max_integer)
+    )
     converter.register_structure_hook(float, _read_number)
     converter.register_structure_hook(bool, _read_boolean)
     converter.register_structure_hook_func(
@@ -50,25 +61,31 @@
 
 def _read_string(value: Any, _: type) -> str:
     if not isinstance(value, str):
-        raise TypeError(f"{value!r:.80} is not a string")
+        raise TypeError(f"{decoding.describe(value)} is not a string")
     return value
 
 
-def _read_integer(value: Any, _: type) -> int:
+def _read_member(value: Any, target: type[enum.StrEnum]) -> enum.StrEnum:
+    return target(_read_string(value, str))
+
+
+def _read_integer(value: Any, maximum: int | None) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r:.80} is not an integer")
+        raise TypeError(f"{decoding.describe(value)} is not an integer")
+    if maximum is not None and abs(value) > maximum:
+        raise ValueError(f"{decoding.describe(value)} is too large")
     return value
 
 
 def _read_number(value: Any, _: type) -> float:
     if not isinstance(value, int | float) or isinstance(value, bool):
-        raise TypeError(f"{value!r:.80} is not a number")
+        raise TypeError(f"{decoding.describe(value)} is not a number")
     return float(value)
 
 
 def _read_boolean(value: Any, _: type) -> bool:
     if not isinstance(value, bool):
-        raise TypeError(f"{value!r:.80} is not a boolean")
+        raise TypeError(f"{decoding.describe(value)} is not a boolean")
     return value
 
 
@@ -81,11 +98,13 @@
     # cattrs would accept a string as a sequence of its characters and a map as
     # a sequence of its keys.
     if not isinstance(value, list | tuple):
-        raise TypeError(f"{value!r:.80} is not a list")
+        raise TypeError(f"{decoding.describe(value)} is not a list")
     kind, inner = typing.get_origin(target), typing.get_args(target)
     if kind is list or inner[1:] == (...,):
         return kind(converter.structure(item, inner[0]) for item in value)
     if len(value) != len(inner):
-        raise TypeError(f"{value!r:.80} does not have {len(inner)} items")
+        raise TypeError(
+            f"{decoding.describe(value)} does not have {len(inner)} items"
+        )
     pairs = zip(value, inner, strict=True)
     return tuple(converter.structure(item, part) for item, part in pairs)
