Check at random that long-running tasks are restarted

A scenario in virtual time builds a deployment by its seed, with two or three data centres and long-running and short jobs. It cuts off data centres, stops the store, loses answers, crashes workers and instances, replaces workers and restarts instances one after another. Every 0.1 s it checks that no long-running task of an accepted job lacks a run for 9 s, of which the last 3 s and the 4 s before them were without disturbance.

Answers of a worker that is out of reach when it sends them are now lost in the simulation; it returned the answers of long polls across a cut.

--- /dev/null
+++ b/features/steps/batch_restarts_steps.py
@@ -0,0 +1,26 @@
+"""Steps for batch_restarts.feature."""
+
+import behave
+
+from standins import batch_restarts
+
+
+@behave.given("a random deployment with long-running jobs, by seed {seed:d}")
+def step(context, seed):
+    context.restarts = batch_restarts.build_scenario(seed)
+    context.world = context.restarts.world
+
+
+@behave.when(
+    "disturbances and planned work follow each other in {rounds:d} rounds"
+)
+def step(context, rounds):
+    context.restarts.run(rounds)
+
+
+@behave.then("every long-running task was restarted in time")
+def step(context):
+    scenario = context.restarts
+    assert scenario.check.list_tasks()
+    late = list(scenario.check.late.values())
+    assert not late, (late, scenario.faults.events)
--- /dev/null
+++ b/standins/batch_faults.py
@@ -0,0 +1,214 @@
+"""Disturbances and planned work in a simulation of batch instances.
+
+Planned work is a worker that drains and exits, or an instance that is asked to
+shut down and starts again. Everything else is a disturbance.
+"""
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core.batch import model
+from standins import batch_world
+
+# The platform removes the entry of a worker that it has not heard of for this
+# time, in seconds.
+ENTRY_EXPIRY_S = 4.5
+# Longest time until such a worker is registered again, in seconds.
+MAX_REGISTRATION_S = 2.0
+# Range of the time until an instance that has exited starts again, in seconds.
+RESTART_DELAY_S = (1.0, 2.0)
+RESTART_CHECK_INTERVAL_S = 0.1
+# Range of the time for which a worker drains before it exits, in seconds.
+DRAIN_S = (2.0, 6.0)
+# Range of the time until the entry of a worker that exited disappears, in
+# seconds.
+DEREGISTRATION_S = (0.4, 1.2)
+
+
+@attrs.define
+class BatchFaults:
+    """Source of disturbances and planned work.
+
+    Attributes:
+        world: The simulation.
+        active: Number of disturbances that have not ended.
+        disturbed_at: When the last disturbance ended, in seconds.
+        draining: Ids of workers that will exit.
+        restarting: Names of instances that shut down or have not started again.
+        events: Descriptions of all faults, each with its time.
+    """
+
+    world: batch_world.BatchWorld
+    active: int = 0
+    disturbed_at: float = 0.0
+    draining: set[str] = attrs.field(factory=set)
+    restarting: set[str] = attrs.field(factory=set)
+    events: list[tuple[float, str]] = attrs.field(factory=list)
+
+    def find_calm_since(self) -> float:
+        """Returns since when there has been no disturbance, in seconds."""
+        return self.world.now if self.active else self.disturbed_at
+
+    def isolate(self, data_centre: str, seconds: float) -> None:
+        """Cuts a data centre off from the store and the other data centres."""
+        world = self.world
+        self._begin(f"isolate {data_centre} for {seconds:.2f} s")
+        world.isolated_data_centres.add(data_centre)
+        self._expire_entries(data_centre, seconds)
+
+        def end() -> None:
+            world.isolated_data_centres.discard(data_centre)
+            self._end()
+
+        world.schedule(seconds, end)
+
+    def stop_store(self, seconds: float) -> None:
+        """Makes the store answer no calls."""
+        world = self.world
+        self._begin(f"stop store for {seconds:.2f} s")
+        world.store_down = True
+        self._expire_entries("", seconds)
+
+        def end() -> None:
+            world.store_down = False
+            self._end()
+
+        world.schedule(seconds, end)
+
+    def lose_answers(self, fraction: float, seconds: float) -> None:
+        """Loses the answers to a fraction of the store calls."""
+        world = self.world
+        self._begin(f"lose {fraction} of the answers for {seconds:.2f} s")
+        world.lost_answer_fraction = fraction
+
+        def end() -> None:
+            world.lost_answer_fraction = 0.0
+            self._end()
+
+        world.schedule(seconds, end)
+
+    def crash_worker(self, name: str) -> None:
+        """Ends a worker for good; its entry remains until it expires."""
+        self._begin(f"crash {name}")
+        del self.world.workers[name]
+        self.world.schedule(ENTRY_EXPIRY_S, lambda: self._deregister(name))
+        self._end()
+
+    def crash_node(self, node: batch_world.Node) -> None:
+        """Kills an instance, which starts again later."""
+        self._begin(f"crash {node.name}")
+        self.restarting.add(node.name)
+        self.world.kill(node)
+        self._start_again(node)
+        self._end()
+
+    def restart_node(self, node: batch_world.Node) -> None:
+        """Asks an instance to shut down and starts it again afterwards."""
+        self.events.append((self.world.now, f"restart {node.name}"))
+        self.restarting.add(node.name)
+        self.world.deliver(node, messages.ShutdownRequested())
+        self._start_again(node)
+
+    def replace_worker(self, name: str, successor: str) -> None:
+        """Drains a worker, which then exits, and starts another in its rack."""
+        world = self.world
+        delay_s = world.rng.uniform(*DRAIN_S)
+        self.events.append(
+            (world.now, f"replace {name} by {successor} in {delay_s:.2f} s")
+        )
+        self.draining.add(name)
+        entry = world.listed_workers[name]
+        world.drain_worker(name)
+
+        def exit_worker() -> None:
+            world.workers.pop(name, None)
+            world.schedule(
+                world.rng.uniform(*DEREGISTRATION_S),
+                lambda: self._deregister(name),
+            )
+
+        world.schedule(delay_s, exit_worker)
+        world.add_worker(
+            successor, entry.data_centre, entry.capacity.cpu_millis, entry.rack
+        )
+
+    def list_sound_workers(self) -> list[str]:
+        """Returns the workers that are listed and will not exit, by id."""
+        return sorted(
+            name
+            for name in self.world.workers
+            if name not in self.draining and name in self.world.listed_workers
+        )
+
+    def list_sound_nodes(self) -> list[batch_world.Node]:
+        """Returns the instances that run and are not shutting down."""
+        return [
+            node
+            for node in self.world.nodes
+            if node.alive and node.name not in self.restarting
+        ]
+
+    def _begin(self, description: str) -> None:
+        self.active += 1
+        self.events.append((self.world.now, description))
+
+    def _end(self) -> None:
+        self.active -= 1
+        self.disturbed_at = self.world.now
+
+    def _deregister(self, name: str) -> None:
+        self.world.listed_workers.pop(name, None)
+
+    def _start_again(self, node: batch_world.Node) -> None:
+        """Starts a new incarnation of an instance once it has exited."""
+        world, identity = self.world, node.batch.identity
+
+        def start() -> None:
+            self.restarting.discard(node.name)
+            world.add_node(node.name, identity.data_centre, identity.processors)
+
+        def check() -> None:
+            if node.alive:
+                world.schedule(RESTART_CHECK_INTERVAL_S, check)
+            else:
+                world.schedule(world.rng.uniform(*RESTART_DELAY_S), start)
+
+        check()
+
+    def _expire_entries(self, data_centre: str, seconds: float) -> None:
+        """Removes entries of workers that do not reach the store for a while.
+
+        Args:
+            data_centre: Data centre of the workers; empty for all workers.
+            seconds: Time for which they do not reach the store.
+        """
+        if seconds < ENTRY_EXPIRY_S:
+            return
+        world = self.world
+        names = [
+            name
+            for name, worker in world.workers.items()
+            if data_centre in ("", worker.entry.data_centre)
+        ]
+        for name in names:
+            self._expire_entry(name, seconds)
+
+    def _expire_entry(self, name: str, seconds: float) -> None:
+        world = self.world
+        hidden: list[model.WorkerEntry] = []
+
+        def remove() -> None:
+            entry = world.listed_workers.pop(name, None)
+            if entry is not None:
+                hidden.append(entry)
+
+        def restore() -> None:
+            if name in world.workers and hidden:
+                draining = name in self.draining
+                world.listed_workers[name] = attrs.evolve(
+                    hidden[0], draining=draining
+                )
+
+        world.schedule(ENTRY_EXPIRY_S, remove)
+        delay_s = seconds + world.rng.uniform(0, MAX_REGISTRATION_S)
+        world.schedule(delay_s, restore)
--- /dev/null
+++ b/standins/batch_restarts.py
@@ -0,0 +1,263 @@
+"""Check that long-running tasks are restarted, and random scenarios for it."""
+
+import functools
+
+import attrs
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import model
+from standins import batch_faults
+from standins import batch_world
+
+# A task without a run is late if, after `RESTART_S` since its last run, it has
+# none for `NOTICE_S` more.
+RESTART_S = 6.0
+NOTICE_S = 3.0
+# These `NOTICE_S` and this time before them are without disturbance, in
+# seconds.
+CALM_S = 4.0
+CHECK_INTERVAL_S = 0.1
+START_S = 3.0
+WORKER_CPU_MILLIS = 8000
+# Share of the processors that long-running tasks request.
+LONG_RUNNING_SHARE = 0.3
+WORKERS_PER_RACK = 2
+RACKS_PER_PARTITION = 2
+NODES_PER_DATA_CENTRE = 3
+DATA_CENTRES = ("north", "south", "east")
+# Time between short jobs, in seconds.
+SHORT_JOB_INTERVAL_S = 0.3
+SHORT_JOBS = 3
+# Time for which nothing but planned work happens after faults, in seconds.
+RECOVERY_S = 14.0
+
+
+@attrs.define
+class RestartCheck:
+    """Times without a run of each long-running task.
+
+    Attributes:
+        world: Simulation that runs the tasks.
+        faults: Disturbances of the simulation.
+        cancelled: Ids of jobs that a caller has cancelled.
+        last_run_at: When each task last had a run, or else was accepted.
+        late: Descriptions of tasks that were not restarted in time.
+    """
+
+    world: batch_world.BatchWorld
+    faults: batch_faults.BatchFaults
+    cancelled: set[str] = attrs.field(factory=set)
+    last_run_at: dict[model.TaskName, float] = attrs.field(factory=dict)
+    late: dict[model.TaskName, str] = attrs.field(factory=dict)
+
+    def run(self, seconds: float) -> None:
+        """Runs the simulation and checks all tasks at short intervals."""
+        end = self.world.now + seconds
+        while self.world.now < end:
+            self.world.run(CHECK_INTERVAL_S)
+            self.check()
+
+    def check(self) -> None:
+        """Checks all tasks at the current time."""
+        world = self.world
+        running = {task for _, task, _ in world.list_runs()}
+        for task in self.list_tasks():
+            if task in running:
+                self.last_run_at[task] = world.now
+                continue
+            last_run_at = self.last_run_at.setdefault(task, world.now)
+            late_since = max(
+                last_run_at + RESTART_S, self.faults.find_calm_since() + CALM_S
+            )
+            if world.now - late_since > NOTICE_S and task not in self.late:
+                self.late[task] = (
+                    f"{task} without a run from {last_run_at:.1f}"
+                    f" to {world.now:.1f}"
+                )
+
+    def list_tasks(self) -> list[model.TaskName]:
+        """Returns the long-running tasks that should run."""
+        return [
+            model.TaskName(job_id, 0, number, index)
+            for job_id, steps in self.world.jobs.items()
+            if any(step.long_running for step in steps)
+            and job_id not in self.cancelled
+            and self.world.get_state(job_id) is model.JobState.ACCEPTED
+            for number, step in enumerate(steps)
+            if step.long_running
+            for index in range(step.count)
+        ]
+
+
+@attrs.define
+class RestartScenario:
+    """Random deployment, jobs, disturbances and planned work.
+
+    Attributes:
+        world: The simulation.
+        faults: Its disturbances.
+        check: Check of the long-running tasks.
+        data_centres: Names of the data centres.
+        short_jobs: Number of short jobs that were submitted.
+        workers: Number of workers that were ever started.
+    """
+
+    world: batch_world.BatchWorld
+    faults: batch_faults.BatchFaults
+    check: RestartCheck
+    data_centres: tuple[str, ...]
+    short_jobs: int = 0
+    workers: int = 0
+
+    def run(self, rounds: int) -> None:
+        """Runs some rounds of faults, each with a recovery after it."""
+        self._submit_long_running_jobs()
+        self.world.schedule(SHORT_JOB_INTERVAL_S, self._submit_short_job)
+        self.check.run(3.0)
+        for _ in range(rounds):
+            duration_s = self._inject_faults()
+            self.check.run(duration_s + RECOVERY_S)
+
+    def add_worker(self, data_centre: str, rack: str) -> None:
+        """Starts a worker with a new id."""
+        self.world.add_worker(
+            self._make_worker_id(), data_centre, WORKER_CPU_MILLIS, rack
+        )
+
+    def _make_worker_id(self) -> str:
+        self.workers += 1
+        return f"w-{self.workers}"
+
+    def _submit_long_running_jobs(self) -> None:
+        world, rng = self.world, self.world.rng
+        remaining = len(world.workers) * WORKER_CPU_MILLIS * LONG_RUNNING_SHARE
+        number = 0
+        while remaining > 0:
+            number += 1
+            step = model.Step(
+                rng.randint(1, 7),
+                resources.Vector(rng.choice((500, 1500, 3000)), 100, 0),
+                long_running=True,
+                max_per_worker=rng.choice((0, 0, 1)),
+            )
+            remaining -= step.count * step.amount.cpu_millis
+            node = rng.choice(self.faults.list_sound_nodes())
+            world.schedule(
+                rng.uniform(0, 2.0),
+                functools.partial(world.submit, node, f"{number:016x}", step),
+            )
+
+    def _submit_short_job(self) -> None:
+        world, rng = self.world, self.world.rng
+        self.short_jobs += 1
+        amount = resources.Vector(rng.choice((500, 1000, 3000)), 100, 0)
+        steps = [model.Step(rng.randint(1, 4), amount)]
+        if rng.random() < 0.5:
+            steps.append(model.Step(rng.randint(1, 3), amount, after=(0,)))
+        nodes = self.faults.list_sound_nodes()
+        if nodes:
+            job_id = f"f{self.short_jobs:015x}"
+            world.submit(rng.choice(nodes), job_id, *steps)
+        world.schedule(SHORT_JOB_INTERVAL_S, self._submit_short_job)
+
+    def _inject_faults(self) -> float:
+        """Schedules the faults of a round and returns its duration."""
+        rng = self.world.rng
+        for _ in range(rng.randint(1, 3)):
+            kind = rng.choice((self._disturb, self._disturb, self._replace))
+            self.world.schedule(rng.uniform(0, 12), kind)
+        if rng.random() < 0.7:
+            self._schedule_restarts(rng.uniform(0, 8))
+        if rng.random() < 0.2:
+            self.world.schedule(rng.uniform(0, 8), self._cancel)
+        return 12.0 + rng.uniform(0, 4)
+
+    def _schedule_restarts(self, delay_s: float) -> None:
+        """Schedules restarts, one after another, of half of all instances."""
+        rng = self.world.rng
+        names = sorted({node.name for node in self.world.nodes})
+        interval_s = rng.uniform(0.3, 2.5)
+        for name in rng.sample(names, len(names) // 2):
+            restart = functools.partial(self._restart, name)
+            self.world.schedule(delay_s, restart)
+            delay_s += interval_s
+
+    def _restart(self, name: str) -> None:
+        for node in self.faults.list_sound_nodes():
+            if node.name == name:
+                self.faults.restart_node(node)
+
+    def _disturb(self) -> None:
+        """Causes a random disturbance."""
+        world, rng, faults = self.world, self.world.rng, self.faults
+        kind = rng.choice(("isolate", "isolate", "store", "answers", "crash"))
+        if kind == "crash":
+            self._crash()
+        elif kind == "answers":
+            if not world.lost_answer_fraction:
+                fraction = rng.choice((0.1, 0.3))
+                faults.lose_answers(fraction, rng.uniform(1, 6))
+        elif world.store_down or world.isolated_data_centres:
+            return
+        elif kind == "store":
+            faults.stop_store(rng.uniform(1, 8))
+        else:
+            data_centre = rng.choice(self.data_centres)
+            faults.isolate(data_centre, rng.uniform(1, 9))
+
+    def _crash(self) -> None:
+        rng, faults = self.world.rng, self.faults
+        if rng.random() < 0.5:
+            nodes = faults.list_sound_nodes()
+            if len(nodes) > 1:
+                faults.crash_node(rng.choice(nodes))
+            return
+        names = faults.list_sound_workers()
+        if names:
+            entry = self.world.workers[rng.choice(names)].entry
+            faults.crash_worker(entry.worker_id)
+            self.add_worker(entry.data_centre, entry.rack)
+
+    def _replace(self) -> None:
+        """Replaces a few workers."""
+        rng = self.world.rng
+        for _ in range(rng.randint(1, 4)):
+            names = self.faults.list_sound_workers()
+            if names:
+                name = rng.choice(names)
+                self.faults.replace_worker(name, self._make_worker_id())
+
+    def _cancel(self) -> None:
+        """Cancels a random long-running job."""
+        rng = self.world.rng
+        nodes = self.faults.list_sound_nodes()
+        tasks = self.check.list_tasks()
+        if nodes and tasks:
+            job_id = rng.choice(tasks).job_id
+            self.check.cancelled.add(job_id)
+            path = f"/jobs/{job_id}"
+            self.world.call(
+                rng.choice(nodes), caller_messages.CancelCalled, path
+            )
+
+
+def build_scenario(seed: int) -> RestartScenario:
+    """Starts a random deployment."""
+    world = batch_world.BatchWorld(seed)
+    rng = world.rng
+    faults = batch_faults.BatchFaults(world)
+    data_centres = DATA_CENTRES[: rng.randint(2, len(DATA_CENTRES))]
+    scenario = RestartScenario(
+        world, faults, RestartCheck(world, faults), data_centres
+    )
+    racks = rng.randint(2, 4) * RACKS_PER_PARTITION
+    for data_centre in data_centres:
+        for rack in range(racks):
+            for _ in range(WORKERS_PER_RACK):
+                scenario.add_worker(data_centre, f"r1-{rack + 1}")
+        for number in range(NODES_PER_DATA_CENTRE):
+            processors = rng.choice((0.3, 1.0))
+            world.add_node(f"e-{data_centre}-{number}", data_centre, processors)
+    world.run(START_S)
+    return scenario
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -117,6 +117,9 @@
         late_commands_survive_restart: Whether a later incarnation of a worker
             carries out late commands that were sent to an earlier one.
         limits: Time limits of the deployment.
+        isolated_data_centres: Data centres that reach neither the store nor
+            each other nor the rest.
+        store_down: Whether the store answers no calls.
     """
 
     seed: int
@@ -154,6 +157,8 @@
     all_replies_name_incarnation: bool = False
     late_commands_survive_restart: bool = False
     limits: state.Limits = LIMITS
+    isolated_data_centres: set[str] = attrs.field(factory=set)
+    store_down: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Seeds the random numbers of the simulation."""
@@ -212,6 +217,28 @@
         del self.workers[name]
         self.listed_workers.pop(name, None)
 
+    def reaches_store(self, node: Node) -> bool:
+        """Returns whether the store answers an instance."""
+        data_centre = node.batch.identity.data_centre
+        return not (
+            self.store_down
+            or node.store_unreachable
+            or data_centre in self.isolated_data_centres
+        )
+
+    def reaches_worker(self, node: Node, worker_id: str) -> bool:
+        """Returns whether calls of an instance get answers of a worker."""
+        worker = self.workers.get(worker_id)
+        if worker is None or worker_id in node.unreachable_workers:
+            return False
+        data_centres = {
+            node.batch.identity.data_centre,
+            worker.entry.data_centre,
+        }
+        return len(data_centres) == 1 or not (
+            data_centres & self.isolated_data_centres
+        )
+
     def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedules an action after a delay in seconds."""
         entry = (self.now + delay_s, next(self.numbers), action)
@@ -475,16 +502,16 @@
 def _(
     effect: configuration.ReadConfiguration, world: BatchWorld, node: Node
 ) -> None:
-    found = None if node.store_unreachable else world.configuration
+    found = world.configuration if world.reaches_store(node) else None
     event = configuration.ConfigurationRead(found)
     world.schedule(STORE_DELAY_S, lambda: world.deliver(node, event))
 
 
 @perform.register
 def _(effect: core_workers.ReadEntries, world: BatchWorld, node: Node) -> None:
-    entries = (
-        None if node.store_unreachable else tuple(world.listed_workers.values())
-    )
+    entries = None
+    if world.reaches_store(node):
+        entries = tuple(world.listed_workers.values())
     event = core_workers.EntriesRead(entries)
     world.schedule(STORE_DELAY_S, lambda: world.deliver(node, event))
 
@@ -499,7 +526,7 @@
         event = store_messages.StoreReply(effect.purpose, outcome, sent_at)
         world.deliver(node, event)
 
-    if node.store_unreachable:
+    if not world.reaches_store(node):
         lost = store_messages.Unavailable(True, "no answer")
         world.schedule(CALL_TIMEOUT_S, lambda: answer(lost))
         return
@@ -532,7 +559,7 @@
         world.store.expire_leases(world.now)
         changes = world.store.list_changes(effect.prefix, effect.after_revision)
         outcome: store_messages.Outcome
-        if node.store_unreachable:
+        if not world.reaches_store(node):
             outcome = store_messages.Unavailable(False, "no answer")
         elif lost:
             outcome = store_messages.HistoryLost()
@@ -558,6 +585,11 @@
         world.start_poll(node, effect)
 
     def answer(reply: worker_messages.Reply) -> None:
+        lost = isinstance(reply, worker_messages.NoAnswer)
+        if not lost and not world.reaches_worker(node, worker_id):
+            # The connection was cut after the call had reached the worker.
+            world.schedule(CALL_TIMEOUT_S, lose)
+            return
         if isinstance(effect, worker_messages.HoldLease):
             world.finish_poll(node, effect)
         if world.names_other_incarnation(effect, reply):
@@ -568,7 +600,7 @@
     def lose() -> None:
         answer(worker_messages.NoAnswer("no answer"))
 
-    if worker_id not in world.workers or worker_id in node.unreachable_workers:
+    if not world.reaches_worker(node, worker_id):
         world.schedule(CALL_TIMEOUT_S, lose)
         return
     unanswered_s = draw_unanswered_delay(effect, world)
