Store when leases expire if an owner resigns

Cause: the new owner assumes that a worker without a listing has had its lease extended until 3 s after the first answer of another worker, although the former owner has resigned and extends none. With several takeovers in a row, the wait starts again each time.

Change: an owner that resigns stores in the roster when the leases on each worker expire. A record without the new field reads as before.

--- a/features/batch_restarts.feature
+++ b/features/batch_restarts.feature
@@ -22,6 +22,6 @@
       | 7    |
       | 8    |
       | 31   |
-      | 34   |
+      | 76   |
       | 61   |
       | 63   |
--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -86,6 +86,19 @@
     return lease_end_ms
 
 
+def compute_remaining(worker: state.Worker, now: float) -> float | None:
+    """Returns the time after which every requested lease has expired.
+
+    Returns:
+        Time in seconds; None if the worker's clock is unknown.
+    """
+    clock_ms = estimate_clock(worker, now)
+    if clock_ms is None:
+        return None
+    remaining_ms = max(0, worker.lease_end_ms + EXPIRY_MARGIN_MS - clock_ms)
+    return remaining_ms / 1000 / (1 - MAX_CLOCK_DRIFT)
+
+
 def have_expired(worker: state.Worker, lease_s: float, now: float) -> bool:
     """Returns whether every lease requested from a worker has expired.
 
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -26,6 +26,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 
 PART = "ownership"
@@ -215,7 +216,10 @@
 def resign(
     batch: state.Batch, name: str, reason: str, now: float
 ) -> dispatch.Effects:
-    """Gives up the ownership of a partition; its runs continue."""
+    """Gives up the ownership of a partition; its runs continue.
+
+    Stores when the leases of these runs expire, for the next owner.
+    """
     partition = batch.partitions.pop(name, None)
     if partition is None:
         return []
@@ -232,7 +236,8 @@
                 "reason": reason,
                 "held_s": round(now - partition.acquired_at, 3),
             },
-        )
+        ),
+        *releases.release(partition, now),
     ]
 
 
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -153,11 +153,15 @@
         generation: Number of owners that the partition has had.
         workers: Ids of the workers.
         draining: Ids of those that have announced their departure.
+        released: Set when the owner has resigned: for each worker, the time
+            from then on within which all leases of runs there expire, in
+            milliseconds. It lacks workers for which the owner did not know.
     """
 
     generation: int
     workers: tuple[str, ...] = ()
     draining: tuple[str, ...] = ()
+    released: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -360,6 +360,8 @@
             workers, for those that this owner has never seen in the list.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
+        former_leases_end_at: By worker, monotonic time at which the leases
+            there have expired according to the former owner, in seconds.
         first_answer_at: Monotonic time at which a worker first answered this
             owner, in seconds; None before.
         active_at: Monotonic time at which the owner became active, in seconds;
@@ -405,6 +407,7 @@
     former_draining_workers: set[str] = attrs.field(factory=set)
     former_absences: dict[str, Absence] = attrs.field(factory=dict)
     former_runs_end_at: float = math.inf
+    former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
     first_answer_at: float | None = None
     active_at: float | None = None
     job_read_in_flight: bool = False
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -20,6 +20,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
 from sapphirestall_core.batch import workers
@@ -154,6 +155,7 @@
         if partition.roster_revision is None:
             partition.unlisted_workers |= set(outcome.value.workers)
             partition.former_draining_workers |= set(outcome.value.draining)
+            releases.apply_release(partition, outcome.value, now)
         partition.roster_revision = outcome.revision
         partition.generation = max(
             partition.generation, outcome.value.generation
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import polls
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
@@ -197,6 +198,7 @@
             effects += _poll_if_idle(batch, partition, worker, now)
     for partition in list(batch.partitions.values()):
         effects += departures.settle_former_workers(partition)
+        effects += releases.settle_workers(partition, now)
         if partition.unlisted_workers and former_runs.have_ended(
             partition, now
         ):
