--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -305,7 +305,9 @@
         )
 
 
-@behave.given("an owner of three workers with two tasks that must not share one")
+@behave.given(
+    "an owner of three workers with two tasks that must not share one"
+)
 def step(context):
     make_world(context, 8000)
     world = context.world
@@ -340,7 +342,9 @@
     context.world = world
 
 
-@behave.when("the owner of the partition with runs is killed late in a long poll")
+@behave.when(
+    "the owner of the partition with runs is killed late in a long poll"
+)
 def step(context):
     world = context.world
     world.run(4.2)
