Keep the workers of a re-read roster listed

An active owner read its roster again after a write without an answer, counted all its workers as not listed, resigned at the end of an outage and stored that all former runs had ended, since its own wait for them was over. Its successor started the tasks of two workers whose entries had not returned.

Cause: the workers of a roster were added to those without a listing by every read, not only by that of a loading owner; and the release ignored the leases that the owner itself had requested from such a worker.

Change: only a loading owner adds them, and the release takes the later of both times.

--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -75,12 +75,19 @@
     Returns:
         Time in seconds; None if it is not known.
     """
+    former_s = None
     if name in partition.unlisted_workers:
-        return max(0.0, partition.former_runs_end_at - now)
+        former_s = max(0.0, partition.former_runs_end_at - now)
     worker = partition.workers.get(name)
-    if worker is None or _may_start_late(worker):
+    if worker is None:
+        return former_s
+    if _may_start_late(worker):
         return None
-    return leases.compute_remaining(worker, now)
+    own_s = leases.compute_remaining(worker, now)
+    if own_s is None or former_s is None:
+        # No lease is requested while the worker's clock is unknown.
+        return former_s if own_s is None else own_s
+    return max(own_s, former_s)
 
 
 def _may_start_late(worker: state.Worker) -> bool:
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -152,7 +152,8 @@
         partition.roster_revision = 0
     elif isinstance(outcome, store_messages.Found):
         assert isinstance(outcome.value, records.RosterRecord)
-        if partition.roster_revision is None:
+        if partition.phase is state.Phase.LOADING:
+            # An active owner reads only what it has written itself.
             partition.unlisted_workers |= set(outcome.value.workers)
             partition.former_draining_workers |= set(outcome.value.draining)
             releases.apply_release(partition, outcome.value, now)
