Keep absences of workers for each instance, not for each ownership

Seen (review, virtual time): a successor outside a cut took a draining worker as gone, although the former owner inside extended its leases, and a task ran twice. Absences counted across failed reads, so that an entry that was about to return counted as missing. And a successor waited another 2.5 s for a worker that its predecessor had given up, 9.6 s without a run in planned work.

Cause: each ownership measured absences for itself, from the time at which it began, without asking whether it could see the worker at all.

Change: every instance keeps since when the list has lacked a worker, and whether the worker drained; a failed read starts all absences again. An owner in another data centre counts them only from the first answer of a worker. A worker that has left is removed at once, so that the roster does not name it.

--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
@@ -24,71 +25,113 @@
 # 2 s after the outage if its worker still runs. A draining worker whose entry
 # is missing for longer has exited.
 REREGISTRATION_S = 2.5
+# Time after which an instance forgets a worker that the list lacks, in seconds.
+ABSENCE_RETENTION_S = 60.0
 
 
-def record_absences(
-    partition: state.Partition, present: Collection[str], now: float
+def record_entries(
+    batch: state.Batch, entries: Collection[model.WorkerEntry], now: float
 ) -> dispatch.Effects:
-    """Records which workers a read of the platform's list lacks.
+    """Records which workers a read of the platform's list has and lacks.
 
-    Args:
-        partition: The owned partition.
-        present: Ids of the workers of the partition in the list.
-        now: Monotonic time, in seconds.
+    Every instance records this for all workers, so that it knows since when a
+    worker has been missing when it becomes the owner of its partition.
     """
+    present = set()
+    for entry in entries:
+        present.add(entry.worker_id)
+        batch.listed_workers[entry.worker_id] = state.ListedWorker(
+            entry.draining
+        )
     effects: dispatch.Effects = []
-    for name, worker in partition.workers.items():
+    for name, listed in list(batch.listed_workers.items()):
         if name in present:
-            worker.absence = None
             continue
-        if worker.absence is None:
-            effects.append(_log_deregistered(partition, worker, now))
-        worker.absence = _extend_absence(worker.absence, now)
-    for name in partition.former_draining_workers:
-        if name in present or name in partition.workers:
-            partition.former_absences.pop(name, None)
-        else:
-            absence = partition.former_absences.get(name)
-            partition.former_absences[name] = _extend_absence(absence, now)
+        if listed.absence is None:
+            effects += _log_deregistered(batch, name, now)
+            listed.absence = state.Absence(now, now)
+        listed.absence = state.Absence(listed.absence.since, now)
+        if now - listed.absence.since > ABSENCE_RETENTION_S:
+            del batch.listed_workers[name]
+    for partition in batch.partitions.values():
+        _record_absences(batch, partition, present)
     return effects
 
 
-def _extend_absence(absence: state.Absence | None, now: float) -> state.Absence:
-    return state.Absence(absence.since if absence else now, now)
+def _record_absences(
+    batch: state.Batch, partition: state.Partition, present: Collection[str]
+) -> None:
+    for name, worker in partition.workers.items():
+        listed = batch.listed_workers.get(name)
+        worker.is_registered = name in present
+        if listed is not None and worker.entry.draining:
+            listed.draining = True
+    for name in partition.former_draining_workers:
+        # This instance may never have seen the entry of such a worker.
+        listed = batch.listed_workers.setdefault(name, state.ListedWorker(True))
+        listed.draining = True
 
 
-def _log_deregistered(
-    partition: state.Partition, worker: state.Worker, now: float
-) -> messages.Log:
-    """Returns a log line about a worker that the platform's list now lacks."""
-    answered_at = worker.last_answer_at
-    return contact.make_log(
-        "deregistered",
-        partition,
-        worker.entry.worker_id,
-        draining=worker.entry.draining,
-        contact_age_s=round(now - answered_at, 3) if answered_at else "",
-        runs=len(worker.runs),
-    )
+def restart_absences(batch: state.Batch) -> None:
+    """Lets all absences begin again after a failed read of the list.
+
+    Entries may have expired in the outage, and return only after it.
+    """
+    for listed in batch.listed_workers.values():
+        listed.absence = None
 
 
-def has_left(worker: state.Worker, now: float) -> bool:
+def _log_deregistered(
+    batch: state.Batch, name: str, now: float
+) -> dispatch.Effects:
+    """Returns a log line about a worker that the platform's list now lacks."""
+    for partition in batch.partitions.values():
+        worker = partition.workers.get(name)
+        if worker is not None:
+            answered_at = worker.last_answer_at
+            age_s = round(now - answered_at, 3) if answered_at else ""
+            return [
+                contact.make_log(
+                    "deregistered",
+                    partition,
+                    name,
+                    draining=worker.entry.draining,
+                    contact_age_s=age_s,
+                    runs=len(worker.runs),
+                )
+            ]
+    return []
+
+
+def has_left(
+    batch: state.Batch, partition: state.Partition, name: str, now: float
+) -> bool:
     """Returns whether a worker that announced its departure has exited.
 
     Its entry has been missing for `REREGISTRATION_S`, and it has answered no
-    call for as long.
+    call of this owner for as long. While no worker has answered an owner in
+    another data centre, a cut may hide workers that a former owner reaches.
+
+    Args:
+        batch: State of this instance.
+        partition: The owned partition.
+        name: Id of the worker.
+        now: Monotonic time, in seconds.
     """
-    if not worker.entry.draining or worker.absence is None:
+    listed = batch.listed_workers.get(name)
+    if listed is None or not listed.draining or listed.absence is None:
         return False
-    answered_at = worker.last_answer_at
+    since = listed.absence.since
+    data_centre = model.get_data_centre(partition.name)
+    if data_centre != batch.identity.data_centre:
+        if partition.first_answer_at is None:
+            return False
+        since = max(since, partition.first_answer_at)
+    worker = partition.workers.get(name)
+    answered_at = worker.last_answer_at if worker is not None else None
     if answered_at is not None and now - answered_at < REREGISTRATION_S:
         return False
-    return _outlasts_registration(worker.absence)
-
-
-def _outlasts_registration(absence: state.Absence) -> bool:
-    """Returns whether a worker that runs would have been registered again."""
-    return absence.until - absence.since >= REREGISTRATION_S
+    return listed.absence.until - since >= REREGISTRATION_S
 
 
 def give_up_worker(
@@ -113,13 +156,15 @@
     return frozenset(draining | former)
 
 
-def settle_former_workers(partition: state.Partition) -> dispatch.Effects:
+def settle_former_workers(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> dispatch.Effects:
     """Stops waiting for workers that left under a former owner."""
     departed = {
         name
-        for name, absence in partition.former_absences.items()
-        if name in partition.unlisted_workers
-        and _outlasts_registration(absence)
+        for name in partition.unlisted_workers
+        if name not in partition.workers
+        and has_left(batch, partition, name, now)
     }
     if not departed:
         return []
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -37,7 +37,7 @@
     return (
         worker.listing_received
         and not worker.entry.draining
-        and worker.absence is None
+        and worker.is_registered
         and not worker.orphans
         and worker.last_answer_at is not None
         and now - worker.last_answer_at <= MAX_CONTACT_AGE_S
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -232,6 +232,20 @@
     until: float
 
 
+@attrs.define(slots=True)
+class ListedWorker:
+    """What reads of the platform's list have shown of a worker.
+
+    Attributes:
+        draining: Whether the worker has announced its departure.
+        absence: Period in which the list has lacked the worker; None if the
+            last successful read showed it, or if no read has succeeded since.
+    """
+
+    draining: bool
+    absence: Absence | None = None
+
+
 @attrs.define(slots=True, eq=False)
 class Worker:
     """A worker of an owned partition.
@@ -291,8 +305,7 @@
             seconds.
         target_missed_since: Monotonic time since which a serving run on the
             worker misses its target, in seconds; None if none does.
-        absence: Period in which the platform's list has lacked the worker; None
-            if it has it.
+        is_registered: Whether the platform's list has the worker.
     """
 
     entry: model.WorkerEntry
@@ -326,7 +339,7 @@
     trust: float = 1.0
     trust_changed_at: float = -1e9
     target_missed_since: float | None = None
-    absence: Absence | None = None
+    is_registered: bool = True
 
 
 class Phase(enum.Enum):
@@ -356,8 +369,6 @@
         unlisted_workers: Workers on which runs of former owners may exist,
             because no listing has shown all runs there yet.
         former_draining_workers: Workers that a former owner stored as draining.
-        former_absences: Periods in which the platform's list has lacked such
-            workers, for those that this owner has never seen in the list.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
         former_leases_end_at: By worker, monotonic time at which the leases
@@ -405,7 +416,6 @@
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
     former_draining_workers: set[str] = attrs.field(factory=set)
-    former_absences: dict[str, Absence] = attrs.field(factory=dict)
     former_runs_end_at: float = math.inf
     former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
     first_answer_at: float | None = None
@@ -530,6 +540,7 @@
             seconds; None while they succeed.
         workers_read_in_flight: Whether the platform's list of workers is being
             read.
+        listed_workers: What reads of that list have shown of each worker.
         summaries: Summaries that the owners publish, by partition.
         summary_changes: Store revision of each summary, and the monotonic time
             in seconds at which this instance first read that revision.
@@ -561,6 +572,7 @@
     owners_watching: bool = False
     store_down_since: float | None = None
     workers_read_in_flight: bool = False
+    listed_workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     summaries: dict[str, records.SummaryRecord] = attrs.field(factory=dict)
     summary_changes: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     summaries_read_at: float = -1e9
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -105,6 +105,7 @@
     """Updates the known partitions and the workers of owned ones."""
     batch.workers_read_in_flight = False
     if event.entries is None:
+        departures.restart_absences(batch)
         return []
     by_partition: dict[str, list[model.WorkerEntry]] = {}
     for entry in event.entries:
@@ -112,12 +113,11 @@
     effects = ownership.add_partitions(batch, by_partition, now)
     for partition in list(batch.partitions.values()):
         partition.workers_listed = True
-        present = set()
         for entry in by_partition.get(partition.name, ()):
-            present.add(entry.worker_id)
             effects += _apply_entry(batch, partition, entry, now)
-        effects += departures.record_absences(partition, present, now)
-        effects += dispatch.handle(RosterDue(partition.name), batch, now)
+    effects += departures.record_entries(batch, event.entries, now)
+    for name in list(batch.partitions):
+        effects += dispatch.handle(RosterDue(name), batch, now)
     return effects
 
 
@@ -197,7 +197,7 @@
         for worker in partition.workers.values():
             effects += _poll_if_idle(batch, partition, worker, now)
     for partition in list(batch.partitions.values()):
-        effects += departures.settle_former_workers(partition)
+        effects += departures.settle_former_workers(batch, partition, now)
         effects += releases.settle_workers(partition, now)
         if partition.unlisted_workers and former_runs.have_ended(
             partition, now
@@ -253,7 +253,9 @@
         if until < now:
             del worker.abandoned_starts[key]
     lease_s = batch.identity.limits.worker_lease_s
-    if departures.has_left(worker, now):
+    worker_id = worker.entry.worker_id
+    has_left = departures.has_left(batch, partition, worker_id, now)
+    if has_left:
         effects += departures.give_up_worker(partition, worker, now)
     elif worker.runs and leases.have_expired(worker, lease_s, now):
         effects += contact.requeue_lost_runs(partition, worker, "lapsed", now)
@@ -261,10 +263,11 @@
         stopping = run.phase is state.RunPhase.STOPPING
         if stopping or commands.is_start_overdue(run, now):
             effects += commands.stop(partition, worker, run, now)
-    is_gone = worker.absence is not None and age_s > 3 * contact.LONG_POLL_S
+    is_silent = age_s > 3 * contact.LONG_POLL_S
+    is_gone = has_left or (not worker.is_registered and is_silent)
     if is_gone and not worker.runs:
-        partition.workers.pop(worker.entry.worker_id, None)
-        effects.append(
-            contact.make_log("left", partition, worker.entry.worker_id)
-        )
+        partition.workers.pop(worker_id, None)
+        effects.append(contact.make_log("left", partition, worker_id))
+        # A successor would wait for a worker that the roster names.
+        effects += dispatch.handle(RosterDue(partition.name), batch, now)
     return effects
