Shorten the delays before an instance acquires a partition

Seen (review, virtual time): after the kill of a small instance's owner, runs on sound workers lapse, 12 of 12 in 6 of 16 kills. The key of a killed owner lives for 2.5 s, the delays added up to 3.5 s, and a lease of 6 s has 4.5 s left if the owner is killed late in a long poll.

Change: the delay for owned partitions is at most 0.8 s and the random one 0.7 s, so that a takeover after a kill starts within 4 s. 'Leases outlast the takeover of a partition after a kill' failed before and passes; the scenarios of batch_division.feature, which hold that large instances own more, still pass.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -77,9 +77,9 @@
 
     Examples:
       | processors | owned | seconds |
-      | 0.2        | 0     | 1.5     |
-      | 0.2        | 8     | 3.5     |
-      | 2.0        | 8     | 3.5     |
+      | 0.2        | 0     | 0.7     |
+      | 0.2        | 8     | 1.5     |
+      | 2.0        | 8     | 1.5     |
 
   Scenario: A former owner's draining worker beyond a cut has not left
     Guards against tasks that run twice: a successor in another data centre takes
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -48,13 +48,14 @@
 MEAN_ACQUISITION_DELAY_S = 0.3
 # Upper bound of the random delay, because it is possible that only instances
 # whose hash selects a long one are left.
-MAX_RANDOM_DELAY_S = 1.5
+MAX_RANDOM_DELAY_S = 0.7
 # Extra delay of an instance with one processor for each partition that it
 # already owns, so that instances with fewer partitions acquire first.
 DELAY_PER_PARTITION_S = 0.6
 # Upper bound of that extra delay, because it is possible that no instance with
-# fewer partitions is left.
-MAX_DELAY_FOR_OWNED_S = 2.0
+# fewer partitions is left. With the lifetime of a killed owner's key, the sum of
+# the delays must be shorter than what is left of the leases of its runs.
+MAX_DELAY_FOR_OWNED_S = 0.8
 # Rounding can make a timer fire early by this much.
 TIMER_TOLERANCE_S = 0.001
 # An instance with a smaller share of a processor computes its delays with this
