Count planned tasks of a step when workers are evacuated

Seen (review, virtual time): two tasks of a step that allows one task a worker were stopped on two draining workers for the same free worker. One of them had no run for 2.9 s although its worker still drained.

Change: a candidate remembers the tasks for which capacity was deducted, and counts those of the same step. 'Tasks that only one worker may run do not all leave for it' failed before and passes.

--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -209,7 +209,7 @@
         if target is None:
             continue
         # Tasks whose runs are being stopped already need capacity too.
-        target.deduct(run.task.step)
+        target.deduct(run.task)
         if run.phase is state.RunPhase.RUNNING:
             effects.append(_log_evacuation(partition, worker, run, target))
             effects += commands.stop(partition, worker, run, now)
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -53,8 +53,8 @@
 # already owns, so that instances with fewer partitions acquire first.
 DELAY_PER_PARTITION_S = 0.6
 # Upper bound of that extra delay, because it is possible that no instance with
-# fewer partitions is left. With the lifetime of a killed owner's key, the sum of
-# the delays must be shorter than what is left of the leases of its runs.
+# fewer partitions is left. The lifetime of a killed owner's key and the delays
+# must add up to less than what is left of the leases of its runs.
 MAX_DELAY_FOR_OWNED_S = 0.8
 # Rounding can make a timer fire early by this much.
 TIMER_TOLERANCE_S = 0.001
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -103,6 +103,7 @@
         allowed_cpu: Processors, in thousandths, that further tasks of an
             opportunistic image may use without serving tasks missing their
             targets; contains the images for which it was computed.
+        planned_tasks: Tasks for which capacity was deducted.
     """
 
     worker: state.Worker
@@ -112,6 +113,7 @@
     accelerators: int = 0
     budgets: dict[str, float] | None = None
     allowed_cpu: dict[str, int] = attrs.field(factory=dict)
+    planned_tasks: list[model.TaskName] = attrs.field(factory=list)
 
     def refresh(self) -> None:
         """Recomputes free capacity and discards what was derived from it."""
@@ -126,10 +128,11 @@
         self.budgets = None
         self.allowed_cpu.clear()
 
-    def deduct(self, step: model.Step) -> None:
-        """Deducts what a task of a step needs from the free capacity."""
-        amount = step.amount
-        if step.fills:
+    def deduct(self, task: state.Task) -> None:
+        """Deducts what a task needs that is to be started here later."""
+        self.planned_tasks.append(task.name)
+        amount = task.step.amount
+        if task.step.fills:
             self.idle_cpu_millis -= amount.cpu_millis
         else:
             self.cpu_millis -= amount.cpu_millis
@@ -186,18 +189,22 @@
     return candidates
 
 
-def _meets_constraints(worker: state.Worker, task: state.Task) -> bool:
+def _meets_constraints(candidate: Candidate, task: state.Task) -> bool:
     """Returns whether a worker meets the placement constraints of a task.
 
     These are the label that the step requires and the highest number of its
     tasks on one worker.
     """
-    step = task.step
+    worker, step = candidate.worker, task.step
     if step.required_label and step.required_label not in worker.entry.labels:
         return False
     if not step.max_per_worker:
         return True
-    return count_step_runs(worker, task) < step.max_per_worker
+    planned = sum(
+        name.job_id == task.name.job_id and name.step == task.name.step
+        for name in candidate.planned_tasks
+    )
+    return count_step_runs(worker, task) + planned < step.max_per_worker
 
 
 def rank(
@@ -289,7 +296,7 @@
     for candidate in candidates:
         if not candidate.fits(step):
             continue
-        if not _meets_constraints(candidate.worker, task):
+        if not _meets_constraints(candidate, task):
             continue
         if limited and not candidate.tolerates(step, interference, now):
             continue
