Store that removed workers have no runs if an owner resigns

Cause: an owner that resigned stored no time for a worker that it had removed.

Change: it stores that the worker has no runs, which is why it was removed.

--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -78,7 +78,11 @@
     if name in partition.unlisted_workers:
         return max(0.0, partition.former_runs_end_at - now)
     worker = partition.workers.get(name)
-    if worker is None or _may_start_late(worker):
+    if worker is None:
+        # The owner removes a worker only when it has no runs left, also if it
+        # has not been able to store a roster without this worker yet.
+        return 0.0
+    if _may_start_late(worker):
         return None
     return leases.compute_remaining(worker, now)
 
