--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -80,7 +80,9 @@
         former_s = max(0.0, partition.former_runs_end_at - now)
     worker = partition.workers.get(name)
     if worker is None:
-        return former_s
+        # The owner removes a worker only when it has no runs left, also if it
+        # has not been able to store a roster without this worker yet.
+        return former_s or 0.0
     if _may_start_late(worker):
         return None
     own_s = leases.compute_remaining(worker, now)
