Keep the times of a release over a second takeover

Cause: an owner that resigned stored the end of its own wait for a worker without a listing, and not the earlier time that it had read.

Change: it stores the earlier of the two.

--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -9,6 +9,8 @@
 that reads a release is the next one that does so.
 """
 
+import math
+
 import attrs
 
 from sapphirestall_core import messages
@@ -76,7 +78,11 @@
         Time in seconds; None if it is not known.
     """
     if name in partition.unlisted_workers:
-        return max(0.0, partition.former_runs_end_at - now)
+        ends_at = min(
+            partition.former_runs_end_at,
+            partition.former_leases_end_at.get(name, math.inf),
+        )
+        return max(0.0, ends_at - now)
     worker = partition.workers.get(name)
     if worker is None:
         # The owner removes a worker only when it has no runs left, also if it
