Store a release under its own key

After a cut a successor became active 50 ms before the former owner noticed, so its release conflicted with the successor's roster. The successor waited 9.1 s from the first answer for a worker that was gone: a task had no run for 19 s.

Cause: the release was part of the roster and took effect only before the next owner's first write. An active owner that read a successor's roster also took over its generation.

Change: the release is a record among those that the owner reads and watches. It names the generation of its writer and counts for the next one, whenever it is read. An active owner that reads a roster of a higher generation resigns.

--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -14,6 +14,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 
 PART = "records"
@@ -99,6 +100,9 @@
     if partition.name not in batch.partitions:
         return effects
     effects.append(_make_log(partition, outcome, reply, now))
+    for found in outcome.entries:
+        if isinstance(found.value, records.ReleaseRecord):
+            releases.observe_release(partition, found.value, now)
     effects += _apply_jobs(batch, partition, outcome, now)
     if partition.phase is state.Phase.LOADING:
         effects += dispatch.handle(JobsLoaded(partition.name), batch, now)
@@ -253,6 +257,10 @@
 ) -> dispatch.Effects:
     if change.key == records.make_live_owner_key(partition.name):
         return ownership.apply_owner_change(batch, partition.name, change, now)
+    if isinstance(change, store_messages.Found) and isinstance(
+        change.value, records.ReleaseRecord
+    ):
+        releases.observe_release(partition, change.value, now)
     observed = parse_change(partition, change, now)
     if observed is None:
         return []
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -145,7 +145,22 @@
     instance_id: str
 
 
-LiveDocument = JobRecord | OwnerRecord
+@attrs.frozen(slots=True)
+class ReleaseRecord:
+    """What an owner that has resigned tells the next one about its leases.
+
+    Attributes:
+        released_generation: Number of the owner among those of the partition.
+        lease_ms: For each worker, the time from the write on within which all
+            leases of runs there expire, in milliseconds. It lacks workers for
+            which the owner did not know.
+    """
+
+    released_generation: int
+    lease_ms: dict[str, int]
+
+
+LiveDocument = JobRecord | OwnerRecord | ReleaseRecord
 
 
 @attrs.frozen(slots=True)
@@ -156,15 +171,11 @@
         generation: Number of owners that the partition has had.
         workers: Ids of the workers.
         draining: Ids of those that have announced their departure.
-        released: Set when the owner has resigned: for each worker, the time
-            from then on within which all leases of runs there expire, in
-            milliseconds. It lacks workers for which the owner did not know.
     """
 
     generation: int
     workers: tuple[str, ...] = ()
     draining: tuple[str, ...] = ()
-    released: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True)
@@ -241,6 +252,11 @@
     return f"{LIVE_PREFIX}{partition}/owner"
 
 
+def make_release_key(partition: str) -> str:
+    """Returns the key of the release by the last owner that has resigned."""
+    return f"{LIVE_PREFIX}{partition}/release"
+
+
 def make_live_jobs_prefix(partition: str) -> str:
     """Returns the prefix of the job records of a partition."""
     return f"{LIVE_PREFIX}{partition}/jobs/"
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -1,12 +1,13 @@
 """Release of the runs of a partition by an owner that resigns.
 
-An owner that has resigned extends no lease any more. It stores in the roster
-when the leases that it has requested expire, so that its successor need not
-assume that a worker without a listing has a lease that was just extended.
-
-The write takes effect only if the roster is unchanged. Each owner raises the
-generation in the roster before it extends leases or starts tasks, so the owner
-that reads a release is the next one that does so.
+An owner that has resigned extends no lease any more. It stores when the leases
+that it has requested expire, so that its successor need not assume that a
+worker without a listing has a lease that was just extended.
+
+The record lies among those that the successor reads and watches, so it counts
+even if the successor has taken over before. Each owner raises the generation in
+the roster before it extends leases or starts tasks, so no other owner has come
+between the one that wrote a release and one of the next generation.
 """
 
 import math
@@ -26,47 +27,35 @@
 
 @attrs.frozen
 class ReleaseWrite(store_messages.Purpose):
-    """Purpose of the write of the roster by an owner that has resigned."""
+    """Purpose of the write of a release by an owner that has resigned."""
 
 
 def release(partition: state.Partition, now: float) -> dispatch.Effects:
     """Stores when the leases on the workers of a partition expire.
 
     Does nothing if the owner was not active, and has therefore extended no
-    lease, or does not know the current roster.
+    lease.
 
     Args:
         partition: Partition whose ownership has just been given up.
         now: Monotonic time, in seconds.
     """
-    if (
-        partition.phase is not state.Phase.ACTIVE
-        or partition.roster_write_in_flight
-        or partition.roster_revision is None
-    ):
+    if partition.phase is not state.Phase.ACTIVE:
         return []
+    names = partition.roster | partition.unlisted_workers
     remaining_s = {
-        name: _find_remaining(partition, name, now)
-        for name in sorted(partition.roster)
+        name: _find_remaining(partition, name, now) for name in sorted(names)
     }
-    roster = records.RosterRecord(
+    record = records.ReleaseRecord(
         partition.generation,
-        tuple(sorted(partition.roster)),
-        tuple(sorted(partition.roster_draining)),
         {
             name: int(seconds * 1000) + 1
             for name, seconds in remaining_s.items()
             if seconds is not None
         },
     )
-    key = records.make_roster_key(partition.name)
-    return [
-        store_messages.StoreTransaction(
-            ReleaseWrite(),
-            ((key, partition.roster_revision),),
-            (store_messages.Put(key, roster),),
-        )
-    ]
+    put = store_messages.Put(records.make_release_key(partition.name), record)
+    return [store_messages.StoreTransaction(ReleaseWrite(), (), (put,))]
 
 
 def _find_remaining(
@@ -81,7 +70,7 @@
     if name in partition.unlisted_workers:
         ends_at = min(
             partition.former_runs_end_at,
-            partition.former_leases_end_at.get(name, math.inf),
+            _find_lease_end(partition, name),
         )
         former_s = max(0.0, ends_at - now)
     worker = partition.workers.get(name)
@@ -121,18 +110,35 @@
     return []
 
 
-def apply_release(
-    partition: state.Partition, roster: records.RosterRecord, now: float
+def observe_release(
+    partition: state.Partition, record: records.ReleaseRecord, now: float
 ) -> None:
-    """Records when the leases of the former owner expire, if it has resigned.
+    """Keeps a release that was read, and when the leases expire at the latest.
 
     Args:
-        partition: Partition of the new owner, which has not changed the roster.
-        roster: The roster that was read.
+        partition: The owned partition.
+        record: The release, which an earlier owner may have written.
         now: Monotonic time, in seconds.
     """
-    for name, remaining_ms in roster.released.items():
-        partition.former_leases_end_at[name] = now + remaining_ms / 1000
+    if record.released_generation < partition.released_generation:
+        return
+    partition.released_generation = record.released_generation
+    partition.former_leases_end_at = {
+        name: now + lease_ms / 1000
+        for name, lease_ms in record.lease_ms.items()
+    }
+
+
+def _find_lease_end(partition: state.Partition, name: str) -> float:
+    """Returns when the former owner's leases on a worker have expired.
+
+    Returns:
+        Monotonic time, in seconds; infinite if the former owner has stored no
+        release, or none for this worker.
+    """
+    if partition.released_generation != partition.generation - 1:
+        return math.inf
+    return partition.former_leases_end_at.get(name, math.inf)
 
 
 def settle_workers(partition: state.Partition, now: float) -> dispatch.Effects:
@@ -146,7 +152,7 @@
     expired = {
         name
         for name in partition.unlisted_workers
-        if now >= partition.former_leases_end_at.get(name, now + 1)
+        if now >= _find_lease_end(partition, name)
     }
     if not expired:
         return []
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -371,6 +371,8 @@
         former_draining_workers: Workers that a former owner stored as draining.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
+        released_generation: Generation of the owner that wrote the release that
+            was read; -1 before one was read.
         former_leases_end_at: By worker, monotonic time at which the leases
             there have expired according to the former owner, in seconds.
         first_answer_at: Monotonic time at which a worker first answered this
@@ -417,6 +419,7 @@
     unlisted_workers: set[str] = attrs.field(factory=set)
     former_draining_workers: set[str] = attrs.field(factory=set)
     former_runs_end_at: float = math.inf
+    released_generation: int = -1
     former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
     first_answer_at: float | None = None
     active_at: float | None = None
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -20,7 +20,6 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
-from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
 from sapphirestall_core.batch import workers
@@ -142,7 +141,9 @@
 ) -> dispatch.Effects:
     """Applies the roster that was read and writes the new one.
 
-    Runs of former owners may exist on every worker that the roster names.
+    Runs of former owners may exist on every worker that the roster of a loading
+    owner names. An active owner reads what it has written itself, or a
+    successor.
     """
     partition = batch.find_owned(purpose.partition, purpose.token)
     if partition is None:
@@ -153,14 +154,14 @@
     elif isinstance(outcome, store_messages.Found):
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.phase is state.Phase.LOADING:
-            # An active owner reads only what it has written itself.
             partition.unlisted_workers |= set(outcome.value.workers)
             partition.former_draining_workers |= set(outcome.value.draining)
-            releases.apply_release(partition, outcome.value, now)
+            partition.generation = max(
+                partition.generation, outcome.value.generation
+            )
+        elif outcome.value.generation > partition.generation:
+            return ownership.resign(batch, partition.name, "other_owner", now)
         partition.roster_revision = outcome.revision
-        partition.generation = max(
-            partition.generation, outcome.value.generation
-        )
     else:
         return _retry(partition)
     return write_roster(batch, partition, now)
