--- a/features/batch_restarts.feature
+++ b/features/batch_restarts.feature
@@ -21,6 +21,8 @@
       | 61   | 2      |
       | 63   | 2      |
       | 322  | 1      |
+      | 634  | 2      |
+      | 700  | 2      |
 
   Scenario Outline: Long-running tasks run again after a data centre was cut off
     Guards against tasks without a run for 10 s and more after a data centre was
