--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from sapphirestall_standins import refusals
 from soak import faults
 
 
@@ -118,4 +119,26 @@
         "an owner in another data centre took all runs of a data centre as "
         "ended after a time in which it had reached none of its workers",
     ),
+    Regression(
+        7002,
+        "small",
+        12.0,
+        (
+            faults.StoreSlow(start_s=1.34, duration_s=1.47, delay_s=0.05),
+            faults.StoreUnavailable(
+                start_s=4.82,
+                duration_s=3.37,
+                refusal=refusals.Refusal.BUSY,
+                instances=("dc0-e1", "dc0-e2", "dc1-e3"),
+                leases_paused=False,
+            ),
+            faults.DataCentreUnreachable(
+                start_s=7.14, duration_s=4.86, data_centre="dc0"
+            ),
+            _crash("r2-1-w1", 10.0),
+        ),
+        "small 7002, in two of five runs",
+        "open, suspected to be that of usual 502: a pending job is not counted "
+        "while the data centre of its partition is unreachable",
+    ),
 )
