Bound the age of the workers' list, and fix two waits of store outages

Starts on draining workers. Change: an owner decides on starts only while its last read of the list was sent within the deployment's drain time less the delivery of a start; an older list is read at once. The interval of reads follows from the same limit.

Shutdown in a store outage. Cause: an owner that got SIGTERM while the store was unavailable exited at once and could not store when its leases end, so that its successor assumed polls until then. Change: it keeps its partitions, and extends leases, until the store is back, for at most 0.8 of the grace time.

Pending jobs. Change: they are found among the job records of partitions without a fresh summary.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -69,6 +69,16 @@
     Then the process has ended and another instance owns the partition
     And no invariant was violated
 
+  Scenario: An owner that shuts down in a store outage releases its leases
+    Guards against long-running tasks that wait for leases which ended long ago:
+    the owner exited while it could not store when they expire, and its successor
+    assumed that a worker which had left was polled until then.
+    Given an owner of three workers with long-running tasks
+    When a worker exits in a store outage of 4.5 s in which the owner shuts down
+    And 12 s pass after the departure
+    Then no task was without a run for more than 9 s
+    And no invariant was violated
+
   Scenario Outline: Any instance acquires a partition of its data centre soon
     Guards against a partition without an owner for seconds: the random part of
     an instance's delay had no upper bound, and only that instance was left.
@@ -126,3 +136,13 @@
     And 9 s pass after the departure
     Then no task was without a run for more than 6.8 s
     And no invariant was violated
+
+  Scenario: A new owner starts nothing by an old list of workers
+    Guards against starts on a worker that announced its departure more than 2 s
+    before: an instance that owned nothing had sent a slow read of the list
+    before the announcement, and became the owner before the answer.
+    Given an owner of three workers with long-running tasks
+    When the owner is killed and a worker drains during a slow read of the list
+    And jobs are submitted for 6 s
+    Then nothing was started on that worker 2 s after its announcement
+    And no invariant was violated
--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -104,3 +104,13 @@
     Then the job's record shows that it is completed
     When 60 s pass after the submission
     Then the job's record is removed
+
+  Scenario: A job whose owner is unreachable counts as pending
+    Guards against a number of pending jobs that lacks accepted ones: the data
+    centre of their partition was cut off after they were stored and before its
+    owner published them.
+    Given an instance beside a data centre that has all workers
+    When that data centre is cut off and the instance accepts a job
+    And 6 s pass after the submission
+    And the number of pending jobs is requested
+    Then the caller is told of 1 pending job
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -409,3 +409,84 @@
 @behave.when("the worker with the task crashes")
 def step(context):
     context.world.end_worker(context.worker_id)
+
+
+@behave.when(
+    "a worker exits in a store outage of {seconds:g} s in which the owner "
+    "shuts down"
+)
+def step(context, seconds):
+    world = context.world
+    owner = find_owner(context)
+    world.store_down = True
+    context.gaps.run(1.0)
+    world.deliver(owner, messages.ShutdownRequested())
+    context.gaps.run(0.5)
+    world.end_worker(context.worker_id)
+    context.gaps.run(seconds - 1.5)
+    world.store_down = False
+
+
+def wait_for_read(context, node):
+    """Waits until an instance sends a read of the list of workers."""
+    for _ in range(200):
+        if node.batch.workers_read_sent_at == context.world.now:
+            return
+        context.world.run(0.02)
+        sent_at = node.batch.workers_read_sent_at
+        if sent_at is not None and context.world.now - sent_at < 0.05:
+            return
+    raise AssertionError("the instance has not read the list")
+
+
+@behave.when(
+    "the owner is killed and a worker drains during a slow read of the list"
+)
+def step(context):
+    world = context.world
+    world.worker_list_delay_s = 2.5
+    owner = find_owner(context)
+    successor = next(node for node in world.nodes if node is not owner)
+    world.run(6.0)
+    wait_for_read(context, successor)
+    # An instance that owns nothing reads the list again after 3 s.
+    world.run(1.9)
+    world.kill(owner)
+    world.run(0.2)
+    wait_for_read(context, successor)
+    world.run(0.1)
+    world.drain_worker(context.worker_id)
+    context.announced_at = world.now
+
+
+@behave.when("jobs are submitted for {seconds:g} s")
+def step(context, seconds):
+    world = context.world
+    world.run_duration_s = (0.3, 0.3)
+    node = next(node for node in world.nodes if node.alive)
+    amount = resources.Vector(200, 10, 0)
+    end = world.now + seconds
+    number = 100
+    context.started = {}
+    while world.now < end:
+        number += 1
+        world.submit(node, f"{number:016x}", model.Step(3, amount))
+        for _ in range(5):
+            world.run(0.02)
+            for worker_id, task, run_number in world.list_runs():
+                if worker_id == context.worker_id:
+                    context.started.setdefault((task, run_number), world.now)
+
+
+@behave.then(
+    "nothing was started on that worker {seconds:g} s after its announcement"
+)
+def step(context, seconds):
+    limit = context.announced_at + seconds + 0.02
+    late = {
+        str(run): at - context.announced_at
+        for run, at in context.started.items()
+        if at > limit and run[0].job_id != JOB
+    }
+    assert context.world.starts > len(context.started)
+    assert not late, late
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -11,6 +11,7 @@
 from standins import batch_world
 
 DATA_CENTRE = "north"
+OTHER_DATA_CENTRE = "south"
 JOB = "00000000000000cc"
 PATH = f"/jobs/{JOB}"
 AMOUNT = resources.Vector(1000, 100, 0)
@@ -225,3 +226,37 @@
 @behave.then("it is answered before the store answers")
 def step(context):
     assert context.call_ids[-1] in context.world.answers
+
+
+@behave.given("an instance beside a data centre that has all workers")
+def step(context):
+    world = batch_world.BatchWorld(1)
+    world.add_worker("w-1", DATA_CENTRE)
+    world.add_node("e-1", DATA_CENTRE)
+    context.node = world.add_node("e-2", OTHER_DATA_CENTRE)
+    world.run(3.0)
+    context.world = world
+    context.call_ids = []
+
+
+@behave.when("that data centre is cut off and the instance accepts a job")
+def step(context):
+    context.world.isolated_data_centres.add(DATA_CENTRE)
+    submit(context, model.Step(1, AMOUNT))
+    context.world.run(0.5)
+    answer = context.world.answers[context.call_ids[-1]]
+    assert isinstance(answer, caller_messages.Accepted), answer
+
+
+@behave.when("the number of pending jobs is requested")
+def step(context):
+    world = context.world
+    kind = caller_messages.StateCalled
+    context.call_ids.append(world.call(context.node, kind, "/jobs/"))
+    world.run(0.5)
+
+
+@behave.then("the caller is told of {count:d} pending job")
+def step(context, count):
+    answer = context.world.answers[context.call_ids[-1]]
+    assert answer == caller_messages.PendingShown(count), answer
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -40,6 +40,8 @@
     "bounds.hold_max_ms": "6000",
     "bounds.stop_ms": "400",
     "bounds.status_s": "120",
+    "bounds.drain_ms": "2000",
+    "bounds.grace_s": "6",
     "limits.cpu_share": "0.43",
     "limits.cores": "2",
 }
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import pending_jobs
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
@@ -33,6 +34,7 @@
     live_records,
     ownership,
     passes,
+    pending_jobs,
     summaries,
     takeover,
     workers,
@@ -43,6 +45,10 @@
 # Longest time for which a shutdown waits for commits, in seconds. An owner that
 # shuts down starts no tasks, so its partitions should get another owner soon.
 COMMIT_WAIT_S = 0.3
+# Longest wait of a shutdown for the store to return, as a share of the time
+# after which the platform kills the process. Meanwhile the owner extends the
+# leases of its runs.
+OUTAGE_WAIT_SHARE = 0.8
 # Longest time for which a shutdown waits for calls in flight, in seconds.
 DRAIN_TIMEOUT_S = 2.0
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -189,13 +195,13 @@
 def drain(timer: DrainDue, batch: state.Batch, now: float) -> dispatch.Effects:
     """Resigns, ends the store lease and then ends the process.
 
-    Each step waits for what is in flight: first for commits, then for the end
-    of the lease and for callers' calls.
+    Each step waits for what is in flight: first for commits, or for the store
+    to return, then for the end of the lease and for callers' calls.
     """
     waited_s = now - batch.shutdown_requested_at
     again = messages.StartTimer(DrainDue(), DRAIN_CHECK_INTERVAL_S)
     if batch.lease_id:
-        if _has_pending_commits(batch) and waited_s <= COMMIT_WAIT_S:
+        if _waits_for_store(batch, waited_s):
             return [again]
         return [*_give_up_partitions(batch, now), again]
     in_flight = batch.lease_call_in_flight or batch.calls
@@ -209,6 +215,18 @@
     return [messages.Log("process", "stopped", fields), messages.Exit()]
 
 
+def _waits_for_store(batch: state.Batch, waited_s: float) -> bool:
+    """Returns whether a shutdown keeps its partitions for a while.
+
+    While the store is unavailable, the release by which the next owner learns
+    when the leases expire could not be stored.
+    """
+    if batch.store_down_since is not None and batch.partitions:
+        limit_s = batch.identity.limits.grace_s * OUTAGE_WAIT_SHARE
+        return waited_s <= limit_s
+    return _has_pending_commits(batch) and waited_s <= COMMIT_WAIT_S
+
+
 def _has_pending_commits(batch: state.Batch) -> bool:
     """Returns whether effects of ended runs are not in the store yet."""
     return any(
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -13,6 +13,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import pending_jobs
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
@@ -23,8 +24,6 @@
 # seconds.
 RETRY_DELAYS_S = (0.05, 0.15, 0.4)
 MAX_SUMMARY_AGE_S = 0.7
-# The number of pending jobs that callers get may be two seconds old.
-MAX_PENDING_AGE_S = 1.2
 # A store call takes milliseconds. None is retried if less time than this would
 # be left before the caller's deadline.
 STORE_CALL_MARGIN_S = 0.1
@@ -131,10 +130,7 @@
         return calls.refuse_without_store(batch, call, now)
     if call.job_id:
         return _send_to_store(StateRead(call.call_id), call)
-    if now - batch.all_summaries_read_at <= MAX_PENDING_AGE_S:
-        return _show_pending(batch, call, now)
-    batch.calls_awaiting_summaries.append(call)
-    return summary_reads.read_all_summaries(batch)
+    return pending_jobs.count(batch, call, now)
 
 
 @dispatch.handle.register(caller_messages.CancelCalled)
@@ -358,55 +354,3 @@
     if isinstance(reply.outcome, store_messages.Conflict):
         return _send_to_store(CancelRead(call.call_id), call)
     return _handle_failure(purpose, reply.outcome, batch, call, now)
-
-
-@dispatch.handle_store_reply.register(summary_reads.SummaryRead)
-def apply_summaries(
-    purpose: summary_reads.SummaryRead,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Applies summaries that were read and answers the calls awaiting them."""
-    batch.summaries_read_in_flight = False
-    waiting, batch.calls_awaiting_summaries = batch.calls_awaiting_summaries, []
-    effects: dispatch.Effects = []
-    if not isinstance(reply.outcome, store_messages.Listed):
-        for call in waiting:
-            refusal = caller_messages.Refused(
-                "store_unavailable", calls.choose_retry_after(batch, now)
-            )
-            effects += calls.answer_call(batch, call, refusal, now)
-        return effects
-    batch.summaries_read_at = now
-    if purpose.all_partitions:
-        batch.all_summaries_read_at = now
-    for found in reply.outcome.entries:
-        name = found.key.removeprefix(records.SUMMARIES_PREFIX)
-        previous = batch.summary_changes.get(name)
-        # The local copy counts jobs that were sent to the partition since. It
-        # is kept until the owner publishes a new summary.
-        if previous is not None and previous[0] == found.revision:
-            continue
-        if isinstance(found.value, records.SummaryRecord):
-            batch.summaries[name] = found.value
-            batch.summary_changes[name] = (found.revision, now)
-    if waiting and now - batch.all_summaries_read_at > MAX_PENDING_AGE_S:
-        batch.calls_awaiting_summaries = waiting
-        return summary_reads.read_all_summaries(batch)
-    for call in waiting:
-        effects += _show_pending(batch, call, now)
-    return effects
-
-
-def _show_pending(
-    batch: state.Batch, call: state.Call, now: float
-) -> dispatch.Effects:
-    # A set, since two summaries may contain a job that was just moved.
-    pending: set[str] = set()
-    for summary in batch.summaries.values():
-        pending.update(summary.pending.get(call.queue.name, ()))
-    count = len(pending)
-    return calls.answer_call(
-        batch, call, caller_messages.PendingShown(count), now
-    )
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -20,6 +20,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 
 PART = "starts"
@@ -86,6 +87,10 @@
         # Another owner may have extended leases that seem to have expired here,
         # so that a task whose run seems to have ended may still run.
         return []
+    if not worker_list.is_recent(batch, now):
+        # A worker may drain without the owner knowing it. The reply to the read
+        # requests another pass.
+        return worker_list.read_entries(batch, now)
     effects: dispatch.Effects = []
     scheduling_pass = SchedulingPass(batch, partition, now)
     for job in sort_startable_jobs(partition, now):
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -27,11 +27,17 @@
         stop_s: Longest time that a worker takes to stop a run, in seconds.
         retention_s: Time for which callers can ask for the state of a job that
             has ended, in seconds.
+        drain_s: Time after which a worker that has announced its departure must
+            get no starts, in seconds.
+        grace_s: Time after which the platform kills a process that was asked to
+            end, in seconds.
     """
 
     worker_lease_s: float = 6.0
     stop_s: float = 0.4
     retention_s: float = 120.0
+    drain_s: float = 2.0
+    grace_s: float = 6.0
 
 
 @attrs.frozen
@@ -488,6 +494,19 @@
     revision: int
 
 
+@attrs.frozen(slots=True)
+class UnpublishedJobs:
+    """Pending jobs that the summary of a partition lacks.
+
+    Attributes:
+        read_at: Monotonic time at which the records were read, in seconds.
+        pending: Ids of the jobs, by queue.
+    """
+
+    read_at: float
+    pending: dict[str, set[str]]
+
+
 @attrs.define(slots=True, eq=False)
 class Call:
     """A caller's call that waits for the store.
@@ -541,8 +560,11 @@
         owners_watching: Whether a call waits for changes of the owner keys.
         store_down_since: Monotonic time since which calls to the store fail, in
             seconds; None while they succeed.
-        workers_read_in_flight: Whether the platform's list of workers is being
-            read.
+        workers_read_sent_at: Monotonic time at which the read of the platform's
+            list of workers that is in flight was sent, in seconds; None if
+            there is none.
+        workers_listed_at: Monotonic time at which the last successful read of
+            that list was sent, in seconds; None before the first.
         listed_workers: What reads of that list have shown of each worker.
         summaries: Summaries that the owners publish, by partition.
         summary_changes: Store revision of each summary, and the monotonic time
@@ -553,6 +575,10 @@
             centres were last read, in seconds.
         summaries_read_in_flight: Whether summaries are being read.
         calls_awaiting_summaries: Callers' calls that wait for the summaries.
+        unpublished_jobs: Pending jobs of partitions whose owner published no
+            summary of them, as last read.
+        unpublished_reads: Partitions whose job records are being read for this.
+        calls_awaiting_unpublished: Callers' calls that wait for these reads.
         shutting_down: Whether the process was asked to end.
         shutdown_requested_at: Monotonic time at which it was asked, in seconds.
     """
@@ -574,7 +600,8 @@
     fenced_tokens: dict[str, int] = attrs.field(factory=dict)
     owners_watching: bool = False
     store_down_since: float | None = None
-    workers_read_in_flight: bool = False
+    workers_read_sent_at: float | None = None
+    workers_listed_at: float | None = None
     listed_workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     summaries: dict[str, records.SummaryRecord] = attrs.field(factory=dict)
     summary_changes: dict[str, tuple[int, float]] = attrs.field(factory=dict)
@@ -582,6 +609,9 @@
     all_summaries_read_at: float = -1e9
     summaries_read_in_flight: bool = False
     calls_awaiting_summaries: list[Call] = attrs.field(factory=list)
+    unpublished_jobs: dict[str, UnpublishedJobs] = attrs.field(factory=dict)
+    unpublished_reads: set[str] = attrs.field(factory=set)
+    calls_awaiting_unpublished: list[Call] = attrs.field(factory=list)
     shutting_down: bool = False
     shutdown_requested_at: float = 0.0
 
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -22,7 +22,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
-from sapphirestall_core.batch import workers
+from sapphirestall_core.batch import worker_list
 
 PART = "takeover"
 RETRY_S = 0.2
@@ -69,7 +69,7 @@
     partition = batch.partitions[event.partition]
     return [
         *_read_missing(batch, partition),
-        *workers.read_entries(batch),
+        *worker_list.read_entries(batch, now),
         *summary_reads.read_summaries(batch, now),
         # The record holds the interference that former owners have learned.
         *interference_exchange.read_estimates(batch),
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/worker_list.py
@@ -0,0 +1,69 @@
+"""Reads of the platform's list of workers and the age of what they showed.
+
+The list tells an owner which workers drain. A worker that drains must get no
+starts after a time limit of the deployment, so an owner starts tasks only while
+its last read of the list is recent.
+"""
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import state
+
+# Longest time from the decision to start a task until the worker gets the
+# command, in seconds: the time limit of the call.
+START_DELIVERY_S = 0.7
+# Part of the remaining time in which an owner does not decide to start tasks,
+# in seconds. It covers a loop that is late.
+LATENESS_MARGIN_S = 0.1
+# Interval of reads, as a share of the time limit for starts on draining
+# workers. Reads are then recent unless one takes unusually long.
+READ_INTERVAL_SHARE = 0.4
+MAX_READ_INTERVAL_S = 1.0
+# Interval of reads of an instance that owns no partition and only has to detect
+# new ones.
+IDLE_READ_INTERVAL_S = 3.0
+
+
+@attrs.frozen
+class ReadEntries(messages.Effect):
+    """Reads the platform's list of workers."""
+
+
+def read_entries(batch: state.Batch, now: float) -> dispatch.Effects:
+    """Reads the platform's list of workers, unless a read is in flight."""
+    if batch.workers_read_sent_at is not None:
+        return []
+    batch.workers_read_sent_at = now
+    return [ReadEntries()]
+
+
+def finish_read(batch: state.Batch, *, succeeded: bool) -> None:
+    """Records the end of a read."""
+    if succeeded:
+        batch.workers_listed_at = batch.workers_read_sent_at
+    batch.workers_read_sent_at = None
+
+
+def choose_interval(batch: state.Batch) -> float:
+    """Returns the time between two reads, in seconds."""
+    if batch.known_partitions and not batch.partitions:
+        return IDLE_READ_INTERVAL_S
+    limit_s = batch.identity.limits.drain_s
+    return min(MAX_READ_INTERVAL_S, READ_INTERVAL_SHARE * limit_s)
+
+
+def is_recent(batch: state.Batch, now: float) -> bool:
+    """Returns whether the last read is recent enough to start tasks.
+
+    While the store is unavailable the list cannot be read, and workers cannot
+    announce that they drain.
+    """
+    if batch.store_down_since is not None:
+        return True
+    if batch.workers_listed_at is None:
+        return False
+    limit_s = batch.identity.limits.drain_s
+    max_age_s = limit_s - START_DELIVERY_S - LATENESS_MARGIN_S
+    return now - batch.workers_listed_at <= max_age_s
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -22,13 +22,9 @@
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
+from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 
-# Time between two reads of the platform's list of workers.
-ENTRIES_INTERVAL_S = 1.0
-# Time between two such reads of an instance that owns no partition and only has
-# to detect new ones.
-IDLE_ENTRIES_INTERVAL_S = 3.0
 CHECK_INTERVAL_S = 0.25
 # While listed ends await their commit, a long poll would return at once, so
 # short polls at this interval extend the leases.
@@ -38,11 +34,6 @@
 UNKNOWN_CLOCK_MS = 2**62
 
 
-@attrs.frozen
-class ReadEntries(messages.Effect):
-    """Reads the platform's list of workers."""
-
-
 @attrs.frozen
 class EntriesRead(messages.Event):
     """Reports that a read of the platform's list of workers has ended.
@@ -71,14 +62,6 @@
     partition: str
 
 
-def read_entries(batch: state.Batch) -> dispatch.Effects:
-    """Reads the platform's list of workers, unless a read is in flight."""
-    if batch.workers_read_in_flight:
-        return []
-    batch.workers_read_in_flight = True
-    return [ReadEntries()]
-
-
 @dispatch.handle_timer.register(EntriesDue)
 def poll_entries(
     timer: EntriesDue, batch: state.Batch, now: float
@@ -87,15 +70,13 @@
 
     Also reads the rosters until that has succeeded once.
     """
-    interval_s = ENTRIES_INTERVAL_S
-    if batch.known_partitions and not batch.partitions:
-        interval_s = IDLE_ENTRIES_INTERVAL_S
+    interval_s = worker_list.choose_interval(batch)
     effects: dispatch.Effects = [
         messages.StartTimer(EntriesDue(), interval_s, 0.1)
     ]
     if not batch.partitions_loaded:
         effects += ownership.read_rosters()
-    return effects + read_entries(batch)
+    return effects + worker_list.read_entries(batch, now)
 
 
 @dispatch.handle.register(EntriesRead)
@@ -103,7 +84,7 @@
     event: EntriesRead, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Updates the known partitions and the workers of owned ones."""
-    batch.workers_read_in_flight = False
+    worker_list.finish_read(batch, succeeded=event.entries is not None)
     if event.entries is None:
         departures.restart_absences(batch)
         return []
@@ -118,6 +99,9 @@
     effects += departures.record_entries(batch, event.entries, now)
     for name in list(batch.partitions):
         effects += dispatch.handle(RosterDue(name), batch, now)
+    for partition in batch.partitions.values():
+        # Passes start nothing while the last read is too old.
+        effects += passes.request_pass(partition)
     return effects
 
 
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -22,6 +22,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers as core_workers
 from standins import batch_store
@@ -103,6 +104,8 @@
             no answer.
         list_delay_s: Range of the time that the answer to a list of job records
             or progress records takes, in seconds.
+        worker_list_delay_s: Time that the answer to a read of the list of
+            workers takes, in seconds.
         lost_history_fraction: Fraction of watches for which the store has no
             history.
         failure_fraction: Fraction of runs that fail.
@@ -146,6 +149,7 @@
     call_delay_s: tuple[float, float] = (0.0005, 0.003)
     lost_answer_fraction: float = 0.0
     list_delay_s: tuple[float, float] = (STORE_DELAY_S / 2, STORE_DELAY_S / 2)
+    worker_list_delay_s: float = STORE_DELAY_S
     lost_history_fraction: float = 0.0
     failure_fraction: float = 0.0
     unanswered_start_fraction: float = 0.0
@@ -508,12 +512,13 @@
 
 
 @perform.register
-def _(effect: core_workers.ReadEntries, world: BatchWorld, node: Node) -> None:
+def _(effect: worker_list.ReadEntries, world: BatchWorld, node: Node) -> None:
     entries = None
     if world.reaches_store(node):
         entries = tuple(world.listed_workers.values())
     event = core_workers.EntriesRead(entries)
-    world.schedule(STORE_DELAY_S, lambda: world.deliver(node, event))
+    delay_s = world.worker_list_delay_s
+    world.schedule(delay_s, lambda: world.deliver(node, event))
 
 
 @perform.register
