--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -281,6 +281,20 @@
       | 1010  |
       | 1023  |
 
+  Scenario Outline: An item that is read again is decoded only if it changed
+    Guards against instances that spend their processor time on decoding the
+    same hundreds of routes and workers each second, and against a change that
+    is hidden by what was decoded before.
+    Given the store's list of workers and configuration were read
+    When they are read again with <change>
+    Then the second read passes on <documents>
+
+    Examples:
+      | change             | documents     |
+      | the same revisions | the same ones |
+      | new revisions      | new ones      |
+      | no revisions       | new ones      |
+
   Scenario Outline: An item of a list that is <item> costs only itself
     Guards against a list that is never read again, and against an owner that
     no longer follows its partition, because of one item.
--- a/features/steps/batch_interference_steps.py
+++ b/features/steps/batch_interference_steps.py
@@ -40,10 +40,8 @@
 
 
 def set_interference(context, serving, opportunistic, interference):
-    pair = interference_module.ImagePair(serving, opportunistic)
-    context.batch.interference.estimates[pair] = interference_module.Estimate(
-        interference, 0.2
-    )
+    estimate = interference_module.Estimate(interference, 0.2)
+    context.batch.interference.set_estimate(serving, opportunistic, estimate)
 
 
 @behave.given('the tail latency of a serving task rises with image "loud" only')
@@ -150,8 +148,7 @@
     "an opportunistic task of an unknown image is placed on the other worker"
 )
 def step(context):
-    pair = interference_module.ImagePair("served", "new")
-    assert pair not in context.batch.interference.estimates
+    assert context.batch.interference.find_estimate("served", "new") is None
     assert (
         choose_worker_id(
             context, builders.make_step(1, fills=True, image="new")
--- a/features/steps/batch_passes_steps.py
+++ b/features/steps/batch_passes_steps.py
@@ -52,11 +52,10 @@
     builders.make_partition(context, *workers)
     for serving in SERVING_IMAGES:
         for image in IMAGES:
-            pair = interference_module.ImagePair(serving, image)
             estimate = interference_module.Estimate(
                 rng.choice((0.0, 2.0, 9.0)), 0.2
             )
-            context.batch.interference.estimates[pair] = estimate
+            context.batch.interference.set_estimate(serving, image, estimate)
     for number in range(JOB_COUNT):
         first = make_random_step(rng)
         second = attrs.evolve(make_random_step(rng), after=(0,))
@@ -91,7 +90,9 @@
                 worker, now, interference_module.PLACEMENT_HORIZON_S
             )
             allowed = batch.interference.find_allowed_cpu(
-                worker, budgets, step.image
+                worker,
+                batch.interference.find_remaining_budgets(worker, budgets),
+                step.image,
             )
             if step.amount.cpu_millis > allowed:
                 continue
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -42,6 +42,7 @@
     "bounds.status_s": "120",
     "bounds.drain_ms": "2000",
     "bounds.grace_s": "6",
+    "bounds.config_apply_ms": "2000",
     "limits.cpu_share": "0.43",
     "limits.cores": "2",
 }
@@ -730,3 +731,43 @@
     value = DEADLINES.get(text, text).encode("latin-1")
     request = make_request(b"", [(b"deadline-ms", value)])
     assert front.read_deadline(request) == seconds
+
+
+def read_all(context, change):
+    """Reads a worker and a configuration whose capacity and version tell."""
+    entry = {**ENTRY, "capacity": {"cpu": len(change), "mem_mb": 1}}
+    worker = make_item("servers/w-1", json.dumps(entry).encode())
+    document = json.dumps({"version": len(change)}).encode()
+    configured = make_item("op/config", document)
+    for item in (worker, configured):
+        if change == "new revisions":
+            item["revision"] += 1
+        elif change == "no revisions":
+            del item["revision"]
+    for answer, read in (
+        (make_list([worker]), context.store.read_workers),
+        (configured, context.store.read_configuration),
+    ):
+        body = json.dumps(answer).encode()
+        context.store.transport = transport.Transport(FixedSession(body))
+        asyncio.run(read())
+
+
+@behave.given("the store's list of workers and configuration were read")
+def step(context):
+    make_store(context)
+    read_all(context, "")
+
+
+@behave.when("they are read again with {change}")
+def step(context, change):
+    read_all(context, change)
+
+
+@behave.then("the second read passes on {which} ones")
+def step(context, which):
+    old_list, old, new_list, new = context.events
+    workers_differ = old_list.entries[0] != new_list.entries[0]
+    assert workers_differ == (which == "new"), context.events
+    versions_differ = old.configuration != new.configuration
+    assert versions_differ == (which == "new"), context.events
--- a/packages/core/src/sapphirestall_core/batch/configuration.py
+++ b/packages/core/src/sapphirestall_core/batch/configuration.py
@@ -13,7 +13,9 @@
 from sapphirestall_core.batch import state
 
 PART = "configuration"
-READ_INTERVAL_S = 0.6
+# Interval of reads, as a share of the time within which a new version must be
+# in force. A read that gets no answer in time is followed by another one.
+READ_INTERVAL_SHARE = 0.3
 
 
 @attrs.frozen
@@ -53,8 +55,9 @@
     event: ConfigurationRead, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Puts a configuration into force if it is newer than the current one."""
+    interval_s = READ_INTERVAL_SHARE * batch.identity.limits.configuration_s
     effects: dispatch.Effects = [
-        messages.StartTimer(ConfigurationDue(), READ_INTERVAL_S, 0.1)
+        messages.StartTimer(ConfigurationDue(), interval_s, 0.1)
     ]
     new, old = event.configuration, batch.configuration
     if new is None or (old is not None and new.version <= old.version):
--- a/packages/core/src/sapphirestall_core/batch/interference.py
+++ b/packages/core/src/sapphirestall_core/batch/interference.py
@@ -78,14 +78,6 @@
 MIN_CPU_SHARE = 0.004
 
 
-@attrs.frozen(slots=True, cache_hash=True)
-class ImagePair:
-    """A serving image and an opportunistic image on the same worker."""
-
-    serving: str
-    opportunistic: str
-
-
 @attrs.frozen(slots=True)
 class Estimate:
     """Estimated interference of a pair of images.
@@ -103,23 +95,55 @@
 DEFAULT_ESTIMATE = Estimate(INITIAL_INTERFERENCE, INITIAL_VARIANCE)
 
 
+@attrs.frozen(slots=True)
+class RemainingBudget:
+    """Headroom that opportunistic tasks may cost a serving image on a worker.
+
+    Attributes:
+        serving: The serving image.
+        headroom: The headroom, with the runs on the worker included.
+        losses: Interference of each opportunistic image that runs there, and
+            the headroom that its runs cost.
+    """
+
+    serving: str
+    headroom: float
+    losses: list[tuple[float, float]]
+
+
 @attrs.define(slots=True)
 class InterferenceModel:
     """Interference that an instance has learned from measurements.
 
     Attributes:
         idle_headrooms: Headroom of each serving image without load.
-        estimates: Estimated interference by pair of images.
+        estimates: Estimated interference, by serving and by opportunistic
+            image.
     """
 
     idle_headrooms: dict[str, float] = attrs.field(factory=dict)
-    estimates: dict[ImagePair, Estimate] = attrs.field(factory=dict)
+    estimates: dict[str, dict[str, Estimate]] = attrs.field(factory=dict)
+
+    def find_estimate(
+        self, serving: str, opportunistic: str
+    ) -> Estimate | None:
+        """Returns the estimate for a pair of images, if there is one."""
+        by_image = self.estimates.get(serving)
+        return by_image.get(opportunistic) if by_image is not None else None
+
+    def get_estimate(self, serving: str, opportunistic: str) -> Estimate:
+        """Returns the estimate for a pair of images, or the default one."""
+        return self.find_estimate(serving, opportunistic) or DEFAULT_ESTIMATE
+
+    def set_estimate(
+        self, serving: str, opportunistic: str, estimate: Estimate
+    ) -> None:
+        """Replaces the estimate for a pair of images."""
+        self.estimates.setdefault(serving, {})[opportunistic] = estimate
 
     def get_interference(self, serving: str, opportunistic: str) -> float:
         """Returns the estimated interference of a pair of images."""
-        return self.estimates.get(
-            ImagePair(serving, opportunistic), DEFAULT_ESTIMATE
-        ).value
+        return self.get_estimate(serving, opportunistic).value
 
     def get_idle_headroom(self, serving: str) -> float:
         """Returns the headroom of a serving image without load."""
@@ -173,9 +197,7 @@
         ) ** 2
         variance += load.variance
         for image, share in shares.items():
-            estimate = self.estimates.get(
-                ImagePair(serving, image), DEFAULT_ESTIMATE
-            )
+            estimate = self.get_estimate(serving, image)
             variance += share * share * estimate.variance
         error = observed - (self.get_idle_headroom(serving) - load.value - loss)
         self._update_estimates(serving, shares, error, variance)
@@ -202,15 +224,11 @@
             variance: Variance of this error.
         """
         for image, share in shares.items():
-            old = self.estimates.get(
-                ImagePair(serving, image), DEFAULT_ESTIMATE
-            )
+            old = self.get_estimate(serving, image)
             gain = -share * old.variance / variance
             value = min(MAX_INTERFERENCE, max(0.0, old.value + gain * error))
             new_variance = old.variance * (1 + gain * share) + PROCESS_VARIANCE
-            self.estimates[ImagePair(serving, image)] = Estimate(
-                value, new_variance
-            )
+            self.set_estimate(serving, image, Estimate(value, new_variance))
 
     def predict_headroom(
         self, run: state.Run, now: float, horizon_s: float
@@ -266,20 +284,36 @@
             Loss by opportunistic image if its runs work at full pace.
         """
         capacity = max(1, worker.entry.capacity.cpu_millis)
-        losses: dict[str, float] = {}
-        for run in worker.runs.values():
-            step = run.task.step
-            if not step.fills:
-                continue
-            interference = self.get_interference(serving, step.image)
-            loss = interference * step.amount.cpu_millis / capacity
-            losses[step.image] = losses.get(step.image, 0.0) + loss
-        return losses
+        return {
+            image: self.get_interference(serving, image) * cpu_millis / capacity
+            for image, cpu_millis in sum_opportunistic_cpu(worker).items()
+        }
+
+    def find_remaining_budgets(
+        self, worker: state.Worker, budgets: dict[str, float]
+    ) -> list[RemainingBudget]:
+        """Returns what the runs on a worker leave of its headroom budgets.
+
+        Args:
+            worker: The worker.
+            budgets: Headroom that opportunistic tasks may cost, by serving
+                image.
+        """
+        remaining = []
+        for serving, budget in budgets.items():
+            losses = [
+                (self.get_interference(serving, image), loss)
+                for image, loss in self.predict_losses(worker, serving).items()
+            ]
+            remaining.append(
+                RemainingBudget(serving, budget * worker.trust, losses)
+            )
+        return remaining
 
     def find_allowed_cpu(
         self,
         worker: state.Worker,
-        budgets: dict[str, float],
+        remaining: list[RemainingBudget],
         opportunistic: str,
     ) -> int:
         """Returns the processors that a further image may use, in thousandths.
@@ -289,21 +323,19 @@
 
         Args:
             worker: The worker.
-            budgets: Headroom that opportunistic tasks may cost, by serving
-                image.
+            remaining: What its runs leave of its headroom budgets.
             opportunistic: The further opportunistic image.
         """
         share = 1.0
-        for serving, budget in budgets.items():
+        for budget in remaining:
             interference = max(
-                self.get_interference(serving, opportunistic), MIN_INTERFERENCE
+                self.get_interference(budget.serving, opportunistic),
+                MIN_INTERFERENCE,
             )
             used = sum(
-                loss
-                for image, loss in self.predict_losses(worker, serving).items()
-                if self.get_interference(serving, image) <= interference
+                loss for other, loss in budget.losses if other <= interference
             )
-            unused = max(0.0, budget * worker.trust - used)
+            unused = max(0.0, budget.headroom - used)
             share = min(share, unused / interference)
         return int(share * worker.entry.capacity.cpu_millis)
 
@@ -363,6 +395,21 @@
     return list(groups.values())
 
 
+def sum_opportunistic_cpu(worker: state.Worker) -> dict[str, int]:
+    """Returns the processors that each opportunistic image requests there.
+
+    Returns:
+        Processors in thousandths, by image.
+    """
+    requested: dict[str, int] = {}
+    for run in worker.runs.values():
+        step = run.task.step
+        if step.fills:
+            cpu_millis = requested.get(step.image, 0) + step.amount.cpu_millis
+            requested[step.image] = cpu_millis
+    return requested
+
+
 def find_cpu_shares(worker: state.Worker) -> dict[str, float]:
     """Returns the share of a worker's processors that opportunistic images use.
 
--- a/packages/core/src/sapphirestall_core/batch/interference_records.py
+++ b/packages/core/src/sapphirestall_core/batch/interference_records.py
@@ -43,7 +43,7 @@
     Returns:
         Processors in thousandths, by image with learned interference.
     """
-    images = sorted({pair.opportunistic for pair in interference.estimates})
+    images = sorted(set().union(*interference.estimates.values()))
     totals = dict.fromkeys(images, 0)
     for worker in workers:
         idle = (
@@ -55,9 +55,10 @@
         budgets = interference.find_headroom_budgets(
             worker, now, interference_module.PLACEMENT_HORIZON_S
         )
+        remaining = interference.find_remaining_budgets(worker, budgets)
         for image in images:
             totals[image] += min(
-                idle, interference.find_allowed_cpu(worker, budgets, image)
+                idle, interference.find_allowed_cpu(worker, remaining, image)
             )
     return {
         image: total // ROUNDING_CPU_MILLIS * ROUNDING_CPU_MILLIS
@@ -70,25 +71,17 @@
     stored: Iterable[records.InterferenceEstimate],
 ) -> tuple[records.InterferenceEstimate, ...]:
     """Merges stored estimates with more precise ones of this instance."""
-    merged = {
-        interference_module.ImagePair(record.serving, record.filling): record
-        for record in stored
-    }
-    for pair, estimate in interference.estimates.items():
-        if estimate.variance > MAX_PUBLISHED_VARIANCE:
-            continue
-        record = merged.get(pair)
-        if (
-            record
-            and estimate.variance > record.variance * IMPROVED_VARIANCE_SHARE
-        ):
-            continue
-        merged[pair] = records.InterferenceEstimate(
-            pair.serving,
-            pair.opportunistic,
-            round(estimate.value, 1),
-            round(estimate.variance, 2),
-        )
+    merged = {(record.serving, record.filling): record for record in stored}
+    for serving, by_image in interference.estimates.items():
+        for image, estimate in by_image.items():
+            record = merged.get((serving, image))
+            if _is_improved(estimate, record):
+                merged[serving, image] = records.InterferenceEstimate(
+                    serving,
+                    image,
+                    round(estimate.value, 1),
+                    round(estimate.variance, 2),
+                )
     ordered = sorted(
         merged.values(),
         key=lambda record: (
@@ -100,18 +93,32 @@
     return tuple(ordered[:MAX_PUBLISHED_ESTIMATES])
 
 
+def _is_improved(
+    estimate: interference_module.Estimate,
+    record: records.InterferenceEstimate | None,
+) -> bool:
+    """Returns whether an estimate should replace a stored one."""
+    if estimate.variance > MAX_PUBLISHED_VARIANCE:
+        return False
+    return (
+        record is None
+        or estimate.variance <= record.variance * IMPROVED_VARIANCE_SHARE
+    )
+
+
 def apply_stored_estimates(
     interference: interference_module.InterferenceModel,
     stored: Iterable[records.InterferenceEstimate],
 ) -> None:
     """Replaces learned estimates where stored ones are more precise."""
     for record in stored:
-        pair = interference_module.ImagePair(record.serving, record.filling)
-        own = interference.estimates.get(pair)
+        own = interference.find_estimate(record.serving, record.filling)
         if (
             own is None
             or record.variance < own.variance * IMPROVED_VARIANCE_SHARE
         ):
-            interference.estimates[pair] = interference_module.Estimate(
-                record.loss, record.variance
+            interference.set_estimate(
+                record.serving,
+                record.filling,
+                interference_module.Estimate(record.loss, record.variance),
             )
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -37,6 +37,9 @@
 # slow, for this long causes a takeover.
 LEASE_TTL_S = 2.5
 LEASE_RENEWAL_INTERVAL_S = 0.6
+# Interval of an instance that owns nothing. It needs the store lease only when
+# it acquires a partition.
+IDLE_RENEWAL_INTERVAL_S = 1.0
 # An owner receives answers from a reachable worker more often than this.
 UNRESPONSIVE_AFTER_S = 2.5
 OWNERS_READ_INTERVAL_S = 2.0
@@ -136,7 +139,9 @@
     timer: LeaseDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Obtains or renews the store lease and schedules the next renewal."""
-    next_renewal = messages.StartTimer(LeaseDue(), LEASE_RENEWAL_INTERVAL_S)
+    active = batch.partitions or batch.acquiring
+    interval_s = LEASE_RENEWAL_INTERVAL_S if active else IDLE_RENEWAL_INTERVAL_S
+    next_renewal = messages.StartTimer(LeaseDue(), interval_s)
     if batch.lease_call_in_flight or batch.shutting_down:
         return [next_renewal]
     batch.lease_call_in_flight = True
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -98,7 +98,7 @@
             thousandths.
         memory_mb: Memory that is not reserved.
         accelerators: Number of accelerators that are not reserved.
-        budgets: Headroom that opportunistic tasks may cost, by serving image;
+        budgets: Headroom that opportunistic tasks may cost each serving image;
             None until it is computed.
         allowed_cpu: Processors, in thousandths, that further tasks of an
             opportunistic image may use without serving tasks missing their
@@ -111,7 +111,7 @@
     idle_cpu_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
-    budgets: dict[str, float] | None = None
+    budgets: list[interference_module.RemainingBudget] | None = None
     allowed_cpu: dict[str, int] = attrs.field(factory=dict)
     planned_tasks: list[model.TaskName] = attrs.field(factory=list)
 
@@ -165,9 +165,12 @@
         allowed = self.allowed_cpu.get(step.image)
         if allowed is None:
             if self.budgets is None:
-                self.budgets = interference.find_headroom_budgets(
+                budgets = interference.find_headroom_budgets(
                     self.worker, now, interference_module.PLACEMENT_HORIZON_S
                 )
+                self.budgets = interference.find_remaining_budgets(
+                    self.worker, budgets
+                )
             allowed = interference.find_allowed_cpu(
                 self.worker, self.budgets, step.image
             )
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -31,6 +31,8 @@
             get no starts, in seconds.
         grace_s: Time after which the platform kills a process that was asked to
             end, in seconds.
+        configuration_s: Time after which a new version of the configuration
+            must be in force, in seconds.
     """
 
     worker_lease_s: float = 6.0
@@ -38,6 +40,7 @@
     retention_s: float = 120.0
     drain_s: float = 2.0
     grace_s: float = 6.0
+    configuration_s: float = 2.0
 
 
 @attrs.frozen
