Count opportunistic runs by their paces when room is computed

Ruled out: room in other partitions (all three are alike), owners short of processor time (0.19 cores at most). Change: the processors of an opportunistic run count at its target pace; what is requested beyond the idle processors lowers all paces by one factor.

--- a/features/batch_interference.feature
+++ b/features/batch_interference.feature
@@ -92,3 +92,12 @@
     Then the run is not stopped for a move
     When the second worker is empty and the owner adjusts the paces
     Then the run is stopped to move there
+
+  Scenario: Runs that are paced down leave processors to other images
+    Guards against a worker whose idle processors nobody uses: runs of an image
+    that disturbs its serving tasks were slowed down and still counted as if they
+    used all that they request, so that no other image started beside them.
+    Given a serving task with idle processors for eight runs of image "loud"
+    When the headroom of the serving task falls to 1.3
+    Then two tasks of image "calm" find idle processors there
+    And all runs together use no more processors than are idle
--- a/features/steps/batch_interference_steps.py
+++ b/features/steps/batch_interference_steps.py
@@ -548,3 +548,46 @@
     assert stopped == [(context.slow_run.task.name, context.slow_run.number)], (
         stopped
     )
+
+
+@behave.given(
+    'a serving task with idle processors for eight runs of image "loud"'
+)
+def step(context):
+    builders.make_partition(context, builders.make_worker("w-1", 9))
+    context.worker = context.partition.workers["w-1"]
+    serving = builders.make_step(
+        1, tail_target_ms=builders.TAIL_TARGET_MS, image="served"
+    )
+    context.serving = builders.add_run(context.worker, serving)
+    set_interference(context, "served", "loud", LOUD_INTERFERENCE)
+    set_interference(context, "served", "calm", 0.0)
+    step = builders.make_step(1, fills=True, image="loud")
+    for _ in range(8):
+        builders.add_run(context.worker, step).progress_percent = 50
+
+
+@behave.then('two tasks of image "calm" find idle processors there')
+def step(context):
+    for _ in range(2):
+        worker = context.worker
+        calm = builders.make_step(1, fills=True, image="calm")
+        (candidate,) = placement.list_candidates(
+            [worker], "service", builders.NOW
+        )
+        assert candidate.fits(calm), candidate
+        builders.add_run(worker, calm)
+
+
+@behave.then("all runs together use no more processors than are idle")
+def step(context):
+    worker, now = context.worker, builders.NOW + 10
+    pacing.adjust_paces(
+        context.partition, worker, context.batch.interference, now
+    )
+    used = sum(
+        run.pace_percent / 100 * run.task.step.amount.cpu_millis
+        for run in worker.runs.values()
+        if run.task.step.fills
+    )
+    assert used <= placement.estimate_idle_cpu(worker), used
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -69,7 +69,11 @@
     Commands in flight may overtake each other, so a run has at most one pace
     command in flight. The newest pace is sent after the answer to that command.
     """
+    if run.task.step.fills:
+        worker.paced_cpu_millis -= run.count_paced_cpu()
     run.pace_percent = percent
+    if run.task.step.fills:
+        worker.paced_cpu_millis += run.count_paced_cpu()
     if run.pace_in_flight:
         return []
     run.pace_in_flight = True
--- a/packages/core/src/sapphirestall_core/batch/interference_records.py
+++ b/packages/core/src/sapphirestall_core/batch/interference_records.py
@@ -46,10 +46,7 @@
     images = sorted(set().union(*interference.estimates.values()))
     totals = dict.fromkeys(images, 0)
     for worker in workers:
-        idle = (
-            placement.estimate_idle_cpu(worker)
-            - worker.opportunistic_cpu_millis
-        )
+        idle = placement.estimate_idle_cpu(worker) - worker.paced_cpu_millis
         if idle <= 0:
             continue
         budgets = interference.find_headroom_budgets(
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -120,17 +120,27 @@
     return paces
 
 
-def find_common_pace(worker: state.Worker) -> int:
-    """Returns the pace at which all opportunistic runs find idle processors.
+def find_common_share(worker: state.Worker, paces: dict[str, int]) -> float:
+    """Returns the share of their paces at which all runs find idle processors.
 
     Runs that use more processors than are idle raise tail latencies without
     bound, even if the interference of their images is negligible.
+
+    Args:
+        worker: The worker.
+        paces: Pace in percent by image; an image that is absent may work at
+            full pace.
     """
-    if not worker.opportunistic_cpu_millis or not worker.serving_cpu_millis:
-        return state.FULL_PACE_PERCENT
-    idle = placement.estimate_idle_cpu(worker)
-    share = max(0.0, idle / worker.opportunistic_cpu_millis)
-    return int(state.FULL_PACE_PERCENT * min(1.0, share))
+    if not worker.serving_cpu_millis:
+        return 1.0
+    requested = sum(
+        cpu_millis * paces.get(image, state.FULL_PACE_PERCENT)
+        for image, cpu_millis in interference_module.sum_opportunistic_cpu(
+            worker
+        ).items()
+    )
+    idle = placement.estimate_idle_cpu(worker) * state.FULL_PACE_PERCENT
+    return min(1.0, max(0.0, idle / requested)) if requested else 1.0
 
 
 def adjust_paces(
@@ -152,7 +162,7 @@
     update_trust(worker, now)
     worker.serving_load = interference.estimate_serving_load(worker, now)
     paces = choose_paces(worker, interference, now)
-    common_pace = find_common_pace(worker)
+    common_share = find_common_share(worker, paces)
     target_missed = (
         worker.target_missed_since is not None
         and now - worker.target_missed_since > MISSED_TARGET_S
@@ -162,7 +172,8 @@
         step = run.task.step
         if not step.fills or run.phase is not state.RunPhase.RUNNING:
             continue
-        pace = min(common_pace, paces.get(step.image, state.FULL_PACE_PERCENT))
+        pace = paces.get(step.image, state.FULL_PACE_PERCENT)
+        pace = int(pace * common_share)
         if target_missed:
             # The learned interference does not explain the tail latencies.
             pace = min(pace, int(state.FULL_PACE_PERCENT * worker.trust))
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -429,6 +429,7 @@
     amount = step.amount
     if step.fills:
         worker.opportunistic_cpu_millis += sign * amount.cpu_millis
+        worker.paced_cpu_millis += sign * run.count_paced_cpu()
         amount = attrs.evolve(amount, cpu_millis=0)
     if sign > 0:
         worker.reserved = worker.reserved.plus(amount)
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -66,12 +66,13 @@
     """Returns the resources of a worker that are free for tasks of a step.
 
     For opportunistic tasks the processors are those that other tasks are
-    expected to leave unused; all other amounts are those not reserved.
+    expected to leave unused; all other amounts are those not reserved. A run
+    that is paced down leaves processors to images that disturb less.
     """
     free = worker.entry.capacity.minus(worker.reserved)
     if not step.fills:
         return free
-    cpu = estimate_idle_cpu(worker) - worker.opportunistic_cpu_millis
+    cpu = estimate_idle_cpu(worker) - worker.paced_cpu_millis
     return resources.Vector(cpu, free.memory_mb, free.accelerators)
 
 
@@ -121,7 +122,7 @@
         capacity, reserved = worker.entry.capacity, worker.reserved
         self.cpu_millis = capacity.cpu_millis - reserved.cpu_millis
         self.idle_cpu_millis = (
-            estimate_idle_cpu(worker) - worker.opportunistic_cpu_millis
+            estimate_idle_cpu(worker) - worker.paced_cpu_millis
         )
         self.memory_mb = capacity.memory_mb - reserved.memory_mb
         self.accelerators = capacity.accelerators - reserved.accelerators
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -132,6 +132,11 @@
     measurement: float = 0.0
     overloaded: bool = False
 
+    def count_paced_cpu(self) -> int:
+        """Returns the processors used at the target pace, in thousandths."""
+        cpu_millis = self.task.step.amount.cpu_millis
+        return cpu_millis * self.pace_percent // FULL_PACE_PERCENT
+
 
 @attrs.define(slots=True, eq=False)
 class Task:
@@ -279,6 +284,8 @@
             processors.
         opportunistic_cpu_millis: Processors that opportunistic runs request, in
             thousandths.
+        paced_cpu_millis: Processors that opportunistic runs use at their target
+            paces, in thousandths.
         serving_cpu_millis: Processors that runs with a target for their tail
             latency reserve, in thousandths.
         serving_load: Share of `serving_cpu_millis` that these runs use.
@@ -328,6 +335,7 @@
     processed_position: int = 0
     reserved: resources.Vector = attrs.field(factory=resources.Vector)
     opportunistic_cpu_millis: int = 0
+    paced_cpu_millis: int = 0
     serving_cpu_millis: int = 0
     serving_load: float = INITIAL_SERVING_LOAD
     abandoned_starts: dict[tuple[model.TaskName, int], float] = attrs.field(
