--- a/features/steps/architecture_steps.py
+++ b/features/steps/architecture_steps.py
@@ -101,8 +101,8 @@
     "sapphirestall_core.batch.instance",
     "sapphirestall_core.batch.model",
     "sapphirestall_core.batch.state",
+    "sapphirestall_core.batch.worker_list",
     "sapphirestall_core.batch.worker_messages",
-    "sapphirestall_core.batch.workers",
 }
 
 
--- a/features/steps/batch_contact_steps.py
+++ b/features/steps/batch_contact_steps.py
@@ -11,6 +11,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
 from standins import batch_world
@@ -143,7 +144,7 @@
 @behave.when("the worker leaves and joins again")
 def step(context):
     worker = context.partition.workers.pop("w-1")
-    entries = workers.EntriesRead((worker.entry,))
+    entries = worker_list.EntriesRead((worker.entry,))
     effects = instance.handle(entries, context.batch, builders.NOW)
     (context.current_poll,) = list_polls(effects)
 
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -21,6 +21,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
+from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
 
@@ -93,7 +94,7 @@
 
 
 def load_remaining(context, now=NOW):
-    entries = workers.EntriesRead((ENTRY,))
+    entries = worker_list.EntriesRead((ENTRY,))
     instance.handle(entries, context.batch, now)
     key = records.make_roster_key(PARTITION)
     # A former owner may have started runs on the worker.
@@ -622,7 +623,7 @@
 )
 def step(context, seconds):
     start_loading(context)
-    entries = workers.EntriesRead((ENTRY,))
+    entries = worker_list.EntriesRead((ENTRY,))
     instance.handle(entries, context.batch, NOW)
     answer(context, make_poll(context), worker_messages.Listing(60_000, (), ()))
     context.now = NOW + seconds
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -16,8 +16,8 @@
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
-from sapphirestall_core.batch import workers as core_workers
 from sapphirestall_entry import counters
 from sapphirestall_platform import call_report
 from sapphirestall_platform import documents
@@ -398,7 +398,7 @@
 @behave.then("each read passes on the valid worker")
 def step(context):
     entry = documents.decode_worker("w-1", ENTRY)
-    expected = core_workers.EntriesRead((entry,))
+    expected = worker_list.EntriesRead((entry,))
     assert context.events == [expected, expected], context.events
 
 
@@ -537,7 +537,7 @@
 
 @behave.then("the core is told that the list was not read")
 def step(context):
-    assert context.events == [core_workers.EntriesRead(None)], context.events
+    assert context.events == [worker_list.EntriesRead(None)], context.events
 
 
 def make_answer(fields):
--- a/packages/core/src/sapphirestall_core/batch/worker_list.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_list.py
@@ -9,6 +9,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import state
 
 # Longest time from the decision to start a task until the worker gets the
@@ -31,6 +32,17 @@
     """Reads the platform's list of workers."""
 
 
+@attrs.frozen
+class EntriesRead(messages.Event):
+    """Reports that a read of the platform's list of workers has ended.
+
+    Attributes:
+        entries: The listed workers; None if the read failed.
+    """
+
+    entries: tuple[model.WorkerEntry, ...] | None
+
+
 def read_entries(batch: state.Batch, now: float) -> dispatch.Effects:
     """Reads the platform's list of workers, unless a read is in flight."""
     if batch.workers_read_sent_at is not None:
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -34,17 +34,6 @@
 UNKNOWN_CLOCK_MS = 2**62
 
 
-@attrs.frozen
-class EntriesRead(messages.Event):
-    """Reports that a read of the platform's list of workers has ended.
-
-    Attributes:
-        entries: The listed workers; None if the read failed.
-    """
-
-    entries: tuple[model.WorkerEntry, ...] | None
-
-
 @attrs.frozen
 class EntriesDue(messages.Timer):
     """Timer to read the platform's list of workers again."""
@@ -79,9 +68,9 @@
     return effects + worker_list.read_entries(batch, now)
 
 
-@dispatch.handle.register(EntriesRead)
+@dispatch.handle.register(worker_list.EntriesRead)
 def apply_entries(
-    event: EntriesRead, batch: state.Batch, now: float
+    event: worker_list.EntriesRead, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Updates the known partitions and the workers of owned ones."""
     worker_list.finish_read(batch, succeeded=event.entries is not None)
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -24,7 +24,6 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
-from sapphirestall_core.batch import workers as core_workers
 from standins import batch_store
 from standins import batch_worker
 
@@ -516,7 +515,7 @@
     entries = None
     if world.reaches_store(node):
         entries = tuple(world.listed_workers.values())
-    event = core_workers.EntriesRead(entries)
+    event = worker_list.EntriesRead(entries)
     delay_s = world.worker_list_delay_s
     world.schedule(delay_s, lambda: world.deliver(node, event))
 
