Give up the runs of a draining worker only when they have ended

Cause: the entry of a draining worker that is cut off expires two to three heartbeats after the cut, and 2.5 s later its runs were taken as ended, up to 1.4 s before their leases end: a long-running task ran on two workers. Change: a worker counts as gone early only if its entry disappeared while it still answered, sooner than an entry can expire; otherwise its leases, or the longest ones that a former owner can have requested, must have ended. Draining workers are polled each 0.4 s, so that the last answer tells.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -146,3 +146,18 @@
     And jobs are submitted for 6 s
     Then nothing was started on that worker 2 s after its announcement
     And no invariant was violated
+
+  Scenario Outline: A draining worker that is cut off keeps its runs
+    Guards against tasks that run twice: the entry of a draining worker expired
+    while it was cut off, and <who> took the worker as gone, although the leases
+    of its runs had not ended.
+    Given an owner of three workers with long-running tasks
+    When a draining worker is cut off, its entry expires and <event>
+    And 12 s pass after the departure
+    Then no invariant was violated
+    And no task was without a run for more than 9 s
+
+    Examples:
+      | who           | event               |
+      | its owner     | its owner continues |
+      | a new owner   | its owner is killed |
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -490,3 +490,40 @@
     }
     assert context.world.starts > len(context.started)
     assert not late, late
+
+
+def wait_for_poll(context):
+    """Waits until a poll has just extended the leases on the worker."""
+    partition = find_owner(context).batch.partitions[DATA_CENTRE]
+    worker = partition.workers[context.worker_id]
+    for _ in range(200):
+        context.world.run(0.02)
+        if 0.01 < context.world.now - worker.polled_at < 0.05:
+            return
+    raise AssertionError("the worker was not polled")
+
+
+@behave.when("a draining worker is cut off, its entry expires and {event}")
+def step(context, event):
+    world = context.world
+    # The other workers have no room, so that its tasks stay on it.
+    for name, worker in world.workers.items():
+        if name != context.worker_id:
+            worker.entry = attrs.evolve(
+                worker.entry, capacity=resources.Vector(0, 0, 0)
+            )
+            world.listed_workers[name] = worker.entry
+    context.gaps.run(2.0)
+    world.drain_worker(context.worker_id)
+    wait_for_poll(context)
+    for node in world.nodes:
+        node.unreachable_workers.add(context.worker_id)
+    # Two of three heartbeats were missed: the last came just before the cut.
+    entry = world.listed_workers[context.worker_id]
+    world.schedule(
+        2 * world.limits.heartbeat_s,
+        lambda: world.listed_workers.pop(context.worker_id),
+    )
+    world.add_worker("w-new", DATA_CENTRE, entry.capacity.cpu_millis)
+    if event == "its owner is killed":
+        world.kill(find_owner(context))
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -43,6 +43,7 @@
     "bounds.drain_ms": "2000",
     "bounds.grace_s": "6",
     "bounds.config_apply_ms": "2000",
+    "heartbeat_ms": "1500",
     "limits.cpu_share": "0.43",
     "limits.cores": "2",
 }
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -20,7 +20,8 @@
 REFUSAL_PAUSE_S = 0.5
 # Longest wait of a long poll for the end of a run. The shorter time applies to
 # workers with tasks that have a tail latency target, because each answer also
-# carries latency measurements.
+# carries latency measurements, and to draining workers, because their last
+# answer tells whether they have left.
 LONG_POLL_S = 1.5
 LATENCY_LONG_POLL_S = 0.4
 # Refusal reason: another worker answers at the address, so this worker and its
@@ -178,7 +179,8 @@
     """Sends a long poll to a worker, unless one is in flight."""
     if worker.long_poll is not None:
         return []
-    wait_s = LATENCY_LONG_POLL_S if worker.serving_cpu_millis else LONG_POLL_S
+    is_short = worker.serving_cpu_millis or worker.entry.draining
+    wait_s = LATENCY_LONG_POLL_S if is_short else LONG_POLL_S
     lease_s = _choose_lease(batch, partition, now)
     call = make_poll(partition, worker, lease_s, now, wait_s)
     worker.long_poll = call.number
--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
@@ -25,6 +26,10 @@
 # 2 s after the outage if its worker still runs. A draining worker whose entry
 # is missing for longer has exited.
 REREGISTRATION_S = 2.5
+# Least number of heartbeat intervals between the time at which a worker is cut
+# off and the expiry of its entry: three without a heartbeat, of which the first
+# may have begun before, less a margin for heartbeats that come early.
+SILENT_HEARTBEATS = 1.8
 # Time after which an instance forgets a worker that the list lacks, in seconds.
 ABSENCE_RETENTION_S = 60.0
 
@@ -109,8 +114,10 @@
     """Returns whether a worker that announced its departure has exited.
 
     Its entry has been missing for `REREGISTRATION_S`, and it has answered no
-    call of this owner for as long. While no worker has answered an owner in
-    another data centre, a cut may hide workers that a former owner reaches.
+    call of this owner for as long. The entry of a worker that is only cut off
+    disappears too, so the runs there must also have ended. While no worker has
+    answered an owner in another data centre, a cut may hide workers that a
+    former owner reaches.
 
     Args:
         batch: State of this instance.
@@ -127,11 +134,45 @@
         if partition.first_answer_at is None:
             return False
         since = max(since, partition.first_answer_at)
+    if listed.absence.until - since < REREGISTRATION_S:
+        return False
     worker = partition.workers.get(name)
-    answered_at = worker.last_answer_at if worker is not None else None
-    if answered_at is not None and now - answered_at < REREGISTRATION_S:
+    if worker is None or worker.last_answer_at is None:
+        return listed.absence.until >= _find_runs_end(batch, since)
+    if now - worker.last_answer_at < REREGISTRATION_S:
         return False
-    return listed.absence.until - since >= REREGISTRATION_S
+    if since - worker.last_answer_at < _find_least_silence(batch):
+        return True
+    return leases.have_expired(
+        worker, batch.identity.limits.worker_lease_s, now
+    )
+
+
+def _find_least_silence(batch: state.Batch) -> float:
+    """Returns how long a worker is silent before its entry expires.
+
+    The entry of a worker that exits is removed at once.
+
+    Returns:
+        The shortest such time, in seconds.
+    """
+    return SILENT_HEARTBEATS * batch.identity.limits.heartbeat_s
+
+
+def _find_runs_end(batch: state.Batch, since: float) -> float:
+    """Returns when the runs on a worker that former owners polled have ended.
+
+    Args:
+        batch: State of this instance.
+        since: Monotonic time since which its entry is missing, in seconds.
+
+    Returns:
+        Monotonic time, in seconds, if the worker was cut off from the owners
+        when its heartbeats ended.
+    """
+    lease_s = leases.choose_run_lease(batch.identity.limits)
+    longest_s = lease_s / (1 - leases.MAX_CLOCK_DRIFT)
+    return since - _find_least_silence(batch) + longest_s
 
 
 def give_up_worker(
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -33,6 +33,8 @@
             end, in seconds.
         configuration_s: Time after which a new version of the configuration
             must be in force, in seconds.
+        heartbeat_s: Time between two heartbeats of a worker, in seconds. Its
+            entry in the platform's list expires after three without one.
     """
 
     worker_lease_s: float = 6.0
@@ -41,6 +43,7 @@
     drain_s: float = 2.0
     grace_s: float = 6.0
     configuration_s: float = 2.0
+    heartbeat_s: float = 1.1
 
 
 @attrs.frozen
