Let the core count the time for which its machine was suspended

Cause: the core read the monotonic clock, which stands still while a machine is suspended. Fencing tokens kept it from harm only where its successor had already called a worker.

--- a/features/steps/worker_calls_steps.py
+++ b/features/steps/worker_calls_steps.py
@@ -6,14 +6,18 @@
 import socket
 import time
 import types
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
 import behave
 
+from sapphirestall_core import messages
 from sapphirestall_core import request_messages
 from sapphirestall_core import task_messages
+from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_entry import converters
 from sapphirestall_entry import counters as counters_module
@@ -23,6 +27,7 @@
 from sapphirestall_entry import workers as entry_workers
 from sapphirestall_platform import call_report
 from sapphirestall_platform import composition
+from sapphirestall_platform import settings
 from sapphirestall_platform import transport
 from sapphirestall_platform import workers
 
@@ -354,3 +359,43 @@
     found = [type(event) for event in context.events]
     expected = [task_messages.WorkerFailed, request_messages.HealthUnread]
     assert found == expected, context.events
+
+
+@behave.given("a process of the platform")
+def step(context):
+    loaded = settings.Settings(
+        "e-1",
+        "north",
+        "127.0.0.1:0",
+        "127.0.0.1:0",
+        "127.0.0.1:1",
+        state.Limits(),
+    )
+    context.process = composition.build(loaded, None, None, None)
+
+
+@behave.when("its machine is suspended for {seconds:g} s between two events")
+def step(context, seconds):
+    read = time.clock_gettime
+    context.times = []
+    context.suspended_s = seconds
+
+    def handle(event, core, now):
+        context.times.append(now)
+        return []
+
+    def read_later(clock):
+        # Of these clocks only the monotonic one leaves out a suspension.
+        is_monotonic = clock == time.CLOCK_MONOTONIC
+        return read(clock) + (0.0 if is_monotonic else seconds)
+
+    with mock.patch.object(instance, "handle", handle):
+        context.process.feed(messages.Started())
+        with mock.patch.object(time, "clock_gettime", read_later):
+            context.process.feed(messages.Started())
+
+
+@behave.then("at least {seconds:g} s have passed for the core")
+def step(context, seconds):
+    before, after = context.times
+    assert after - before >= seconds, context.times
--- a/features/worker_calls.feature
+++ b/features/worker_calls.feature
@@ -6,6 +6,14 @@
     When a loop runs its timers 0.5 s late for 12 s
     Then 3 log lines report it, with "worst_s=0.5"
 
+  Scenario: The time for which a machine was suspended counts
+    Guards against a process that acts on a store lease, or on a list of workers,
+    that expired while its machine was suspended: the monotonic clock stands
+    still meanwhile.
+    Given a process of the platform
+    When its machine is suspended for 8 s between two events
+    Then at least 8 s have passed for the core
+
   Scenario: Log lines beyond a limit are dropped and counted
     Guards against an overload that is made worse by the log lines about it.
     When a process writes 1500 log lines at once
