Check the condition before the time in a wait of the callers' tests

A stall of the process lets the time limit of the wait and the timer that makes its condition true fire in one iteration, and the limit won. A script that blocks the loop past the limit shows it: the old wait raises TimeoutError, the new one returns. Change: the wait looks at the condition before the time. Its limit stays 10 s.

--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -76,9 +76,13 @@
 
 
 async def wait_until(check):
-    async with asyncio.timeout(10):
-        while not check():
-            await asyncio.sleep(0.01)
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + 10
+    # The condition is checked before the time: both may have come true while
+    # the process was stalled.
+    while not check():
+        assert loop.time() < deadline, "the condition did not come true in 10 s"
+        await asyncio.sleep(0.01)
 
 
 @behave.when("callers: {name} is sent")
