--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -78,10 +78,12 @@
 async def wait_until(check):
     loop = asyncio.get_running_loop()
     deadline = loop.time() + 10
-    # The condition is checked before the time: both may have come true while
-    # the process was stalled.
+    expired = False
     while not check():
-        assert loop.time() < deadline, "the condition did not come true in 10 s"
+        assert not expired, "the condition did not come true in 10 s"
+        # After a stall of the process, timers that were due before the deadline
+        # run in the next iteration, so the condition is checked once more.
+        expired = loop.time() >= deadline
         await asyncio.sleep(0.01)
 
 
