Let a restarted owner know that its former process has ended

Cause: an owner that takes over waits 9.1 s from the first answer of a worker for runs on workers that send no listing, of which 3 s are for a former owner that has not noticed its successor yet. Partitions go back to the same instance often, as the delay of an acquisition is a hash of both: then the former owner was an earlier process of the same instance, whose calls ended before this one started. Change: the roster names the process that wrote it, with its address, and whether that owner knew of all former runs. A new owner at the same name and address waits only until the leases that such a process can have requested have ended. Ruled out: a shorter notice or lease, which would not reach the bound and would let runs lapse at takeovers.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -161,3 +161,13 @@
       | who           | event               |
       | its owner     | its owner continues |
       | a new owner   | its owner is killed |
+
+  Scenario: A crash of a worker together with a kill of its owner
+    Guards against tasks without a run for 11 s and more: the successor, which was
+    the same instance started again, waited as if its own former process could
+    still extend the leases of the worker that had crashed.
+    Given the only instance with long-running tasks on three workers
+    When a worker crashes, its owner is killed and starts again 1.5 s later
+    And 14 s pass after the departure
+    Then no task was without a run for more than 9 s
+    And no invariant was violated
--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -269,3 +269,18 @@
     And the start of the task is not answered
     And a listing with the run arrives, and then an older one without it
     Then the run is still known on the worker
+
+  Scenario Outline: Only an earlier process of the same instance is known to be gone
+    Guards against tasks that run twice: another owner may still extend leases on
+    workers that send no listing, also one before an owner of this instance that
+    had not learned of all its runs.
+    Given a new owner whose roster was written by <process>, <settled>
+    Then former runs on silent workers are awaited for <seconds> s from its start
+
+    Examples:
+      | process                                     | settled     | seconds |
+      | an earlier process of the same instance     | settled     | 6.1     |
+      | an earlier process of the same instance     | not settled | 9.1     |
+      | a process of the same name at other address | settled     | 9.1     |
+      | a process of another instance               | settled     | 9.1     |
+      | this process                                | settled     | 9.1     |
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -527,3 +527,27 @@
     world.add_worker("w-new", DATA_CENTRE, entry.capacity.cpu_millis)
     if event == "its owner is killed":
         world.kill(find_owner(context))
+
+
+@behave.given("the only instance with long-running tasks on three workers")
+def step(context):
+    world = batch_world.BatchWorld(1)
+    for number in range(3):
+        world.add_worker(f"w-{number}", DATA_CENTRE, 8000)
+    world.add_node("e-0", DATA_CENTRE)
+    world.run(START_S)
+    context.world = world
+    submit_long_running_tasks(context, 6)
+
+
+@behave.when(
+    "a worker crashes, its owner is killed and starts again {seconds:g} s later"
+)
+def step(context, seconds):
+    world = context.world
+    context.gaps.run(2.0)
+    del world.workers[context.worker_id]
+    world.schedule(4.5, lambda: world.listed_workers.pop(context.worker_id))
+    world.kill(find_owner(context))
+    context.gaps.run(seconds)
+    world.add_node("e-0", DATA_CENTRE)
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -93,12 +93,13 @@
     return reply(context, purpose, store_messages.Listed((), TOKEN + 1))
 
 
-def load_remaining(context, now=NOW):
+def load_remaining(context, now=NOW, owner="", settled=False):
     entries = worker_list.EntriesRead((ENTRY,))
     instance.handle(entries, context.batch, now)
     key = records.make_roster_key(PARTITION)
-    # A former owner may have started runs on the worker.
-    roster = records.RosterRecord(0, (ENTRY.worker_id,))
+    # A former owner may have started runs on these workers.
+    names = (ENTRY.worker_id, "w-silent") if owner else (ENTRY.worker_id,)
+    roster = records.RosterRecord(0, names, (), owner, settled)
     effects = reply(
         context,
         takeover.RosterRead(PARTITION, TOKEN),
@@ -921,3 +922,38 @@
     for listing in answers:
         contact.short_poll(context.batch, context.partition, worker, NOW + 1.0)
         answer(context, make_poll(context), listing, NOW + 1.0)
+
+
+OWNERS = {
+    "an earlier process of the same instance": "e-1@e-1:1/0",
+    "a process of the same name at other address": "e-1@e-9:1/0",
+    "a process of another instance": "e-2@e-2:1/0",
+    "this process": "e-1@e-1:1/1",
+}
+
+
+@behave.given("a new owner whose roster was written by {process}, {settled}")
+def step(context, process, settled):
+    make_instance(context)
+    context.batch.identity = state.Identity(
+        "e-1", "1", PARTITION, address="e-1:1"
+    )
+    context.batch.started_at = NOW
+    ownership.start_ownership(context.batch, PARTITION, TOKEN, NOW)
+    context.partition = context.batch.partitions[PARTITION]
+    deliver_no_progress(context)
+    listed = store_messages.Listed((make_owner(TOKEN),), TOKEN + 1)
+    reply(context, live_records.JobsRead(PARTITION, TOKEN), listed)
+    load_remaining(context, NOW, OWNERS[process], settled == "settled")
+    listing = worker_messages.Listing(1000, (), ())
+    answer(context, make_poll(context), listing)
+
+
+@behave.then(
+    "former runs on silent workers are awaited for {seconds:g} s from its start"
+)
+def step(context, seconds):
+    partition = context.partition
+    assert partition.unlisted_workers == {"w-silent"}
+    waited_s = partition.former_runs_end_at - context.batch.started_at
+    assert abs(waited_s - seconds) < 0.1, waited_s
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -9,7 +9,8 @@
 reads of its successor in the store. If a network fault separates it and its
 workers from the store, it learns of the successor only when the successor
 reaches one of these workers. The wait therefore begins at the first answer of a
-worker.
+worker. It is shorter if the former owner was an earlier process of the same
+instance, whose calls ended before this process started.
 """
 
 from sapphirestall_core.batch import leases
@@ -64,10 +65,13 @@
         now: Monotonic time, in seconds.
     """
     assert partition.active_at is not None
-    if partition.first_answer_at is None:
-        return now + UNREACHABLE_S
     longest_s = lease_s / (1 - leases.MAX_CLOCK_DRIFT)
-    runs_end_at = partition.first_answer_at + longest_s + OWNER_NOTICE_S
+    if partition.former_owner_ended_at is not None:
+        runs_end_at = partition.former_owner_ended_at + longest_s
+    elif partition.first_answer_at is None:
+        return now + UNREACHABLE_S
+    else:
+        runs_end_at = partition.first_answer_at + longest_s + OWNER_NOTICE_S
     # Listings also tell which runs have ended and how, so they are awaited even
     # if the leases expire earlier.
     return max(runs_end_at, partition.active_at + LISTING_WAIT_S)
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -81,6 +81,7 @@
     event: messages.Started, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Logs the start and sets the timers of periodic work."""
+    batch.started_at = now
     timers = (
         configuration.ConfigurationDue(),
         ownership.LeaseDue(),
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -171,11 +171,17 @@
         generation: Number of owners that the partition has had.
         workers: Ids of the workers.
         draining: Ids of those that have announced their departure.
+        owner: Process of the owner that wrote the record; empty if it is not
+            known.
+        settled: Whether this owner knew that no runs of former owners were left
+            that no listing had shown.
     """
 
     generation: int
     workers: tuple[str, ...] = ()
     draining: tuple[str, ...] = ()
+    owner: str = ""
+    settled: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -59,6 +59,8 @@
         limits: Time limits of the deployment.
         processors: Number of processors that the instance may use. An instance
             with more processors acquires more partitions.
+        address: Address at which the instance serves callers, as host:port. Two
+            processes with the same name and address never run at a time.
     """
 
     instance_id: str
@@ -67,6 +69,7 @@
     wall_clock_offset_s: float = 0.0
     limits: Limits = attrs.field(factory=Limits)
     processors: float = 1.0
+    address: str = ""
 
 
 class RunPhase(enum.Enum):
@@ -383,6 +386,8 @@
         generation: Number of owners that the partition has had.
         roster: Workers on which runs may exist, as written to the store.
         roster_draining: Workers that the roster names as draining.
+        roster_settled: Whether the roster says that no runs of former owners
+            are left that no listing has shown.
         roster_revision: Store revision of the roster; None before it was read.
         roster_write_in_flight: Whether a write of the roster is in flight.
         workers_listed: Whether the platform's list of workers was read.
@@ -391,6 +396,9 @@
         former_draining_workers: Workers that a former owner stored as draining.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
+        former_owner_ended_at: Monotonic time before which the former owner's
+            process, and all before it, had ended, in seconds; None if that is
+            not known.
         released_generation: Generation of the owner that wrote the release that
             was read; -1 before one was read.
         former_leases_end_at: By worker, monotonic time at which the leases
@@ -433,12 +441,14 @@
     generation: int = 0
     roster: frozenset[str] = frozenset()
     roster_draining: frozenset[str] = frozenset()
+    roster_settled: bool = False
     roster_revision: int | None = None
     roster_write_in_flight: bool = False
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
     former_draining_workers: set[str] = attrs.field(factory=set)
     former_runs_end_at: float = math.inf
+    former_owner_ended_at: float | None = None
     released_generation: int = -1
     former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
     first_answer_at: float | None = None
@@ -554,6 +564,7 @@
 
     Attributes:
         identity: Identity and fixed properties of this instance.
+        started_at: Monotonic time at which this process started, in seconds.
         configuration: Newest configuration; None before the first.
         interference: Learned interference between images on one worker.
         calls: Callers' calls that wait for the store, by call id.
@@ -598,6 +609,7 @@
     """
 
     identity: Identity
+    started_at: float = 0.0
     configuration: model.Configuration | None = None
     interference: interference_module.InterferenceModel = attrs.field(
         factory=interference_module.InterferenceModel
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -159,6 +159,10 @@
             partition.generation = max(
                 partition.generation, outcome.value.generation
             )
+            if outcome.value.settled and ownership.was_former_process(
+                batch, outcome.value.owner
+            ):
+                partition.former_owner_ended_at = batch.started_at
         elif outcome.value.generation > partition.generation:
             return ownership.resign(batch, partition.name, "other_owner", now)
         partition.roster_revision = outcome.revision
@@ -174,8 +178,9 @@
 
     A worker gets runs only after a roster that names it was written, so that
     a successor knows where runs may exist. The roster also names the workers
-    that drain, so that a successor does not wait for those that have left. The
-    first write of an owner also raises the generation.
+    that drain, so that a successor does not wait for those that have left, and
+    whether runs of former owners may be left. The first write of an owner also
+    raises the generation.
     """
     if (
         partition.roster_write_in_flight
@@ -186,13 +191,22 @@
     loading = partition.phase is state.Phase.LOADING
     names = frozenset(partition.workers) | partition.unlisted_workers
     draining = departures.list_draining_workers(partition)
-    written = (partition.roster, partition.roster_draining)
-    if not loading and (names, draining) == written:
+    settled = not loading and not partition.unlisted_workers
+    written = (
+        partition.roster,
+        partition.roster_draining,
+        partition.roster_settled,
+    )
+    if not loading and (names, draining, settled) == written:
         return []
     partition.roster_write_in_flight = True
     generation = partition.generation + (1 if loading else 0)
     roster = records.RosterRecord(
-        generation, tuple(sorted(names)), tuple(sorted(draining))
+        generation,
+        tuple(sorted(names)),
+        tuple(sorted(draining)),
+        ownership.make_process_id(batch),
+        settled,
     )
     key = records.make_roster_key(partition.name)
     expected = (
@@ -237,6 +251,7 @@
     partition.roster_revision = outcome.revision
     partition.roster = frozenset(purpose.roster.workers)
     partition.roster_draining = frozenset(purpose.roster.draining)
+    partition.roster_settled = purpose.roster.settled
     partition.generation = purpose.roster.generation
     return [
         *activate(batch, partition, now),
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -178,6 +178,7 @@
             0.0,
             self.limits,
             processors,
+            f"{name}:1",
         )
         node = Node(name, instance.build(identity))
         self.nodes.append(node)
