Repeat a read of the list of workers whose result is missing

Cause: an unexpected error in a read of the list left it in flight for good. Change: a read without a result for 6 s is repeated, and each result names when its read was sent, so that a late one does not count as newer than it is.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -171,3 +171,11 @@
     And 14 s pass after the departure
     Then no task was without a run for more than 9 s
     And no invariant was violated
+
+  Scenario: A read of the list of workers that never ends is repeated
+    Guards against an owner that starts nothing any more because an unexpected
+    error ended one read of the list without a result.
+    Given an owner of three workers with short tasks
+    When the result of a read of the list is lost
+    And 8 s pass after the departure
+    Then the owner has read the list in the last 2 s
--- a/features/steps/batch_contact_steps.py
+++ b/features/steps/batch_contact_steps.py
@@ -144,7 +144,7 @@
 @behave.when("the worker leaves and joins again")
 def step(context):
     worker = context.partition.workers.pop("w-1")
-    entries = worker_list.EntriesRead((worker.entry,))
+    entries = worker_list.EntriesRead((worker.entry,), builders.NOW)
     effects = instance.handle(entries, context.batch, builders.NOW)
     (context.current_poll,) = list_polls(effects)
 
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -124,6 +124,8 @@
     world.run_duration_s = (0.5, 0.5)
     amount = resources.Vector(1000, 100, 0)
     world.submit(world.nodes[0], JOB, model.Step(8, amount))
+    tasks = [model.TaskName(JOB, 0, 0, index) for index in range(8)]
+    context.gaps = TaskGaps(world, tasks)
 
 
 @behave.when(
@@ -551,3 +553,16 @@
     world.kill(find_owner(context))
     context.gaps.run(seconds)
     world.add_node("e-0", DATA_CENTRE)
+
+
+@behave.when("the result of a read of the list is lost")
+def step(context):
+    batch = find_owner(context).batch
+    # The owner takes a read as in flight whose result will never come.
+    batch.workers_read_sent_at = context.world.now
+
+
+@behave.then("the owner has read the list in the last {seconds:g} s")
+def step(context, seconds):
+    listed_at = find_owner(context).batch.workers_listed_at
+    assert context.world.now - listed_at <= seconds, listed_at
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -94,7 +94,7 @@
 
 
 def load_remaining(context, now=NOW, owner="", settled=False):
-    entries = worker_list.EntriesRead((ENTRY,))
+    entries = worker_list.EntriesRead((ENTRY,), NOW + 60.0)
     instance.handle(entries, context.batch, now)
     key = records.make_roster_key(PARTITION)
     # A former owner may have started runs on these workers.
@@ -624,7 +624,7 @@
 )
 def step(context, seconds):
     start_loading(context)
-    entries = worker_list.EntriesRead((ENTRY,))
+    entries = worker_list.EntriesRead((ENTRY,), NOW + 60.0)
     instance.handle(entries, context.batch, NOW)
     answer(context, make_poll(context), worker_messages.Listing(60_000, (), ()))
     context.now = NOW + seconds
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -399,8 +399,8 @@
 @behave.then("each read passes on the valid worker")
 def step(context):
     entry = documents.decode_worker("w-1", ENTRY)
-    expected = worker_list.EntriesRead((entry,))
-    assert context.events == [expected, expected], context.events
+    lists = [event.entries for event in context.events]
+    assert lists == [(entry,), (entry,)], context.events
 
 
 @behave.then(
@@ -538,7 +538,9 @@
 
 @behave.then("the core is told that the list was not read")
 def step(context):
-    assert context.events == [worker_list.EntriesRead(None)], context.events
+    (event,) = context.events
+    assert isinstance(event, worker_list.EntriesRead), event
+    assert event.entries is None, event
 
 
 def make_answer(fields):
--- a/packages/core/src/sapphirestall_core/batch/worker_list.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_list.py
@@ -22,6 +22,9 @@
 # workers. Reads are then recent unless one takes unusually long.
 READ_INTERVAL_SHARE = 0.4
 MAX_READ_INTERVAL_S = 1.0
+# A read without a result for this long, in seconds, has failed unexpectedly.
+# Without another one, an owner would never start tasks again.
+READ_LOST_S = 6.0
 # Interval of reads of an instance that owns no partition and only has to detect
 # new ones.
 IDLE_READ_INTERVAL_S = 3.0
@@ -38,24 +41,27 @@
 
     Attributes:
         entries: The listed workers; None if the read failed.
+        sent_at: Monotonic time at which the read was sent, in seconds.
     """
 
     entries: tuple[model.WorkerEntry, ...] | None
+    sent_at: float
 
 
 def read_entries(batch: state.Batch, now: float) -> dispatch.Effects:
     """Reads the platform's list of workers, unless a read is in flight."""
-    if batch.workers_read_sent_at is not None:
+    sent_at = batch.workers_read_sent_at
+    if sent_at is not None and now - sent_at < READ_LOST_S:
         return []
     batch.workers_read_sent_at = now
     return [ReadEntries()]
 
 
-def finish_read(batch: state.Batch, *, succeeded: bool) -> None:
+def finish_read(batch: state.Batch, event: EntriesRead) -> None:
     """Records the end of a read."""
-    if succeeded:
-        batch.workers_listed_at = batch.workers_read_sent_at
     batch.workers_read_sent_at = None
+    if event.entries is not None:
+        batch.workers_listed_at = event.sent_at
 
 
 def choose_interval(batch: state.Batch) -> float:
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -73,7 +73,7 @@
     event: worker_list.EntriesRead, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Updates the known partitions and the workers of owned ones."""
-    worker_list.finish_read(batch, succeeded=event.entries is not None)
+    worker_list.finish_read(batch, event)
     if event.entries is None:
         departures.restart_absences(batch)
         return []
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -516,7 +516,7 @@
     entries = None
     if world.reaches_store(node):
         entries = tuple(world.listed_workers.values())
-    event = worker_list.EntriesRead(entries)
+    event = worker_list.EntriesRead(entries, world.now)
     delay_s = world.worker_list_delay_s
     world.schedule(delay_s, lambda: world.deliver(node, event))
 
