--- a/features/batch_restarts.feature
+++ b/features/batch_restarts.feature
@@ -23,6 +23,10 @@
       | 322  | 1      |
       | 634  | 2      |
       | 700  | 2      |
+      | 9040 | 2      |
+      | 9059 | 2      |
+      | 9073 | 2      |
+      | 9038 | 2      |
 
   Scenario Outline: Long-running tasks run again after a data centre was cut off
     Guards against tasks without a run for 10 s and more after a data centre was
