Call leaving workers that have lost the store before giving up their runs

Cause: has_left took the runs of a draining worker as ended from one fact, how long its entry had been missing. The worker had lost only the store, its owner extended the lease until SIGTERM, and the release said so. The next owner neither asked the release nor could call the worker, whose address only the list told. The owner itself concluded the same 2.5 s after it lost such a worker, since an answer after the entry had disappeared counted as an exit.

Change: the roster holds the entries of its workers, and a new owner calls those that the list lacks. A worker that never answered it has left when the former owner's leases have ended, by its release or by when its key was found gone. Also: a release that is read again does not postpone its leases, and an answer 421 ends the wait for former runs.

Tests: six new scenarios of batch_departure.feature failed before the change and pass now; so do the earlier ones, with their bounds.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -162,6 +162,33 @@
       | its owner     | its owner continues |
       | a new owner   | its owner is killed |
 
+  Scenario Outline: A draining worker that only its owner reaches keeps its runs
+    Guards against tasks that run twice: the entry of a draining worker expired
+    because it had lost the store, its owner extended the leases of its runs, and
+    <who> took the worker as gone without calling it.
+    Given an owner of three workers with long-running tasks
+    When a draining worker loses the store for 8 s and then <event>
+    And 12 s pass after the departure
+    Then no invariant was violated
+    And no task was without a run for more than 9 s
+
+    Examples:
+      | who         | event                                               |
+      | a new owner | its owner shuts down                                |
+      | a new owner | its owner is killed                                 |
+      | a new owner | its owner shuts down and no instance reaches it     |
+      | a new owner | its owner is killed and no instance reaches it      |
+      | its owner   | no instance reaches it                              |
+
+  Scenario: A new owner continues the runs of a worker that has lost the store
+    Guards against runs that lapse, though their worker is sound and answers,
+    because only the platform's list told a new owner where to call it.
+    Given an owner of three workers with long-running tasks
+    When a worker loses the store for 8 s and then its owner is killed
+    And 12 s pass after the departure
+    Then no task was without a run for more than 0 s
+    And no invariant was violated
+
   Scenario: A crash of a worker together with a kill of its owner
     Guards against tasks without a run for 11 s and more: the successor, which was
     the same instance started again, waited as if its own former process could
--- a/features/batch_restarts.feature
+++ b/features/batch_restarts.feature
@@ -42,3 +42,19 @@
       | 2    |
       | 5    |
       | 14   |
+
+  Scenario Outline: Workers that lose the store run each task once
+    Guards against tasks that run twice, or wait too long, after a worker was cut
+    off from the store alone, while it drained, its owner was restarted or killed,
+    or no instance reached it.
+    Given a random deployment with long-running jobs, by seed <seed>
+    When single workers are cut off from the store in <rounds> rounds
+    Then no invariant was violated
+    And every long-running task was restarted in time
+
+    Examples:
+      | seed | rounds |
+      | 1    | 2      |
+      | 6    | 2      |
+      | 13   | 2      |
+      | 18   | 2      |
--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -69,6 +69,20 @@
     And another worker answers at its address
     Then the task of the run is queued again
 
+  Scenario: Another worker at the address ends the wait for former runs
+    Guards against jobs that wait for runs of a former owner although their
+    worker has been replaced.
+    Given an active owner that waits for former runs on a worker
+    When another worker answers at its address
+    Then no former run is waited for
+
+  Scenario: A release that is read again does not extend its leases
+    Guards against jobs that wait again for leases that a former owner released,
+    because a failed watch made the new owner read the release once more.
+    Given an active owner that waits for former runs on a worker
+    When it reads a release of 4 s, and the same release 3 s later
+    Then it waits for the leases until 4 s after the first read
+
   Scenario: A job continues after a failed read that follows a failed move
     Guards against a job that is never started again after its move
     conflicted and a read of its record failed.
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -505,10 +505,9 @@
     raise AssertionError("the worker was not polled")
 
 
-@behave.when("a draining worker is cut off, its entry expires and {event}")
-def step(context, event):
+def remove_capacity_elsewhere(context):
+    """Leaves the other workers no room, so that no task moves to them."""
     world = context.world
-    # The other workers have no room, so that its tasks stay on it.
     for name, worker in world.workers.items():
         if name != context.worker_id:
             worker.entry = attrs.evolve(
@@ -516,21 +515,72 @@
             )
             world.listed_workers[name] = worker.entry
     context.gaps.run(2.0)
+
+
+def expire_entry(context, heartbeats):
+    """Removes the worker's entry after a number of missed heartbeats."""
+    world = context.world
+    world.schedule(
+        heartbeats * world.limits.heartbeat_s,
+        lambda: world.listed_workers.pop(context.worker_id),
+    )
+
+
+def isolate_worker(context):
+    for node in context.world.nodes:
+        node.unreachable_workers.add(context.worker_id)
+
+
+@behave.when("a draining worker is cut off, its entry expires and {event}")
+def step(context, event):
+    world = context.world
+    remove_capacity_elsewhere(context)
     world.drain_worker(context.worker_id)
     wait_for_poll(context)
-    for node in world.nodes:
-        node.unreachable_workers.add(context.worker_id)
+    isolate_worker(context)
     # Two of three heartbeats were missed: the last came just before the cut.
     entry = world.listed_workers[context.worker_id]
-    world.schedule(
-        2 * world.limits.heartbeat_s,
-        lambda: world.listed_workers.pop(context.worker_id),
-    )
+    expire_entry(context, 2)
     world.add_worker("w-new", DATA_CENTRE, entry.capacity.cpu_millis)
     if event == "its owner is killed":
         world.kill(find_owner(context))
 
 
+def lose_store(context, seconds):
+    """Cuts the worker from the store, but not from its owner."""
+    expire_entry(context, 3)
+    context.gaps.run(seconds)
+
+
+@behave.when(
+    "a draining worker loses the store for {seconds:g} s and then {event}"
+)
+def step(context, seconds, event):
+    world = context.world
+    remove_capacity_elsewhere(context)
+    world.drain_worker(context.worker_id)
+    wait_for_list(context)
+    entry = world.listed_workers[context.worker_id]
+    lose_store(context, seconds)
+    wait_for_poll(context)
+    owner = find_owner(context)
+    if "no instance reaches it" in event:
+        isolate_worker(context)
+    if "shuts down" in event:
+        world.deliver(owner, messages.ShutdownRequested())
+    elif "is killed" in event:
+        world.kill(owner)
+    world.add_worker("w-new", DATA_CENTRE, entry.capacity.cpu_millis)
+
+
+@behave.when(
+    "a worker loses the store for {seconds:g} s and then its owner is killed"
+)
+def step(context, seconds):
+    lose_store(context, seconds)
+    context.world.kill(find_owner(context))
+
+
 @behave.given("the only instance with long-running tasks on three workers")
 def step(context):
     world = batch_world.BatchWorld(1)
--- a/features/steps/batch_restarts_steps.py
+++ b/features/steps/batch_restarts_steps.py
@@ -29,6 +29,11 @@
     context.restarts.run(rounds)
 
 
+@behave.when("single workers are cut off from the store in {rounds:d} rounds")
+def step(context, rounds):
+    context.restarts.run_store_cuts(rounds)
+
+
 @behave.then("every long-running task was restarted in time")
 def step(context):
     scenario = context.restarts
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
@@ -286,6 +287,36 @@
     answer(context, make_poll(context), worker_messages.Rejected("replaced"))
 
 
+@behave.given("an active owner that waits for former runs on a worker")
+def step(context):
+    context.execute_steps("Given an active owner that has just called a worker")
+    context.partition.unlisted_workers.add(ENTRY.worker_id)
+
+
+@behave.then("no former run is waited for")
+def step(context):
+    assert not context.partition.unlisted_workers
+
+
+@behave.when(
+    "it reads a release of {lease_s:d} s, and the same release {later_s:d} s"
+    " later"
+)
+def step(context, lease_s, later_s):
+    generation = context.partition.generation - 1
+    lease_ms = {ENTRY.worker_id: lease_s * 1000}
+    record = records.ReleaseRecord(generation, lease_ms)
+    for now in (NOW, NOW + later_s):
+        releases.observe_release(context.partition, record, now)
+
+
+@behave.then("it waits for the leases until {seconds:d} s after the first read")
+def step(context, seconds):
+    name = ENTRY.worker_id
+    lease_end = releases.find_lease_end(context.partition, name)
+    assert lease_end == NOW + seconds, lease_end
+
+
 @behave.when("the move of a waiting job conflicts")
 def step(context):
     job = context.partition.jobs[JOB]
--- a/features/steps/worker_calls_steps.py
+++ b/features/steps/worker_calls_steps.py
@@ -1,6 +1,7 @@
 """Steps for worker_calls.feature."""
 
 import asyncio
+import errno
 import logging
 import os
 import socket
@@ -266,6 +267,32 @@
     context.reply = workers.classify_failure(TimeoutError(), USAGES[what])
 
 
+CALL_ERRORS = {
+    "a server disconnect": aiohttp.ServerDisconnectedError(),
+    "a connection reset": ConnectionResetError(errno.ECONNRESET, "reset"),
+    "a time-out": TimeoutError(),
+    "a connect time-out": aiohttp.ConnectionTimeoutError(),
+    "an unreachable host": OSError(errno.EHOSTUNREACH, "no route"),
+}
+
+
+@behave.when("a call ends with {error}")
+def step(context, error):
+    usage = transport.ConnectionUsage(connected=True)
+    context.reply = workers.classify_failure(CALL_ERRORS[error], usage)
+
+
+@behave.then("its reply tells that the connection was {how}")
+def step(context, how):
+    assert context.reply.closed is (how == "closed"), context.reply
+
+
+@behave.then("its connection was closed by the worker's host")
+def step(context):
+    ((event, _),) = context.replies
+    assert event.reply.closed, event.reply
+
+
 @behave.then("its reply is {name:w}, with a cause {where:w} this process")
 def step(context, name, where):
     assert type(context.reply).__name__ == name, context.reply
--- a/features/worker_calls.feature
+++ b/features/worker_calls.feature
@@ -73,6 +73,20 @@
     Given an address on which no worker listens
     When 1 commands are sent to it at once
     Then 1 reply is NotSent with a cause outside this process
+    And its connection was closed by the worker's host
+
+  Scenario Outline: A closed connection is told from silence
+    Guards against taking a worker that is cut off as one that has exited.
+    When a call ends with <error>
+    Then its reply tells that the connection was <how>
+
+    Examples:
+      | error                   | how        |
+      | a server disconnect     | closed     |
+      | a connection reset      | closed     |
+      | a time-out              | not closed |
+      | a connect time-out      | not closed |
+      | an unreachable host     | not closed |
 
   Scenario: Commands do not wait for long polls
     Guards against starts that get no answer because long polls use all
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -54,6 +54,14 @@
     return partition, worker
 
 
+def make_worker(entry: model.WorkerEntry) -> state.Worker:
+    """Returns the state of a worker that was not called yet."""
+    target = worker_messages.Target(
+        entry.worker_id, entry.started_at_ms, entry.address
+    )
+    return state.Worker(entry, target)
+
+
 def record_answer(
     worker: state.Worker, clock_ms: int | None, now: float
 ) -> None:
@@ -99,6 +107,7 @@
         return ownership.resign(batch, partition.name, ownership.FENCED, now)
     if reply.reason == REPLACED:
         worker.unresponsive = True
+        partition.unlisted_workers.discard(worker.entry.worker_id)
         return requeue_lost_runs(partition, worker, REPLACED, now)
     stops: dispatch.Effects = []
     if reply.reason == RESTARTED and worker.restarted_at is None:
--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Collection
+import math
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import commands
@@ -20,6 +21,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 
 # An entry that disappeared while the store was unavailable returns within about
@@ -113,10 +115,11 @@
     """Returns whether a worker that announced its departure has exited.
 
     Its entry has been missing for `REREGISTRATION_S`, and it has answered no
-    call of this owner for as long. The entry of a worker that is only cut off
-    disappears too, so the runs there must also have ended. While no worker has
-    answered an owner in another data centre, a cut may hide workers that a
-    former owner reaches.
+    call of this owner for as long. The entry of a worker that has only lost the
+    store disappears too, so the runs there must also have ended: either the
+    worker gave the signs of an exit, or the leases that this owner or a former
+    one extended have expired. While no worker has answered an owner in another
+    data centre, a cut may hide workers that a former owner reaches.
 
     Args:
         batch: State of this instance.
@@ -137,16 +140,33 @@
         return False
     worker = partition.workers.get(name)
     if worker is None or worker.last_answer_at is None:
-        return listed.absence.until >= _find_runs_end(batch, since)
+        return now >= _find_former_runs_end(batch, partition, name, since)
     if now - worker.last_answer_at < REREGISTRATION_S:
         return False
-    if since - worker.last_answer_at < _find_least_silence(batch):
-        return True
-    return leases.have_expired(
-        worker, batch.identity.limits.worker_lease_s, now
+    lease_s = batch.identity.limits.worker_lease_s
+    return _has_exited(batch, worker, since) or leases.have_expired(
+        worker, lease_s, now
     )
 
 
+def _has_exited(batch: state.Batch, worker: state.Worker, since: float) -> bool:
+    """Returns whether the last sign of a worker was that of an exit.
+
+    A worker that exits closes its connections, and its entry is removed at
+    once. A cut is silent, and the entry expires only after some heartbeats; a
+    worker that answers while its entry is missing has lost the store.
+
+    Args:
+        batch: State of this instance.
+        worker: Worker that has answered this owner.
+        since: Monotonic time since which its entry is missing, in seconds.
+    """
+    answered_at, closed_at = worker.last_answer_at, worker.closed_at
+    if answered_at is None or closed_at is None or closed_at < answered_at:
+        return False
+    return 0 <= since - answered_at < _find_least_silence(batch)
+
+
 def _find_least_silence(batch: state.Batch) -> float:
     """Returns how long a worker is silent before its entry expires.
 
@@ -158,20 +178,32 @@
     return SILENT_HEARTBEATS * batch.identity.limits.heartbeat_s
 
 
-def _find_runs_end(batch: state.Batch, since: float) -> float:
+def _find_former_runs_end(
+    batch: state.Batch, partition: state.Partition, name: str, since: float
+) -> float:
     """Returns when the runs on a worker that former owners polled have ended.
 
+    The release of a former owner tells when its leases expire. Without one, it
+    may have reached the worker, which has lost the store, until it was killed.
+
     Args:
         batch: State of this instance.
+        partition: The owned partition.
+        name: Id of the worker, which has not answered this owner.
         since: Monotonic time since which its entry is missing, in seconds.
 
     Returns:
-        Monotonic time, in seconds, if the worker was cut off from the owners
-        when its heartbeats ended.
+        Monotonic time, in seconds.
     """
+    released_end_at = releases.find_lease_end(partition, name)
+    if math.isfinite(released_end_at):
+        return released_end_at
+    polled_until = max(
+        since - _find_least_silence(batch),
+        partition.unowned_since - ownership.KEY_OUTLASTS_OWNER_S,
+    )
     lease_s = leases.choose_run_lease(batch.identity.limits)
-    longest_s = leases.find_longest_duration(lease_s)
-    return since - _find_least_silence(batch) + longest_s
+    return polled_until + leases.find_longest_duration(lease_s)
 
 
 def give_up_worker(
@@ -203,8 +235,7 @@
     departed = {
         name
         for name in partition.unlisted_workers
-        if name not in partition.workers
-        and has_left(batch, partition, name, now)
+        if has_left(batch, partition, name, now)
     }
     if not departed:
         return []
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -37,6 +37,9 @@
 # slow, for this long causes a takeover.
 LEASE_TTL_S = 2.5
 LEASE_RENEWAL_INTERVAL_S = 0.6
+# Least time for which the owner keys of a killed owner outlast it, unless its
+# last renewal was late.
+KEY_OUTLASTS_OWNER_S = LEASE_TTL_S - LEASE_RENEWAL_INTERVAL_S
 # Interval of an instance that owns nothing. It needs the store lease only when
 # it acquires a partition.
 IDLE_RENEWAL_INTERVAL_S = 1.0
@@ -224,6 +227,8 @@
     not answer: a successor may have called that worker, while the others, which
     it has not reached, still accept this owner's token. While every worker
     answers without refusing the token, no successor has called any of them.
+    Workers that only the roster of a former owner names, and that have never
+    answered, have probably ended.
     """
     confirmed_at = max(batch.lease_renewed_at, partition.acquired_at)
     if now - confirmed_at <= LEASE_TTL_S:
@@ -232,6 +237,7 @@
         now - (worker.last_answer_at or partition.acquired_at)
         > UNRESPONSIVE_AFTER_S
         for worker in partition.workers.values()
+        if worker.is_registered or worker.last_answer_at is not None
     )
 
 
@@ -568,9 +574,12 @@
     """Starts the ownership of a partition if its key was created."""
     name = purpose.partition
     batch.acquiring.discard(name)
-    batch.unowned_since.pop(name, None)
+    unowned_since = batch.unowned_since.pop(name, now)
     if isinstance(reply.outcome, store_messages.Committed):
-        return start_ownership(batch, name, reply.outcome.revision, now)
+        token = reply.outcome.revision
+        return start_ownership(
+            batch, name, token, now, unowned_since=unowned_since
+        )
     if isinstance(reply.outcome, store_messages.LeaseLost):
         batch.lease_id = ""
     return []
@@ -584,7 +593,12 @@
 
 
 def start_ownership(
-    batch: state.Batch, name: str, token: int, now: float
+    batch: state.Batch,
+    name: str,
+    token: int,
+    now: float,
+    *,
+    unowned_since: float | None = None,
 ) -> dispatch.Effects:
     """Records the ownership of a partition and starts loading it.
 
@@ -593,7 +607,14 @@
         name: Name of the partition.
         token: Fencing token: revision at which the owner key was created.
         now: Monotonic time, in seconds.
+        unowned_since: Monotonic time at which this instance learned that the
+            partition had no owner, in seconds; None if it did so only now.
     """
-    batch.partitions[name] = state.Partition(name, token, now)
+    batch.partitions[name] = state.Partition(
+        name,
+        token,
+        now,
+        unowned_since=now if unowned_since is None else unowned_since,
+    )
     log = messages.Log(PART, "taken", {"partition": name, "token": token})
     return [log, *dispatch.handle(PartitionAcquired(name), batch, now)]
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -89,6 +89,8 @@
     lease, unless the cause lies in this process. A worker that was marked
     before is polled only by the periodic checks.
     """
+    if getattr(reply, "closed", False):
+        worker.closed_at = now
     if worker.unresponsive:
         return []
     age_s = now - (worker.last_answer_at or now)
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -175,6 +175,8 @@
             known.
         settled: Whether this owner knew that no runs of former owners were left
             that no listing had shown.
+        entries: Entries of the workers as the owner last read them. With them a
+            successor calls workers that the platform's list lacks.
     """
 
     generation: int
@@ -182,6 +184,7 @@
     draining: tuple[str, ...] = ()
     owner: str = ""
     settled: bool = False
+    entries: tuple[model.WorkerEntry, ...] = ()
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -70,7 +70,7 @@
     if name in partition.unlisted_workers:
         ends_at = min(
             partition.former_runs_end_at,
-            _find_lease_end(partition, name),
+            find_lease_end(partition, name),
         )
         former_s = max(0.0, ends_at - now)
     worker = partition.workers.get(name)
@@ -120,7 +120,8 @@
         record: The release, which an earlier owner may have written.
         now: Monotonic time, in seconds.
     """
-    if record.released_generation < partition.released_generation:
+    if record.released_generation <= partition.released_generation:
+        # A release that is read again says nothing about later leases.
         return
     partition.released_generation = record.released_generation
     partition.former_leases_end_at = {
@@ -129,7 +130,7 @@
     }
 
 
-def _find_lease_end(partition: state.Partition, name: str) -> float:
+def find_lease_end(partition: state.Partition, name: str) -> float:
     """Returns when the former owner's leases on a worker have expired.
 
     Returns:
@@ -152,7 +153,7 @@
     expired = {
         name
         for name in partition.unlisted_workers
-        if now >= _find_lease_end(partition, name)
+        if now >= find_lease_end(partition, name)
     }
     if not expired:
         return []
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -312,6 +312,8 @@
             flight, whose answer may be older than a later event.
         polled_at: Monotonic time at which a poll was last sent, in seconds.
         unresponsive: Whether the last call got no answer.
+        closed_at: Monotonic time at which the worker's host last closed or
+            refused a connection, in seconds; None before.
         restarted_at: Monotonic time at which an answer first showed that the
             worker has restarted, in seconds; None once the platform's list
             shows the new incarnation too.
@@ -355,6 +357,7 @@
     short_poll_again: bool = False
     polled_at: float = -1e9
     unresponsive: bool = False
+    closed_at: float | None = None
     restarted_at: float | None = None
     suspended_until: float = -1e9
     consecutive_failures: int = 0
@@ -386,6 +389,7 @@
         generation: Number of owners that the partition has had.
         roster: Workers on which runs may exist, as written to the store.
         roster_draining: Workers that the roster names as draining.
+        roster_targets: Incarnations of workers whose entries the roster holds.
         roster_settled: Whether the roster says that no runs of former owners
             are left that no listing has shown.
         roster_revision: Store revision of the roster; None before it was read.
@@ -432,6 +436,8 @@
             were last checked for removal, in seconds.
         retention_in_flight: Whether such states are being listed or removed.
         poll_number: Number of the poll that was last sent.
+        unowned_since: Monotonic time at which this instance learned that the
+            partition had no owner, before it became the owner, in seconds.
     """
 
     name: str
@@ -441,6 +447,7 @@
     generation: int = 0
     roster: frozenset[str] = frozenset()
     roster_draining: frozenset[str] = frozenset()
+    roster_targets: frozenset[worker_messages.Target] = frozenset()
     roster_settled: bool = False
     roster_revision: int | None = None
     roster_write_in_flight: bool = False
@@ -473,6 +480,7 @@
     retention_checked_at: float = -1e9
     retention_in_flight: bool = False
     poll_number: int = 0
+    unowned_since: float = -math.inf
 
     def record_removal(self, removed: "RemovedJob") -> None:
         """Records that a job's record was removed.
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -23,6 +23,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
 from sapphirestall_core.batch import worker_list
+from sapphirestall_core.batch import worker_messages
 
 PART = "takeover"
 RETRY_S = 0.2
@@ -38,11 +39,19 @@
 
 @attrs.frozen
 class RosterWrite(store_messages.Purpose):
-    """Purpose of the write of the roster of a partition."""
+    """Purpose of the write of the roster of a partition.
+
+    Attributes:
+        partition: Name of the partition.
+        token: Fencing token of its owner.
+        roster: The roster.
+        targets: Incarnations of workers whose entries the roster holds.
+    """
 
     partition: str
     token: int
     roster: records.RosterRecord
+    targets: frozenset[worker_messages.Target]
 
 
 @attrs.frozen
@@ -154,8 +163,7 @@
     elif isinstance(outcome, store_messages.Found):
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.phase is state.Phase.LOADING:
-            partition.unlisted_workers |= set(outcome.value.workers)
-            partition.former_draining_workers |= set(outcome.value.draining)
+            _add_former_workers(partition, outcome.value)
             partition.generation = max(
                 partition.generation, outcome.value.generation
             )
@@ -171,16 +179,34 @@
     return write_roster(batch, partition, now)
 
 
+def _add_former_workers(
+    partition: state.Partition, roster: records.RosterRecord
+) -> None:
+    """Adds the workers on which runs of former owners may exist.
+
+    The platform's list lacks workers that have lost the store. They are called
+    by their entries in the roster, since a former owner may reach them, and
+    extend the leases of their runs, until the successor has called them.
+    """
+    partition.unlisted_workers |= set(roster.workers)
+    partition.former_draining_workers |= set(roster.draining)
+    for entry in roster.entries:
+        if entry.worker_id not in partition.workers:
+            worker = contact.make_worker(entry)
+            worker.is_registered = False
+            partition.workers[entry.worker_id] = worker
+
+
 def write_roster(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
     """Writes the roster if it does not match the workers of the partition.
 
     A worker gets runs only after a roster that names it was written, so that
-    a successor knows where runs may exist. The roster also names the workers
-    that drain, so that a successor does not wait for those that have left, and
-    whether runs of former owners may be left. The first write of an owner also
-    raises the generation.
+    a successor knows where runs may exist. The roster also holds their entries,
+    names the workers that drain, so that a successor does not wait for those
+    that have left, and tells whether runs of former owners may be left. The
+    first write of an owner also raises the generation.
     """
     if (
         partition.roster_write_in_flight
@@ -192,12 +218,14 @@
     names = frozenset(partition.workers) | partition.unlisted_workers
     draining = departures.list_draining_workers(partition)
     settled = not loading and not partition.unlisted_workers
+    targets = _list_targets(partition)
     written = (
         partition.roster,
         partition.roster_draining,
         partition.roster_settled,
+        partition.roster_targets,
     )
-    if not loading and (names, draining, settled) == written:
+    if not loading and (names, draining, settled, targets) == written:
         return []
     partition.roster_write_in_flight = True
     generation = partition.generation + (1 if loading else 0)
@@ -207,6 +235,9 @@
         tuple(sorted(draining)),
         ownership.make_process_id(batch),
         settled,
+        tuple(
+            partition.workers[name].entry for name in sorted(partition.workers)
+        ),
     )
     key = records.make_roster_key(partition.name)
     expected = (
@@ -215,13 +246,20 @@
     )
     return [
         store_messages.StoreTransaction(
-            RosterWrite(partition.name, partition.token, roster),
+            RosterWrite(partition.name, partition.token, roster, targets),
             expected,
             (store_messages.Put(key, roster),),
         )
     ]
 
 
+def _list_targets(
+    partition: state.Partition,
+) -> frozenset[worker_messages.Target]:
+    """Returns the known incarnations of the workers of a partition."""
+    return frozenset(worker.target for worker in partition.workers.values())
+
+
 @dispatch.handle_store_reply.register(RosterWrite)
 def handle_roster_write(
     purpose: RosterWrite,
@@ -252,6 +290,7 @@
     partition.roster = frozenset(purpose.roster.workers)
     partition.roster_draining = frozenset(purpose.roster.draining)
     partition.roster_settled = purpose.roster.settled
+    partition.roster_targets = purpose.targets
     partition.generation = purpose.roster.generation
     return [
         *activate(batch, partition, now),
--- a/packages/core/src/sapphirestall_core/batch/worker_messages.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_messages.py
@@ -162,10 +162,13 @@
         detail: Text of the connection error.
         local: Whether the cause lies in this process: it was delayed, or had no
             free connection.
+        closed: Whether the worker's host closed or refused the connection, as
+            it does when the worker exits. A cut is usually silent.
     """
 
     detail: str
     local: bool = False
+    closed: bool = False
 
 
 @attrs.frozen
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -23,7 +23,6 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import worker_list
-from sapphirestall_core.batch import worker_messages
 
 CHECK_INTERVAL_S = 0.25
 # While listed ends await their commit, a long poll would return at once, so
@@ -111,10 +110,7 @@
             )
         worker.entry = entry
         return effects
-    target = worker_messages.Target(
-        entry.worker_id, entry.started_at_ms, entry.address
-    )
-    new_worker = state.Worker(entry, target)
+    new_worker = contact.make_worker(entry)
     partition.workers[entry.worker_id] = new_worker
     if worker is not None:
         _transfer_runs(worker, new_worker)
@@ -238,7 +234,9 @@
             effects += commands.stop(partition, worker, run, now)
     is_silent = age_s > 3 * contact.LONG_POLL_S
     is_gone = has_left or (not worker.is_registered and is_silent)
-    if is_gone and not worker.runs:
+    # A worker of the former owner that the list lacks may answer yet.
+    is_awaited = worker_id in partition.unlisted_workers
+    if is_gone and not is_awaited and not worker.runs:
         partition.workers.pop(worker_id, None)
         effects.append(contact.make_log("left", partition, worker_id))
         # A successor would wait for a worker that the roster names.
--- a/standins/batch_faults.py
+++ b/standins/batch_faults.py
@@ -87,6 +87,25 @@
 
         world.schedule(seconds, end)
 
+    def cut_worker_from_store(self, name: str, seconds: float) -> None:
+        """Cuts one worker off from the store; instances still reach it."""
+        self._begin(f"cut {name} from the store for {seconds:.2f} s")
+        if seconds >= ENTRY_EXPIRY_S:
+            self._expire_entry(name, seconds)
+        self.world.schedule(seconds, self._end)
+
+    def cut_worker_from_nodes(self, name: str, seconds: float) -> None:
+        """Cuts one worker off from all instances."""
+        self._begin(f"cut {name} from instances for {seconds:.2f} s")
+        world = self.world
+        world.isolated_workers.add(name)
+
+        def end() -> None:
+            world.isolated_workers.discard(name)
+            self._end()
+
+        world.schedule(seconds, end)
+
     def crash_worker(self, name: str) -> None:
         """Ends a worker for good; its entry remains until it expires."""
         self._begin(f"crash {name}")
@@ -109,10 +128,19 @@
         self.world.deliver(node, messages.ShutdownRequested())
         self._start_again(node)
 
-    def replace_worker(self, name: str, successor: str) -> None:
-        """Drains a worker, which then exits, and starts another in its rack."""
+    def replace_worker(
+        self, name: str, successor: str, drain_s: float | None = None
+    ) -> None:
+        """Drains a worker, which then exits, and starts another in its rack.
+
+        Args:
+            name: Id of the worker.
+            successor: Id of the new worker.
+            drain_s: Time until the worker exits, in seconds; None for a random
+                time.
+        """
         world = self.world
-        delay_s = world.rng.uniform(*DRAIN_S)
+        delay_s = world.rng.uniform(*DRAIN_S) if drain_s is None else drain_s
         self.events.append(
             (world.now, f"replace {name} by {successor} in {delay_s:.2f} s")
         )
--- a/standins/batch_restarts.py
+++ b/standins/batch_restarts.py
@@ -33,6 +33,10 @@
 DATA_CENTRES = ("north", "south", "east")
 # Time between short jobs, in seconds.
 SHORT_JOB_INTERVAL_S = 0.3
+# The same where tasks run longer.
+LONG_JOB_INTERVAL_S = 1.5
+# Range of the durations of these tasks, in seconds.
+LONG_RUN_S = (0.5, 20.0)
 SHORT_JOBS = 3
 # Time for which nothing but planned work happens after faults, in seconds.
 RECOVERY_S = 14.0
@@ -106,6 +110,7 @@
         data_centres: Names of the data centres.
         long_running_share: Share of the processors that long-running tasks
             request.
+        job_interval_s: Time between jobs that end by themselves, in seconds.
         short_jobs: Number of short jobs that were submitted.
         workers: Number of workers that were ever started.
     """
@@ -115,6 +120,7 @@
     check: RestartCheck
     data_centres: tuple[str, ...]
     long_running_share: float = LONG_RUNNING_SHARE
+    job_interval_s: float = SHORT_JOB_INTERVAL_S
     short_jobs: int = 0
     workers: int = 0
 
@@ -146,6 +152,61 @@
         world.schedule(33.5, lambda: self.faults.isolate(isolated, 6.5))
         self.check.run(62.0)
 
+    def run_store_cuts(self, rounds: int) -> None:
+        """Cuts single workers, some of which drain, off from the store.
+
+        Their instances reach them until the instances are restarted, are killed
+        or lose them as well.
+        """
+        # Long-running tasks leave a draining worker, others stay on it.
+        self.world.run_duration_s = LONG_RUN_S
+        self.job_interval_s = LONG_JOB_INTERVAL_S
+        self._submit_long_running_jobs()
+        self.world.schedule(self.job_interval_s, self._submit_short_job)
+        self.check.run(3.0)
+        for _ in range(rounds):
+            self._cut_workers()
+            self.check.run(16.0 + RECOVERY_S)
+
+    def _cut_workers(self) -> None:
+        """Schedules cuts of a few workers and what happens to their owners."""
+        world, rng, faults = self.world, self.world.rng, self.faults
+        names = faults.list_sound_workers()
+        for name in rng.sample(names, min(len(names), rng.randint(1, 3))):
+            cut_s = rng.uniform(4, 14)
+            delay_s = rng.uniform(0, 2)
+            if rng.random() < 0.7:
+                successor = self._make_worker_id()
+                drain_s = rng.uniform(6, 18)
+                faults.replace_worker(name, successor, drain_s)
+            world.schedule(
+                delay_s,
+                functools.partial(faults.cut_worker_from_store, name, cut_s),
+            )
+            if rng.random() < 0.4:
+                world.schedule(
+                    delay_s + rng.uniform(3, 12),
+                    functools.partial(
+                        faults.cut_worker_from_nodes, name, rng.uniform(1, 9)
+                    ),
+                )
+        for node in faults.list_sound_nodes():
+            action = rng.choice((None, None, "restart", "crash"))
+            if action is not None:
+                world.schedule(
+                    rng.uniform(4, 14),
+                    functools.partial(self._end_node, node.name, action),
+                )
+
+    def _end_node(self, name: str, action: str) -> None:
+        """Restarts or kills an instance, unless it is the last one."""
+        nodes = self.faults.list_sound_nodes()
+        for node in nodes if len(nodes) > 1 else ():
+            if node.name == name and action == "restart":
+                self.faults.restart_node(node)
+            elif node.name == name:
+                self.faults.crash_node(node)
+
     def add_data_centre(self, name: str, racks: int, nodes: int) -> None:
         """Starts the workers and instances of a data centre."""
         rng = self.world.rng
@@ -197,7 +258,7 @@
         if nodes:
             job_id = f"f{self.short_jobs:015x}"
             world.submit(rng.choice(nodes), job_id, *steps)
-        world.schedule(SHORT_JOB_INTERVAL_S, self._submit_short_job)
+        world.schedule(self.job_interval_s, self._submit_short_job)
 
     def _inject_faults(self) -> float:
         """Schedules the faults of a round and returns its duration."""
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -34,6 +34,9 @@
 # answers may take longer.
 LONG_LISTS = (records.LIVE_PREFIX, records.PROGRESS_PREFIX)
 LIMITS = state.Limits(worker_lease_s=6.0, stop_s=0.4, retention_s=120.0)
+# Reply to a call in flight at a worker that ends: its host closes the
+# connection. Later calls get no answer.
+EXITED = worker_messages.NoAnswer("the worker has ended", closed=True)
 QUEUE = model.Queue("batch", "host", "/jobs/", "service", 1, 3, 2.0, 1.0)
 
 
@@ -121,6 +124,7 @@
         limits: Time limits of the deployment.
         isolated_data_centres: Data centres that reach neither the store nor
             each other nor the rest.
+        isolated_workers: Workers that no instance reaches.
         store_down: Whether the store answers no calls.
     """
 
@@ -161,6 +165,7 @@
     late_commands_survive_restart: bool = False
     limits: state.Limits = LIMITS
     isolated_data_centres: set[str] = attrs.field(factory=set)
+    isolated_workers: set[str] = attrs.field(factory=set)
     store_down: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -233,13 +238,22 @@
     def reaches_worker(self, node: Node, worker_id: str) -> bool:
         """Returns whether calls of an instance get answers of a worker."""
         worker = self.workers.get(worker_id)
-        if worker is None or worker_id in node.unreachable_workers:
-            return False
-        data_centres = {
-            node.batch.identity.data_centre,
-            worker.entry.data_centre,
-        }
-        return len(data_centres) == 1 or not (
+        return worker is not None and not self._is_path_cut(
+            node, worker_id, worker.entry.data_centre
+        )
+
+    def is_cut_off(self, node: Node, call: worker_messages.WorkerCall) -> bool:
+        """Returns whether a worker, or its host, cannot answer a call."""
+        data_centre = model.get_data_centre(call.partition)
+        return self._is_path_cut(node, call.target.worker_id, data_centre)
+
+    def _is_path_cut(
+        self, node: Node, worker_id: str, data_centre: str
+    ) -> bool:
+        if worker_id in self.isolated_workers | node.unreachable_workers:
+            return True
+        data_centres = {node.batch.identity.data_centre, data_centre}
+        return len(data_centres) > 1 and bool(
             data_centres & self.isolated_data_centres
         )
 
@@ -590,8 +604,8 @@
         world.start_poll(node, effect)
 
     def answer(reply: worker_messages.Reply) -> None:
-        lost = isinstance(reply, worker_messages.NoAnswer)
-        if not lost and not world.reaches_worker(node, worker_id):
+        lost = isinstance(reply, worker_messages.NoAnswer) and not reply.closed
+        if not lost and world.is_cut_off(node, effect):
             # The connection was cut after the call had reached the worker.
             world.schedule(CALL_TIMEOUT_S, lose)
             return
@@ -670,7 +684,7 @@
     """
     worker = world.workers.get(call.target.worker_id)
     if worker is None:
-        answer(worker_messages.NoAnswer("the worker has ended"))
+        answer(EXITED)
         return
     worker.advance(world.now)
     if call.token < worker.fence:
@@ -732,7 +746,7 @@
 
     def poll() -> None:
         if world.workers.get(call.target.worker_id) is not worker:
-            answer(worker_messages.NoAnswer("the worker has ended"))
+            answer(EXITED)
             return
         worker.advance(world.now)
         world.record_done(worker)
