Store a cancellation of an unknown job before telling that it is gone

Cause: a DELETE that read no state of a job left none, so that the condition of a late write of the job, that it has no state, still held. The record of the case shows it: 504 after three writes that take effect 5 s later, a DELETE that reads nothing at 6.76 s, the first write at 8.89 s and a start at 8.90 s.

Change: such a DELETE creates a state that is cancelled and not submitted, and answers 410 once that is stored. A submission that conflicts with it reads it and is refused as never run (503, `cancelled`); an accepted one is answered as before. An instance without partitions refuses the DELETE, as nobody would remove the state.

Tests: the simulation has writes that take effect seconds later. In the soak, some callers cancel a submission that got no answer instead of repeating it; 410 counts as a confirmation there.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -114,3 +114,56 @@
     And 6 s pass after the submission
     And the number of pending jobs is requested
     Then the caller is told of 1 pending job
+
+  Scenario: A job that is cancelled before its late write never runs
+    Guards against a job that runs although its cancellation was acknowledged:
+    the write of its record took effect after a DELETE that found no job.
+    Given one instance with a store
+    And another instance with the same store
+    When a job is submitted and its write will take effect seconds later
+    And the job is cancelled at the other instance
+    Then the caller is told that the job does not exist
+    When 12 s pass after the submission
+    Then the job was never started
+    And the other instance tells that the job does not exist
+
+  Scenario: A job that was cancelled before its submission is refused
+    Guards against a caller that is told that a job was accepted which never
+    runs, because its id was cancelled before.
+    Given one instance with a store
+    When the unknown job is cancelled and submitted after that
+    Then the caller is told that the job was refused as cancelled
+    When 12 s pass after the submission
+    Then the job was never started
+
+  Scenario: The state of a job cancelled before its submission is removed
+    Guards against a store that grows with each DELETE of an unknown job.
+    Given one instance with a store
+    When the unknown job is cancelled
+    And 160 s pass after the submission
+    Then the job's record is removed
+
+  Scenario: A cancellation without partitions is not acknowledged
+    Guards against the answer that a job does not exist from an instance that
+    has stored nothing which would stop a late write of the job.
+    Given one instance with a store that has no partitions
+    When the unknown job is cancelled
+    Then the caller is asked to retry after 1 s
+
+  Scenario Outline: Cancelled jobs do not start while writes are late
+    Guards against starts after an acknowledged cancellation, starts of refused
+    jobs and accepted jobs that never end, whichever writes take effect late.
+    Given two instances with a store, by seed <seed>
+    When 80 jobs are submitted and some are cancelled while writes are late
+    Then no job started 3 s after its cancellation was acknowledged
+    And no refused job was started
+    And all accepted jobs that were not cancelled are completed
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -7,6 +7,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import cancellations
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import contact
@@ -20,12 +21,14 @@
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import pending_jobs
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import store_calls
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
 from sapphirestall_core.batch import workers
 
 # Modules with handlers. Importing them registers the handlers with `dispatch`.
 HANDLER_MODULES = (
+    cancellations,
     commits,
     configuration,
     interference_exchange,
@@ -35,6 +38,7 @@
     ownership,
     passes,
     pending_jobs,
+    store_calls,
     summaries,
     takeover,
     workers,
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -83,6 +83,8 @@
         copies: Partitions that have a copy of the job's record.
         ended_ms: Wall-clock time at which a final state was written, in Unix
             milliseconds; 0 before.
+        submitted: Whether a submission of the job was stored. It was not if the
+            job was cancelled before, so that a later one has no effect.
     """
 
     queue: str
@@ -90,6 +92,7 @@
     state: model.JobState
     copies: tuple[str, ...] = ()
     ended_ms: int = 0
+    submitted: bool = True
 
 
 @attrs.frozen(slots=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,12 +24,16 @@
 REPEAT_DELAY_S = (0.5, 5.0)
 CANCEL_FRACTION = 0.15
 CANCEL_DELAY_S = (0.0, 3.0)
+# Share of the jobs, in percent, whose caller cancels them after a submission
+# without an answer instead of repeating it.
+ABANDONED_PERCENT = 30
 PENDING_QUERY_FRACTION = 0.2
 READINESS_INTERVAL_S = 1.0
 READINESS_TIMEOUT_S = 0.5
 # An instance that has failed this many consecutive readiness checks gets no new
 # connections.
 MAX_FAILED_CHECKS = 2
+CANCEL_CONFIRMATIONS = (caller_client.Outcome.OK, caller_client.Outcome.GONE)
 
 
 @attrs.define(eq=False)
@@ -164,13 +168,19 @@
         await asyncio.gather(*other_calls)
 
     async def submit(self, job_history: history_module.JobHistory) -> bool:
-        """Submits a job with retries; returns whether it was accepted."""
+        """Submits a job with retries; returns whether it was accepted.
+
+        Some jobs are cancelled after an attempt without an answer.
+        """
         for _ in range(MAX_SUBMISSION_ATTEMPTS):
             answer = await self._send_submission(job_history)
             if answer.outcome is caller_client.Outcome.OK:
                 return True
             if answer.outcome is not caller_client.Outcome.REFUSED:
                 self.switch_instance()
+                if _is_abandoned(job_history.job):
+                    await self.cancel(job_history)
+                    return False
             pause_s = answer.retry_after_s or self.rng.uniform(*RETRY_DELAY_S)
             await asyncio.sleep(pause_s)
         return False
@@ -204,7 +214,7 @@
     ) -> None:
         """Cancels a job; repeats the call until it is confirmed.
 
-        It stops as well if the job is gone.
+        The answer that there is no such job confirms it as well.
 
         Args:
             job_history: History of the job.
@@ -216,11 +226,9 @@
                 job_history.cancel_sent_at or time.monotonic()
             )
             answer = await self._call("DELETE", job_history)
-            if answer.outcome is caller_client.Outcome.OK:
+            if answer.outcome in CANCEL_CONFIRMATIONS:
                 job_history.cancelled_at = time.monotonic()
                 return
-            if answer.outcome is caller_client.Outcome.GONE:
-                return
             if answer.outcome is caller_client.Outcome.UNDECIDED:
                 self.switch_instance()
             pause_s = answer.retry_after_s or self.rng.uniform(*RETRY_DELAY_S)
@@ -263,3 +271,11 @@
             )
         elif answer.outcome is caller_client.Outcome.UNDECIDED:
             self.switch_instance()
+
+
+def _is_abandoned(job: workload.Job) -> bool:
+    """Returns whether the caller cancels a job instead of repeating it.
+
+    The id decides, so that the random numbers of a seed stay the same.
+    """
+    return int(job.job_id, 16) % 100 < ABANDONED_PERCENT
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -30,6 +30,8 @@
 STORE_DELAY_S = 0.004
 CALL_TIMEOUT_S = 0.9
 POLL_INTERVAL_S = 0.02
+# Range of the time after which a late write is carried out, in seconds.
+LATE_WRITE_S = (1.0, 6.0)
 # Prefixes whose lists grow with the number of jobs of a deployment. Their
 # answers may take longer.
 LONG_LISTS = (records.LIVE_PREFIX, records.PROGRESS_PREFIX)
@@ -104,6 +106,8 @@
             in seconds.
         lost_answer_fraction: Fraction of store calls that take effect but get
             no answer.
+        late_write_fraction: Fraction of transactions that get no answer and are
+            carried out seconds later, if their condition still holds.
         list_delay_s: Range of the time that the answer to a list of job records
             or progress records takes, in seconds.
         worker_list_delay_s: Time that the answer to a read of the list of
@@ -151,6 +155,7 @@
     late_start_fraction: float = 0.0
     call_delay_s: tuple[float, float] = (0.0005, 0.003)
     lost_answer_fraction: float = 0.0
+    late_write_fraction: float = 0.0
     list_delay_s: tuple[float, float] = (STORE_DELAY_S / 2, STORE_DELAY_S / 2)
     worker_list_delay_s: float = STORE_DELAY_S
     lost_history_fraction: float = 0.0
@@ -564,9 +569,32 @@
             delay_s = world.rng.uniform(*world.list_delay_s)
         world.schedule(delay_s, lambda: answer(outcome))
 
+    if draw_late_write(effect, world):
+        late_s = world.rng.uniform(*LATE_WRITE_S)
+        world.schedule(late_s, functools.partial(write_late, effect, world))
+        lost = store_messages.Unavailable(True, "late write")
+        world.schedule(CALL_TIMEOUT_S, lambda: answer(lost))
+        return
     world.schedule(STORE_DELAY_S / 2, execute_call)
 
 
+def draw_late_write(
+    effect: store_messages.StoreEffect, world: BatchWorld
+) -> bool:
+    """Returns whether a store call is a write that is carried out late."""
+    if not isinstance(effect, store_messages.StoreTransaction):
+        return False
+    # Without late writes, seeds draw the same numbers as before.
+    fraction = world.late_write_fraction
+    return fraction > 0 and world.rng.random() < fraction
+
+
+def write_late(effect: store_messages.StoreEffect, world: BatchWorld) -> None:
+    """Carries out a write whose caller got no answer."""
+    world.store.expire_leases(world.now)
+    batch_store.apply(effect, world.store, world.now)
+
+
 @perform.register
 def _(
     effect: store_messages.StoreFollow, world: BatchWorld, node: Node
