Store releases of all leases before a process ends

Users reported long-running tasks without a run for 10.2 s (LOST), after their owner had got SIGTERM 0.3 s before their worker was lost. Their successor was another instance. 9.12 s before the new start lies the first answer that it can have had, so it waited as if no release existed.

Cause, shown in virtual time: a release left out each worker with a start in flight or without an answer, and the process exited whether its releases had been answered or not. That this is what the record shows is likely and not proved. A kill leaves no release at all, and a successor on another instance then waited for a crashed worker for 11.9 s.

Change: a shutdown waits up to 0.3 s for the answers to starts, and does not end the process before the releases are answered. A start without an answer counts by the lease that it requests. A worker that the list lacks and that never answered its new owner has ended when the former owner's leases have, draining or not.

--- a/features/batch_departure.feature
+++ b/features/batch_departure.feature
@@ -199,6 +199,44 @@
     Then no task was without a run for more than 9 s
     And no invariant was violated
 
+  Scenario: An owner that shuts down waits for the answers to its starts
+    Guards against long-running tasks without a run for 10 s: the owner resigned
+    while a start was in flight, so that its release left the worker out, and the
+    worker was lost before its successor called it.
+    Given an owner of three workers with long-running tasks
+    When its owner is asked to shut down with a start in flight to a worker
+    And that worker is lost 0.02 s later
+    And 14 s pass after the departure
+    Then no task was without a run for more than 8 s
+    And no invariant was violated
+
+  Scenario: An owner that shuts down releases a lease with an unanswered start
+    Guards against the same wait if the start gets no answer, because the worker
+    was lost before it arrived.
+    Given an owner of three workers with long-running tasks
+    When a worker is lost and its owner is asked to shut down after a start
+    And 14 s pass after the departure
+    Then no task was without a run for more than 8 s
+    And no invariant was violated
+
+  Scenario: A process ends only after its releases are stored
+    Guards against a successor that waits for leases without knowing their end:
+    the process exited with the writes of its releases still in flight.
+    Given an owner of three workers with long-running tasks
+    When the owner is asked to shut down and its release gets no answer
+    Then the process has not ended 0.5 s later
+    And the process ends within 3 s
+
+  Scenario: Another instance succeeds a killed owner of a crashed worker
+    Guards against tasks without a run for 11 s and more: the successor waited as
+    if the killed owner still extended the leases of a worker that the platform's
+    list lacks and that does not answer.
+    Given an owner of three workers with long-running tasks
+    When a worker crashes and its owner is killed
+    And 14 s pass after the departure
+    Then no task was without a run for more than 9 s
+    And no invariant was violated
+
   Scenario: A read of the list of workers that never ends is repeated
     Guards against an owner that starts nothing any more because an unexpected
     error ended one read of the list without a result.
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -592,6 +592,102 @@
     submit_long_running_tasks(context, 6)
 
 
+def lose_worker(context):
+    """Ends a worker without a sign; its entry expires later."""
+    world, name = context.world, context.worker_id
+    world.isolated_workers.add(name)
+    world.workers.pop(name)
+    world.schedule(
+        3 * world.limits.heartbeat_s, lambda: world.listed_workers.pop(name)
+    )
+
+
+def send_start(context):
+    """Lets the owner send a start to the worker that is in flight then.
+
+    A fourth of the capacity is left free, and only on that worker.
+    """
+    world = context.world
+    for name, worker in world.workers.items():
+        if name != context.worker_id:
+            worker.entry = attrs.evolve(worker.entry, draining=True)
+            world.listed_workers[name] = worker.entry
+    partition = find_owner(context).batch.partitions[DATA_CENTRE]
+    context.gaps.run(1.5)
+    starts = world.starts
+    amount = resources.Vector(500, 100, 0)
+    world.submit(find_owner(context), f"{2:016x}", model.Step(1, amount))
+    for _ in range(400):
+        world.run(0.0001)
+        runs = partition.workers[context.worker_id].runs.values()
+        if any(run.phase is state.RunPhase.STARTING for run in runs):
+            assert world.starts == starts
+            return
+    raise AssertionError("no start was sent")
+
+
+@behave.when(
+    "its owner is asked to shut down with a start in flight to a worker"
+)
+def step(context):
+    send_start(context)
+    context.world.deliver(find_owner(context), messages.ShutdownRequested())
+
+
+@behave.when("that worker is lost {seconds:g} s later")
+def step(context, seconds):
+    context.gaps.run(seconds)
+    lose_worker(context)
+    list_workers_again(context)
+
+
+@behave.when(
+    "a worker is lost and its owner is asked to shut down after a start"
+)
+def step(context):
+    context.world.call_delay_s = (0.01, 0.01)
+    send_start(context)
+    lose_worker(context)
+    context.world.deliver(find_owner(context), messages.ShutdownRequested())
+    context.gaps.run(0.3)
+    list_workers_again(context)
+
+
+def list_workers_again(context):
+    """Makes the other workers accept starts again."""
+    world = context.world
+    for name, worker in world.workers.items():
+        worker.entry = attrs.evolve(worker.entry, draining=False)
+        world.listed_workers[name] = worker.entry
+
+
+@behave.when("the owner is asked to shut down and its release gets no answer")
+def step(context):
+    context.owner = find_owner(context)
+    context.world.late_write_fraction = 1.0
+    context.world.deliver(context.owner, messages.ShutdownRequested())
+
+
+@behave.then("the process has not ended {seconds:g} s later")
+def step(context, seconds):
+    context.gaps.run(seconds)
+    assert context.owner.alive
+
+
+@behave.then("the process ends within {seconds:g} s")
+def step(context, seconds):
+    context.gaps.run(seconds)
+    assert not context.owner.alive
+
+
+@behave.when("a worker crashes and its owner is killed")
+def step(context):
+    context.gaps.run(2.0)
+    owner = find_owner(context)
+    lose_worker(context)
+    context.world.kill(owner)
+
+
 @behave.when(
     "a worker crashes, its owner is killed and starts again {seconds:g} s later"
 )
--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -72,8 +72,10 @@
         worker.is_registered = name in present
         if listed is not None and worker.entry.draining:
             listed.draining = True
+    # This instance may never have seen the entries of former owners' workers.
+    for name in partition.unlisted_workers:
+        batch.listed_workers.setdefault(name, state.ListedWorker(False))
     for name in partition.former_draining_workers:
-        # This instance may never have seen the entry of such a worker.
         listed = batch.listed_workers.setdefault(name, state.ListedWorker(True))
         listed.draining = True
 
@@ -112,14 +114,15 @@
 def has_left(
     batch: state.Batch, partition: state.Partition, name: str, now: float
 ) -> bool:
-    """Returns whether a worker that announced its departure has exited.
+    """Returns whether a worker, and with it all runs there, has ended.
 
     Its entry has been missing for `REREGISTRATION_S`, and it has answered no
     call of this owner for as long. The entry of a worker that has only lost the
     store disappears too, so the runs there must also have ended: either the
-    worker gave the signs of an exit, or the leases that this owner or a former
-    one extended have expired. While no worker has answered an owner in another
-    data centre, a cut may hide workers that a former owner reaches.
+    worker had announced its departure and gave the signs of an exit, or the
+    leases that this owner or a former one extended have expired. While no
+    worker has answered an owner in another data centre, a cut may hide workers
+    that a former owner reaches.
 
     Args:
         batch: State of this instance.
@@ -128,7 +131,7 @@
         now: Monotonic time, in seconds.
     """
     listed = batch.listed_workers.get(name)
-    if listed is None or not listed.draining or listed.absence is None:
+    if listed is None or listed.absence is None:
         return False
     since = listed.absence.since
     data_centre = model.get_data_centre(partition.name)
@@ -141,6 +144,9 @@
     worker = partition.workers.get(name)
     if worker is None or worker.last_answer_at is None:
         return now >= _find_former_runs_end(batch, partition, name, since)
+    if not listed.draining:
+        # The periodic checks give its runs up when their leases have expired.
+        return False
     if now - worker.last_answer_at < REREGISTRATION_S:
         return False
     lease_s = batch.identity.limits.worker_lease_s
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -46,9 +46,10 @@
 # An instance that has not reached the store for this long gets no new
 # connections.
 MAX_STORE_OUTAGE_S = 1.5
-# Longest time for which a shutdown waits for commits, in seconds. An owner that
-# shuts down starts no tasks, so its partitions should get another owner soon.
-COMMIT_WAIT_S = 0.3
+# Longest time for which a shutdown waits for commits and for answers to starts,
+# in seconds. An owner that shuts down starts no tasks, so its partitions should
+# get another owner soon.
+SETTLE_WAIT_S = 0.3
 # Part of the platform's grace time, in seconds, that is left for the end of the
 # process when a shutdown has waited for the store to return: the connections of
 # callers close within 2 s. Until then the owner extends the leases of its runs.
@@ -200,35 +201,51 @@
 def drain(timer: DrainDue, batch: state.Batch, now: float) -> dispatch.Effects:
     """Resigns, ends the store lease and then ends the process.
 
-    Each step waits for what is in flight: first for commits, or for the store
-    to return, then for the end of the lease and for callers' calls.
+    Each step waits for what is in flight: first for commits and starts, or for
+    the store to return, then for releases, the end of the lease and callers'
+    calls.
     """
     waited_s = now - batch.shutdown_requested_at
     again = messages.StartTimer(DrainDue(), DRAIN_CHECK_INTERVAL_S)
     if batch.lease_id:
-        if _waits_for_store(batch, waited_s):
+        if _keeps_partitions(batch, waited_s):
             return [again]
         return [*_give_up_partitions(batch, now), again]
-    in_flight = batch.lease_call_in_flight or batch.calls
+    in_flight = (
+        batch.lease_call_in_flight or batch.releases_in_flight or batch.calls
+    )
     if in_flight and waited_s <= DRAIN_TIMEOUT_S:
         return [again]
     fields = {
         "calls": len(batch.calls),
         "lease_end_unanswered": batch.lease_call_in_flight,
+        "releases_unanswered": len(batch.releases_in_flight),
         "took_s": round(waited_s, 3),
     }
     return [messages.Log("process", "stopped", fields), messages.Exit()]
 
 
-def _waits_for_store(batch: state.Batch, waited_s: float) -> bool:
+def _keeps_partitions(batch: state.Batch, waited_s: float) -> bool:
     """Returns whether a shutdown keeps its partitions for a while.
 
     While the store is unavailable, the release by which the next owner learns
-    when the leases expire could not be stored.
+    when the leases expire could not be stored. After the answer to a start the
+    next owner need not expect that it is carried out late.
     """
     if batch.store_down_since is not None and batch.partitions:
         return waited_s <= batch.identity.limits.grace_s - EXIT_RESERVE_S
-    return _has_pending_commits(batch) and waited_s <= COMMIT_WAIT_S
+    in_flight = _has_pending_commits(batch) or _has_starts_in_flight(batch)
+    return in_flight and waited_s <= SETTLE_WAIT_S
+
+
+def _has_starts_in_flight(batch: state.Batch) -> bool:
+    """Returns whether starts were sent that may be answered yet."""
+    return any(
+        run.started_clock_ms is None and run.start_unanswered_at is None
+        for partition in batch.partitions.values()
+        for worker in partition.workers.values()
+        for run in worker.runs.values()
+    )
 
 
 def _has_pending_commits(batch: state.Batch) -> bool:
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -265,7 +265,7 @@
                 "held_s": round(now - partition.acquired_at, 3),
             },
         ),
-        *releases.release(partition, now),
+        *releases.release(batch, partition, now),
     ]
 
 
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -27,21 +27,32 @@
 
 @attrs.frozen
 class ReleaseWrite(store_messages.Purpose):
-    """Purpose of the write of a release by an owner that has resigned."""
+    """Purpose of the write of a release by an owner that has resigned.
+
+    Attributes:
+        partition: Name of the partition.
+    """
+
+    partition: str
 
 
-def release(partition: state.Partition, now: float) -> dispatch.Effects:
+def release(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> dispatch.Effects:
     """Stores when the leases on the workers of a partition expire.
 
-    Does nothing if the owner was not active, and has therefore extended no
-    lease.
+    A start without an answer counts as well: a worker refuses it after the end
+    of the lease that it requests. Does nothing if the owner was not active, and
+    has therefore extended no lease.
 
     Args:
+        batch: State of this instance.
         partition: Partition whose ownership has just been given up.
         now: Monotonic time, in seconds.
     """
     if partition.phase is not state.Phase.ACTIVE:
         return []
+    batch.releases_in_flight.add(partition.name)
     names = partition.roster | partition.unlisted_workers
     remaining_s = {
         name: _find_remaining(partition, name, now) for name in sorted(names)
@@ -55,7 +66,8 @@
         },
     )
     put = store_messages.Put(records.make_release_key(partition.name), record)
-    return [store_messages.StoreTransaction(ReleaseWrite(), (), (put,))]
+    purpose = ReleaseWrite(partition.name)
+    return [store_messages.StoreTransaction(purpose, (), (put,))]
 
 
 def _find_remaining(
@@ -78,7 +90,8 @@
         # The owner removes a worker only when it has no runs left, also if it
         # has not been able to store a roster without this worker yet.
         return former_s or 0.0
-    if _may_start_late(worker):
+    if worker.restarted_at is not None:
+        # Its clock has started anew, and it may carry out a late start.
         return None
     own_s = leases.compute_remaining(worker, now)
     if own_s is None or former_s is None:
@@ -87,18 +100,6 @@
     return max(own_s, former_s)
 
 
-def _may_start_late(worker: state.Worker) -> bool:
-    """Returns whether a new incarnation of a worker may carry out a start.
-
-    Its clock starts anew, so that the lease of the start ends later there.
-    """
-    return (
-        worker.restarted_at is not None
-        or bool(worker.abandoned_starts)
-        or any(run.started_clock_ms is None for run in worker.runs.values())
-    )
-
-
 @dispatch.handle_store_reply.register(ReleaseWrite)
 def handle_release(
     purpose: ReleaseWrite,
@@ -106,7 +107,11 @@
     batch: state.Batch,
     now: float,
 ) -> dispatch.Effects:
-    """Ignores the outcome: without the release the next owner waits longer."""
+    """Records that a release was written, or that its outcome is unknown.
+
+    Without the release the next owner waits longer.
+    """
+    batch.releases_in_flight.discard(purpose.partition)
     return []
 
 
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -612,6 +612,7 @@
             summary of them, as last read.
         unpublished_reads: Partitions whose job records are being read for this.
         calls_awaiting_unpublished: Callers' calls that wait for these reads.
+        releases_in_flight: Partitions whose release is being written.
         shutting_down: Whether the process was asked to end.
         shutdown_requested_at: Monotonic time at which it was asked, in seconds.
     """
@@ -646,6 +647,7 @@
     unpublished_jobs: dict[str, UnpublishedJobs] = attrs.field(factory=dict)
     unpublished_reads: set[str] = attrs.field(factory=set)
     calls_awaiting_unpublished: list[Call] = attrs.field(factory=list)
+    releases_in_flight: set[str] = attrs.field(factory=set)
     shutting_down: bool = False
     shutdown_requested_at: float = 0.0
 
