Acknowledge ends only of the incarnation whose ends were committed

Cause: a commit kept the positions of ends by worker id, so that its confirmation set them on whatever incarnation the worker had by then. Each incarnation numbers its ends from 1; the new one discarded ends that nobody had seen, and its owner took their runs as gone.

Change: a commit names the incarnation with each position, and a later one is not acknowledged by it. An assertion on these positions names the incarnation now and is stricter.

Tests: "A worker that restarts during a commit is acknowledged no ends" failed before the change and passes now.

--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -231,6 +231,14 @@
     When the newer record has been read
     Then the end is committed again
 
+  Scenario: A worker that restarts during a commit is acknowledged no ends
+    Guards against tasks that run again although they were done: the position of
+    the former incarnation made the new one discard ends that nobody had seen.
+    Given an active owner of a job of two steps
+    When the worker lists the end of the first step
+    And the worker restarts while the commit of that end is in flight
+    Then no end of the new incarnation is acknowledged
+
   Scenario: A job cancelled while its moved progress is read stays removed
     Guards against starts of tasks of a cancelled job: the progress was read
     before the cancellation, and the answer arrived after the removal of the
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -772,6 +772,23 @@
     )
 
 
+@behave.when("the worker restarts while the commit of that end is in flight")
+def step(context):
+    (write,) = start_commit(context)
+    entry = attrs.evolve(ENTRY, started_at_ms=ENTRY.started_at_ms + 1)
+    entries = worker_list.EntriesRead((entry,), NOW)
+    instance.handle(entries, context.batch, NOW)
+    committed = store_messages.Committed(TOKEN + 40)
+    context.effects = reply(context, write.purpose, committed)
+
+
+@behave.then("no end of the new incarnation is acknowledged")
+def step(context):
+    worker = context.partition.workers[ENTRY.worker_id]
+    assert worker.target.started_at_ms == ENTRY.started_at_ms + 1
+    assert worker.acknowledged_position == 0, worker.acknowledged_position
+
+
 @behave.then("the ends of the worker are not acknowledged")
 def step(context):
     assert not start_commit(context)
@@ -789,7 +806,8 @@
 def step(context):
     (write,) = start_commit(context)
     assert JOB in write.purpose.job_ids
-    assert write.purpose.acknowledged == {ENTRY.worker_id: 1}, (
+    worker = context.partition.workers[ENTRY.worker_id]
+    assert write.purpose.acknowledged == {worker.target: 1}, (
         write.purpose.acknowledged
     )
 
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -14,6 +14,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import worker_messages
 
 PART = "commits"
 # Delay of a commit, so that several ends of runs share it; final states are not
@@ -34,14 +35,15 @@
         partition: Name of the partition.
         token: Fencing token of its owner.
         job_ids: Jobs whose progress or final state is written.
-        acknowledged: For each worker, the position up to which the effects of
-            its ended runs are in the store once this commit is confirmed.
+        acknowledged: For each incarnation of a worker, the position up to which
+            the effects of its ended runs are in the store once this commit is
+            confirmed.
     """
 
     partition: str
     token: int
     job_ids: tuple[str, ...]
-    acknowledged: dict[str, int]
+    acknowledged: dict[worker_messages.Target, int]
 
 
 @attrs.frozen
@@ -128,8 +130,8 @@
     if partition.commit_in_flight:
         return []
     positions = {
-        name: worker.processed_position
-        for name, worker in partition.workers.items()
+        worker.target: worker.processed_position
+        for worker in partition.workers.values()
         if worker.processed_position > worker.acknowledged_position
     }
     if not partition.dirty_jobs:
@@ -432,15 +434,22 @@
 def _acknowledge(
     batch: state.Batch,
     partition: state.Partition,
-    positions: dict[str, int],
+    positions: dict[worker_messages.Target, int],
     now: float,
 ) -> dispatch.Effects:
+    """Acknowledges ends of runs, but none of a later incarnation of a worker.
+
+    Each incarnation numbers its ends from 1, so that it would discard ends that
+    nobody has seen.
+    """
     advanced = []
-    for name, position in positions.items():
-        worker = partition.workers.get(name)
-        if worker is not None and position > worker.acknowledged_position:
+    for target, position in positions.items():
+        worker = partition.workers.get(target.worker_id)
+        if worker is None or worker.target != target:
+            continue
+        if position > worker.acknowledged_position:
             worker.acknowledged_position = position
-            advanced.append(name)
+            advanced.append(target.worker_id)
     if not advanced:
         return []
     event = EndsCommitted(partition.name, tuple(advanced))
