Move a started job by the steps that it still has to run

Cause: a job moved only to a partition that has workers for all its steps, also those that are done, and by the size of its largest step, done or not.

Change: a partition has to have workers for the unfinished steps or, if none has, for those that wait. Once a job has started, the steps that wait decide how much room is needed.

Tests: two scenarios of batch_moves.feature failed before the change and pass now; the second also fails with only the first half of the change.

--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -12,3 +12,23 @@
     And 16 s pass in all partitions
     Then all tasks of the jobs run
     And the workers of all partitions have recorded no violation
+
+  Scenario: A started job moves to where its next step can run
+    Guards against an accepted job that never goes on: no partition has the
+    workers for all of its steps together any more, and steps that were done
+    counted among them.
+    Given two partitions, and only one that has workers for a job of two steps
+    When the worker for the second step is lost while the first step runs
+    And 30 s pass in all partitions
+    Then the job is completed
+    And the workers of all partitions have recorded no violation
+
+  Scenario: A started job moves to where its next step has room
+    Guards against a job that moves to and fro: its largest step, which was done,
+    decided whether a partition had room, and not the step that waits.
+    Given two partitions, and only one that has workers for a job of two steps
+    When the first step needs more than the other partition has free
+    And the worker for the second step is lost while the first step runs
+    And 30 s pass in all partitions
+    Then the job is completed
+    And the workers of all partitions have recorded no violation
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -1,5 +1,6 @@
 """Steps for batch_moves.feature."""
 
+import attrs
 import behave
 
 from sapphirestall_core import resources
@@ -73,3 +74,54 @@
 @behave.then("the workers of all partitions have recorded no violation")
 def step(context):
     assert not context.world.violations, context.world.violations[:5]
+
+
+JOB = "00000000000000ab"
+FIRST_RUN_S = 4.0
+
+
+def add_labelled_worker(world, name, label, partition, cpu_millis=8000):
+    world.add_worker(name, DATA_CENTRE, cpu_millis, make_rack_name(partition))
+    entry = world.listed_workers[name]
+    labels = (label, entry.rack)
+    world.listed_workers[name] = attrs.evolve(entry, labels=labels)
+
+
+@behave.given(
+    "two partitions, and only one that has workers for a job of two steps"
+)
+def step(context):
+    world = batch_world.BatchWorld(1)
+    world.run_duration_s = (FIRST_RUN_S, FIRST_RUN_S)
+    add_labelled_worker(world, "w-a", "a", 0, 32_000)
+    add_labelled_worker(world, "w-b", "b", 0)
+    add_labelled_worker(world, "w-other", "b", 1)
+    for number in range(2):
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+    context.world = world
+    context.first_amount = resources.Vector(1000, 100, 0)
+
+
+@behave.when("the first step needs more than the other partition has free")
+def step(context):
+    context.first_amount = resources.Vector(16_000, 100, 0)
+
+
+@behave.when("the worker for the second step is lost while the first step runs")
+def step(context):
+    world = context.world
+    first = model.Step(1, context.first_amount, required_label="a")
+    second = model.Step(
+        1, resources.Vector(1000, 100, 0), after=(0,), required_label="b"
+    )
+    world.submit(world.nodes[0], JOB, first, second)
+    world.run(1.0)
+    assert [name for name, _, _ in world.list_runs()] == ["w-a"]
+    world.end_worker("w-b")
+
+
+@behave.then("the job is completed")
+def step(context):
+    found = context.world.get_state(JOB)
+    assert found is model.JobState.COMPLETED, found
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import jobs
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
@@ -127,12 +128,7 @@
     batch: state.Batch, partition: state.Partition, job: state.Job, now: float
 ) -> dispatch.Effects:
     """Moves a job or some of its tasks if another partition can run them."""
-    others = {
-        name: summary
-        for name, summary in routing.list_fresh_summaries(batch, now).items()
-        if name != partition.name
-        and routing.can_run(summary, job.queue.service, job.record.steps)
-    }
+    others = _list_others(batch, partition, job, now)
     record: records.JobRecord | None = None
     if any(step.step.long_running for step in job.steps):
         record = _plan_task_moves(batch, partition, job, others, now)
@@ -157,6 +153,36 @@
     ]
 
 
+def _list_others(
+    batch: state.Batch, partition: state.Partition, job: state.Job, now: float
+) -> dict[str, records.SummaryRecord]:
+    """Returns the summaries of the other partitions that can run a job.
+
+    They have workers for all of its unfinished steps or, if there is no such
+    partition, for the steps that wait. The job may move again for later steps.
+    """
+    others = {
+        name: summary
+        for name, summary in routing.list_fresh_summaries(batch, now).items()
+        if name != partition.name
+    }
+    unfinished = tuple(step.step for step in job.steps if step.unfinished)
+    for steps in (unfinished, _list_waiting_steps(job)):
+        found = {
+            name: summary
+            for name, summary in others.items()
+            if routing.can_run(summary, job.queue.service, steps)
+        }
+        if found:
+            return found
+    return {}
+
+
+def _list_waiting_steps(job: state.Job) -> tuple[model.Step, ...]:
+    """Returns the steps of a job that have tasks which wait for a worker."""
+    return tuple(step.step for step in job.steps if step.runnable)
+
+
 def is_idle(partition: state.Partition, job: state.Job) -> bool:
     """Returns whether a job has no runs and all its progress is stored."""
     if not job.start_sent:
@@ -288,9 +314,11 @@
     Returns:
         The changed record; None if no other partition is better.
     """
-    step = max(
-        job.record.steps, key=lambda step: step.count * step.amount.cpu_millis
+    # A job that has not started has to fit as a whole.
+    candidates = (
+        _list_waiting_steps(job) if job.start_sent else job.record.steps
     )
+    step = max(candidates, key=lambda step: step.count * step.amount.cpu_millis)
     own_summary = batch.summaries.get(partition.name)
     if own_summary is None or not others:
         return None
