Leave labels out of the roster's entries

An entry of another writer may have very many labels. Since the roster holds the entries of its workers, one such entry could make it exceed the size of a value, so that the partition would get no owner any more. Found by reading. A successor needs no labels: it starts nothing on a worker that the platform's list lacks.

--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -178,8 +178,9 @@
             known.
         settled: Whether this owner knew that no runs of former owners were left
             that no listing had shown.
-        entries: Entries of the workers as the owner last read them. With them a
-            successor calls workers that the platform's list lacks.
+        entries: Entries of the workers, without labels, as the owner last read
+            them. With them a successor calls workers that the platform's list
+            lacks.
     """
 
     generation: int
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
@@ -235,9 +236,7 @@
         tuple(sorted(draining)),
         ownership.make_process_id(batch),
         settled,
-        tuple(
-            partition.workers[name].entry for name in sorted(partition.workers)
-        ),
+        _make_roster_entries(partition),
     )
     key = records.make_roster_key(partition.name)
     expected = (
@@ -253,6 +252,20 @@
     ]
 
 
+def _make_roster_entries(
+    partition: state.Partition,
+) -> tuple[model.WorkerEntry, ...]:
+    """Returns the entries of the workers of a partition for its roster.
+
+    They lack the labels: a successor starts nothing on a worker that the list
+    lacks, and an entry with very many labels could exceed the size of a value.
+    """
+    return tuple(
+        attrs.evolve(partition.workers[name].entry, labels=())
+        for name in sorted(partition.workers)
+    )
+
+
 def _list_targets(
     partition: state.Partition,
 ) -> frozenset[worker_messages.Target]:
