--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -89,7 +89,7 @@
     lease, unless the cause lies in this process. A worker that was marked
     before is polled only by the periodic checks.
     """
-    if getattr(reply, "closed", False):
+    if isinstance(reply, worker_messages.NoAnswer) and reply.closed:
         worker.closed_at = now
     if worker.unresponsive:
         return []
