--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -367,16 +367,16 @@
 
 
 def find_worker_address(
-    network: proxy.Network, caller: str, entry: model.WorkerEntry
+    network: proxy.Network, caller: str, worker_id: str
 ) -> str:
     """Returns the address of the link from an instance to a worker.
 
     Args:
         network: Links of the deployment.
         caller: Name of the instance.
-        entry: Entry of the worker.
+        worker_id: Id of the worker.
     """
-    link = network.links.get((caller, entry.worker_id))
+    link = network.links.get((caller, worker_id))
     return link.address if link else UNREACHABLE_ADDRESS
 
 
