--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -187,8 +187,7 @@
 )
 def step(context, seconds):
     world, name = context.world, context.worker_id
-    for node in world.nodes:
-        node.unreachable_workers.add(name)
+    isolate_worker(context)
     hide_entry(context, seconds)
     for node in world.nodes:
         world.schedule(
@@ -603,9 +602,9 @@
 
 
 def send_start(context):
-    """Lets the owner send a start to the worker that is in flight then.
+    """Lets the owner send a start to the worker, which is still in flight.
 
-    A fourth of the capacity is left free, and only on that worker.
+    The other workers drain, so that they get no start.
     """
     world = context.world
     for name, worker in world.workers.items():
--- a/packages/core/src/sapphirestall_core/batch/cancellations.py
+++ b/packages/core/src/sapphirestall_core/batch/cancellations.py
@@ -61,7 +61,7 @@
     """
     partition = _choose_early_cancel_partition(batch, call.job_id)
     if partition is None:
-        # This instance may not have learned of them yet.
+        # There may be partitions of which this instance has not learned yet.
         refusal = caller_messages.Refused("no_workers", calls.MIN_RETRY_AFTER_S)
         return calls.answer_call(batch, call, refusal, now)
     wall_clock_ms = round((now + batch.identity.wall_clock_offset_s) * 1000)
@@ -78,10 +78,8 @@
         store_messages.Put(key, record),
         store_messages.Put(ended_key, records.EndedRecord(wall_clock_ms)),
     )
-    purpose_of_write = EarlyCancelWrite(call.call_id)
-    return [
-        store_messages.StoreTransaction(purpose_of_write, ((key, 0),), puts)
-    ]
+    write = EarlyCancelWrite(call.call_id)
+    return [store_messages.StoreTransaction(write, ((key, 0),), puts)]
 
 
 def _choose_early_cancel_partition(
