Log what becomes of the idle processors of a partition

Each owner now logs them once a second and partition by their use: used, unrequested, refused by the model of interference, startable, and left by runs that are paced down.

--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -438,6 +438,8 @@
         poll_number: Number of the poll that was last sent.
         unowned_since: Monotonic time at which this instance learned that the
             partition had no owner, before it became the owner, in seconds.
+        capacity_logged_at: Monotonic time at which the use of its idle
+            processors was last logged, in seconds.
     """
 
     name: str
@@ -481,6 +483,7 @@
     retention_in_flight: bool = False
     poll_number: int = 0
     unowned_since: float = -math.inf
+    capacity_logged_at: float = -math.inf
 
     def record_removal(self, removed: "RemovedJob") -> None:
         """Records that a job's record was removed.
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -8,6 +8,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import balance
+from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import departures
@@ -188,6 +189,7 @@
             effects += _check_worker(batch, partition, worker, now)
         effects += departures.evacuate_workers(batch, partition, now)
         effects += summaries.publish(batch, partition, now)
+        effects += capacity_reports.log_capacity(batch, partition, now)
         effects += balance.move_unplaced_jobs(batch, partition, now)
         effects += retention.check_retention(batch, partition, now)
         # A worker may accept starts again after a suspension, or respond again.
