Store the division of racks into partitions, and put four racks into one

A partition now has four racks. Names of partitions follow from the division, so the division is stored once under a key of its own and every instance reads it before it assigns workers to partitions. Where the store holds rosters but no division, the version before wrote them, and its two racks stay in force: a rolling upgrade never gives one worker two owners under different keys.

A wide opportunistic job, which needs more workers than two racks have, failed to meet its objective with two racks a partition (state 'accepted' at its objective) and meets it now. The scenario on several owners of a data centre has 16 racks in place of 8, so that it still has four partitions for six instances; its bounds are unchanged.

--- a/features/batch_division.feature
+++ b/features/batch_division.feature
@@ -4,10 +4,43 @@
     Guards against one instance that sends all commands of a data centre: its
     processor would limit the whole data centre, and calls would time out before
     they are sent.
-    Given a data centre of 8 racks with 8 workers each and 6 instances
+    Given a data centre of 16 racks with 4 workers each and 6 instances
     Then every partition of the data centre has one owner
     And at least 3 instances own partitions
 
+  Scenario: A wide opportunistic job meets its objective
+    Guards against jobs that are confined to the workers of two racks: their
+    tasks run one after the other while workers of the same data centre are
+    idle.
+    Given a data centre of 4 racks with 8 workers of 32 processors each
+    When an opportunistic job of 2 steps with 160 tasks of 7 processors runs
+    Then it is completed within its objective
+
+  Scenario: Owners of the version before the division was stored
+    Guards against a new version that names the partitions of a running
+    deployment differently: two instances would own a worker under keys whose
+    fencing tokens have no common order.
+    Given a store whose rosters are of partitions of two racks
+    When 3 instances start with 8 racks
+    Then all instances own partitions of two racks only
+    And every worker belongs to one owned partition
+
+  Scenario: A version with another division joins
+    Guards against two divisions of the same racks during a rolling upgrade to a
+    version that divides new deployments differently.
+    Given a data centre of 8 racks with 4 workers each and 3 instances
+    When 3 instances of a version with 2 racks in a partition replace them
+    Then all instances own partitions of four racks only
+    And every worker belongs to one owned partition
+
+  Scenario: The answers to the first writes of the division are lost
+    Guards against instances that divide the racks differently, or never, after
+    a write whose answer was lost or that was carried out late.
+    Given a store that loses the answers to writes and carries some out late
+    When 6 instances start with 8 racks
+    Then all instances own partitions of four racks only
+    And every worker belongs to one owned partition
+
   Scenario: Instances with more processors own more partitions
     Guards against small instances that own as many partitions as large ones.
     Given a data centre of 24 racks, one instance of 4 processors and 6 of 0.3
--- a/features/builders.py
+++ b/features/builders.py
@@ -49,6 +49,7 @@
 def make_partition(context, *workers):
     identity = state.Identity("e-1", "1", OWN)
     context.batch = instance.build(identity)
+    context.batch.division_adopted = True
     # The list of workers stays recent while a test advances the time.
     context.batch.workers_listed_at = NOW + 60.0
     context.batch.configuration = model.Configuration(
--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -351,7 +351,7 @@
     world.run(4.2)
     context.runs = set(world.list_runs())
     name = min(context.runs, key=lambda run: run[0])[0]
-    owner = world.find_owner(world.workers[name].entry.partition)
+    owner = world.find_owner(world.find_partition(name))
     world.kill(owner)
     world.run(12.0)
 
@@ -383,7 +383,7 @@
 @behave.when("a worker drains and exits and its owner shuts down 4 s later")
 def step(context):
     world, name = context.world, context.worker_id
-    partition = world.workers[name].entry.partition
+    partition = world.find_partition(name)
     world.drain_worker(name)
     context.gaps.run(3.0)
     world.end_worker(name)
--- a/features/steps/batch_division_steps.py
+++ b/features/steps/batch_division_steps.py
@@ -5,9 +5,11 @@
 
 from features import builders
 from sapphirestall_core import resources
+from sapphirestall_core import store_messages
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
@@ -19,7 +21,7 @@
 NOW = 50.0
 EIGHT_PARTITIONS = 8 * model.RACKS_PER_PARTITION
 DATA_RACK = "r1-6"
-DATA_PARTITION = model.make_partition_name(DATA_CENTRE, DATA_RACK)
+DATA_PARTITION = model.Division().make_partition_name(DATA_CENTRE, DATA_RACK)
 
 
 def make_step(count, **fields):
@@ -37,7 +39,7 @@
 
 def list_partitions(racks):
     names = {
-        model.make_partition_name(DATA_CENTRE, make_rack_name(rack))
+        model.Division().make_partition_name(DATA_CENTRE, make_rack_name(rack))
         for rack in range(racks)
     }
     return sorted(names)
@@ -80,6 +82,129 @@
     make_world(context, racks, 1, [large] + [small] * nodes)
 
 
+WIDE_JOB_S = 1.7
+WIDE_TASK_CPU_MILLIS = 7000
+
+
+@behave.given(
+    "a data centre of {racks:d} racks with 8 workers of 32 processors each"
+)
+def step(context, racks):
+    world = batch_world.BatchWorld(1, run_duration_s=(WIDE_JOB_S, WIDE_JOB_S))
+    for number in range(racks * 8):
+        rack = make_rack_name(number // 8)
+        world.add_worker(f"w-{number}", DATA_CENTRE, 32_000, rack)
+    for number in range(3):
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+    context.world = world
+
+
+@behave.when(
+    "an opportunistic job of 2 steps with {count:d} tasks of 7 processors runs"
+)
+def step(context, count):
+    amount = resources.Vector(WIDE_TASK_CPU_MILLIS, 100, 0)
+    first = model.Step(count, amount, WIDE_JOB_S, image="tally", fills=True)
+    context.steps = (first, attrs.evolve(first, after=(0,)))
+    world = context.world
+    world.submit(world.nodes[0], make_id(1), *context.steps)
+
+
+@behave.then("it is completed within its objective")
+def step(context):
+    queue = batch_world.QUEUE
+    path_s = objectives.find_critical_path(context.steps, set())
+    context.world.run(queue.stretch * path_s + queue.target_latency_s)
+    job_state = context.world.get_state(make_id(1))
+    assert job_state is model.JobState.COMPLETED, job_state
+
+
+def add_racks(world, racks):
+    for number in range(racks * 4):
+        rack = make_rack_name(number // 4)
+        world.add_worker(f"w-{number}", DATA_CENTRE, rack=rack)
+
+
+@behave.given("a store whose rosters are of partitions of two racks")
+def step(context):
+    world = batch_world.BatchWorld(1)
+    former = model.Division(2)
+    name = former.make_partition_name(DATA_CENTRE, make_rack_name(2))
+    roster = records.RosterRecord(1)
+    world.store.revision += 1
+    put = store_messages.Put(records.make_roster_key(name), roster)
+    world.store.put(put)
+    context.world = world
+
+
+@behave.given(
+    "a store that loses the answers to writes and carries some out late"
+)
+def step(context):
+    context.world = batch_world.BatchWorld(
+        3, lost_answer_fraction=0.3, late_write_fraction=0.5
+    )
+
+
+@behave.when("{count:d} instances start with 8 racks")
+def step(context, count):
+    add_racks(context.world, 8)
+    for number in range(count):
+        context.world.add_node(f"e-{number}", DATA_CENTRE)
+    context.world.run(START_S)
+    context.world.lost_answer_fraction = 0.0
+    context.world.late_write_fraction = 0.0
+    context.world.run(2 * START_S)
+
+
+@behave.when(
+    "{count:d} instances of a version with 2 racks in a partition replace them"
+)
+def step(context, count):
+    world = context.world
+    former_nodes = list(world.nodes)
+    before = model.RACKS_PER_PARTITION
+    model.RACKS_PER_PARTITION = 2
+    try:
+        for number in range(count):
+            world.add_node(f"n-{number}", DATA_CENTRE)
+            world.run(1.0)
+        for node in former_nodes:
+            world.kill(node)
+        world.run(2 * START_S)
+    finally:
+        model.RACKS_PER_PARTITION = before
+
+
+@behave.then("all instances own partitions of {size} racks only")
+def step(context, size):
+    division = model.Division({"two": 2, "four": 4}[size])
+    expected = {
+        division.make_partition_name(DATA_CENTRE, make_rack_name(rack))
+        for rack in range(8)
+    }
+    owned = [
+        name
+        for node in context.world.nodes
+        if node.alive
+        for name in node.batch.partitions
+    ]
+    assert sorted(owned) == sorted(expected), (owned, expected)
+
+
+@behave.then("every worker belongs to one owned partition")
+def step(context):
+    owned = [
+        worker_id
+        for node in context.world.nodes
+        if node.alive
+        for partition in node.batch.partitions.values()
+        for worker_id in partition.workers
+    ]
+    assert sorted(owned) == sorted(context.world.workers), owned
+
+
 @behave.given("two partitions with one worker each and two instances")
 def step(context):
     make_world(context, 2, 1, [1.0, 1.0], model.RACKS_PER_PARTITION)
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -76,6 +76,7 @@
 def make_instance(context):
     identity = state.Identity("e-1", "1", PARTITION)
     context.batch = instance.build(identity)
+    context.batch.division_adopted = True
     # The list of workers stays recent while a test advances the time.
     context.batch.workers_listed_at = NOW + 60.0
     context.batch.configuration = model.Configuration(1, (QUEUE,))
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -325,11 +325,15 @@
     steps = job.record.steps
     if step.fills:
         loads = {
-            name: routing.estimate_load(name, others[name], steps)
+            name: routing.estimate_load(
+                batch.division, name, others[name], steps
+            )
             for name in others
         }
         target = routing.choose_by_load(loads, job.record.job_id)
-        current_load = routing.estimate_load(partition.name, own_summary, steps)
+        current_load = routing.estimate_load(
+            batch.division, partition.name, own_summary, steps
+        )
         can_run_here = routing.can_run(own_summary, job.queue.service, steps)
         if (
             can_run_here
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -12,6 +12,7 @@
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import division
 from sapphirestall_core.batch import intake
 from sapphirestall_core.batch import interference_exchange
 from sapphirestall_core.batch import job_changes
@@ -31,6 +32,7 @@
     cancellations,
     commits,
     configuration,
+    division,
     interference_exchange,
     intake,
     job_changes,
@@ -89,6 +91,7 @@
     batch.started_at = now
     timers = (
         configuration.ConfigurationDue(),
+        division.DivisionDue(),
         ownership.LeaseDue(),
         ownership.OwnersReadDue(),
         workers.EntriesDue(),
--- a/packages/core/src/sapphirestall_core/batch/model.py
+++ b/packages/core/src/sapphirestall_core/batch/model.py
@@ -6,10 +6,10 @@
 
 from sapphirestall_core import resources
 
-# An instance with 0.3 processors manages the workers of two racks with a small
-# share of its time. Two racks also have enough capacity for usual jobs when
-# some tasks may not share a worker, because they disturb each other.
-RACKS_PER_PARTITION = 2
+# An opportunistic step of 40 to 160 tasks finds too few workers in two racks
+# that it does not disturb. More than four racks overload an owner with 0.3
+# processors.
+RACKS_PER_PARTITION = 4
 
 
 class JobState(enum.StrEnum):
@@ -226,27 +226,42 @@
     draining: bool
     rack: str = ""
 
-    @property
-    def partition(self) -> str:
-        """Name of the partition that the worker belongs to."""
-        return make_partition_name(self.data_centre, self.rack)
 
+@attrs.frozen(slots=True)
+class Division:
+    """Division of the racks of each data centre into partitions.
 
-def make_partition_name(data_centre: str, rack: str) -> str:
-    """Returns the name of the partition that a rack belongs to.
-
-    Racks are grouped by their number, `RACKS_PER_PARTITION` consecutive numbers
-    to a partition, which is named after the first. A rack without a number is a
-    partition of its own. Workers without a rack form one partition for each
-    data centre, which is named after the data centre.
+    Attributes:
+        racks_per_partition: Number of consecutive racks that form a partition.
     """
-    if not rack:
-        return data_centre
-    stem = rack.rstrip("0123456789")
-    if stem == rack:
-        return f"{data_centre}/{rack}"
-    group = max(0, int(rack[len(stem) :]) - 1) // RACKS_PER_PARTITION
-    return f"{data_centre}/{stem}{group * RACKS_PER_PARTITION + 1}"
+
+    racks_per_partition: int = attrs.field(factory=lambda: RACKS_PER_PARTITION)
+
+    def make_partition_name(self, data_centre: str, rack: str) -> str:
+        """Returns the name of the partition that a rack belongs to.
+
+        Racks are grouped by their number, and a partition is named after the
+        first rack of its group. A rack without a number is a partition of its
+        own. Workers without a rack form one partition for each data centre,
+        which is named after the data centre.
+        """
+        if not rack:
+            return data_centre
+        stem = rack.rstrip("0123456789")
+        if stem == rack:
+            return f"{data_centre}/{rack}"
+        size = self.racks_per_partition
+        group = max(0, int(rack[len(stem) :]) - 1) // size
+        return f"{data_centre}/{stem}{group * size + 1}"
+
+    def find_partition(self, entry: WorkerEntry) -> str:
+        """Returns the name of the partition that a worker belongs to."""
+        return self.make_partition_name(entry.data_centre, entry.rack)
+
+    def contains_rack(self, partition: str, rack: str) -> bool:
+        """Returns whether a rack belongs to a partition."""
+        data_centre = get_data_centre(partition)
+        return partition == self.make_partition_name(data_centre, rack)
 
 
 def get_data_centre(partition: str) -> str:
@@ -254,11 +269,6 @@
     return partition.partition("/")[0]
 
 
-def contains_rack(partition: str, rack: str) -> bool:
-    """Returns whether a rack belongs to a partition."""
-    return partition == make_partition_name(get_data_centre(partition), rack)
-
-
 @attrs.frozen(slots=True, cache_hash=True)
 class TaskName:
     """Name of a task.
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -19,6 +19,7 @@
 ROSTERS_PREFIX = "rosters/"
 SUMMARIES_PREFIX = "summaries/"
 INTERFERENCE_KEY = "harms"
+DIVISION_KEY = "division"
 
 
 @attrs.frozen(slots=True)
@@ -163,6 +164,17 @@
     lease_ms: dict[str, int]
 
 
+@attrs.frozen(slots=True)
+class DivisionRecord:
+    """Division of data centres into partitions, which never changes.
+
+    Attributes:
+        racks_per_partition: Number of consecutive racks that form a partition.
+    """
+
+    racks_per_partition: int = attrs.field(validator=attrs.validators.ge(1))
+
+
 LiveDocument = JobRecord | OwnerRecord | ReleaseRecord
 
 
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -215,7 +215,7 @@
     """Chooses a partition with low load for a job with opportunistic tasks."""
     local = _list_local(batch, summaries)
     loads = {
-        name: estimate_load(name, summary, steps)
+        name: estimate_load(batch.division, name, summary, steps)
         + (MIN_LOAD_ADVANTAGE if local and name not in local else 0.0)
         for name, summary in summaries.items()
     }
@@ -236,11 +236,14 @@
 
 
 def estimate_load(
-    name: str, summary: records.SummaryRecord, steps: tuple[model.Step, ...]
+    division: model.Division,
+    name: str,
+    summary: records.SummaryRecord,
+    steps: tuple[model.Step, ...],
 ) -> float:
     """Returns a partition's load for a job, which remote data increases."""
     rack = find_data_rack(steps)
-    remote = bool(rack) and not model.contains_rack(name, rack)
+    remote = bool(rack) and not division.contains_rack(name, rack)
     return find_opportunistic_load(summary, steps) + (
         REMOTE_DATA_LOAD if remote else 0.0
     )
@@ -300,7 +303,7 @@
         fitting = count_fitting_tasks(step, summary.rooms, step.count)
         free_cpu = sum(capacity.cpu_millis for capacity in summary.rooms)
         has_data = not step.data_rack or (
-            model.contains_rack(name, step.data_rack)
+            batch.division.contains_rack(name, step.data_rack)
         )
         return has_data and fitting > 0, fitting, name in local, free_cpu
 
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -585,6 +585,9 @@
             flight.
         lease_renewed_at: Monotonic time at which the last renewal that the
             store confirmed was sent, in seconds.
+        division: Division of the data centres into partitions.
+        division_adopted: Whether `division` is the one that the store holds.
+            Before, no worker is assigned to a partition.
         known_partitions: Data centre of each partition that is known to exist.
         partitions_loaded: Whether the partitions that ever had an owner were
             read from the store.
@@ -631,6 +634,8 @@
     lease_id: str = ""
     lease_call_in_flight: bool = False
     lease_renewed_at: float = -1e9
+    division: model.Division = attrs.field(factory=model.Division)
+    division_adopted: bool = False
     known_partitions: dict[str, str] = attrs.field(factory=dict)
     partitions_loaded: bool = False
     unowned_since: dict[str, float] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -77,9 +77,13 @@
     if event.entries is None:
         departures.restart_absences(batch)
         return []
+    if not batch.division_adopted:
+        # The list is read again as soon as the division is known.
+        return []
     by_partition: dict[str, list[model.WorkerEntry]] = {}
     for entry in event.entries:
-        by_partition.setdefault(entry.partition, []).append(entry)
+        name = batch.division.find_partition(entry)
+        by_partition.setdefault(name, []).append(entry)
     effects = ownership.add_partitions(batch, by_partition, now)
     for partition in list(batch.partitions.values()):
         partition.workers_listed = True
--- a/standins/batch_restarts.py
+++ b/standins/batch_restarts.py
@@ -376,6 +376,7 @@
 
 def _make_scenario(seed: int) -> RestartScenario:
     world = batch_world.BatchWorld(seed)
+    world.store_division(RACKS_PER_PARTITION)
     faults = batch_faults.BatchFaults(world)
     check = RestartCheck(world, faults)
     return RestartScenario(world, faults, check, DATA_CENTRES)
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -177,6 +177,20 @@
         """Seeds the random numbers of the simulation."""
         self.rng = random.Random(self.seed)
 
+    def store_division(self, racks_per_partition: int) -> None:
+        """Stores the division that instances adopt when they start."""
+        record = records.DivisionRecord(racks_per_partition)
+        self.store.revision += 1
+        self.store.put(store_messages.Put(records.DIVISION_KEY, record))
+
+    def find_partition(self, worker_id: str) -> str:
+        """Returns the name of the partition that a worker belongs to."""
+        found = self.store.find(records.DIVISION_KEY)
+        assert found is not None
+        assert isinstance(found.value, records.DivisionRecord)
+        division = model.Division(found.value.racks_per_partition)
+        return division.find_partition(self.workers[worker_id].entry)
+
     def add_node(
         self, name: str, data_centre: str, processors: float = 1.0
     ) -> Node:
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -12,6 +12,7 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import division
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
@@ -163,6 +164,16 @@
     model.RACKS_PER_PARTITION = 1000
 
 
+def confine_jobs_to_two_racks() -> None:
+    """Makes partitions of two racks."""
+    model.RACKS_PER_PARTITION = 2
+
+
+def ignore_former_rosters() -> None:
+    """Stores the own division although partitions had owners before."""
+    division.UNSTORED_DIVISION = model.Division()
+
+
 def acquire_regardless_of_processors() -> None:
     """Lets small instances acquire as many partitions as large ones."""
     compute_delay = ownership.compute_acquisition_delay
@@ -280,6 +291,16 @@
         f"{DIVISION}: The racks of a data centre have several owners",
         use_one_partition_per_data_centre,
     ),
+    (
+        "room of a job",
+        f"{DIVISION}: A wide opportunistic job meets its objective",
+        confine_jobs_to_two_racks,
+    ),
+    (
+        "division of former versions",
+        f"{DIVISION}: Owners of the version before the division was stored",
+        ignore_former_rosters,
+    ),
     (
         "partitions by processors",
         f"{DIVISION}: Instances with more processors own more",
