--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -295,6 +295,16 @@
       | new revisions      | new ones      |
       | no revisions       | new ones      |
 
+  Scenario: A heartbeat does not cause an entry to be decoded again
+    Guards against instances that decode the entries of all workers in each
+    read, because each heartbeat changes the revision of an entry, and against
+    an announced departure that is hidden by what was decoded before.
+    Given the list of workers was read with heartbeat 1 in state "ready"
+    When it is read again with heartbeat 2 in state "ready"
+    Then the entry of the first read is passed on
+    When it is read again with heartbeat 3 in state "draining"
+    Then a new entry is passed on
+
   Scenario Outline: An item of a list that is <item> costs only itself
     Guards against a list that is never read again, and against an owner that
     no longer follows its partition, because of one item.
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -173,7 +173,7 @@
 
 @behave.then('the worker belongs to partition "{name}"')
 def step(context, name):
-    assert context.entry.partition == name
+    assert model.Division().find_partition(context.entry) == name
 
 
 @behave.then('the settings are refused naming "{name}"')
@@ -214,7 +214,8 @@
 
 @behave.then("no key of its partition is longer than {length:d} bytes")
 def step(context, length):
-    name = documents.decode_worker("w-1", context.entry).partition
+    entry = documents.decode_worker("w-1", context.entry)
+    name = model.Division().find_partition(entry)
     keys = (
         records.make_job_key(name, JOB_ID),
         records.make_progress_key(name, JOB_ID),
@@ -759,6 +760,38 @@
         asyncio.run(read())
 
 
+def read_heartbeat(context, number, worker_state):
+    entry = {**ENTRY, "seq": number, "state": worker_state}
+    item = make_item("servers/w-1", json.dumps(entry).encode())
+    item["revision"] += number
+    body = json.dumps(make_list([item])).encode()
+    context.store.transport = transport.Transport(FixedSession(body))
+    asyncio.run(context.store.read_workers())
+
+
+@behave.given(
+    'the list of workers was read with heartbeat {number:d} in state "{name}"'
+)
+def step(context, number, name):
+    make_store(context)
+    read_heartbeat(context, number, name)
+
+
+@behave.when('it is read again with heartbeat {number:d} in state "{name}"')
+def step(context, number, name):
+    read_heartbeat(context, number, name)
+
+
+@behave.then("the entry of the first read is passed on")
+def step(context):
+    assert context.events[-1].entries[0] is context.events[0].entries[0]
+
+
+@behave.then("a new entry is passed on")
+def step(context):
+    assert context.events[-1].entries[0].draining, context.events
+
+
 @behave.given("the store's list of workers and configuration were read")
 def step(context):
     make_store(context)
