--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -9,7 +9,7 @@
     Guards against workers of one rack that are commanded by different
     instances.
     Given a worker's entry in the platform's list
-    Then the worker belongs to partition "sefrou/r1-3"
+    Then it belongs to partition "sefrou/r1-3" of two racks
 
   Scenario Outline: Invalid settings are refused with the name of the field
     Guards against a process that runs with invalid settings.
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -171,9 +171,9 @@
     context.entry = documents.decode_worker("w-1", ENTRY)
 
 
-@behave.then('the worker belongs to partition "{name}"')
+@behave.then('it belongs to partition "{name}" of two racks')
 def step(context, name):
-    assert model.Division().find_partition(context.entry) == name
+    assert model.Division(2).find_partition(context.entry) == name
 
 
 @behave.then('the settings are refused naming "{name}"')
--- a/packages/core/src/sapphirestall_core/batch/interference.py
+++ b/packages/core/src/sapphirestall_core/batch/interference.py
@@ -235,6 +235,8 @@
     ) -> float:
         """Predicts the headroom of a run without opportunistic tasks beside it.
 
+        It is the same for all runs of a step, which share their users.
+
         Args:
             run: The serving run.
             now: Monotonic time, in seconds.
@@ -251,10 +253,10 @@
     ) -> dict[str, float]:
         """Returns the headroom that opportunistic tasks may cost each image."""
         budgets: dict[str, float] = {}
-        for run in list_serving_runs(worker):
-            headroom = self.predict_headroom(run, now, horizon_s)
+        for runs in group_serving_runs(worker):
+            headroom = self.predict_headroom(runs[0], now, horizon_s)
             budget = max(0.0, headroom - RESERVED_HEADROOM)
-            image = run.task.step.image
+            image = runs[0].task.step.image
             budgets[image] = min(budget, budgets.get(image, budget))
         return budgets
 
@@ -262,11 +264,12 @@
         """Estimates the share of their processors that serving runs use."""
         used = 0.0
         reserved = 0
-        for run in list_serving_runs(worker):
-            step = run.task.step
+        for runs in group_serving_runs(worker):
+            step = runs[0].task.step
             idle = self.get_idle_headroom(step.image)
-            share = 1 - self.predict_headroom(run, now, PACING_HORIZON_S) / idle
-            cpu_millis = step.amount.cpu_millis
+            headroom = self.predict_headroom(runs[0], now, PACING_HORIZON_S)
+            share = 1 - headroom / idle
+            cpu_millis = len(runs) * step.amount.cpu_millis
             reserved += cpu_millis
             used += min(1.0, max(MIN_LOAD_SHARE, share)) * cpu_millis
         return used / reserved if reserved else 0.0
