Simulate opportunistic work beside serving tasks in virtual time

No run of the project's own showed how much idle capacity wide opportunistic jobs can use: workers of the stand-ins had no paces, tail latencies or interference between images.

Also test the reports on idle processors.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo load budget bench mutations soak clean
+.PHONY: setup format check test demo load budget bench contention mutations soak clean
 
 setup: $(STAMP)
 
@@ -35,6 +35,10 @@
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
+# Worth of opportunistic work beside serving tasks; RACKS=N sets the division.
+contention: $(STAMP)
+	$(BIN)/python -m bench.contention $(or $(SEED),1) $(RACKS)
+
 # Processor time of starts, listings, idle seconds and calls.
 cost: $(STAMP)
 	$(BIN)/python -m bench.batch_cost
--- /dev/null
+++ b/features/batch_capacity.feature
@@ -0,0 +1,26 @@
+Feature: Reports on idle processors
+
+  Scenario Outline: Idle processors are reported by what becomes of them
+    Guards against jobs that wait beside idle processors while no log line tells
+    whether nothing asks for these, the model of interference refuses them or
+    runs that are paced down hold them.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And <work>
+    Then <idle> processors are reported as idle and <amount> as <use>
+
+    Examples:
+      | work                                          | idle | amount | use         |
+      | no opportunistic task                         | 28   | 28     | unrequested |
+      | a waiting task of an image that disturbs them | 28   | 28     | refused     |
+      | a waiting task of a harmless image            | 28   | 28     | startable   |
+      | runs that request 10 at a pace of 40 percent  | 28   | 6      | paced_down  |
+      | runs that request 10 at a pace of 40 percent  | 28   | 4      | used        |
+
+  Scenario: A partition without opportunistic work logs nothing
+    Guards against a line a second from each partition that has nothing to
+    report.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And no opportunistic task
+    Then its capacity is not logged
+    Given a waiting task of a harmless image
+    Then its capacity is logged once within a second
--- /dev/null
+++ b/features/steps/batch_capacity_steps.py
@@ -0,0 +1,88 @@
+"""Steps for batch_capacity.feature."""
+
+import behave
+
+from features import builders
+from sapphirestall_core import resources
+from sapphirestall_core.batch import capacity_reports
+from sapphirestall_core.batch import interference
+from sapphirestall_core.batch import model
+
+IMAGE, OTHER_IMAGE = "loud", "calm"
+KNOWN_VARIANCE = 0.1
+# Interference at which no opportunistic task may run beside a serving task.
+FORBIDDING = 1e9
+
+
+@behave.given("a worker of 32 processors whose serving tasks use 4 of 8")
+def step(context):
+    context.worker = builders.make_worker("w-1", 32)
+    builders.make_partition(context, context.worker)
+    step = model.Step(
+        1,
+        resources.Vector(8 * builders.CORE_MILLIS, 100, 0),
+        long_running=True,
+        image="soft",
+        tail_target_ms=builders.TAIL_TARGET_MS,
+    )
+    builders.add_run(context.worker, step)
+    context.worker.serving_load = 0.5
+    for image, value in ((IMAGE, FORBIDDING), (OTHER_IMAGE, 0.0)):
+        context.batch.interference.set_estimate(
+            "soft", image, interference.Estimate(value, KNOWN_VARIANCE)
+        )
+
+
+@behave.given("no opportunistic task")
+def step(context):
+    pass
+
+
+def add_waiting_task(context, image):
+    waiting = builders.make_step(1, fills=True, image=image)
+    builders.add_job(context, 1, 2, 0.0, waiting)
+
+
+@behave.given("a waiting task of an image that disturbs them")
+def step(context):
+    add_waiting_task(context, IMAGE)
+
+
+@behave.given("a waiting task of a harmless image")
+def step(context):
+    add_waiting_task(context, OTHER_IMAGE)
+
+
+@behave.given("runs that request {cpu:d} at a pace of {percent:d} percent")
+def step(context, cpu, percent):
+    for _ in range(cpu):
+        run_step = builders.make_step(1, fills=True, image=OTHER_IMAGE)
+        run = builders.add_run(context.worker, run_step)
+        context.worker.paced_cpu_millis -= run.count_paced_cpu()
+        run.pace_percent = percent
+        context.worker.paced_cpu_millis += run.count_paced_cpu()
+
+
+@behave.then("{idle:d} processors are reported as idle and {amount:d} as {use}")
+def step(context, idle, amount, use):
+    report = capacity_reports.make_report(
+        context.partition, context.batch.interference, builders.NOW
+    )
+    assert report.idle == idle * builders.CORE_MILLIS, report
+    assert getattr(report, use) == amount * builders.CORE_MILLIS, report
+
+
+def log_capacity(context, now):
+    return capacity_reports.log_capacity(context.batch, context.partition, now)
+
+
+@behave.then("its capacity is not logged")
+def step(context):
+    assert not log_capacity(context, builders.NOW)
+
+
+@behave.then("its capacity is logged once within a second")
+def step(context):
+    now = builders.NOW + capacity_reports.REPORT_INTERVAL_S
+    assert len(log_capacity(context, now)) == 1
+    assert not log_capacity(context, now + 0.5)
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -104,6 +104,9 @@
             model.EndedRun(self.last_position, key[0], key[1], kind, "")
         )
 
+    def set_pace(self, key: tuple[model.TaskName, int], percent: int) -> None:
+        """Sets the pace of a run; the runs of this worker have none."""
+
     def make_listing(self, now: float) -> worker_messages.Listing:
         """Makes a listing of all runs."""
         listed_runs = tuple(
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -396,10 +396,20 @@
         kind = model.EndKind.DONE
         if self.rng.random() < self.failure_fraction:
             kind = model.EndKind.FAILED
-        worker.running[key] = batch_worker.ActiveRun(step, ends_at, kind)
+        worker.running[key] = self.make_run(call, step, ends_at, kind)
         self.starts += 1
         return worker_messages.Done(clock_ms)
 
+    def make_run(
+        self,
+        call: worker_messages.StartRun,
+        step: model.Step,
+        done_at: float | None,
+        kind: model.EndKind,
+    ) -> batch_worker.ActiveRun:
+        """Makes the run that a start requests."""
+        return batch_worker.ActiveRun(step, done_at, kind)
+
     def start_poll(self, node: Node, call: worker_messages.HoldLease) -> None:
         """Counts a poll that an instance sends."""
         key = identify_poll(node, call)
@@ -773,6 +783,17 @@
     answer(worker_messages.Done(worker.read_clock(world.now)))
 
 
+@apply_call.register
+def _(
+    call: worker_messages.PaceRun,
+    world: BatchWorld,
+    worker: batch_worker.BatchWorker,
+    answer: Answer,
+) -> None:
+    worker.set_pace((call.task, call.number), call.percent)
+    answer(worker_messages.Done(worker.read_clock(world.now)))
+
+
 @apply_call.register
 def _(
     call: worker_messages.HoldLease,
