Let opportunistic tasks wait for workers that they disturb little

They are paced down, most to 0, as soon as it rises, hold memory, and the next step of their job waits for them.

For 3 s after a pass first found no worker for it, a task now uses only workers whose serving tasks its image isn't known to disturb a lot, if the partition has any. Unknown pairs are tried as before, and the wait is bounded, so that no job is kept from the only room that is left.

The scenario failed before. The search with which scheduling passes are compared follows the same rule.

--- a/features/batch_interference.feature
+++ b/features/batch_interference.feature
@@ -21,6 +21,22 @@
     Given image "loud" disturbs serving image "soft" but not "hard"
     Then tasks of image "loud" are placed beside serving image "hard"
 
+  Scenario Outline: A task first waits for a worker that it disturbs little
+    Guards against tasks that start beside serving tasks which their image
+    disturbs a lot, and are paced down as soon as the load of these rises: they
+    hold memory, and the next step of their job waits for them.
+    Given image "loud" disturbs serving image "soft" but not "hard"
+    And the worker with serving image "hard" <has no room>
+    Then a task of image "loud" that has waited for <seconds> s <is placed>
+
+    Examples:
+      | has no room   | seconds | is placed                             |
+      | has room      | 0       | is placed beside serving image "hard" |
+      | has no memory | 0       | waits                                 |
+      | has no memory | 2.9     | waits                                 |
+      | has no memory | 3.1     | is placed beside serving image "soft" |
+      | has left      | 0       | is placed beside serving image "soft" |
+
   Scenario: A slow run moves to another worker
     Guards against runs that do little work but hold memory that others need.
     Given image "loud" disturbs serving image "soft" but not "hard"
--- a/features/steps/batch_interference_steps.py
+++ b/features/steps/batch_interference_steps.py
@@ -176,6 +176,41 @@
     assert choose_worker_id(context, task) == "w-2"
 
 
+@behave.given('the worker with serving image "hard" {condition}')
+def step(context, condition):
+    workers = context.partition.workers
+    if condition == "has left":
+        del workers["w-2"]
+    elif condition == "has no memory":
+        memory_mb = workers["w-2"].entry.capacity.memory_mb
+        full = resources.Vector(0, memory_mb, 0)
+        builders.add_run(workers["w-2"], model.Step(1, full))
+
+
+@behave.then(
+    'a task of image "loud" that has waited for {seconds:g} s {outcome}'
+)
+def step(context, seconds, outcome):
+    expected = {
+        "waits": None,
+        'is placed beside serving image "soft"': "w-1",
+        'is placed beside serving image "hard"': "w-2",
+    }
+    waiting = builders.make_step(2, fills=True, image="loud")
+    job = builders.add_job(context, 1, 2, seconds, waiting)
+    tasks = job.steps[0].unfinished
+    if seconds:
+        tasks[0].unplaced_since = builders.NOW - seconds
+    # A second task runs, so that the first one is not starved.
+    worker = context.partition.workers["w-1"]
+    passes.start(
+        context.batch, context.partition, worker, tasks[1], builders.NOW
+    )
+    passes.run_pass(passes.PassDue(builders.OWN), context.batch, builders.NOW)
+    run = tasks[0].run
+    assert (run.worker_id if run else None) == expected[outcome], run
+
+
 @behave.given('five runs of image "loud" beside serving image "soft"')
 def step(context):
     worker = context.partition.workers["w-1"]
--- a/features/steps/batch_passes_steps.py
+++ b/features/steps/batch_passes_steps.py
@@ -64,6 +64,36 @@
         builders.add_job(context, number, rng.choice((0, 2)), age_s, *steps)
 
 
+def may_use(worker, step):
+    return not step.required_label or step.required_label in worker.entry.labels
+
+
+def is_strong(batch, worker, image):
+    """Returns whether an image disturbs a serving run of a worker a lot."""
+    return any(
+        batch.interference.get_interference(run.task.step.image, image)
+        >= interference_module.STRONG_INTERFERENCE
+        for run in worker.runs.values()
+        if run.task.step.tail_target_ms
+    )
+
+
+def leave_out_strong(batch, partition, task, now, suitable):
+    """Leaves out workers that a task disturbs a lot, if there are others."""
+    usable = [
+        worker
+        for name, worker in partition.workers.items()
+        if name in partition.roster
+        and placement.accepts_service(worker, task.job.queue.service, now)
+        and may_use(worker, task.step)
+    ]
+    image = task.step.image
+    strong = [worker for worker in usable if is_strong(batch, worker, image)]
+    if len(strong) == len(usable):
+        return suitable
+    return [worker for worker in suitable if worker not in strong]
+
+
 def search_workers(batch, partition, task, now, starved):
     """Returns the best worker for a task, after a search of all workers.
 
@@ -97,6 +127,8 @@
             if step.amount.cpu_millis > allowed:
                 continue
         suitable.append(worker)
+    if task.step.fills and not starved and passes.is_selective(task, now):
+        suitable = leave_out_strong(batch, partition, task, now, suitable)
     return min(
         suitable,
         key=lambda worker: placement.rank(worker, task, batch.interference),
--- a/packages/core/src/sapphirestall_core/batch/interference.py
+++ b/packages/core/src/sapphirestall_core/batch/interference.py
@@ -34,6 +34,12 @@
 INITIAL_INTERFERENCE = 4.0
 INITIAL_VARIANCE = 36.0
 MAX_INTERFERENCE = 40.0
+# An estimate with a higher variance says too little about its pair of images.
+MAX_KNOWN_VARIANCE = 8.0
+# From this interference on, an opportunistic image waits for other workers. Its
+# runs would be paced down as soon as the load of the serving image rises. It is
+# that of an unknown pair, so that unknown pairs are tried.
+STRONG_INTERFERENCE = INITIAL_INTERFERENCE
 # Below this interference an opportunistic image is not kept away from workers
 # of a serving image.
 NEGLIGIBLE_INTERFERENCE = 1.5
@@ -161,6 +167,18 @@
             default=0.0,
         )
 
+    def is_strong(self, worker: state.Worker, opportunistic: str) -> bool:
+        """Returns whether an image is known to disturb serving runs a lot."""
+        for run in list_serving_runs(worker):
+            estimate = self.find_estimate(run.task.step.image, opportunistic)
+            if (
+                estimate is not None
+                and estimate.value >= STRONG_INTERFERENCE
+                and estimate.variance <= MAX_KNOWN_VARIANCE
+            ):
+                return True
+        return False
+
     def update(self, worker: state.Worker, now: float) -> None:
         """Corrects the estimates by the measurements in a worker's listing."""
         if now - worker.measurements_learned_at < MIN_LISTING_INTERVAL_S:
--- a/packages/core/src/sapphirestall_core/batch/interference_records.py
+++ b/packages/core/src/sapphirestall_core/batch/interference_records.py
@@ -18,8 +18,6 @@
 # An estimate replaces another one if its variance is below this share of the
 # other's.
 IMPROVED_VARIANCE_SHARE = 0.6
-# Estimates with a higher variance are not published.
-MAX_PUBLISHED_VARIANCE = 8.0
 # Highest number of estimates in the record, which all owners read. The lowest
 # interference is left out first.
 MAX_PUBLISHED_ESTIMATES = 200
@@ -95,7 +93,7 @@
     record: records.InterferenceEstimate | None,
 ) -> bool:
     """Returns whether an estimate should replace a stored one."""
-    if estimate.variance > MAX_PUBLISHED_VARIANCE:
+    if estimate.variance > interference_module.MAX_KNOWN_VARIANCE:
         return False
     return (
         record is None
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -237,7 +237,7 @@
     )
     service = run.task.job.queue.service
     target = placement.choose_worker(
-        run.task, others, service, interference, now
+        run.task, others, service, interference, now, selective=True
     )
     if target is None:
         return []
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -27,6 +27,11 @@
 # An opportunistic task that has waited for this long, in seconds, while no task
 # of its job runs, may start beside serving tasks that it disturbs.
 STARVATION_S = 1.5
+# For this time after a scheduling pass first found no worker for it, in
+# seconds, an opportunistic task waits for a worker whose serving tasks it
+# disturbs little. Elsewhere it is paced down as soon as their load rises: it
+# holds memory, and the next step of its job waits for it.
+SELECTION_S = 3.0
 # The loop handles answers of workers and renews leases only between passes; a
 # longer pass would delay them until calls time out.
 MAX_STARTS_PER_PASS = 32
@@ -120,6 +125,8 @@
             opportunistic tasks.
         rejected_interfering: By opportunistic image, amounts that its tasks
             could use on no worker without serving tasks missing their targets.
+        rejected_selective: The same for selective tasks, which do not use all
+            workers.
     """
 
     candidates: list[placement.Candidate]
@@ -128,29 +135,41 @@
     rejected_interfering: dict[str, list[resources.Vector]] = attrs.field(
         factory=dict
     )
+    rejected_selective: dict[str, list[resources.Vector]] = attrs.field(
+        factory=dict
+    )
 
-    def is_rejected(self, step: model.Step, *, starved: bool) -> bool:
+    def is_rejected(
+        self, step: model.Step, *, starved: bool, selective: bool = False
+    ) -> bool:
         """Returns whether an earlier rejection covers a task of a step.
 
         Args:
             step: Step of the task.
             starved: Whether the task may disturb serving tasks.
+            selective: Whether the task does not use all workers.
         """
         rejected = self.rejected_opportunistic if step.fills else self.rejected
         if _exceeds_any(rejected, step.amount):
             return True
         if not step.fills or starved:
             return False
-        return _exceeds_any(
-            self.rejected_interfering.get(step.image, ()), step.amount
+        interfering = self.rejected_interfering.get(step.image, ())
+        if _exceeds_any(interfering, step.amount):
+            return True
+        return selective and _exceeds_any(
+            self.rejected_selective.get(step.image, ()), step.amount
         )
 
-    def record_rejection(self, step: model.Step, *, starved: bool) -> None:
+    def record_rejection(
+        self, step: model.Step, *, starved: bool, selective: bool
+    ) -> None:
         """Records that no worker could run a task of a step.
 
         Args:
             step: Step of the task.
             starved: Whether the task was allowed to disturb serving tasks.
+            selective: Whether the task did not use all workers.
         """
         if step.required_label or step.max_per_worker:
             # The constraints of the step may be the reason, so that tasks of
@@ -161,9 +180,12 @@
         elif starved:
             self.rejected_opportunistic.append(step.amount)
         else:
-            self.rejected_interfering.setdefault(step.image, []).append(
-                step.amount
+            rejected = (
+                self.rejected_selective
+                if selective
+                else self.rejected_interfering
             )
+            rejected.setdefault(step.image, []).append(step.amount)
 
 
 def _exceeds_any(
@@ -223,7 +245,7 @@
     All tasks of a step request the same amount, and each start reduces the free
     capacity. Once a task is rejected, the tasks after it would be rejected as
     well. The tasks that have waited longest come first, so no task after a
-    rejected one can be starved unless the rejected one is.
+    rejected one can be starved unless the rejected one is, or less selective.
     """
     effects: dispatch.Effects = []
     batch, partition, now = (
@@ -240,13 +262,21 @@
             return effects
         # Interference keeps only opportunistic tasks from a worker.
         starved = step.step.fills and is_starved(task, now)
-        if pool.is_rejected(step.step, starved=starved):
+        selective = step.step.fills and is_selective(task, now)
+        if pool.is_rejected(step.step, starved=starved, selective=selective):
             break
         chosen = placement.choose_candidate(
-            task, pool.candidates, batch.interference, now, starved=starved
+            task,
+            pool.candidates,
+            batch.interference,
+            now,
+            starved=starved,
+            selective=selective,
         )
         if chosen is None:
-            pool.record_rejection(step.step, starved=starved)
+            pool.record_rejection(
+                step.step, starved=starved, selective=selective
+            )
             break
         effects += start(batch, partition, chosen.worker, task, now)
         scheduling_pass.starts_left -= 1
@@ -284,6 +314,13 @@
     return not any(_may_have_run(step) for step in task.job.steps)
 
 
+def is_selective(task: state.Task, now: float) -> bool:
+    """Returns whether an opportunistic task still waits for a good worker."""
+    return (
+        task.unplaced_since is None or now - task.unplaced_since < SELECTION_S
+    )
+
+
 def _may_have_run(step: state.StepState) -> bool:
     """Returns whether a run of any task of a step may exist."""
     if step.unblocked:
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -104,6 +104,8 @@
         allowed_cpu: Processors, in thousandths, that further tasks of an
             opportunistic image may use without serving tasks missing their
             targets; contains the images for which it was computed.
+        strong_images: Whether an opportunistic image disturbs serving tasks of
+            the worker a lot; contains the images for which it was computed.
         planned_tasks: Tasks for which capacity was deducted.
     """
 
@@ -114,6 +116,7 @@
     accelerators: int = 0
     budgets: list[interference_module.RemainingBudget] | None = None
     allowed_cpu: dict[str, int] = attrs.field(factory=dict)
+    strong_images: dict[str, bool] = attrs.field(factory=dict)
     planned_tasks: list[model.TaskName] = attrs.field(factory=list)
 
     def refresh(self) -> None:
@@ -128,6 +131,7 @@
         self.accelerators = capacity.accelerators - reserved.accelerators
         self.budgets = None
         self.allowed_cpu.clear()
+        self.strong_images.clear()
 
     def deduct(self, task: state.Task) -> None:
         """Deducts what a task needs that is to be started here later."""
@@ -178,6 +182,16 @@
             self.allowed_cpu[step.image] = allowed
         return step.amount.cpu_millis <= allowed
 
+    def is_strong(
+        self, image: str, interference: interference_module.InterferenceModel
+    ) -> bool:
+        """Returns whether an image disturbs serving tasks here a lot."""
+        strong = self.strong_images.get(image)
+        if strong is None:
+            strong = interference.is_strong(self.worker, image)
+            self.strong_images[image] = strong
+        return strong
+
 
 def list_candidates(
     workers: Iterable[state.Worker], service: str, now: float
@@ -193,6 +207,11 @@
     return candidates
 
 
+def _has_required_label(candidate: Candidate, step: model.Step) -> bool:
+    labels = candidate.worker.entry.labels
+    return not step.required_label or step.required_label in labels
+
+
 def _meets_constraints(candidate: Candidate, task: state.Task) -> bool:
     """Returns whether a worker meets the placement constraints of a task.
 
@@ -200,7 +219,7 @@
     tasks on one worker.
     """
     worker, step = candidate.worker, task.step
-    if step.required_label and step.required_label not in worker.entry.labels:
+    if not _has_required_label(candidate, step):
         return False
     if not step.max_per_worker:
         return True
@@ -274,13 +293,33 @@
     return sum(interference >= bound for bound in INTERFERENCE_BOUNDS)
 
 
+def _prefer_undisturbed(
+    candidates: list[Candidate],
+    step: model.Step,
+    interference: interference_module.InterferenceModel,
+) -> list[Candidate]:
+    """Returns the candidates whose serving tasks a step disturbs little.
+
+    Returns:
+        All candidates if there is none that the step may use.
+    """
+    undisturbed = [
+        candidate
+        for candidate in candidates
+        if _has_required_label(candidate, step)
+        and not candidate.is_strong(step.image, interference)
+    ]
+    return undisturbed or candidates
+
+
 def choose_candidate(
     task: state.Task,
-    candidates: Iterable[Candidate],
+    candidates: list[Candidate],
     interference: interference_module.InterferenceModel,
     now: float,
     *,
     starved: bool = False,
+    selective: bool = False,
 ) -> Candidate | None:
     """Returns the best candidate for a task, or None if none can run it.
 
@@ -292,9 +331,13 @@
         starved: Whether an opportunistic task has waited so long that it is
             placed even if serving tasks are expected to miss their targets.
             Its pace is lowered after the start, so that they meet them.
+        selective: Whether an opportunistic task rather waits than starts on a
+            worker whose serving tasks it disturbs a lot, if there are others.
     """
     step = task.step
     limited = step.fills and not starved
+    if limited and selective:
+        candidates = _prefer_undisturbed(candidates, step, interference)
     best = None
     best_rank: tuple[float, ...] = ()
     for candidate in candidates:
@@ -318,6 +361,7 @@
     now: float,
     *,
     starved: bool = False,
+    selective: bool = False,
 ) -> state.Worker | None:
     """Returns the best worker for a single task, or None if none can run it.
 
@@ -329,9 +373,16 @@
         now: Monotonic time, in seconds.
         starved: Whether to place an opportunistic task even if serving tasks
             are expected to miss their targets.
+        selective: Whether an opportunistic task rather waits than starts on a
+            worker whose serving tasks it disturbs a lot, if there are others.
     """
     candidates = list_candidates(workers, service, now)
     chosen = choose_candidate(
-        task, candidates, interference, now, starved=starved
+        task,
+        candidates,
+        interference,
+        now,
+        starved=starved,
+        selective=selective,
     )
     return chosen.worker if chosen else None
