--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -5,17 +5,14 @@
 the resources of the task until its run is known to have ended.
 """
 
-from collections.abc import Iterable
-
 import attrs
 
 from sapphirestall_core import messages
-from sapphirestall_core import resources
+from sapphirestall_core.batch import candidate_pools
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
-from sapphirestall_core.batch import model
 from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
@@ -109,95 +106,6 @@
     return effects
 
 
-@attrs.define(slots=True, eq=False)
-class CandidatePool:
-    """Candidate workers of one service, and amounts that none of them has free.
-
-    Free capacity only shrinks during a pass. An amount that no worker had free
-    is therefore recorded, and tasks that request at least as much are rejected
-    without checking each worker again.
-
-    Attributes:
-        candidates: Workers on which new runs of the service may start.
-        rejected: Amounts that no worker had free, for tasks that reserve
-            processors.
-        rejected_opportunistic: Amounts that no worker had free for
-            opportunistic tasks.
-        rejected_interfering: By opportunistic image, amounts that its tasks
-            could use on no worker without serving tasks missing their targets.
-        rejected_selective: The same for selective tasks, which do not use all
-            workers.
-    """
-
-    candidates: list[placement.Candidate]
-    rejected: list[resources.Vector] = attrs.field(factory=list)
-    rejected_opportunistic: list[resources.Vector] = attrs.field(factory=list)
-    rejected_interfering: dict[str, list[resources.Vector]] = attrs.field(
-        factory=dict
-    )
-    rejected_selective: dict[str, list[resources.Vector]] = attrs.field(
-        factory=dict
-    )
-
-    def is_rejected(
-        self, step: model.Step, *, starved: bool, selective: bool = False
-    ) -> bool:
-        """Returns whether an earlier rejection covers a task of a step.
-
-        Args:
-            step: Step of the task.
-            starved: Whether the task may disturb serving tasks.
-            selective: Whether the task does not use all workers.
-        """
-        rejected = self.rejected_opportunistic if step.fills else self.rejected
-        if _exceeds_any(rejected, step.amount):
-            return True
-        if not step.fills or starved:
-            return False
-        interfering = self.rejected_interfering.get(step.image, ())
-        if _exceeds_any(interfering, step.amount):
-            return True
-        return selective and _exceeds_any(
-            self.rejected_selective.get(step.image, ()), step.amount
-        )
-
-    def record_rejection(
-        self, step: model.Step, *, starved: bool, selective: bool
-    ) -> None:
-        """Records that no worker could run a task of a step.
-
-        Args:
-            step: Step of the task.
-            starved: Whether the task was allowed to disturb serving tasks.
-            selective: Whether the task did not use all workers.
-        """
-        if step.required_label or step.max_per_worker:
-            # The constraints of the step may be the reason, so that tasks of
-            # other steps that request the same amount may still find a worker.
-            return
-        if not step.fills:
-            self.rejected.append(step.amount)
-        elif starved:
-            self.rejected_opportunistic.append(step.amount)
-        else:
-            rejected = (
-                self.rejected_selective
-                if selective
-                else self.rejected_interfering
-            )
-            rejected.setdefault(step.image, []).append(step.amount)
-
-
-def _exceeds_any(
-    rejected: Iterable[resources.Vector], amount: resources.Vector
-) -> bool:
-    """Returns whether an amount is at least as large as a rejected one."""
-    for other in rejected:  # noqa: SIM110
-        if other.fits(amount):
-            return True
-    return False
-
-
 @attrs.define(slots=True, eq=False)
 class SchedulingPass:
     """State of one scheduling pass.
@@ -216,11 +124,11 @@
     batch: state.Batch
     partition: state.Partition
     now: float
-    pools: dict[str, CandidatePool] = attrs.field(factory=dict)
+    pools: dict[str, candidate_pools.CandidatePool] = attrs.field(factory=dict)
     opportunistic_workers: set[str] = attrs.field(factory=set)
     starts_left: int = attrs.field(factory=lambda: MAX_STARTS_PER_PASS)
 
-    def get_pool(self, service: str) -> CandidatePool:
+    def get_pool(self, service: str) -> candidate_pools.CandidatePool:
         """Returns the candidate workers of a service."""
         pool = self.pools.get(service)
         if pool is None:
@@ -230,7 +138,7 @@
                 for name, worker in self.partition.workers.items()
                 if name in roster
             )
-            pool = CandidatePool(
+            pool = candidate_pools.CandidatePool(
                 placement.list_candidates(workers, service, self.now)
             )
             self.pools[service] = pool
