--- a/packages/core/src/sapphirestall_core/batch/division.py
+++ b/packages/core/src/sapphirestall_core/batch/division.py
@@ -72,7 +72,7 @@
         )
         return [call]
     if not isinstance(outcome, store_messages.Found):
-        return _retry()
+        return _retry("store_unavailable")
     assert isinstance(outcome.value, records.DivisionRecord)
     batch.division = model.Division(outcome.value.racks_per_partition)
     batch.division_adopted = True
@@ -94,7 +94,7 @@
     """
     outcome = reply.outcome
     if not isinstance(outcome, store_messages.Listed):
-        return _retry()
+        return _retry("store_unavailable")
     division = UNSTORED_DIVISION if outcome.entries else model.Division()
     put = store_messages.Put(
         records.DIVISION_KEY,
@@ -115,14 +115,16 @@
 
     After a conflict another instance has stored it.
     """
-    if not isinstance(reply.outcome, store_messages.Committed):
-        return _retry()
-    return read_division(DivisionDue(), batch, now)
+    if isinstance(reply.outcome, store_messages.Committed):
+        return read_division(DivisionDue(), batch, now)
+    if isinstance(reply.outcome, store_messages.Conflict):
+        return _retry("write_conflict")
+    return _retry("store_unavailable")
 
 
-def _retry() -> dispatch.Effects:
-    """Schedules another read after a call that failed."""
+def _retry(code: str) -> dispatch.Effects:
+    """Schedules another read after a call that had no effect or no answer."""
     return [
-        messages.CountRetry(PART, "store_unavailable"),
+        messages.CountRetry(PART, code),
         messages.StartTimer(DivisionDue(), RETRY_S, 0.3),
     ]
--- a/packages/core/src/sapphirestall_core/batch/model.py
+++ b/packages/core/src/sapphirestall_core/batch/model.py
@@ -7,8 +7,8 @@
 from sapphirestall_core import resources
 
 # An opportunistic step of 40 to 160 tasks finds too few workers in two racks
-# that it does not disturb. More than four racks overload an owner with 0.3
-# processors.
+# that it does not disturb. An owner with 0.3 processors does not carry the 60
+# workers of eight racks.
 RACKS_PER_PARTITION = 4
 
 
