--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -57,10 +57,7 @@
 def step(context, cpu, percent):
     for _ in range(cpu):
         run_step = builders.make_step(1, fills=True, image=OTHER_IMAGE)
-        run = builders.add_run(context.worker, run_step)
-        context.worker.paced_cpu_millis -= run.count_paced_cpu()
-        run.pace_percent = percent
-        context.worker.paced_cpu_millis += run.count_paced_cpu()
+        builders.add_run(context.worker, run_step, percent)
 
 
 @behave.then("{idle:d} processors are reported as idle and {amount:d} as {use}")
--- a/features/steps/batch_division_steps.py
+++ b/features/steps/batch_division_steps.py
@@ -45,12 +45,20 @@
     return sorted(names)
 
 
-def make_world(context, racks, workers, processor_counts, rack_step=1):
-    world = batch_world.BatchWorld(1)
+def add_racks(world, racks, workers, rack_step=1, cpu_millis=8000):
     for rack in range(0, racks * rack_step, rack_step):
         for number in range(workers):
             name = f"w-{rack}-{number}"
-            world.add_worker(name, DATA_CENTRE, rack=make_rack_name(rack))
+            world.add_worker(
+                name, DATA_CENTRE, cpu_millis, make_rack_name(rack)
+            )
+
+
+def make_world(
+    context, racks, workers, processor_counts, rack_step=1, cpu_millis=8000
+):
+    world = batch_world.BatchWorld(1)
+    add_racks(world, racks, workers, rack_step, cpu_millis)
     for number, processors in enumerate(processor_counts):
         world.add_node(f"e-{number}", DATA_CENTRE, processors)
     world.run(START_S)
@@ -90,14 +98,8 @@
     "a data centre of {racks:d} racks with 8 workers of 32 processors each"
 )
 def step(context, racks):
-    world = batch_world.BatchWorld(1, run_duration_s=(WIDE_JOB_S, WIDE_JOB_S))
-    for number in range(racks * 8):
-        rack = make_rack_name(number // 8)
-        world.add_worker(f"w-{number}", DATA_CENTRE, 32_000, rack)
-    for number in range(3):
-        world.add_node(f"e-{number}", DATA_CENTRE)
-    world.run(START_S)
-    context.world = world
+    make_world(context, racks, 8, [1.0] * 3, cpu_millis=32_000)
+    context.world.run_duration_s = (WIDE_JOB_S, WIDE_JOB_S)
 
 
 @behave.when(
@@ -120,12 +122,6 @@
     assert job_state is model.JobState.COMPLETED, job_state
 
 
-def add_racks(world, racks):
-    for number in range(racks * 4):
-        rack = make_rack_name(number // 4)
-        world.add_worker(f"w-{number}", DATA_CENTRE, rack=rack)
-
-
 @behave.given("a store whose rosters are of partitions of two racks")
 def step(context):
     world = batch_world.BatchWorld(1)
@@ -149,7 +145,7 @@
 
 @behave.when("{count:d} instances start with 8 racks")
 def step(context, count):
-    add_racks(context.world, 8)
+    add_racks(context.world, 8, 4)
     for number in range(count):
         context.world.add_node(f"e-{number}", DATA_CENTRE)
     context.world.run(START_S)
