Log owners without a confirmed ownership, and why waits for runs end

An owner logs when its store lease is overdue and it acts on or stops; the waits of a new owner log the time without an owner, the first answer, and whether a release was read.

No decision changes; the batch features pass.

--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -246,7 +246,12 @@
     if not departed:
         return []
     partition.unlisted_workers -= departed
-    fields = {"partition": partition.name, "workers": sorted(departed)}
+    fields = {
+        "partition": partition.name,
+        "token": partition.token,
+        "workers": sorted(departed),
+        **former_runs.describe_wait(partition, now),
+    }
     log = messages.Log(contact.PART, "former_departed", fields)
     return [log, *passes.request_pass(partition)]
 
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -77,6 +77,19 @@
     return max(runs_end_at, partition.active_at + LISTING_WAIT_S)
 
 
+def describe_wait(
+    partition: state.Partition, now: float
+) -> dict[str, float | str]:
+    """Returns log fields that tell by which facts a wait has ended."""
+    answered_at = partition.first_answer_at
+    return {
+        "unowned_s": round(now - partition.unowned_since, 3),
+        "contact_s": "" if answered_at is None else round(now - answered_at, 3),
+        "held_s": round(now - partition.acquired_at, 3),
+        "released": partition.released_generation == partition.generation - 1,
+    }
+
+
 def have_ended(partition: state.Partition, now: float) -> bool:
     """Returns whether all runs of former owners are listed or have ended."""
     return not partition.unlisted_workers or now >= partition.former_runs_end_at
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -368,6 +368,16 @@
     is_registered: bool = True
 
 
+class Confirmation(enum.Enum):
+    """Whether an owner knows that it has no successor, and acts without."""
+
+    CONFIRMED = "confirmed"
+    # It acts on, as its workers answer.
+    UNCONFIRMED = "unconfirmed"
+    # It starts nothing and extends no lease.
+    SUSPENDED = "suspended"
+
+
 class Phase(enum.Enum):
     """Phase of the takeover of a partition by its owner."""
 
@@ -386,6 +396,8 @@
         acquired_at: Monotonic time at which this instance became the owner, in
             seconds.
         phase: How far the takeover has come.
+        confirmation: Whether the ownership was confirmed when that was last
+            logged.
         generation: Number of owners that the partition has had.
         roster: Workers on which runs may exist, as written to the store.
         roster_draining: Workers that the roster names as draining.
@@ -446,6 +458,7 @@
     token: int
     acquired_at: float
     phase: Phase = Phase.LOADING
+    confirmation: Confirmation = Confirmation.CONFIRMED
     generation: int = 0
     roster: frozenset[str] = frozenset()
     roster_draining: frozenset[str] = frozenset()
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -10,6 +10,7 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import commands
+from sapphirestall_core.batch import confirmation_reports
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import dispatch
@@ -171,6 +172,7 @@
         for worker in partition.workers.values():
             effects += _poll_if_idle(batch, partition, worker, now)
     for partition in list(batch.partitions.values()):
+        effects += confirmation_reports.log_confirmation(batch, partition, now)
         effects += departures.settle_former_workers(batch, partition, now)
         effects += releases.settle_workers(partition, now)
         if partition.unlisted_workers and former_runs.have_ended(
@@ -185,7 +187,7 @@
                     "partition": partition.name,
                     "token": partition.token,
                     "workers": names,
-                    "held_s": round(now - partition.acquired_at, 3),
+                    **former_runs.describe_wait(partition, now),
                 },
             )
             effects += [log, *passes.request_pass(partition)]
