--- /dev/null
+++ b/features/batch_cuts.feature
@@ -0,0 +1,116 @@
+Feature: Cuts with an owner on one side and the store on the other
+
+  Scenario Outline: A worker that only the former owner reaches keeps its tasks
+    Guards against tasks that run twice: the owner and one of its workers lost
+    the store, while the former owner extended the leases of the runs there. The
+    next owner, which did not reach that worker, took its runs as ended.
+    Given an owner in the <place> of three workers with long-running tasks
+    When a worker loses the store so that its entry expires after <expiry_s> s
+    And the owner loses the store <lost_s> s later
+    And only that owner reaches the worker
+    And 20 s pass
+    Then no invariant was violated
+    When all cuts end
+    And 9 s pass
+    Then every task runs once
+
+    Examples:
+      | place             | expiry_s | lost_s |
+      | same data centre  | 0        | 3      |
+      | same data centre  | 0        | 0      |
+      | same data centre  | 4.5      | 0      |
+      | same data centre  | 4.5      | 0.3    |
+      | same data centre  | 4.5      | 2      |
+      | other data centre | 0        | 3      |
+      | other data centre | 4.5      | 0.3    |
+      | other data centre | 4.5      | 1.2    |
+
+  Scenario Outline: A draining worker that only the former owner reaches
+    Guards against tasks that run twice: the next owner took the runs of a
+    draining worker that it did not reach as ended with the worker's exit.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And a worker loses the store so that its entry expires after <expiry_s> s
+    And the owner loses the store <lost_s> s later
+    And only that owner reaches the worker
+    And 20 s pass
+    Then no invariant was violated
+
+    Examples:
+      | expiry_s | lost_s |
+      | 0        | 0      |
+      | 4.5      | 0      |
+      | 4.5      | 0.3    |
+      | 4.5      | 1.5    |
+
+  Scenario Outline: A former owner starts no task that its successor keeps
+    Guards against tasks that run twice: the former owner lost the store and a
+    worker that its successor reached, took the runs there as lapsed, forgot the
+    worker, since its entry had expired, and started the tasks on other workers.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When a worker loses the store so that its entry expires after <expiry_s> s
+    And the owner loses the store <lost_s> s later
+    And only the other instance reaches the worker and reaches no other worker
+    And 20 s pass
+    Then no invariant was violated
+    When all cuts end
+    And 9 s pass
+    Then every task runs once
+
+    Examples:
+      | expiry_s | lost_s |
+      | 0        | 1      |
+      | 0        | 2      |
+      | 0        | 3      |
+      | 0        | 5      |
+      | 4.5      | 0      |
+
+  Scenario Outline: An owner that wakes from a pause starts nothing again
+    Guards against tasks that run twice: an owner was paused, its successor kept
+    the runs of a worker that the former owner no longer reached, and the former
+    owner handled answers from before its pause when it woke.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When a worker loses the store so that its entry expires after 0 s
+    And the owner is paused <phase_s> s later for 8 s and <store> the store
+    And only the other instance reaches the worker and reaches <others>
+    And 28 s pass
+    Then no invariant was violated
+
+    Examples:
+      | phase_s | store   | others            |
+      | 3.00    | loses   | no other worker   |
+      | 3.05    | loses   | no other worker   |
+      | 3.10    | loses   | no other worker   |
+      | 3.15    | loses   | no other worker   |
+      | 3.20    | loses   | no other worker   |
+      | 3.00    | reaches | no other worker   |
+      | 3.10    | reaches | no other worker   |
+      | 3.20    | reaches | no other worker   |
+      | 3.00    | loses   | all other workers |
+      | 3.10    | loses   | all other workers |
+      | 3.20    | loses   | all other workers |
+
+  Scenario Outline: Runs outlast an outage of the store
+    Guards against runs that end, or tasks that start again, although their
+    owner reaches all workers and no other instance can become owner.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When the store is down for <seconds> s
+    And 12 s pass
+    Then every task still has its first run
+    And no invariant was violated
+
+    Examples:
+      | seconds |
+      | 6.4     |
+      | 12      |
+
+  Scenario: Tasks of a data centre that is cut off do not run outside as well
+    Guards against tasks that run twice: an instance outside took the runs in a
+    data centre as ended after 60 s without an answer of any worker there, while
+    the owner inside extended their leases.
+    Given two data centres, and long-running tasks in one of them
+    When that data centre is cut off for 82 s
+    And 82 s pass
+    And 9 s pass
+    Then no invariant was violated
+    And every task runs once
