--- /dev/null
+++ b/standins/batch_cuts.py
@@ -0,0 +1,329 @@
+"""Random sequences of cuts in a simulation of batch instances.
+
+A cut leaves some instances and workers on one side, the store and the other
+instances on the other. Which of them still reach each other is random.
+
+Run as a module, it plays the sequences of a range of seeds and prints those
+that broke an invariant.
+"""
+
+import argparse
+import collections
+from collections.abc import Iterable
+import functools
+
+import attrs
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from standins import batch_faults
+from standins import batch_restarts
+from standins import batch_world
+
+DATA_CENTRES = ("north", "south")
+NODES_PER_DATA_CENTRE = 2
+WORKERS_PER_DATA_CENTRE = 4
+WORKER_CPU_MILLIS = 8000
+WORKERS_PER_RACK = 2
+START_S = 4.0
+# Range of the durations of tasks, in seconds.
+RUN_S = (1.0, 25.0)
+JOB_INTERVAL_S = 1.5
+LONG_RUNNING_JOBS = 2
+# Range of the durations of cuts, in seconds.
+CUT_S = (1.0, 20.0)
+# Longest time between the cuts that make up one split, in seconds.
+MAX_SKEW_S = 2.0
+# Range of the time until the entry of a worker that has lost the store expires,
+# in seconds: it misses three heartbeats, the last of which came before the cut.
+EXPIRY_S = (3.0, batch_faults.ENTRY_EXPIRY_S)
+ROUND_S = 18.0
+# Time in which all jobs end after the last cut, in seconds.
+SETTLING_S = 70.0
+
+
+@attrs.define
+class CutScenario:
+    """Random deployment, jobs and cuts.
+
+    Attributes:
+        world: The simulation.
+        faults: Its disturbances.
+        check: Check of the long-running tasks.
+        mixed: Whether instances are killed, restarted and paused, and workers
+            replaced, beside the cuts.
+        submitting: Whether jobs are still submitted.
+        jobs: Number of jobs that end by themselves.
+        workers: Number of workers that were ever started.
+        without_store_until: Until when each worker is cut off from the store.
+    """
+
+    world: batch_world.BatchWorld
+    faults: batch_faults.BatchFaults
+    check: batch_restarts.RestartCheck
+    mixed: bool = False
+    submitting: bool = True
+    jobs: int = 0
+    workers: int = 0
+    without_store_until: dict[str, float] = attrs.field(factory=dict)
+
+    def run(self, rounds: int) -> None:
+        """Runs some rounds of cuts, then lets all jobs end."""
+        self._submit_long_running_jobs()
+        self._submit_job()
+        self.check.run(3.0)
+        for _ in range(rounds):
+            self._inject_faults()
+            self.check.run(ROUND_S)
+        # The last cut ends within this time.
+        self.check.run(CUT_S[1] + MAX_SKEW_S)
+        self.submitting = False
+        self.check.run(SETTLING_S)
+
+    def list_unfinished_jobs(self) -> list[str]:
+        """Returns the accepted jobs that should have ended and have not."""
+        world = self.world
+        return [
+            job_id
+            for job_id, steps in world.jobs.items()
+            if not any(step.long_running for step in steps)
+            and world.get_state(job_id) is model.JobState.ACCEPTED
+        ]
+
+    def add_data_centre(self, name: str) -> None:
+        """Starts the workers and instances of a data centre."""
+        for number in range(WORKERS_PER_DATA_CENTRE):
+            rack = f"r1-{number // WORKERS_PER_RACK + 1}"
+            self.world.add_worker(
+                self._make_worker_id(), name, WORKER_CPU_MILLIS, rack
+            )
+        for number in range(NODES_PER_DATA_CENTRE):
+            self.world.add_node(f"e-{name}-{number}", name)
+
+    def _make_worker_id(self) -> str:
+        self.workers += 1
+        return f"w-{self.workers}"
+
+    def _submit_long_running_jobs(self) -> None:
+        world, rng = self.world, self.world.rng
+        for number in range(LONG_RUNNING_JOBS):
+            amount = resources.Vector(rng.choice((500, 1500)), 100, 0)
+            step = model.Step(rng.randint(1, 4), amount, long_running=True)
+            node = rng.choice(world.nodes)
+            world.submit(node, f"{number + 1:016x}", step)
+
+    def _submit_job(self) -> None:
+        if not self.submitting:
+            return
+        world, rng = self.world, self.world.rng
+        self.jobs += 1
+        amount = resources.Vector(rng.choice((500, 1000, 3000)), 100, 0)
+        steps = [model.Step(rng.randint(1, 4), amount)]
+        if rng.random() < 0.5:
+            steps.append(model.Step(rng.randint(1, 3), amount, after=(0,)))
+        nodes = self.faults.list_sound_nodes()
+        if nodes:
+            world.submit(rng.choice(nodes), f"f{self.jobs:015x}", *steps)
+        world.schedule(JOB_INTERVAL_S, self._submit_job)
+
+    def _inject_faults(self) -> None:
+        """Schedules the faults of a round."""
+        world, rng = self.world, self.world.rng
+        for _ in range(rng.randint(1, 2)):
+            kind = rng.choice((self._split, self._split, self._cut_at_random))
+            world.schedule(rng.uniform(0, 6), kind)
+        if rng.random() < 0.2:
+            world.schedule(rng.uniform(0, 10), self._revoke_store_lease)
+        if rng.random() < 0.3:
+            world.schedule(rng.uniform(0, 6), self._write_late)
+        if self.mixed:
+            for _ in range(rng.randint(1, 3)):
+                world.schedule(rng.uniform(0, 16), self._disturb)
+
+    def _split(self) -> None:
+        """Cuts some instances and workers off from the store and the others."""
+        rng = self.world.rng
+        nodes, workers = self._list_nodes(), self._list_workers()
+        isolated_nodes = self._choose(nodes, len(nodes) // 2)
+        isolated_workers = self._choose(workers, len(workers) // 2)
+        other_nodes = [name for name in nodes if name not in isolated_nodes]
+        other_workers = [
+            name for name in workers if name not in isolated_workers
+        ]
+        seconds = rng.uniform(*CUT_S)
+        for name in isolated_nodes:
+            self._cut_node_from_store(name, seconds)
+        if rng.random() < 0.7:
+            for name in isolated_workers:
+                self._cut_worker_from_store(name, seconds)
+        if rng.random() < 0.7:
+            self._cut_paths(other_nodes, isolated_workers, seconds)
+        if rng.random() < 0.4:
+            self._cut_paths(isolated_nodes, other_workers, seconds)
+        if rng.random() < 0.3:
+            some = self._choose(isolated_workers, len(isolated_workers))
+            self._cut_paths(isolated_nodes, some, seconds)
+
+    def _cut_at_random(self) -> None:
+        """Cuts a few paths that have nothing to do with each other."""
+        rng = self.world.rng
+        nodes, workers = self._list_nodes(), self._list_workers()
+        for _ in range(rng.randint(2, 5)):
+            seconds = rng.uniform(*CUT_S)
+            kind = rng.choice(("node", "worker", "paths"))
+            if kind == "node":
+                self._cut_node_from_store(rng.choice(nodes), seconds)
+            elif kind == "worker":
+                self._cut_worker_from_store(rng.choice(workers), seconds)
+            else:
+                some_nodes = self._choose(nodes, len(nodes))
+                some_workers = self._choose(workers, len(workers))
+                self._cut_paths(some_nodes, some_workers, seconds)
+
+    def _list_nodes(self) -> list[str]:
+        return sorted({node.name for node in self.world.nodes})
+
+    def _list_workers(self) -> list[str]:
+        return sorted(self.world.workers)
+
+    def _choose(self, names: list[str], most: int) -> list[str]:
+        """Chooses at least one name."""
+        rng = self.world.rng
+        return rng.sample(names, rng.randint(1, max(1, most)))
+
+    def _draw_times(self, seconds: float) -> tuple[float, float]:
+        """Draws the delay and the duration of one cut of a split, in seconds.
+
+        Half of the cuts last as long as the others of the split.
+        """
+        rng = self.world.rng
+        delay_s = rng.uniform(0, MAX_SKEW_S)
+        if rng.random() < 0.5:
+            seconds = rng.uniform(*CUT_S)
+        return delay_s, seconds
+
+    def _cut_node_from_store(self, name: str, seconds: float) -> None:
+        delay_s, cut_s = self._draw_times(seconds)
+        self.world.schedule(
+            delay_s,
+            functools.partial(self.faults.cut_node_from_store, name, cut_s),
+        )
+
+    def _cut_worker_from_store(self, name: str, seconds: float) -> None:
+        delay_s, cut_s = self._draw_times(seconds)
+        expiry_s = self.world.rng.uniform(*EXPIRY_S)
+
+        def cut() -> None:
+            now = self.world.now
+            # A second cut of the same worker would return its entry too early.
+            if now < self.without_store_until.get(name, 0.0):
+                return
+            until = now + cut_s + batch_faults.MAX_REGISTRATION_S
+            self.without_store_until[name] = until
+            self.faults.cut_worker_from_store(name, cut_s, expiry_s)
+
+        self.world.schedule(delay_s, cut)
+
+    def _cut_paths(
+        self, nodes: list[str], workers: list[str], seconds: float
+    ) -> None:
+        delay_s, cut_s = self._draw_times(seconds)
+        self.world.schedule(
+            delay_s,
+            functools.partial(self.faults.cut_paths, nodes, workers, cut_s),
+        )
+
+    def _revoke_store_lease(self) -> None:
+        nodes = self.faults.list_sound_nodes()
+        if nodes:
+            self.faults.revoke_store_lease(self.world.rng.choice(nodes))
+
+    def _write_late(self) -> None:
+        rng = self.world.rng
+        if not self.world.late_write_fraction:
+            fraction = rng.choice((0.1, 0.3))
+            self.faults.write_late(fraction, rng.uniform(1, 6))
+
+    def _disturb(self) -> None:
+        """Kills, restarts or pauses an instance, or replaces a worker."""
+        rng, faults = self.world.rng, self.faults
+        kind = rng.choice(("crash", "restart", "pause", "replace"))
+        if kind == "replace":
+            names = faults.list_sound_workers()
+            if names:
+                name = rng.choice(names)
+                faults.replace_worker(name, self._make_worker_id())
+            return
+        nodes = faults.list_sound_nodes()
+        if len(nodes) < 2:
+            return
+        node = rng.choice(nodes)
+        if kind == "crash":
+            faults.crash_node(node)
+        elif kind == "restart":
+            faults.restart_node(node)
+        else:
+            faults.pause_node(node, rng.uniform(1, 8))
+
+
+def build_scenario(seed: int, *, mixed: bool = False) -> CutScenario:
+    """Starts a random deployment.
+
+    Args:
+        seed: Seed of the random numbers.
+        mixed: Whether there are other faults beside the cuts.
+    """
+    world = batch_world.BatchWorld(seed, run_duration_s=RUN_S)
+    world.store_division(world.rng.choice((1, 2)))
+    faults = batch_faults.BatchFaults(world)
+    check = batch_restarts.RestartCheck(world, faults)
+    scenario = CutScenario(world, faults, check, mixed)
+    for name in DATA_CENTRES:
+        scenario.add_data_centre(name)
+    world.run(START_S)
+    return scenario
+
+
+def describe(scenario: CutScenario) -> str:
+    """Describes the broken invariants of a scenario; empty if there are none.
+
+    Gives the number of violations of each kind and the first violation.
+    """
+    violations = scenario.world.violations
+    kinds = collections.Counter(text.partition(":")[0] for text in violations)
+    late = scenario.check.late
+    unfinished = scenario.list_unfinished_jobs()
+    parts = [f"{kind} {count}" for kind, count in sorted(kinds.items())]
+    parts += [f"late {len(late)}"] if late else []
+    parts += [f"unfinished {len(unfinished)}"] if unfinished else []
+    return ", ".join(parts + violations[:1])
+
+
+def play(seeds: Iterable[int], rounds: int, *, mixed: bool) -> None:
+    """Plays scenarios and prints a line for each that broke an invariant."""
+    played = failed = 0
+    for seed in seeds:
+        scenario = build_scenario(seed, mixed=mixed)
+        scenario.run(rounds)
+        played += 1
+        description = describe(scenario)
+        if description:
+            failed += 1
+            print(f"seed {seed}: {description}", flush=True)
+    print(f"{played} played, {failed} failed", flush=True)
+
+
+def main() -> None:
+    """Plays the scenarios that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-20", help="first and last seed")
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--mixed", action="store_true")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    play(seeds, arguments.rounds, mixed=arguments.mixed)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/batch_faults.py
+++ b/standins/batch_faults.py
@@ -4,6 +4,9 @@
 shut down and starts again. Everything else is a disturbance.
 """
 
+from collections.abc import Callable
+from collections.abc import Collection
+
 import attrs
 
 from sapphirestall_core import messages
@@ -87,11 +90,69 @@
 
         world.schedule(seconds, end)
 
-    def cut_worker_from_store(self, name: str, seconds: float) -> None:
-        """Cuts one worker off from the store; instances still reach it."""
+    def write_late(self, fraction: float, seconds: float) -> None:
+        """Carries out a fraction of the store's writes late, without answer."""
+        world = self.world
+        self._begin(f"write {fraction} late for {seconds:.2f} s")
+        world.late_write_fraction = fraction
+
+        def end() -> None:
+            world.late_write_fraction = 0.0
+            self._end()
+
+        world.schedule(seconds, end)
+
+    def revoke_store_lease(self, node: batch_world.Node) -> None:
+        """Ends the store lease of an instance without a sign."""
+        self._begin(f"revoke the store lease of {node.name}")
+        self.world.store.end_lease(node.batch.lease_id)
+        self._end()
+
+    def cut_worker_from_store(
+        self, name: str, seconds: float, expiry_s: float = ENTRY_EXPIRY_S
+    ) -> None:
+        """Cuts one worker off from the store; instances still reach it.
+
+        Args:
+            name: Id of the worker.
+            seconds: Time for which it does not reach the store.
+            expiry_s: Time until its entry expires, in seconds.
+        """
         self._begin(f"cut {name} from the store for {seconds:.2f} s")
-        if seconds >= ENTRY_EXPIRY_S:
-            self._expire_entry(name, seconds)
+        if seconds >= expiry_s:
+            self._expire_entry(name, seconds, expiry_s)
+        self.world.schedule(seconds, self._end)
+
+    def cut_node_from_store(self, name: str, seconds: float) -> None:
+        """Cuts one instance off from the store; it still reaches workers."""
+        cuts = self.world.path_cuts
+        cuts.cut_store(name)
+        self._cut(
+            f"cut {name} from the store for {seconds:.2f} s",
+            seconds,
+            lambda: cuts.restore_store(name),
+        )
+
+    def cut_paths(
+        self,
+        nodes: Collection[str],
+        workers: Collection[str],
+        seconds: float,
+    ) -> None:
+        """Cuts each of some instances off from each of some workers."""
+        cuts = self.world.path_cuts
+        cuts.cut_workers(nodes, workers)
+        names = f"{','.join(sorted(nodes))} from {','.join(sorted(workers))}"
+        self._cut(
+            f"cut {names} for {seconds:.2f} s",
+            seconds,
+            lambda: cuts.restore_workers(nodes, workers),
+        )
+
+    def pause_node(self, node: batch_world.Node, seconds: float) -> None:
+        """Pauses an instance, which handles no event meanwhile."""
+        node.paused_until = self.world.now + seconds
+        self._begin(f"pause {node.name} for {seconds:.2f} s")
         self.world.schedule(seconds, self._end)
 
     def cut_worker_from_nodes(self, name: str, seconds: float) -> None:
@@ -176,6 +237,18 @@
             if node.alive and node.name not in self.restarting
         ]
 
+    def _cut(
+        self, description: str, seconds: float, restore: Callable[[], None]
+    ) -> None:
+        """Records a cut that has begun and schedules its end."""
+        self._begin(description)
+
+        def end() -> None:
+            restore()
+            self._end()
+
+        self.world.schedule(seconds, end)
+
     def _begin(self, description: str) -> None:
         self.active += 1
         self.events.append((self.world.now, description))
@@ -221,7 +294,9 @@
         for name in names:
             self._expire_entry(name, seconds)
 
-    def _expire_entry(self, name: str, seconds: float) -> None:
+    def _expire_entry(
+        self, name: str, seconds: float, expiry_s: float = ENTRY_EXPIRY_S
+    ) -> None:
         world = self.world
         hidden: list[model.WorkerEntry] = []
 
@@ -237,6 +312,6 @@
                     hidden[0], draining=draining
                 )
 
-        world.schedule(ENTRY_EXPIRY_S, remove)
+        world.schedule(expiry_s, remove)
         delay_s = seconds + world.rng.uniform(0, MAX_REGISTRATION_S)
         world.schedule(delay_s, restore)
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -24,6 +24,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
+from standins import batch_paths
 from standins import batch_store
 from standins import batch_worker
 
@@ -129,6 +130,7 @@
         isolated_data_centres: Data centres that reach neither the store nor
             each other nor the rest.
         isolated_workers: Workers that no instance reaches.
+        path_cuts: Paths of single instances that are cut.
         store_down: Whether the store answers no calls.
     """
 
@@ -171,6 +173,7 @@
     limits: state.Limits = LIMITS
     isolated_data_centres: set[str] = attrs.field(factory=set)
     isolated_workers: set[str] = attrs.field(factory=set)
+    path_cuts: batch_paths.PathCuts = attrs.field(factory=batch_paths.PathCuts)
     store_down: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -251,6 +254,7 @@
         return not (
             self.store_down
             or node.store_unreachable
+            or self.path_cuts.is_store_cut(node.name)
             or data_centre in self.isolated_data_centres
         )
 
@@ -271,6 +275,8 @@
     ) -> bool:
         if worker_id in self.isolated_workers | node.unreachable_workers:
             return True
+        if self.path_cuts.is_worker_cut(node.name, worker_id):
+            return True
         data_centres = {node.batch.identity.data_centre, data_centre}
         return len(data_centres) > 1 and bool(
             data_centres & self.isolated_data_centres
