Judge repeated tasks in the simulation by the time at which a run ended

The check compared the time of a start with the first listing of any run of the same task and number. It missed a start between an end and its listing, and counted a run as repeated work whose number had been used by a run under another owner whose lease had lapsed. A partition to which a job moves may use the same numbers.

--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -46,6 +46,7 @@
             in milliseconds.
         running: Runs by task and number.
         ended: Ended runs that were not acknowledged.
+        ended_at: When each ended run ended, by position, in seconds.
         last_position: Position of the newest ended run.
         voided_numbers: For each task, the highest number of a run that has
             ended or was stopped; starts up to this number are refused.
@@ -63,6 +64,7 @@
         factory=dict
     )
     ended: list[model.EndedRun] = attrs.field(factory=list)
+    ended_at: dict[int, float] = attrs.field(factory=dict)
     last_position: int = 0
     voided_numbers: dict[model.TaskName, int] = attrs.field(factory=dict)
     expired_position: int = 0
@@ -97,6 +99,7 @@
         """Records that a run ended at the time `at`, which may have passed."""
         del self.running[key]
         self.last_position += 1
+        self.ended_at[self.last_position] = at
         self.voided_numbers[key[0]] = max(
             self.voided_numbers.get(key[0], 0), key[1]
         )
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -98,7 +98,6 @@
         done_tasks: Tasks that a worker has listed as done.
         acknowledged_tasks: Tasks whose end as done was acknowledged.
         started_at: When the last run of each task started.
-        done_at: When each run was first listed as done.
         violations: Descriptions of broken invariants.
         starts: Number of runs that were started.
         late_start_fraction: Fraction of starts that get no answer and are
@@ -151,7 +150,6 @@
     done_tasks: set[model.TaskName] = attrs.field(factory=set)
     acknowledged_tasks: set[model.TaskName] = attrs.field(factory=set)
     started_at: dict[model.TaskName, float] = attrs.field(factory=dict)
-    done_at: dict[tuple[model.TaskName, int], float] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     starts: int = 0
     late_start_fraction: float = 0.0
@@ -455,7 +453,6 @@
         for end in worker.ended:
             if end.kind is model.EndKind.DONE:
                 self.done_tasks.add(end.task)
-                self.done_at.setdefault((end.task, end.number), self.now)
 
     def record_acknowledged(
         self, worker: batch_worker.BatchWorker, position: int
@@ -473,7 +470,7 @@
                 continue
             self.acknowledged_tasks.add(end.task)
             started = self.started_at.get(end.task, 0.0)
-            if started > self.done_at[(end.task, end.number)]:
+            if started > worker.ended_at[end.position]:
                 self.violations.append(f"repeated: {end} at {self.now:.3f}")
 
     def _is_step_done(self, job_id: str, step: int) -> bool:
