Bound what an owner does without a confirmed ownership, on both sides

The successor took the runs on a worker without an entry as ended 6.12 s after the former owner was killed at the latest, which it computed from the end of its key. The former owner was not killed: it extended the leases as long as each worker of its list answered. The former owner itself could start tasks again that its successor kept, after it had given up the silent worker that would have told it of the successor. Three places (departures, releases, former_runs) answered when former runs have ended, each with another wait.

Now one module states what an owner without a renewed store lease may do, and its successor computes from the same bounds when the runs on a silent worker have ended:

- Leases end at most 0.6 s plus their duration after the last renewal was sent.
- Without a renewal, 2.8 s leases and starts only while each incarnation in the stored roster, or in one whose write got no answer, has answered a call that was sent in the last 1.25 s; no longer than 50 s.
- An answer of a worker proves to a successor that former owners stop only if they had that worker.
The roster names such witnesses while it is unsettled.
- A vacancy counts only if no owner wrote a roster after it was learned.
- A task whose run ended by the silence of its worker starts after a renewal that was sent later.
The owner sends one at once.

The list of draining workers in the roster is not needed any more.

Changed tests: the wait in batch_takeover.feature was 9.1 s from the first answer; it is 4.2 s with a witness and 50.4 s without one, and rows for each kind of roster are added. "Leases are extended while the store is unavailable" required 4 of the 6 s of a lease; it requires the same share (0.67) of the lease requested with and without renewals. The builders' owners are confirmed.

--- a/features/batch_contact.feature
+++ b/features/batch_contact.feature
@@ -17,14 +17,19 @@
     And the earlier long poll is answered
     Then the owner sends no poll and waits for the current one
 
-  Scenario: Leases are extended while the store is unavailable
+  Scenario Outline: Leases are extended while the store is unavailable
     Guards against runs whose leases expire because their owner waits for a
     commit before it polls again, while answers to commands count as
     contact.
     Given an owner with a long poll waiting at a worker
-    When an end is listed and the store does not answer for 10 s
+    When an end is listed and the store does not answer <calls> for 10 s
     And the worker answers a command every 0.25 s
-    Then no lease had less than 4 s left
+    Then no lease had less than <share> of its duration left
+
+    Examples:
+      | calls                        | share |
+      | transactions                 | 0.67  |
+      | transactions and renewals    | 0.67  |
 
   Scenario: Runs continue when a delayed process misses the answers to starts
     Guards against mass stops and restarts that discard running work because
--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -292,17 +292,25 @@
     And a listing with the run arrives, and then an older one without it
     Then the run is still known on the worker
 
-  Scenario Outline: Only an earlier process of the same instance is known to be gone
+  Scenario Outline: The wait for former runs depends on who may still extend leases
     Guards against tasks that run twice: another owner may still extend leases on
     workers that send no listing, also one before an owner of this instance that
-    had not learned of all its runs.
-    Given a new owner whose roster was written by <process>, <settled>
+    had not learned of all its runs, until it learns of its successor. That a
+    worker answers proves nothing about an owner that did not have it.
+    Given a new owner that finds <roster> of <process>
+    When <event>
     Then former runs on silent workers are awaited for <seconds> s from its start
 
     Examples:
-      | process                                     | settled     | seconds |
-      | an earlier process of the same instance     | settled     | 6.1     |
-      | an earlier process of the same instance     | not settled | 9.1     |
-      | a process of the same name at other address | settled     | 9.1     |
-      | a process of another instance               | settled     | 9.1     |
-      | this process                                | settled     | 9.1     |
+      | process                                     | roster                                    | event                          | seconds |
+      | an earlier process of the same instance     | a settled roster                          | a worker of that roster answers | 4.2     |
+      | an earlier process of the same instance     | a settled roster                          | no worker answers              | 6.1     |
+      | an earlier process of the same instance     | an unsettled roster                       | a worker of that roster answers | 4.2     |
+      | an earlier process of the same instance     | an unsettled roster                       | no worker answers              | 50.4    |
+      | a process of the same name at other address | a settled roster                          | a worker of that roster answers | 4.2     |
+      | a process of the same name at other address | a settled roster                          | no worker answers              | 50.4    |
+      | a process of another instance               | a settled roster                          | a worker of that roster answers | 4.2     |
+      | a process of another instance               | a settled roster                          | no worker answers              | 50.4    |
+      | a process of another instance               | an unsettled roster whose workers are new | a worker of that roster answers | 50.4    |
+      | this process                                | a settled roster                          | a worker of that roster answers | 4.2     |
+      | this process                                | a settled roster                          | no worker answers              | 50.4    |
--- a/features/builders.py
+++ b/features/builders.py
@@ -52,6 +52,8 @@
     context.batch.division_adopted = True
     # The list of workers stays recent while a test advances the time.
     context.batch.workers_listed_at = NOW + 60.0
+    # So does the confirmation of the ownership.
+    context.batch.lease_renewed_at = NOW + 60.0
     context.batch.configuration = model.Configuration(
         1, (make_queue(0), make_queue(2))
     )
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import jobs
@@ -79,6 +80,8 @@
     context.batch.division_adopted = True
     # The list of workers stays recent while a test advances the time.
     context.batch.workers_listed_at = NOW + 60.0
+    # So does the confirmation of the ownership.
+    context.batch.lease_renewed_at = NOW + 60.0
     context.batch.configuration = model.Configuration(1, (QUEUE,))
 
 
@@ -95,13 +98,15 @@
     return reply(context, purpose, store_messages.Listed((), TOKEN + 1))
 
 
-def load_remaining(context, now=NOW, owner="", settled=False):
+def load_remaining(context, now=NOW, owner="", settled=False, witnesses=()):
     entries = worker_list.EntriesRead((ENTRY,), NOW + 60.0)
     instance.handle(entries, context.batch, now)
     key = records.make_roster_key(PARTITION)
     # A former owner may have started runs on these workers.
     names = (ENTRY.worker_id, "w-silent") if owner else (ENTRY.worker_id,)
-    roster = records.RosterRecord(0, names, (), owner, settled)
+    roster = records.RosterRecord(
+        0, names, owner, settled, (ENTRY,) if owner else (), witnesses
+    )
     effects = reply(
         context,
         takeover.RosterRead(PARTITION, TOKEN),
@@ -314,7 +319,7 @@
 @behave.then("it waits for the leases until {seconds:d} s after the first read")
 def step(context, seconds):
     name = ENTRY.worker_id
-    lease_end = releases.find_lease_end(context.partition, name)
+    lease_end = former_runs.find_released_end(context.partition, name)
     assert lease_end == NOW + seconds, lease_end
 
 
@@ -668,7 +673,7 @@
 
 @behave.when("the owner has just become active")
 def step(context):
-    load_remaining(context, context.now)
+    load_remaining(context, context.now, "e-2@e-2:1/0", settled=True)
 
 
 @behave.when("{seconds:g} s pass without a listing")
@@ -678,7 +683,9 @@
 
 def list_startable(context):
     """Returns the jobs whose tasks a scheduling pass would start now."""
-    return passes.sort_startable_jobs(context.partition, context.now)
+    return passes.sort_startable_jobs(
+        context.batch, context.partition, context.now
+    )
 
 
 @behave.then("no job of former owners may start")
@@ -982,8 +989,15 @@
 }
 
 
-@behave.given("a new owner whose roster was written by {process}, {settled}")
-def step(context, process, settled):
+ROSTERS = {
+    "a settled roster": (True, ()),
+    "an unsettled roster": (False, (ENTRY.worker_id,)),
+    "an unsettled roster whose workers are new": (False, ()),
+}
+
+
+@behave.given("a new owner that finds {roster} of {process}")
+def step(context, roster, process):
     make_instance(context)
     context.batch.identity = state.Identity(
         "e-1", "1", PARTITION, address="e-1:1"
@@ -994,11 +1008,20 @@
     deliver_no_progress(context)
     listed = store_messages.Listed((make_owner(TOKEN),), TOKEN + 1)
     reply(context, live_records.JobsRead(PARTITION, TOKEN), listed)
-    load_remaining(context, NOW, OWNERS[process], settled == "settled")
+    load_remaining(context, NOW, OWNERS[process], *ROSTERS[roster])
+
+
+@behave.when("a worker of that roster answers")
+def step(context):
     listing = worker_messages.Listing(1000, (), ())
     answer(context, make_poll(context), listing)
 
 
+@behave.when("no worker answers")
+def step(context):
+    context.partition.unlisted_workers.discard(ENTRY.worker_id)
+
+
 @behave.then(
     "former runs on silent workers are awaited for {seconds:g} s from its start"
 )
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -111,7 +111,12 @@
     if not isinstance(reply, worker_messages.Done | worker_messages.Rejected):
         contact.record_missing_answer(worker, event)
         return []
-    contact.record_answer(worker, reply.clock_ms, now)
+    if isinstance(reply, worker_messages.Done):
+        contact.record_answer(
+            worker, reply.clock_ms, now, carried_out_at=event.sent_at
+        )
+    else:
+        contact.record_answer(worker, reply.clock_ms, now)
     run = worker.runs.get((call.task, call.number))
     if run is None or not isinstance(reply, worker_messages.Done):
         return []
@@ -138,7 +143,9 @@
     run = worker.runs.get((call.task, call.number))
     reply = event.reply
     if isinstance(reply, worker_messages.Done):
-        contact.record_answer(worker, reply.clock_ms, now)
+        contact.record_answer(
+            worker, reply.clock_ms, now, carried_out_at=event.sent_at
+        )
         if run is not None:
             run.started_clock_ms = reply.clock_ms
             run.task.job.start_confirmed = True
@@ -285,7 +292,9 @@
     if isinstance(reply, worker_messages.Rejected) and reply.reason == "fence":
         return contact.handle_refusal(batch, partition, worker, reply, now)
     if isinstance(reply, worker_messages.Done):
-        contact.record_answer(worker, reply.clock_ms, now)
+        contact.record_answer(
+            worker, reply.clock_ms, now, carried_out_at=event.sent_at
+        )
     run = worker.runs.get((call.task, call.number))
     if run is None:
         return []
--- a/packages/core/src/sapphirestall_core/batch/confirmation_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/confirmation_reports.py
@@ -8,6 +8,7 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 
 
 def log_confirmation(
@@ -39,8 +40,8 @@
 def _classify(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> state.Confirmation:
-    if now - batch.lease_renewed_at <= ownership.LEASE_TTL_S:
+    if tenure.is_confirmed(batch, now):
         return state.Confirmation.CONFIRMED
-    if ownership.may_have_successor(batch, partition, now):
+    if tenure.may_have_successor(batch, partition, now):
         return state.Confirmation.SUSPENDED
     return state.Confirmation.UNCONFIRMED
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -6,6 +6,8 @@
 completes only the poll with the same number.
 """
 
+import math
+
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import leases
@@ -13,6 +15,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import worker_messages
 
 PART = "workers"
@@ -20,8 +23,9 @@
 REFUSAL_PAUSE_S = 0.5
 # Longest wait of a long poll for the end of a run. The shorter time applies to
 # workers with tasks that have a tail latency target, because each answer also
-# carries latency measurements, and to draining workers, because their last
-# answer tells whether they have left.
+# carries latency measurements, to draining workers, because their last answer
+# tells whether they have left, and to all workers while the confirmation of the
+# ownership is overdue, because it then has to be known that they answer.
 LONG_POLL_S = 1.5
 LATENCY_LONG_POLL_S = 0.4
 # Refusal reason: another worker answers at the address, so this worker and its
@@ -63,11 +67,27 @@
 
 
 def record_answer(
-    worker: state.Worker, clock_ms: int | None, now: float
+    worker: state.Worker,
+    clock_ms: int | None,
+    now: float,
+    *,
+    carried_out_at: float = -math.inf,
 ) -> None:
-    """Records an answer of a worker and the clock in it, if any."""
+    """Records an answer of a worker.
+
+    Args:
+        worker: The worker.
+        clock_ms: Its clock in the answer, in milliseconds; None if it has none.
+        now: Monotonic time, in seconds.
+        carried_out_at: Monotonic time before which the worker cannot have
+            carried out the call, in seconds: that of the call. Left out if it
+            refused the call.
+    """
     if clock_ms is not None:
         leases.record_clock(worker, clock_ms, now)
+    worker.answered_call_sent_at = max(
+        worker.answered_call_sent_at, carried_out_at
+    )
     worker.last_answer_at = now
     worker.unresponsive = False
 
@@ -138,6 +158,8 @@
         if reason in FINAL_REASONS or not may_start_late(run, now)
     ]
     for run in lost:
+        if reason != REPLACED:
+            run.task.job.runs_lost_at = now
         passes.remove_run(worker, run)
     worker.orphans.clear()
     if not lost:
@@ -188,9 +210,13 @@
     """Sends a long poll to a worker, unless one is in flight."""
     if worker.long_poll is not None:
         return []
-    is_short = worker.serving_cpu_millis or worker.entry.draining
+    is_short = (
+        worker.serving_cpu_millis
+        or worker.entry.draining
+        or tenure.is_overdue(batch, now)
+    )
     wait_s = LATENCY_LONG_POLL_S if is_short else LONG_POLL_S
-    lease_s = _choose_lease(batch, partition, now)
+    lease_s = tenure.choose_lease(batch, partition, now)
     call = make_poll(partition, worker, lease_s, now, wait_s)
     worker.long_poll = call.number
     return [call]
@@ -209,27 +235,13 @@
     if worker.short_poll is not None:
         worker.short_poll_again = True
         return []
-    lease_s = _choose_lease(batch, partition, now)
+    lease_s = tenure.choose_lease(batch, partition, now)
     call = make_poll(partition, worker, lease_s, now, 0.0)
     worker.short_poll = call.number
     worker.short_poll_again = False
     return [call]
 
 
-def _choose_lease(
-    batch: state.Batch, partition: state.Partition, now: float
-) -> float | None:
-    """Returns the duration of the lease that a poll requests, in seconds.
-
-    Returns:
-        None, for no extension, if this owner may have a successor, which starts
-        tasks again once it assumes that the leases of this owner have expired.
-    """
-    if ownership.may_have_successor(batch, partition, now):
-        return None
-    return leases.choose_run_lease(batch.identity.limits)
-
-
 def finish_poll(worker: state.Worker, number: int) -> bool:
     """Records that a poll has completed.
 
--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -3,13 +3,10 @@
 A worker that is going to leave drains first. Meanwhile its long-running tasks
 move to other workers, since they would not end by themselves. Its entry in the
 platform's list disappears when it exits, and all its runs end with it. They are
-given up then, without waiting for the end of their leases. The roster of a
-partition names the draining workers, so that a new owner that finds no entry of
-such a worker does not wait for its runs either.
+given up then, without waiting for the end of their leases.
 """
 
 from collections.abc import Collection
-import math
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import commands
@@ -18,11 +15,10 @@
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
-from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 
 # An entry that disappeared while the store was unavailable returns within about
 # 2 s after the outage if its worker still runs and reaches the store.
@@ -75,9 +71,6 @@
     # This instance may never have seen the entries of former owners' workers.
     for name in partition.unlisted_workers:
         batch.listed_workers.setdefault(name, state.ListedWorker(False))
-    for name in partition.former_draining_workers:
-        listed = batch.listed_workers.setdefault(name, state.ListedWorker(True))
-        listed.draining = True
 
 
 def restart_absences(batch: state.Batch) -> None:
@@ -120,9 +113,7 @@
     call of this owner for as long. The entry of a worker that has only lost the
     store disappears too, so the runs there must also have ended: either the
     worker had announced its departure and gave the signs of an exit, or the
-    leases that this owner or a former one extended have expired. While no
-    worker has answered an owner in another data centre, a cut may hide workers
-    that a former owner reaches.
+    leases that this owner or a former one extended have expired.
 
     Args:
         batch: State of this instance.
@@ -134,16 +125,14 @@
     if listed is None or listed.absence is None:
         return False
     since = listed.absence.since
-    data_centre = model.get_data_centre(partition.name)
-    if data_centre != batch.identity.data_centre:
-        if partition.first_answer_at is None:
-            return False
-        since = max(since, partition.first_answer_at)
     if listed.absence.until - since < REREGISTRATION_S:
         return False
     worker = partition.workers.get(name)
     if worker is None or worker.last_answer_at is None:
-        return now >= _find_former_runs_end(batch, partition, name, since)
+        # This owner starts runs only on workers that have answered it.
+        return name not in partition.unlisted_workers or now >= (
+            former_runs.find_end(partition, name)
+        )
     if not listed.draining:
         # The periodic checks give its runs up when their leases have expired.
         return False
@@ -184,34 +173,6 @@
     return SILENT_HEARTBEATS * batch.identity.limits.heartbeat_s
 
 
-def _find_former_runs_end(
-    batch: state.Batch, partition: state.Partition, name: str, since: float
-) -> float:
-    """Returns when the runs on a worker that former owners polled have ended.
-
-    The release of a former owner tells when its leases expire. Without one, it
-    may have reached the worker, which has lost the store, until it was killed.
-
-    Args:
-        batch: State of this instance.
-        partition: The owned partition.
-        name: Id of the worker, which has not answered this owner.
-        since: Monotonic time since which its entry is missing, in seconds.
-
-    Returns:
-        Monotonic time, in seconds.
-    """
-    released_end_at = releases.find_lease_end(partition, name)
-    if math.isfinite(released_end_at):
-        return released_end_at
-    polled_until = max(
-        since - _find_least_silence(batch),
-        partition.unowned_since - ownership.KEY_OUTLASTS_OWNER_S,
-    )
-    lease_s = leases.choose_run_lease(batch.identity.limits)
-    return polled_until + leases.find_longest_duration(lease_s)
-
-
 def give_up_worker(
     partition: state.Partition, worker: state.Worker, now: float
 ) -> dispatch.Effects:
@@ -220,42 +181,6 @@
     return contact.requeue_lost_runs(partition, worker, contact.DEPARTED, now)
 
 
-def list_draining_workers(partition: state.Partition) -> frozenset[str]:
-    """Returns the workers to be stored as draining in the roster.
-
-    They include those that a former owner stored and whose runs may exist.
-    """
-    draining = {
-        name
-        for name, worker in partition.workers.items()
-        if worker.entry.draining
-    }
-    former = partition.former_draining_workers & partition.unlisted_workers
-    return frozenset(draining | former)
-
-
-def settle_former_workers(
-    batch: state.Batch, partition: state.Partition, now: float
-) -> dispatch.Effects:
-    """Stops waiting for workers that left under a former owner."""
-    departed = {
-        name
-        for name in partition.unlisted_workers
-        if has_left(batch, partition, name, now)
-    }
-    if not departed:
-        return []
-    partition.unlisted_workers -= departed
-    fields = {
-        "partition": partition.name,
-        "token": partition.token,
-        "workers": sorted(departed),
-        **former_runs.describe_wait(partition, now),
-    }
-    log = messages.Log(contact.PART, "former_departed", fields)
-    return [log, *passes.request_pass(partition)]
-
-
 def evacuate_workers(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
@@ -274,7 +199,7 @@
     if (
         not runs
         or batch.shutting_down
-        or ownership.may_have_successor(batch, partition, now)
+        or tenure.may_have_successor(batch, partition, now)
     ):
         return []
     former_runs_ended = former_runs.have_ended(partition, now)
@@ -282,7 +207,7 @@
     effects: dispatch.Effects = []
     for worker, run in runs:
         job = run.task.job
-        if not passes.may_start(job, partition, former_runs_ended):
+        if not passes.may_start(batch, job, partition, former_runs_ended):
             continue
         pool = scheduling_pass.get_pool(job.queue.service)
         target = placement.choose_candidate(
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -25,26 +25,18 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 
 PART = "ownership"
 # Resignation reason: a worker has refused the fencing token.
 FENCED = "fenced"
-# Lifetime of the owner keys after the last renewal of the store lease. A killed
-# owner is replaced after this time. A process that pauses, or a store that is
-# slow, for this long causes a takeover.
-LEASE_TTL_S = 2.5
-LEASE_RENEWAL_INTERVAL_S = 0.6
-# Least time for which the owner keys of a killed owner outlast it, unless its
-# last renewal was late.
-KEY_OUTLASTS_OWNER_S = LEASE_TTL_S - LEASE_RENEWAL_INTERVAL_S
 # Interval of an instance that owns nothing. It needs the store lease only when
 # it acquires a partition.
 IDLE_RENEWAL_INTERVAL_S = 1.0
-# An owner receives answers from a reachable worker more often than this.
-UNRESPONSIVE_AFTER_S = 2.5
 OWNERS_READ_INTERVAL_S = 2.0
 OWNERS_WATCH_TIMEOUT_S = 3.0
 WATCH_RETRY_S = 0.3
@@ -159,7 +151,9 @@
 ) -> dispatch.Effects:
     """Obtains or renews the store lease and schedules the next renewal."""
     active = batch.partitions or batch.acquiring
-    interval_s = LEASE_RENEWAL_INTERVAL_S if active else IDLE_RENEWAL_INTERVAL_S
+    interval_s = (
+        tenure.LEASE_RENEWAL_INTERVAL_S if active else IDLE_RENEWAL_INTERVAL_S
+    )
     next_renewal = messages.StartTimer(LeaseDue(), interval_s)
     if batch.lease_call_in_flight or batch.shutting_down:
         return [next_renewal]
@@ -168,7 +162,7 @@
     if batch.lease_id:
         call = store_messages.StoreRenewLease(LeaseRenewal(), batch.lease_id)
     else:
-        call = store_messages.StoreGrantLease(LeaseGrant(), LEASE_TTL_S)
+        call = store_messages.StoreGrantLease(LeaseGrant(), tenure.LEASE_TTL_S)
     return [next_renewal, call]
 
 
@@ -187,6 +181,7 @@
     if not isinstance(reply.outcome, store_messages.LeaseGranted):
         return []
     batch.lease_id = reply.outcome.lease_id
+    batch.lease_renewed_at = reply.sent_at
     return [read_owners()]
 
 
@@ -204,6 +199,7 @@
     batch.lease_call_in_flight = False
     if isinstance(reply.outcome, store_messages.LeaseGranted):
         batch.lease_renewed_at = reply.sent_at
+        return _apply_confirmation(batch)
     if not isinstance(reply.outcome, store_messages.LeaseLost):
         return []
     batch.lease_id = ""
@@ -213,32 +209,40 @@
     if not batch.shutting_down:
         batch.lease_call_in_flight = True
         effects.append(
-            store_messages.StoreGrantLease(LeaseGrant(), LEASE_TTL_S)
+            store_messages.StoreGrantLease(LeaseGrant(), tenure.LEASE_TTL_S)
         )
     return effects
 
 
-def may_have_successor(
-    batch: state.Batch, partition: state.Partition, now: float
-) -> bool:
-    """Returns whether an unnoticed successor may control some of the workers.
+def _apply_confirmation(batch: state.Batch) -> dispatch.Effects:
+    """Requests the passes that waited for a confirmation of the ownership."""
+    wanted_at = batch.confirmation_wanted_at
+    if wanted_at is None:
+        return []
+    if batch.lease_renewed_at < wanted_at:
+        return _renew_now(batch)
+    batch.confirmation_wanted_at = None
+    effects: dispatch.Effects = []
+    for partition in batch.partitions.values():
+        effects += passes.request_pass(partition)
+    return effects
 
-    This is so if the lease of the owner key may have expired and a worker does
-    not answer: a successor may have called that worker, while the others, which
-    it has not reached, still accept this owner's token. While every worker
-    answers without refusing the token, no successor has called any of them.
-    Workers that only the roster of a former owner names, and that have never
-    answered, have probably ended.
+
+def request_confirmation(batch: state.Batch, now: float) -> dispatch.Effects:
+    """Renews the store lease without waiting for the next regular renewal.
+
+    Passes start the tasks of runs that ended by a worker's silence only after a
+    renewal that was sent later.
     """
-    confirmed_at = max(batch.lease_renewed_at, partition.acquired_at)
-    if now - confirmed_at <= LEASE_TTL_S:
-        return False
-    return any(
-        now - (worker.last_answer_at or partition.acquired_at)
-        > UNRESPONSIVE_AFTER_S
-        for worker in partition.workers.values()
-        if worker.is_registered or worker.last_answer_at is not None
-    )
+    batch.confirmation_wanted_at = now
+    return _renew_now(batch)
+
+
+def _renew_now(batch: state.Batch) -> dispatch.Effects:
+    if batch.lease_call_in_flight or not batch.lease_id or batch.shutting_down:
+        return []
+    batch.lease_call_in_flight = True
+    return [store_messages.StoreRenewLease(LeaseRenewal(), batch.lease_id)]
 
 
 def resign(
@@ -253,7 +257,7 @@
         return []
     if reason == FENCED:
         batch.fenced_tokens[name] = partition.token
-    batch.unowned_since.pop(name, None)
+    batch.vacancies.pop(name, None)
     return [
         messages.Log(
             PART,
@@ -315,7 +319,7 @@
         owned = batch.partitions.get(name)
         if owned is not None and owned.token < outcome.revision:
             effects += resign(batch, name, "key_removed", now)
-        effects += _schedule_acquisition(batch, name, now)
+        effects += _schedule_acquisition(batch, name, outcome.revision, now)
     if not batch.owners_watching:
         effects += _watch_owners(batch, outcome.revision)
     return effects
@@ -324,7 +328,7 @@
 def _apply_owner_record(
     batch: state.Batch, name: str, found: store_messages.Found, now: float
 ) -> dispatch.Effects:
-    batch.unowned_since.pop(name, None)
+    batch.vacancies.pop(name, None)
     batch.known_partitions.setdefault(name, model.get_data_centre(name))
     owned = batch.partitions.get(name)
     record = found.value
@@ -438,11 +442,11 @@
 
 
 def _schedule_acquisition(
-    batch: state.Batch, name: str, now: float
+    batch: state.Batch, name: str, revision: int, now: float
 ) -> dispatch.Effects:
-    if name in batch.unowned_since or name in batch.partitions:
+    if name in batch.vacancies or name in batch.partitions:
         return []
-    batch.unowned_since[name] = now
+    batch.vacancies[name] = state.Vacancy(now, revision)
     return [
         messages.StartTimer(
             AcquisitionDue(name), compute_acquisition_delay(batch, name)
@@ -523,7 +527,7 @@
     owned = batch.partitions.get(name)
     if owned is not None and change.revision > owned.token:
         effects += resign(batch, name, "key_removed", now)
-    return effects + _schedule_acquisition(batch, name, now)
+    return effects + _schedule_acquisition(batch, name, change.revision, now)
 
 
 @dispatch.handle_timer.register(OwnersWatchDue)
@@ -540,14 +544,14 @@
 ) -> dispatch.Effects:
     """Creates the owner key of a partition if it still has no owner."""
     name = timer.partition
-    unowned_since = batch.unowned_since.get(name)
-    if unowned_since is None or name in batch.acquiring:
+    vacancy = batch.vacancies.get(name)
+    if vacancy is None or name in batch.acquiring:
         return []
     if batch.shutting_down or batch.configuration is None or not batch.lease_id:
-        del batch.unowned_since[name]
+        del batch.vacancies[name]
         return []
     # The delay has grown with each partition acquired since the timer started.
-    remaining_s = unowned_since + compute_acquisition_delay(batch, name) - now
+    remaining_s = vacancy.since + compute_acquisition_delay(batch, name) - now
     if remaining_s > TIMER_TOLERANCE_S:
         return [messages.StartTimer(AcquisitionDue(name), remaining_s)]
     batch.acquiring.add(name)
@@ -574,12 +578,10 @@
     """Starts the ownership of a partition if its key was created."""
     name = purpose.partition
     batch.acquiring.discard(name)
-    unowned_since = batch.unowned_since.pop(name, now)
+    vacancy = batch.vacancies.pop(name, None)
     if isinstance(reply.outcome, store_messages.Committed):
         token = reply.outcome.revision
-        return start_ownership(
-            batch, name, token, now, unowned_since=unowned_since
-        )
+        return start_ownership(batch, name, token, now, vacancy)
     if isinstance(reply.outcome, store_messages.LeaseLost):
         batch.lease_id = ""
     return []
@@ -597,8 +599,7 @@
     name: str,
     token: int,
     now: float,
-    *,
-    unowned_since: float | None = None,
+    vacancy: state.Vacancy | None = None,
 ) -> dispatch.Effects:
     """Records the ownership of a partition and starts loading it.
 
@@ -607,14 +608,14 @@
         name: Name of the partition.
         token: Fencing token: revision at which the owner key was created.
         now: Monotonic time, in seconds.
-        unowned_since: Monotonic time at which this instance learned that the
-            partition had no owner, in seconds; None if it did so only now.
+        vacancy: Since when this instance knew that the partition had no owner;
+            None if it did not know.
     """
     batch.partitions[name] = state.Partition(
         name,
         token,
         now,
-        unowned_since=now if unowned_since is None else unowned_since,
+        vacancy=vacancy or state.Vacancy(now, token),
     )
     log = messages.Log(PART, "taken", {"partition": name, "token": token})
     return [log, *dispatch.handle(PartitionAcquired(name), batch, now)]
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -14,9 +14,9 @@
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import objectives
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 
@@ -85,7 +85,7 @@
     partition.pass_scheduled = False
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
-    if ownership.may_have_successor(batch, partition, now):
+    if tenure.may_have_successor(batch, partition, now):
         # Another owner may have extended leases that seem to have expired here,
         # so that a task whose run seems to have ended may still run.
         return []
@@ -95,7 +95,7 @@
         return worker_list.read_entries(batch, now)
     effects: dispatch.Effects = []
     scheduling_pass = SchedulingPass(batch, partition, now)
-    for job in sort_startable_jobs(partition, now):
+    for job in sort_startable_jobs(batch, partition, now):
         for step in job.steps:
             if step.runnable and scheduling_pass.starts_left:
                 effects += _start_step(job, step, scheduling_pass)
@@ -237,7 +237,7 @@
 
 
 def sort_startable_jobs(
-    partition: state.Partition, now: float
+    batch: state.Batch, partition: state.Partition, now: float
 ) -> list[state.Job]:
     """Returns the jobs that have tasks to start, in the order to start them.
 
@@ -249,7 +249,7 @@
         job
         for job in partition.jobs.values()
         if _has_runnable_task(job)
-        and may_start(job, partition, former_runs_ended)
+        and may_start(batch, job, partition, former_runs_ended)
     ]
     startable.sort(
         key=lambda job: (
@@ -262,14 +262,19 @@
 
 
 def may_start(
-    job: state.Job, partition: state.Partition, former_runs_ended: bool
+    batch: state.Batch,
+    job: state.Job,
+    partition: state.Partition,
+    former_runs_ended: bool,
 ) -> bool:
     """Returns whether tasks of a job may be started.
 
-    None are started while the job is being moved to another partition and while
-    runs that former owners started may exist.
+    None are started while the job is being moved to another partition, while
+    runs that former owners started may exist, and after runs have ended by the
+    silence of their worker until the ownership is confirmed.
 
     Args:
+        batch: State of this instance.
         job: The job.
         partition: The owned partition.
         former_runs_ended: Whether no run of a former owner is left that no
@@ -277,6 +282,8 @@
     """
     if job.final_state is not None or job.move_in_flight:
         return False
+    if not tenure.was_confirmed_since(batch, job.runs_lost_at):
+        return False
     # A job that is older than this owner's token was known to former owners, so
     # runs of it may exist on workers that have not sent a listing yet.
     return former_runs_ended or job.create_revision >= partition.token
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -57,9 +57,12 @@
     if not isinstance(reply, worker_messages.Listing):
         return _handle_failed_poll(batch, partition, worker, reply, now)
     stale = reply.clock_ms < max(worker.clock_ms or 0, worker.listed_clock_ms)
-    contact.record_answer(worker, reply.clock_ms, now)
+    contact.record_answer(
+        worker, reply.clock_ms, now, carried_out_at=event.sent_at
+    )
     lease_s = leases.choose_run_lease(batch.identity.limits)
-    former_runs.record_contact(partition, lease_s, now)
+    worker_id = worker.entry.worker_id
+    former_runs.record_contact(partition, worker_id, lease_s, now)
     if not worker.listing_received:
         leases.assume_longest_lease(worker, lease_s, reply.clock_ms)
     if partition.phase is not state.Phase.ACTIVE:
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -185,11 +185,12 @@
     Attributes:
         generation: Number of owners that the partition has had.
         workers: Ids of the workers.
-        draining: Ids of those that have announced their departure.
         owner: Process of the owner that wrote the record; empty if it is not
             known.
         settled: Whether this owner knew that no runs of former owners were left
             that no listing had shown.
+        witnesses: Ids of workers that all earlier owners whose runs may be left
+            had in their rosters too; empty if the record is settled.
         entries: Entries of the workers, without labels, as the owner last read
             them. With them a successor calls workers that the platform's list
             lacks.
@@ -197,10 +198,10 @@
 
     generation: int
     workers: tuple[str, ...] = ()
-    draining: tuple[str, ...] = ()
     owner: str = ""
     settled: bool = False
     entries: tuple[model.WorkerEntry, ...] = ()
+    witnesses: tuple[str, ...] = ()
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -10,11 +10,8 @@
 between the one that wrote a release and one of the next generation.
 """
 
-import math
-
 import attrs
 
-from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
@@ -80,10 +77,7 @@
     """
     former_s = None
     if name in partition.unlisted_workers:
-        ends_at = min(
-            partition.former_runs_end_at,
-            find_lease_end(partition, name),
-        )
+        ends_at = former_runs.find_end(partition, name)
         former_s = max(0.0, ends_at - now)
     worker = partition.workers.get(name)
     if worker is None:
@@ -133,36 +127,3 @@
         name: now + lease_ms / 1000
         for name, lease_ms in record.lease_ms.items()
     }
-
-
-def find_lease_end(partition: state.Partition, name: str) -> float:
-    """Returns when the former owner's leases on a worker have expired.
-
-    Returns:
-        Monotonic time, in seconds; infinite if the former owner has stored no
-        release, or none for this worker.
-    """
-    if partition.released_generation != partition.generation - 1:
-        return math.inf
-    return partition.former_leases_end_at.get(name, math.inf)
-
-
-def settle_workers(partition: state.Partition, now: float) -> dispatch.Effects:
-    """Stops waiting for workers on which all leases have expired.
-
-    Waits for listings for a while first, as they also tell how runs have ended.
-    """
-    listings_due_at = (partition.active_at or now) + former_runs.LISTING_WAIT_S
-    if now < listings_due_at:
-        return []
-    expired = {
-        name
-        for name in partition.unlisted_workers
-        if now >= find_lease_end(partition, name)
-    }
-    if not expired:
-        return []
-    partition.unlisted_workers -= expired
-    fields = {"partition": partition.name, "workers": sorted(expired)}
-    # The periodic check that calls this requests a pass.
-    return [messages.Log(PART, "former_lapsed", fields)]
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -220,6 +220,8 @@
         move_in_flight: Whether a write that moves tasks of the job to another
             partition is in flight.
         accepted_at: Monotonic time at which the job was accepted, in seconds.
+        runs_lost_at: Monotonic time at which this owner last concluded from a
+            worker's silence that a run of the job has ended, in seconds.
         critical_path_s: Duration of the longest chain of dependent steps, in
             seconds; None until it is computed.
     """
@@ -236,6 +238,7 @@
     reread_in_flight: bool = False
     move_in_flight: bool = False
     accepted_at: float = 0.0
+    runs_lost_at: float = -math.inf
     critical_path_s: float | None = None
 
 
@@ -283,6 +286,9 @@
             worker's clock, in milliseconds.
         last_answer_at: Monotonic time of the worker's last answer, in seconds;
             None before the first.
+        answered_call_sent_at: Monotonic time at which the newest call was sent
+            that the worker carried out, in seconds. An answer that waited in
+            this process does not seem newer by it.
         acknowledged_position: Position up to which the worker may discard ended
             runs, because their effects are in the store.
         processed_position: Position up to which ended runs were processed.
@@ -339,6 +345,7 @@
     listed_clock_ms: int = 0
     lease_end_ms: int = 0
     last_answer_at: float | None = None
+    answered_call_sent_at: float = -math.inf
     acknowledged_position: int = 0
     processed_position: int = 0
     reserved: resources.Vector = attrs.field(factory=resources.Vector)
@@ -385,6 +392,20 @@
     ACTIVE = "active"
 
 
+@attrs.frozen(slots=True)
+class Vacancy:
+    """Time at which an instance learned that a partition has no owner.
+
+    Attributes:
+        since: Monotonic time, in seconds.
+        revision: Store revision at which the partition had no owner. An owner
+            that wrote at a later revision has come and gone since.
+    """
+
+    since: float = -math.inf
+    revision: int = 0
+
+
 @attrs.define(slots=True, eq=False)
 class Partition:
     """A partition that this instance owns.
@@ -400,16 +421,19 @@
             logged.
         generation: Number of owners that the partition has had.
         roster: Workers on which runs may exist, as written to the store.
-        roster_draining: Workers that the roster names as draining.
         roster_targets: Incarnations of workers whose entries the roster holds.
         roster_settled: Whether the roster says that no runs of former owners
             are left that no listing has shown.
+        roster_targets_in_flight: The same for a roster whose write has not been
+            confirmed, so that the store may hold it.
+        witnesses: Workers that the rosters of all former owners named that may
+            still act. The answer of one proves that they will learn of this
+            owner.
         roster_revision: Store revision of the roster; None before it was read.
         roster_write_in_flight: Whether a write of the roster is in flight.
         workers_listed: Whether the platform's list of workers was read.
         unlisted_workers: Workers on which runs of former owners may exist,
             because no listing has shown all runs there yet.
-        former_draining_workers: Workers that a former owner stored as draining.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
         former_owner_ended_at: Monotonic time before which the former owner's
@@ -419,8 +443,8 @@
             was read; -1 before one was read.
         former_leases_end_at: By worker, monotonic time at which the leases
             there have expired according to the former owner, in seconds.
-        first_answer_at: Monotonic time at which a worker first answered this
-            owner, in seconds; None before.
+        witness_answered_at: Monotonic time at which one of `witnesses` first
+            answered this owner, in seconds; None before.
         active_at: Monotonic time at which the owner became active, in seconds;
             None before.
         job_read_in_flight: Whether the job records are being read.
@@ -448,8 +472,8 @@
             were last checked for removal, in seconds.
         retention_in_flight: Whether such states are being listed or removed.
         poll_number: Number of the poll that was last sent.
-        unowned_since: Monotonic time at which this instance learned that the
-            partition had no owner, before it became the owner, in seconds.
+        vacancy: Since when the partition had no owner, before this instance
+            became the owner.
         capacity_logged_at: Monotonic time at which the use of its idle
             processors was last logged, in seconds.
     """
@@ -461,19 +485,19 @@
     confirmation: Confirmation = Confirmation.CONFIRMED
     generation: int = 0
     roster: frozenset[str] = frozenset()
-    roster_draining: frozenset[str] = frozenset()
     roster_targets: frozenset[worker_messages.Target] = frozenset()
+    roster_targets_in_flight: frozenset[worker_messages.Target] = frozenset()
+    witnesses: frozenset[str] = frozenset()
     roster_settled: bool = False
     roster_revision: int | None = None
     roster_write_in_flight: bool = False
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
-    former_draining_workers: set[str] = attrs.field(factory=set)
     former_runs_end_at: float = math.inf
     former_owner_ended_at: float | None = None
     released_generation: int = -1
     former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
-    first_answer_at: float | None = None
+    witness_answered_at: float | None = None
     active_at: float | None = None
     job_read_in_flight: bool = False
     watching: bool = False
@@ -495,7 +519,7 @@
     retention_checked_at: float = -1e9
     retention_in_flight: bool = False
     poll_number: int = 0
-    unowned_since: float = -math.inf
+    vacancy: Vacancy = attrs.field(factory=Vacancy)
     capacity_logged_at: float = -math.inf
 
     def record_removal(self, removed: "RemovedJob") -> None:
@@ -598,14 +622,16 @@
             flight.
         lease_renewed_at: Monotonic time at which the last renewal that the
             store confirmed was sent, in seconds.
+        confirmation_wanted_at: Monotonic time after which a renewal has to be
+            sent before some waiting tasks may start, in seconds; None if no
+            task waits for that.
         division: Division of the data centres into partitions.
         division_adopted: Whether `division` is the one that the store holds.
             Before, no worker is assigned to a partition.
         known_partitions: Data centre of each partition that is known to exist.
         partitions_loaded: Whether the partitions that ever had an owner were
             read from the store.
-        unowned_since: By partition without an owner, the monotonic time in
-            seconds since which it is known to have none.
+        vacancies: By partition that is known to have no owner, since when.
         acquiring: Partitions whose owner key is being written.
         fenced_tokens: By partition, a token of this instance that workers
             refuse because they have received a higher one.
@@ -647,11 +673,12 @@
     lease_id: str = ""
     lease_call_in_flight: bool = False
     lease_renewed_at: float = -1e9
+    confirmation_wanted_at: float | None = None
     division: model.Division = attrs.field(factory=model.Division)
     division_adopted: bool = False
     known_partitions: dict[str, str] = attrs.field(factory=dict)
     partitions_loaded: bool = False
-    unowned_since: dict[str, float] = attrs.field(factory=dict)
+    vacancies: dict[str, Vacancy] = attrs.field(factory=dict)
     acquiring: set[str] = attrs.field(factory=set)
     fenced_tokens: dict[str, int] = attrs.field(factory=dict)
     owners_watching: bool = False
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -10,7 +10,6 @@
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import contact
-from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import interference_exchange
@@ -165,6 +164,11 @@
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.phase is state.Phase.LOADING:
             _add_former_workers(partition, outcome.value)
+            if outcome.revision > partition.vacancy.revision:
+                # Another owner has come and gone unnoticed.
+                partition.vacancy = state.Vacancy(
+                    partition.acquired_at, partition.token
+                )
             partition.generation = max(
                 partition.generation, outcome.value.generation
             )
@@ -190,7 +194,10 @@
     extend the leases of their runs, until the successor has called them.
     """
     partition.unlisted_workers |= set(roster.workers)
-    partition.former_draining_workers |= set(roster.draining)
+    witnesses = {entry.worker_id for entry in roster.entries}
+    if not roster.settled:
+        witnesses &= set(roster.witnesses)
+    former_runs.record_witnesses(partition, witnesses)
     for entry in roster.entries:
         if entry.worker_id not in partition.workers:
             worker = contact.make_worker(entry)
@@ -204,10 +211,9 @@
     """Writes the roster if it does not match the workers of the partition.
 
     A worker gets runs only after a roster that names it was written, so that
-    a successor knows where runs may exist. The roster also holds their entries,
-    names the workers that drain, so that a successor does not wait for those
-    that have left, and tells whether runs of former owners may be left. The
-    first write of an owner also raises the generation.
+    a successor knows where runs may exist. The roster also holds their entries
+    and tells whether runs of former owners may be left. The first write of an
+    owner also raises the generation.
     """
     if (
         partition.roster_write_in_flight
@@ -217,26 +223,25 @@
         return []
     loading = partition.phase is state.Phase.LOADING
     names = frozenset(partition.workers) | partition.unlisted_workers
-    draining = departures.list_draining_workers(partition)
     settled = not loading and not partition.unlisted_workers
     targets = _list_targets(partition)
     written = (
         partition.roster,
-        partition.roster_draining,
         partition.roster_settled,
         partition.roster_targets,
     )
-    if not loading and (names, draining, settled, targets) == written:
+    if not loading and (names, settled, targets) == written:
         return []
     partition.roster_write_in_flight = True
+    partition.roster_targets_in_flight |= targets
     generation = partition.generation + (1 if loading else 0)
     roster = records.RosterRecord(
         generation,
         tuple(sorted(names)),
-        tuple(sorted(draining)),
         ownership.make_process_id(batch),
         settled,
         _make_roster_entries(partition),
+        () if settled else tuple(sorted(partition.witnesses & names)),
     )
     key = records.make_roster_key(partition.name)
     expected = (
@@ -301,9 +306,9 @@
         return _retry(partition)
     partition.roster_revision = outcome.revision
     partition.roster = frozenset(purpose.roster.workers)
-    partition.roster_draining = frozenset(purpose.roster.draining)
     partition.roster_settled = purpose.roster.settled
     partition.roster_targets = purpose.targets
+    partition.roster_targets_in_flight = frozenset()
     partition.generation = purpose.roster.generation
     return [
         *activate(batch, partition, now),
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -20,7 +20,6 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import polls
-from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
@@ -173,24 +172,7 @@
             effects += _poll_if_idle(batch, partition, worker, now)
     for partition in list(batch.partitions.values()):
         effects += confirmation_reports.log_confirmation(batch, partition, now)
-        effects += departures.settle_former_workers(batch, partition, now)
-        effects += releases.settle_workers(partition, now)
-        if partition.unlisted_workers and former_runs.have_ended(
-            partition, now
-        ):
-            names = sorted(partition.unlisted_workers)
-            partition.unlisted_workers.clear()
-            log = messages.Log(
-                contact.PART,
-                "settled_by_time",
-                {
-                    "partition": partition.name,
-                    "token": partition.token,
-                    "workers": names,
-                    **former_runs.describe_wait(partition, now),
-                },
-            )
-            effects += [log, *passes.request_pass(partition)]
+        effects += former_runs.settle_workers(partition, now)
         for worker in list(partition.workers.values()):
             effects += _check_worker(batch, partition, worker, now)
         effects += departures.evacuate_workers(batch, partition, now)
@@ -232,10 +214,13 @@
     lease_s = batch.identity.limits.worker_lease_s
     worker_id = worker.entry.worker_id
     has_left = departures.has_left(batch, partition, worker_id, now)
+    lost: dispatch.Effects = []
     if has_left:
-        effects += departures.give_up_worker(partition, worker, now)
+        lost = departures.give_up_worker(partition, worker, now)
     elif worker.runs and leases.have_expired(worker, lease_s, now):
-        effects += contact.requeue_lost_runs(partition, worker, "lapsed", now)
+        lost = contact.requeue_lost_runs(partition, worker, "lapsed", now)
+    if lost:
+        effects += lost + ownership.request_confirmation(batch, now)
     for run in list(worker.runs.values()):
         stopping = run.phase is state.RunPhase.STOPPING
         if stopping or commands.is_start_overdue(run, now):
