--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -90,6 +90,24 @@
       | 3.10    | loses   | all other workers |
       | 3.20    | loses   | all other workers |
 
+  Scenario Outline: An owner that reaches its workers again starts nothing
+    Guards against tasks that run twice: an owner lost the store and all of its
+    workers. Its successor gave the workers up after their leases had expired,
+    so that the tasks started elsewhere. When the workers answered the former
+    owner again, it still did not reach the store, but started them as well.
+    Given an owner with long-running tasks, and workers in another data centre
+    When the owner and its workers lose the store, and no instance reaches them
+    And <seconds> s pass
+    Then every task runs in the other data centre
+    When only that owner reaches its workers again
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | seconds |
+      | 14      |
+      | 30      |
+
   Scenario Outline: Runs outlast an outage of the store
     Guards against runs that end, or tasks that start again, although their
     owner reaches all workers and no other instance can become owner.
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -52,6 +52,16 @@
     return [node for node in context.world.nodes if node is not context.owner]
 
 
+def list_own_workers(context):
+    """Returns the workers of the owner's partition, by id."""
+    workers = context.world.workers
+    return [
+        name
+        for name, worker in workers.items()
+        if worker.entry.data_centre == DATA_CENTRE
+    ]
+
+
 @behave.given(
     "an owner in the same data centre of three workers with long-running tasks"
 )
@@ -95,6 +105,19 @@
     submit_tasks(context)
 
 
+@behave.given(
+    "an owner with long-running tasks, and workers in another data centre"
+)
+def step(context):
+    make_world(context)
+    add_workers(context.world, OTHER_DATA_CENTRE)
+    for number in range(2):
+        context.world.add_node(f"e-{number}", DATA_CENTRE)
+    context.world.add_node("e-other", OTHER_DATA_CENTRE)
+    context.world.run(START_S)
+    submit_tasks(context)
+
+
 @behave.when("the worker drains")
 def step(context):
     context.world.drain_worker(context.worker_id)
@@ -146,6 +169,27 @@
         }
 
 
+@behave.when(
+    "the owner and its workers lose the store, and no instance reaches them"
+)
+def step(context):
+    world = context.world
+    context.owner.store_unreachable = True
+    names = list_own_workers(context)
+    for node in world.nodes:
+        node.unreachable_workers.update(names)
+    for name in names:
+        world.schedule(
+            batch_faults.ENTRY_EXPIRY_S,
+            functools.partial(world.listed_workers.pop, name),
+        )
+
+
+@behave.when("only that owner reaches its workers again")
+def step(context):
+    context.owner.unreachable_workers.clear()
+
+
 @behave.when("all cuts end")
 def step(context):
     world = context.world
@@ -172,6 +216,14 @@
     assert tasks == list(range(TASKS)), context.world.list_runs()
 
 
+@behave.then("every task runs in the other data centre")
+def step(context):
+    runs = context.world.list_runs()
+    own = set(list_own_workers(context))
+    assert len(runs) == TASKS, runs
+    assert all(name not in own for name, _, _ in runs), runs
+
+
 @behave.then("every task still has its first run")
 def step(context):
     runs = set(context.world.list_runs())
