Extend leases on a worker only after its first listing

A new owner extended the leases of a worker with its first poll after it had become active. If the worker carried the poll out and the answer was lost, the worker counted as unlisted: the wait for its former runs counts the leases of former owners only, so their tasks started elsewhere while the owner's own lease lasted. It costs one round trip before the leases are extended.

--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -266,7 +266,8 @@
 ) -> worker_messages.HoldLease:
     """Returns the call that polls a worker.
 
-    It extends the leases only if the owner is active and the worker responds.
+    It extends the leases only if the owner is active, and the worker responds
+    and has listed its runs.
 
     Args:
         partition: The owned partition.
@@ -279,7 +280,11 @@
     # The lease of an unresponsive worker is not extended. Otherwise each poll
     # would postpone the time at which its runs may be started elsewhere.
     is_responsive = worker.restarted_at is None and not worker.unresponsive
-    is_active = partition.phase is state.Phase.ACTIVE
+    # Before its first listing, `former_runs` decides when the runs of a worker
+    # have ended, and that counts no lease of this owner.
+    is_active = (
+        partition.phase is state.Phase.ACTIVE and worker.listing_received
+    )
     if lease_s is not None and is_active and is_responsive:
         lease_end_ms = leases.extend(worker, lease_s, now)
     worker.polled_at = now
