End the store lease of a shutdown only once its releases are stored

A process that shut down sent its releases and the end of its store lease together. A refused or lost release left a key that ended early, from which the next owner computed that the leases had ended 2.5 s before they did. Without a stored release the store lease now expires by itself.

--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -210,10 +210,14 @@
     """
     waited_s = now - batch.shutdown_requested_at
     again = messages.StartTimer(DrainDue(), DRAIN_CHECK_INTERVAL_S)
-    if batch.lease_id:
+    if batch.partitions:
         if _keeps_partitions(batch, waited_s):
             return [again]
         return [*_give_up_partitions(batch, now), again]
+    if batch.lease_id:
+        if batch.releases_in_flight and waited_s <= DRAIN_TIMEOUT_S:
+            return [again]
+        return [*_end_store_lease(batch), again]
     in_flight = (
         batch.lease_call_in_flight or batch.releases_in_flight or batch.calls
     )
@@ -260,20 +264,31 @@
 
 
 def _give_up_partitions(batch: state.Batch, now: float) -> dispatch.Effects:
-    """Resigns all partitions and ends the store lease of their owner keys.
+    """Resigns all partitions.
 
     Ends that are not committed are not acknowledged either, so the workers list
     them again for the next owner.
     """
     effects: dispatch.Effects = []
     pending = _has_pending_commits(batch)
+    batch.release_missing = False
     for name in list(batch.partitions):
         effects += ownership.resign(batch, name, "stopping", now)
     log = messages.Log("process", "resigned", {"commits_pending": pending})
-    call = store_messages.StoreEndLease(ownership.LeaseEnd(), batch.lease_id)
-    batch.lease_id = ""
+    return [*effects, log]
+
+
+def _end_store_lease(batch: state.Batch) -> dispatch.Effects:
+    """Ends the store lease of the owner keys if all releases are stored.
+
+    Without a release, the next owner counts from the end of the key and assumes
+    that it came `LEASE_TTL_S` after the last renewal.
+    """
+    lease_id, batch.lease_id = batch.lease_id, ""
+    if batch.release_missing or batch.releases_in_flight:
+        return []
     batch.lease_call_in_flight = True
-    return [*effects, log, call]
+    return [store_messages.StoreEndLease(ownership.LeaseEnd(), lease_id)]
 
 
 @dispatch.handle_store_reply.register(ownership.LeaseEnd)
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -106,6 +106,8 @@
     Without the release the next owner waits longer.
     """
     batch.releases_in_flight.discard(purpose.partition)
+    if not isinstance(reply.outcome, store_messages.Committed):
+        batch.release_missing = True
     return []
 
 
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -658,6 +658,7 @@
         unpublished_reads: Partitions whose job records are being read for this.
         calls_awaiting_unpublished: Callers' calls that wait for these reads.
         releases_in_flight: Partitions whose release is being written.
+        release_missing: Whether a release of this shutdown may not be stored.
         shutting_down: Whether the process was asked to end.
         shutdown_requested_at: Monotonic time at which it was asked, in seconds.
     """
@@ -696,6 +697,7 @@
     unpublished_reads: set[str] = attrs.field(factory=set)
     calls_awaiting_unpublished: list[Call] = attrs.field(factory=list)
     releases_in_flight: set[str] = attrs.field(factory=set)
+    release_missing: bool = False
     shutting_down: bool = False
     shutdown_requested_at: float = 0.0
 
