Count only workers that accepted the token as witnesses

A worker that refused the poll of a loading owner, as it was unhealthy, set the time of its last answer, which the owner took for a contact when it read the roster later. Such a worker has not seen the token, so that former owners learn nothing of their successor.

--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -52,6 +52,8 @@
         for name in names
         if (worker := partition.workers.get(name)) is not None
         and worker.last_answer_at is not None
+        # A worker that refused all calls has not seen the owner's token.
+        and math.isfinite(worker.answered_call_sent_at)
     ]
     partition.witness_answered_at = min(answers, default=None)
 
