State in a release when the leases on a restarted worker have ended

A worker that had restarted with a start without an answer was left out of the release, so that the next owner fell back to bounds which know nothing of starts that a later incarnation carries out.

--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -98,12 +98,22 @@
     return lease_end_ms
 
 
-def compute_remaining(worker: state.Worker, now: float) -> float | None:
+def compute_remaining(
+    worker: state.Worker, lease_s: float, now: float
+) -> float | None:
     """Returns the time after which every requested lease has expired.
 
+    Args:
+        worker: The worker that may have runs.
+        lease_s: Longest lease that a worker grants, in seconds.
+        now: Monotonic time, in seconds.
+
     Returns:
         Time in seconds; None if the worker's clock is unknown.
     """
+    if worker.restarted_at is not None:
+        longest_s = LATE_COMMAND_S + find_longest_duration(lease_s)
+        return max(0.0, worker.restarted_at + longest_s - now)
     clock_ms = estimate_clock(worker, now)
     if clock_ms is None:
         return None
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -39,8 +39,8 @@
     """Stores when the leases on the workers of a partition expire.
 
     A start without an answer counts as well: a worker refuses it after the end
-    of the lease that it requests. Does nothing if the owner was not active, and
-    has therefore extended no lease.
+    of the lease that it requests, unless it has restarted. Does nothing if the
+    owner was not active, and has therefore extended no lease.
 
     Args:
         batch: State of this instance.
@@ -52,7 +52,8 @@
     batch.releases_in_flight.add(partition.name)
     names = partition.roster | partition.unlisted_workers
     remaining_s = {
-        name: _find_remaining(partition, name, now) for name in sorted(names)
+        name: _find_remaining(batch, partition, name, now)
+        for name in sorted(names)
     }
     record = records.ReleaseRecord(
         partition.generation,
@@ -68,7 +69,7 @@
 
 
 def _find_remaining(
-    partition: state.Partition, name: str, now: float
+    batch: state.Batch, partition: state.Partition, name: str, now: float
 ) -> float | None:
     """Returns the time after which all runs on a worker have ended.
 
@@ -84,10 +85,8 @@
         # The owner removes a worker only when it has no runs left, also if it
         # has not been able to store a roster without this worker yet.
         return former_s or 0.0
-    if worker.restarted_at is not None:
-        # Its clock has started anew, and it may carry out a late start.
-        return None
-    own_s = leases.compute_remaining(worker, now)
+    lease_s = batch.identity.limits.worker_lease_s
+    own_s = leases.compute_remaining(worker, lease_s, now)
     if own_s is None or former_s is None:
         # No lease is requested while the worker's clock is unknown.
         return former_s if own_s is None else own_s
