Number the runs of moved jobs above those of former owners

A job that was older than its owner's token, and whose former runs were settled by time, was moved as one without runs. The other partition started it with a run number that a former owner had used.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -352,7 +352,8 @@
         ):
             return None
     routing.deduct_job(batch, target, job.record.steps)
-    if not job.start_sent:
+    # Former owners may have started tasks of an older job without a sign.
+    if not job.start_sent and job.create_revision >= partition.token:
         return attrs.evolve(job.record, partition=target)
     # Runs in the new partition get higher numbers than all runs in this one.
     first_number = max(
