Give up all partitions when an acquisition finds the store lease lost

The answer to the write of an owner key dropped the store lease, while the instance still owned partitions under keys bound to it. The renewals of the next lease then seemed to confirm them. A late answer about an older lease is ignored.

--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -92,9 +92,15 @@
 
 @attrs.frozen
 class OwnerKeyWrite(store_messages.Purpose):
-    """Purpose of the write that creates the owner key of a partition."""
+    """Purpose of the write that creates the owner key of a partition.
+
+    Attributes:
+        partition: Name of the partition.
+        lease_id: Store lease to which the key is bound.
+    """
 
     partition: str
+    lease_id: str
 
 
 @attrs.frozen
@@ -202,10 +208,7 @@
         return _apply_confirmation(batch)
     if not isinstance(reply.outcome, store_messages.LeaseLost):
         return []
-    batch.lease_id = ""
-    effects: dispatch.Effects = []
-    for name in list(batch.partitions):
-        effects += resign(batch, name, "lease_lost", now)
+    effects = _drop_store_lease(batch, now)
     if not batch.shutting_down:
         batch.lease_call_in_flight = True
         effects.append(
@@ -214,6 +217,15 @@
     return effects
 
 
+def _drop_store_lease(batch: state.Batch, now: float) -> dispatch.Effects:
+    """Gives up all partitions, as their keys have ended with the lease."""
+    batch.lease_id = ""
+    effects: dispatch.Effects = []
+    for name in list(batch.partitions):
+        effects += resign(batch, name, "lease_lost", now)
+    return effects
+
+
 def _apply_confirmation(batch: state.Batch) -> dispatch.Effects:
     """Requests the passes that waited for a confirmation of the ownership."""
     wanted_at = batch.confirmation_wanted_at
@@ -559,7 +571,7 @@
     keys = records.make_owner_key(name), records.make_live_owner_key(name)
     return [
         store_messages.StoreTransaction(
-            OwnerKeyWrite(name),
+            OwnerKeyWrite(name, batch.lease_id),
             tuple((key, 0) for key in keys),
             tuple(
                 store_messages.Put(key, record, batch.lease_id) for key in keys
@@ -582,8 +594,9 @@
     if isinstance(reply.outcome, store_messages.Committed):
         token = reply.outcome.revision
         return start_ownership(batch, name, token, now, vacancy)
-    if isinstance(reply.outcome, store_messages.LeaseLost):
-        batch.lease_id = ""
+    lost = isinstance(reply.outcome, store_messages.LeaseLost)
+    if lost and purpose.lease_id == batch.lease_id:
+        return _drop_store_lease(batch, now)
     return []
 
 
