Write a roster again if the store may hold another one

After a write without an answer, a roster that equalled the last confirmed one was not written again. The store, and the targets in flight, kept a worker that had left, so that the owner stopped whenever its store lease was overdue.

--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -230,7 +230,9 @@
         partition.roster_settled,
         partition.roster_targets,
     )
-    if not loading and (names, settled, targets) == written:
+    # The store may hold the roster of a write that got no answer.
+    is_known = not partition.roster_targets_in_flight
+    if not loading and is_known and (names, settled, targets) == written:
         return []
     partition.roster_write_in_flight = True
     partition.roster_targets_in_flight |= targets
