Revoke no store lease of an instance that has none

BatchFaults.revoke_store_lease ended the lease with an empty id, which removed every key that has no lease: job records, rosters and the division.

--- a/standins/batch_faults.py
+++ b/standins/batch_faults.py
@@ -103,7 +103,13 @@
         world.schedule(seconds, end)
 
     def revoke_store_lease(self, node: batch_world.Node) -> None:
-        """Ends the store lease of an instance without a sign."""
+        """Ends the store lease of an instance without a sign.
+
+        Does nothing if the instance has no lease. The store's keys without a
+        lease would be removed otherwise.
+        """
+        if not node.batch.lease_id:
+            return
         self._begin(f"revoke the store lease of {node.name}")
         self.world.store.end_lease(node.batch.lease_id)
         self._end()
