--- a/features/batch_cut_sequences.feature
+++ b/features/batch_cut_sequences.feature
@@ -22,6 +22,8 @@
       | 29   |
       | 43   |
       | 80   |
+      | 230  |
+      | 267  |
 
     Examples: Other sequences
       | seed |
@@ -49,6 +51,10 @@
       | 161  |
       | 177  |
 
+    Examples: The next owner gives up a worker, then is killed
+      | seed |
+      | 209  |
+
     Examples: Other sequences
       | seed |
       | 1    |
--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -109,6 +109,24 @@
       | 30      | nowhere yet              |
       | 70      | in the other data centre |
 
+  Scenario: An owner after the next one knows where runs may exist
+    Guards against tasks that run twice: the next owner gave a worker up that
+    only the former owner reached, stored a roster without it, then was killed.
+    Its own successor waited for no listing of this worker.
+    Given an owner beside two instances of three workers with long-running tasks
+    When a worker loses the store so that its entry expires after 0 s
+    And the owner loses the store 3 s later
+    And only that owner reaches any worker
+    And 10 s pass
+    And the next owner is killed
+    And 4 s pass
+    And all other instances reach all workers but that one
+    And 20 s pass
+    Then no invariant was violated
+    When all cuts end
+    And 9 s pass
+    Then every task runs once
+
   Scenario Outline: Runs outlast an outage of the store
     Guards against runs that end, or tasks that start again, although their
     owner reaches all workers and no other instance can become owner.
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -73,6 +73,17 @@
     submit_tasks(context)
 
 
+@behave.given(
+    "an owner beside two instances of three workers with long-running tasks"
+)
+def step(context):
+    make_world(context)
+    for number in range(3):
+        context.world.add_node(f"e-{number}", DATA_CENTRE)
+    context.world.run(START_S)
+    submit_tasks(context)
+
+
 @behave.given(
     "an owner in the other data centre of three workers with long-running tasks"
 )
@@ -159,6 +170,25 @@
         node.unreachable_workers.add(context.worker_id)
 
 
+@behave.when("only that owner reaches any worker")
+def step(context):
+    for node in list_others(context):
+        node.unreachable_workers.update(context.world.workers)
+
+
+@behave.when("the next owner is killed")
+def step(context):
+    owner = context.world.find_owner(DATA_CENTRE)
+    assert owner is not None and owner is not context.owner
+    context.world.kill(owner)
+
+
+@behave.when("all other instances reach all workers but that one")
+def step(context):
+    for node in list_others(context):
+        node.unreachable_workers = {context.worker_id}
+
+
 @behave.when("only the other instance reaches the worker and reaches {others}")
 def step(context, others):
     context.owner.unreachable_workers.add(context.worker_id)
