--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -4,73 +4,19 @@
 
 import behave
 
-from sapphirestall_core import resources
-from sapphirestall_core.batch import model
+from features import batch_owners
 from standins import batch_faults
-from standins import batch_world
-
-DATA_CENTRE = "north"
-OTHER_DATA_CENTRE = "south"
-JOB = f"{1:016x}"
-TASKS = 6
-WORKERS = 3
-CPU_MILLIS = 8000
-START_S = 3.0
-# An instance acquires partitions of other data centres later than its own.
-REMOTE_START_S = 12.0
-
-
-def make_world(context):
-    context.world = batch_world.BatchWorld(1)
-    add_workers(context.world, DATA_CENTRE)
-
-
-def add_workers(world, data_centre):
-    for number in range(WORKERS):
-        world.add_worker(f"w-{data_centre}-{number}", data_centre, CPU_MILLIS)
-
-
-def submit_tasks(context, *, long_running=True):
-    """Starts the tasks, and chooses the owner and the worker with most runs."""
-    world = context.world
-    context.owner = world.find_owner(DATA_CENTRE)
-    assert context.owner is not None
-    amount = resources.Vector(1000, 100, 0)
-    step = model.Step(TASKS, amount, long_running=long_running)
-    world.submit(context.owner, JOB, step)
-    world.run(2.0)
-    names = [name for name, _, _ in world.list_runs()]
-    assert len(names) == TASKS, names
-    assert all(
-        world.workers[name].entry.data_centre == DATA_CENTRE for name in names
-    )
-    context.worker_id = max(sorted(set(names)), key=names.count)
-    context.first_runs = set(world.list_runs())
-
-
-def list_others(context):
-    return [node for node in context.world.nodes if node is not context.owner]
-
-
-def list_own_workers(context):
-    """Returns the workers of the owner's partition, by id."""
-    workers = context.world.workers
-    return [
-        name
-        for name, worker in workers.items()
-        if worker.entry.data_centre == DATA_CENTRE
-    ]
 
 
 @behave.given(
     "an owner in the same data centre of three workers with long-running tasks"
 )
 def step(context):
-    make_world(context)
+    batch_owners.make_world(context)
     for number in range(2):
-        context.world.add_node(f"e-{number}", DATA_CENTRE)
-    context.world.run(START_S)
-    submit_tasks(context)
+        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
+    context.world.run(batch_owners.START_S)
+    batch_owners.submit_tasks(context)
 
 
 @behave.given(
@@ -88,45 +34,48 @@
     "an owner in the other data centre of three workers with long-running tasks"
 )
 def step(context):
-    make_world(context)
-    context.world.add_node("e-0", OTHER_DATA_CENTRE)
-    context.world.run(REMOTE_START_S)
-    submit_tasks(context)
-    context.world.add_node("e-1", DATA_CENTRE)
-    context.world.run(START_S)
+    batch_owners.make_world(context)
+    context.world.add_node("e-0", batch_owners.OTHER_DATA_CENTRE)
+    context.world.run(batch_owners.REMOTE_START_S)
+    batch_owners.submit_tasks(context)
+    context.world.add_node("e-1", batch_owners.DATA_CENTRE)
+    context.world.run(batch_owners.START_S)
 
 
 @behave.given("an owner of three workers with tasks of {seconds:g} s")
 def step(context, seconds):
-    make_world(context)
+    batch_owners.make_world(context)
     context.world.run_duration_s = (seconds, seconds)
     for number in range(2):
-        context.world.add_node(f"e-{number}", DATA_CENTRE)
-    context.world.run(START_S)
-    submit_tasks(context, long_running=False)
+        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
+    context.world.run(batch_owners.START_S)
+    batch_owners.submit_tasks(context, long_running=False)
 
 
 @behave.given("two data centres, and long-running tasks in one of them")
 def step(context):
-    make_world(context)
-    add_workers(context.world, OTHER_DATA_CENTRE)
-    for data_centre in (DATA_CENTRE, OTHER_DATA_CENTRE):
+    batch_owners.make_world(context)
+    batch_owners.add_workers(context.world, batch_owners.OTHER_DATA_CENTRE)
+    for data_centre in (
+        batch_owners.DATA_CENTRE,
+        batch_owners.OTHER_DATA_CENTRE,
+    ):
         context.world.add_node(f"e-{data_centre}", data_centre)
-    context.world.run(START_S)
-    submit_tasks(context)
+    context.world.run(batch_owners.START_S)
+    batch_owners.submit_tasks(context)
 
 
 @behave.given(
     "an owner with long-running tasks, and workers in another data centre"
 )
 def step(context):
-    make_world(context)
-    add_workers(context.world, OTHER_DATA_CENTRE)
+    batch_owners.make_world(context)
+    batch_owners.add_workers(context.world, batch_owners.OTHER_DATA_CENTRE)
     for number in range(2):
-        context.world.add_node(f"e-{number}", DATA_CENTRE)
-    context.world.add_node("e-other", OTHER_DATA_CENTRE)
-    context.world.run(START_S)
-    submit_tasks(context)
+        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
+    context.world.add_node("e-other", batch_owners.OTHER_DATA_CENTRE)
+    context.world.run(batch_owners.START_S)
+    batch_owners.submit_tasks(context)
 
 
 @behave.when("the worker drains")
@@ -166,7 +115,7 @@
 
 @behave.when("only that owner reaches the worker")
 def step(context):
-    for node in list_others(context):
+    for node in batch_owners.list_others(context):
         node.unreachable_workers.add(context.worker_id)
 
 
@@ -193,7 +142,7 @@
 def step(context, others):
     context.owner.unreachable_workers.add(context.worker_id)
     if others == "no other worker":
-        (successor,) = list_others(context)
+        (successor,) = batch_owners.list_others(context)
         successor.unreachable_workers = set(context.world.workers) - {
             context.worker_id
         }
@@ -205,7 +154,7 @@
 def step(context):
     world = context.world
     context.owner.store_unreachable = True
-    names = list_own_workers(context)
+    names = batch_owners.list_own_workers(context)
     for node in world.nodes:
         node.unreachable_workers.update(names)
     for name in names:
@@ -237,13 +186,15 @@
 
 @behave.when("that data centre is cut off for {seconds:g} s")
 def step(context, seconds):
-    batch_faults.BatchFaults(context.world).isolate(DATA_CENTRE, seconds)
+    batch_faults.BatchFaults(context.world).isolate(
+        batch_owners.DATA_CENTRE, seconds
+    )
 
 
 @behave.then("every task runs once")
 def step(context):
     tasks = sorted(task.index for _, task, _ in context.world.list_runs())
-    assert tasks == list(range(TASKS)), context.world.list_runs()
+    assert tasks == list(range(batch_owners.TASKS)), context.world.list_runs()
 
 
 @behave.then("the tasks run nowhere yet")
@@ -254,8 +205,8 @@
 @behave.then("the tasks run in the other data centre")
 def step(context):
     runs = context.world.list_runs()
-    own = set(list_own_workers(context))
-    assert len(runs) == TASKS, runs
+    own = set(batch_owners.list_own_workers(context))
+    assert len(runs) == batch_owners.TASKS, runs
     assert all(name not in own for name, _, _ in runs), runs
 
 
