--- /dev/null
+++ b/features/batch_handover.feature
@@ -0,0 +1,13 @@
+Feature: Handover of workers between owners
+
+  Scenario: A new owner that extends leases before it knows the runs
+    Guards against tasks that run twice: a new owner extended the leases on a
+    worker whose runs it did not know yet, lost the worker, and took the runs
+    there as ended with the leases of the former owner.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When lists of jobs take 0.2 s
+    And the owner is killed
+    And the new owner loses the worker as soon as it is active
+    Then the worker has seen the token of the new owner
+    When 20 s pass
+    Then no invariant was violated
--- /dev/null
+++ b/features/steps/batch_handover_steps.py
@@ -0,0 +1,57 @@
+"""Steps for batch_handover.feature."""
+
+import behave
+
+from features import batch_owners
+from sapphirestall_core.batch import state
+
+STEP_S = 0.0002
+CALL_S = 0.01
+# Longest time in which an instance becomes the next owner, in seconds.
+TAKEOVER_S = 5.0
+
+
+def run_until(world, is_reached):
+    """Runs the simulation until a condition holds."""
+    end = world.now + TAKEOVER_S
+    while not is_reached():
+        assert world.now < end, "the condition was not reached"
+        world.run(STEP_S)
+
+
+def get_successor(context):
+    (successor,) = batch_owners.list_others(context)
+    return successor
+
+
+def get_partition(node):
+    return node.batch.partitions.get(batch_owners.DATA_CENTRE)
+
+
+def is_active(node):
+    partition = get_partition(node)
+    return partition is not None and partition.phase is state.Phase.ACTIVE
+
+
+@behave.when("lists of jobs take {seconds:g} s")
+def step(context, seconds):
+    context.world.list_delay_s = (seconds, seconds)
+
+
+@behave.when("the owner is killed")
+def step(context):
+    context.world.kill(context.owner)
+
+
+@behave.when("the new owner loses the worker as soon as it is active")
+def step(context):
+    world, successor = context.world, get_successor(context)
+    run_until(world, lambda: is_active(successor))
+    successor.unreachable_workers.add(context.worker_id)
+
+
+@behave.then("the worker has seen the token of the new owner")
+def step(context):
+    context.world.run(CALL_S)
+    worker = context.world.workers[context.worker_id]
+    assert worker.fence == get_partition(get_successor(context)).token
