--- /dev/null
+++ b/standins/batch_call_faults.py
@@ -0,0 +1,56 @@
+"""Single calls of instances that are refused or get no answer."""
+
+import collections
+import enum
+
+import attrs
+
+from sapphirestall_core import store_messages
+
+
+class StoreFault(enum.Enum):
+    """What happens to a store call, which is not carried out in any case."""
+
+    REFUSED = "is refused"
+    UNANSWERED = "gets no answer"
+
+
+StoreCallKey = tuple[str, type[store_messages.Purpose], StoreFault]
+
+
+@attrs.define
+class CallFaults:
+    """Calls that fail while the instance reaches the store and the workers.
+
+    Attributes:
+        store_calls: Number of the next store calls that fail, by instance, by
+            purpose of the call and by fault.
+        refusing_workers: Instances and workers that refuse their calls without
+            a check of the fencing token, as a host does under load.
+    """
+
+    store_calls: "collections.Counter[StoreCallKey]" = attrs.field(
+        factory=collections.Counter
+    )
+    refusing_workers: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def fail_store_calls(
+        self,
+        node_name: str,
+        purpose: type[store_messages.Purpose],
+        fault: StoreFault,
+        count: int,
+    ) -> None:
+        """Makes the next store calls of an instance for a purpose fail."""
+        self.store_calls[node_name, purpose, fault] = count
+
+    def take_store_fault(
+        self, node_name: str, purpose: store_messages.Purpose
+    ) -> StoreFault | None:
+        """Returns the fault of a store call that is sent, if it has one."""
+        for fault in StoreFault:
+            key = (node_name, type(purpose), fault)
+            if self.store_calls[key] > 0:
+                self.store_calls[key] -= 1
+                return fault
+        return None
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -24,6 +24,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
+from standins import batch_call_faults
 from standins import batch_paths
 from standins import batch_store
 from standins import batch_worker
@@ -130,6 +131,7 @@
             each other nor the rest.
         isolated_workers: Workers that no instance reaches.
         path_cuts: Paths of single instances that are cut.
+        call_faults: Single calls that are refused or get no answer.
         store_down: Whether the store answers no calls.
     """
 
@@ -172,6 +174,9 @@
     isolated_data_centres: set[str] = attrs.field(factory=set)
     isolated_workers: set[str] = attrs.field(factory=set)
     path_cuts: batch_paths.PathCuts = attrs.field(factory=batch_paths.PathCuts)
+    call_faults: batch_call_faults.CallFaults = attrs.field(
+        factory=batch_call_faults.CallFaults
+    )
     store_down: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -581,6 +586,11 @@
         lost = store_messages.Unavailable(True, "no answer")
         world.schedule(CALL_TIMEOUT_S, lambda: answer(lost))
         return
+    fault = world.call_faults.take_store_fault(node.name, effect.purpose)
+    if fault is not None:
+        delay_s, failure = describe_store_fault(fault)
+        world.schedule(delay_s, lambda: answer(failure))
+        return
 
     def execute_call() -> None:
         world.store.expire_leases(world.now)
@@ -605,6 +615,15 @@
     world.schedule(STORE_DELAY_S / 2, execute_call)
 
 
+def describe_store_fault(
+    fault: batch_call_faults.StoreFault,
+) -> tuple[float, store_messages.Unavailable]:
+    """Returns the delay, in seconds, and the outcome of a failed store call."""
+    refused = fault is batch_call_faults.StoreFault.REFUSED
+    delay_s = STORE_DELAY_S if refused else CALL_TIMEOUT_S
+    return delay_s, store_messages.Unavailable(not refused, fault.value)
+
+
 def draw_late_write(
     effect: store_messages.StoreEffect, world: BatchWorld
 ) -> bool:
@@ -683,6 +702,10 @@
         world.schedule(CALL_TIMEOUT_S, lose)
         return
     delay_s = world.rng.uniform(*world.call_delay_s)
+    if (node.name, worker_id) in world.call_faults.refusing_workers:
+        refusal = worker_messages.Rejected("unhealthy")
+        world.schedule(delay_s, lambda: answer(refusal))
+        return
     world.schedule(delay_s, lambda: execute(effect, world, answer))
 
 
