--- a/features/batch_handover.feature
+++ b/features/batch_handover.feature
@@ -11,3 +11,19 @@
     Then the worker has seen the token of the new owner
     When 20 s pass
     Then no invariant was violated
+
+  Scenario Outline: An owner that shuts down without a stored release
+    Guards against tasks that run twice: the owner ended its store lease although
+    its release was not stored, and its successor counted the end of the owner
+    key as that of an owner whose last renewal was a lifetime of the key ago.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When the releases of the owner <fault>
+    And only that owner reaches the worker
+    And the owner shuts down
+    And 20 s pass
+    Then no invariant was violated
+
+    Examples:
+      | fault         |
+      | are refused   |
+      | get no answer |
--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -3,12 +3,20 @@
 import behave
 
 from features import batch_owners
+from sapphirestall_core import messages
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
+from standins import batch_call_faults
 
 STEP_S = 0.0002
 CALL_S = 0.01
 # Longest time in which an instance becomes the next owner, in seconds.
 TAKEOVER_S = 5.0
+ALL_CALLS = 1000
+STORE_FAULTS = {
+    "are refused": batch_call_faults.StoreFault.REFUSED,
+    "get no answer": batch_call_faults.StoreFault.UNANSWERED,
+}
 
 
 def run_until(world, is_reached):
@@ -55,3 +63,18 @@
     context.world.run(CALL_S)
     worker = context.world.workers[context.worker_id]
     assert worker.fence == get_partition(get_successor(context)).token
+
+
+@behave.when("the releases of the owner {fault}")
+def step(context, fault):
+    context.world.call_faults.fail_store_calls(
+        context.owner.name,
+        releases.ReleaseWrite,
+        STORE_FAULTS[fault],
+        ALL_CALLS,
+    )
+
+
+@behave.when("the owner shuts down")
+def step(context):
+    context.world.deliver(context.owner, messages.ShutdownRequested())
