--- a/features/batch_handover.feature
+++ b/features/batch_handover.feature
@@ -27,3 +27,18 @@
       | fault         |
       | are refused   |
       | get no answer |
+
+  Scenario: A worker that refuses calls is no witness for its new owner
+    Guards against tasks that run twice: a host refused a call under load, before
+    the worker had seen the new owner's token. The new owner took the refusal as
+    an answer that the former owner would notice, but the former owner still
+    reached all workers and extended the leases of the runs there.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When the owner loses the store 0 s later
+    And the next owner reaches one worker, which refuses its calls
+    And its first read of the roster is refused
+    And that owner loses this worker after the first refusal
+    And 6 s pass
+    And that owner reaches a worker other than those two
+    And 12 s pass
+    Then no invariant was violated
--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -6,6 +6,7 @@
 from sapphirestall_core import messages
 from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
 from standins import batch_call_faults
 
 STEP_S = 0.0002
@@ -78,3 +79,39 @@
 @behave.when("the owner shuts down")
 def step(context):
     context.world.deliver(context.owner, messages.ShutdownRequested())
+
+
+@behave.when("the next owner reaches one worker, which refuses its calls")
+def step(context):
+    world, successor = context.world, get_successor(context)
+    context.refusing_id = min(set(world.workers) - {context.worker_id})
+    successor.unreachable_workers = set(world.workers) - {context.refusing_id}
+    world.call_faults.refusing_workers.add(
+        (successor.name, context.refusing_id)
+    )
+
+
+@behave.when("its first read of the roster is refused")
+def step(context):
+    context.world.call_faults.fail_store_calls(
+        get_successor(context).name,
+        takeover.RosterRead,
+        batch_call_faults.StoreFault.REFUSED,
+        1,
+    )
+
+
+@behave.when("that owner loses this worker after the first refusal")
+def step(context):
+    world, successor = context.world, get_successor(context)
+    run_until(
+        world, lambda: any(log.text == "refused" for _, log in successor.logs)
+    )
+    successor.unreachable_workers.add(context.refusing_id)
+    assert context.owner.batch.partitions
+
+
+@behave.when("that owner reaches a worker other than those two")
+def step(context):
+    successor = get_successor(context)
+    successor.unreachable_workers = {context.worker_id, context.refusing_id}
