--- a/features/batch_handover.feature
+++ b/features/batch_handover.feature
@@ -42,3 +42,14 @@
     And that owner reaches a worker other than those two
     And 12 s pass
     Then no invariant was violated
+
+  Scenario: A worker that restarted before a start arrived late
+    Guards against tasks that run twice: the owner named no end of the leases on
+    a worker that had restarted, so that its successor, which did not reach the
+    worker, waited only as for a killed owner. The start arrived after that.
+    Given an owner of three workers whose starts are carried out 5.5 s late
+    When the worker restarts
+    And only that owner reaches the worker
+    And the owner shuts down
+    And 20 s pass
+    Then no invariant was violated
--- a/features/batch_owners.py
+++ b/features/batch_owners.py
@@ -30,9 +30,7 @@
     world = context.world
     context.owner = world.find_owner(DATA_CENTRE)
     assert context.owner is not None
-    amount = resources.Vector(1000, 100, 0)
-    step = model.Step(TASKS, amount, long_running=long_running)
-    world.submit(context.owner, JOB, step)
+    world.submit(context.owner, JOB, make_step(long_running=long_running))
     world.run(2.0)
     names = [name for name, _, _ in world.list_runs()]
     assert len(names) == TASKS, names
@@ -43,6 +41,11 @@
     context.first_runs = set(world.list_runs())
 
 
+def make_step(*, long_running=True):
+    amount = resources.Vector(1000, 100, 0)
+    return model.Step(TASKS, amount, long_running=long_running)
+
+
 def list_others(context):
     return [node for node in context.world.nodes if node is not context.owner]
 
--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -13,6 +13,8 @@
 CALL_S = 0.01
 # Longest time in which an instance becomes the next owner, in seconds.
 TAKEOVER_S = 5.0
+# Time in which an owner sends the starts of a new job, in seconds.
+SUBMISSION_S = 0.5
 ALL_CALLS = 1000
 STORE_FAULTS = {
     "are refused": batch_call_faults.StoreFault.REFUSED,
@@ -115,3 +117,32 @@
 def step(context):
     successor = get_successor(context)
     successor.unreachable_workers = {context.worker_id, context.refusing_id}
+
+
+@behave.given(
+    "an owner of three workers whose starts are carried out {seconds:g} s late"
+)
+def step(context, seconds):
+    batch_owners.make_world(context)
+    world = context.world
+    for number in range(2):
+        world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
+    world.run(batch_owners.START_S)
+    context.owner = world.find_owner(batch_owners.DATA_CENTRE)
+    world.late_commands_survive_restart = True
+    world.late_start_fraction = 1.0
+    world.late_start_s = (seconds, seconds)
+    world.submit(context.owner, batch_owners.JOB, batch_owners.make_step())
+    world.run(SUBMISSION_S)
+    world.late_start_fraction = 0.0
+    assert not world.list_runs()
+    workers = get_partition(context.owner).workers
+    context.worker_id = max(workers, key=lambda name: len(workers[name].runs))
+    assert workers[context.worker_id].runs
+
+
+@behave.when("the worker restarts")
+def step(context):
+    context.world.add_worker(
+        context.worker_id, batch_owners.DATA_CENTRE, batch_owners.CPU_MILLIS
+    )
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -103,6 +103,8 @@
         starts: Number of runs that were started.
         late_start_fraction: Fraction of starts that get no answer and are
             carried out seconds later.
+        late_start_s: Range of the time after which a late start is carried out,
+            in seconds.
         call_delay_s: Range of the time that a call to a worker takes to arrive,
             in seconds.
         lost_answer_fraction: Fraction of store calls that take effect but get
@@ -155,6 +157,7 @@
     violations: list[str] = attrs.field(factory=list)
     starts: int = 0
     late_start_fraction: float = 0.0
+    late_start_s: tuple[float, float] = (2, 12)
     call_delay_s: tuple[float, float] = (0.0005, 0.003)
     lost_answer_fraction: float = 0.0
     late_write_fraction: float = 0.0
@@ -725,7 +728,7 @@
     ):
         return world.call_delay_s[0]
     if world.rng.random() < world.late_start_fraction:
-        return world.rng.uniform(2, 12)
+        return world.rng.uniform(*world.late_start_s)
     return None
 
 
