--- a/features/batch_handover.feature
+++ b/features/batch_handover.feature
@@ -53,3 +53,15 @@
     And the owner shuts down
     And 20 s pass
     Then no invariant was violated
+
+  Scenario: A job that moves after its runs were settled by time
+    Guards against two runs of a task with the same number: the next owner knew
+    no run of the job, waited until it had ended, and moved the job, whose runs
+    in the other partition were numbered from the start.
+    Given a job that only one worker of its data centre has room for
+    When the owner is killed
+    And only that owner reaches the worker
+    And 15 s pass
+    Then the job has been started in the other data centre
+    And no two runs of the job have the same number
+    And no invariant was violated
--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -4,10 +4,13 @@
 
 from features import batch_owners
 from sapphirestall_core import messages
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import takeover
 from standins import batch_call_faults
+from standins import batch_world
 
 STEP_S = 0.0002
 CALL_S = 0.01
@@ -15,6 +18,10 @@
 TAKEOVER_S = 5.0
 # Time in which an owner sends the starts of a new job, in seconds.
 SUBMISSION_S = 0.5
+ROOM_MILLIS = 8000
+SMALL_MILLIS = 2000
+JOB_MILLIS = 4000
+RUN_S = 200.0
 ALL_CALLS = 1000
 STORE_FAULTS = {
     "are refused": batch_call_faults.StoreFault.REFUSED,
@@ -146,3 +153,41 @@
     context.world.add_worker(
         context.worker_id, batch_owners.DATA_CENTRE, batch_owners.CPU_MILLIS
     )
+
+
+def list_orders(world):
+    """Returns the log fields of all starts that instances sent, in order."""
+    logs = [log for node in world.nodes for log in node.logs]
+    logs.sort(key=lambda entry: entry[0])
+    return [log.fields for _, log in logs if log.text == "order"]
+
+
+@behave.given("a job that only one worker of its data centre has room for")
+def step(context):
+    world = context.world = batch_world.BatchWorld(1)
+    world.run_duration_s = (RUN_S, RUN_S)
+    world.add_worker("w-room", batch_owners.DATA_CENTRE, ROOM_MILLIS)
+    world.add_worker("w-small", batch_owners.DATA_CENTRE, SMALL_MILLIS)
+    world.add_worker("w-other", batch_owners.OTHER_DATA_CENTRE, ROOM_MILLIS)
+    for number in range(2):
+        world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
+    world.add_node("e-other", batch_owners.OTHER_DATA_CENTRE)
+    world.run(batch_owners.START_S)
+    context.owner = world.find_owner(batch_owners.DATA_CENTRE)
+    context.worker_id = "w-room"
+    amount = resources.Vector(JOB_MILLIS, 100, 0)
+    world.submit(context.owner, batch_owners.JOB, model.Step(1, amount))
+    world.run(SUBMISSION_S)
+    assert [name for name, _, _ in world.list_runs()] == ["w-room"]
+
+
+@behave.then("the job has been started in the other data centre")
+def step(context):
+    names = [fields["worker"] for fields in list_orders(context.world)]
+    assert names == ["w-room", "w-other"], names
+
+
+@behave.then("no two runs of the job have the same number")
+def step(context):
+    numbers = [fields["run"] for fields in list_orders(context.world)]
+    assert len(set(numbers)) == len(numbers), list_orders(context.world)
