--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -650,6 +650,12 @@
 ) -> None:
     sent_at = world.now
     lost = world.rng.random() < world.lost_history_fraction
+    fault = world.call_faults.take_store_fault(node.name, effect.purpose)
+    if fault is not None:
+        delay_s, failure = describe_store_fault(fault)
+        reply = store_messages.StoreReply(effect.purpose, failure, sent_at)
+        world.schedule(delay_s, lambda: world.deliver(node, reply))
+        return
 
     def poll() -> None:
         world.store.expire_leases(world.now)
