--- a/features/batch_handover.feature
+++ b/features/batch_handover.feature
@@ -54,6 +54,21 @@
     And 20 s pass
     Then no invariant was violated
 
+  Scenario: An acquisition that finds the store lease lost
+    Guards against tasks that run twice: the reply to an acquisition said that
+    the store lease was lost. The owner obtained a new lease and took it as the
+    confirmation of the partition that it still held, which had a successor.
+    Given an owner in the same data centre of three workers with long-running tasks
+    And the owner of another partition is killed
+    When the owner loses the store 3 s later
+    And only the other instance reaches the worker and reaches no other worker
+    And the owner reaches the store again just before it acquires that partition
+    And its renewals and its calls that show its successor get no answer
+    And 2 s later its calls get answers again
+    Then it has not acquired that partition
+    When 9 s pass
+    Then no invariant was violated
+
   Scenario: A job that moves after its runs were settled by time
     Guards against two runs of a task with the same number: the next owner knew
     no run of the job, waited until it had ended, and moved the job, whose runs
--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -5,9 +5,13 @@
 from features import batch_owners
 from sapphirestall_core import messages
 from sapphirestall_core import resources
+from sapphirestall_core.batch import commits
+from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
 from standins import batch_call_faults
 from standins import batch_world
@@ -22,6 +26,10 @@
 SMALL_MILLIS = 2000
 JOB_MILLIS = 4000
 RUN_S = 200.0
+BEFORE_ACQUISITION_S = 0.05
+# The owner of the first data centre acquires this one sooner than the other
+# instance there.
+ACQUIRED_DATA_CENTRE = "west"
 ALL_CALLS = 1000
 STORE_FAULTS = {
     "are refused": batch_call_faults.StoreFault.REFUSED,
@@ -155,6 +163,64 @@
     )
 
 
+@behave.given("the owner of another partition is killed")
+def step(context):
+    world = context.world
+    other = ACQUIRED_DATA_CENTRE
+    batch_owners.add_workers(world, other)
+    node = world.add_node("e-other", other)
+    world.run(batch_owners.START_S)
+    assert world.find_owner(other) is node
+    assert world.find_owner(batch_owners.DATA_CENTRE) is context.owner
+    world.kill(node)
+    world.nodes.remove(node)
+
+
+@behave.when(
+    "the owner reaches the store again just before it acquires that partition"
+)
+def step(context):
+    world, batch = context.world, context.owner.batch
+    name = ACQUIRED_DATA_CENTRE
+    delay_s = ownership.compute_acquisition_delay(batch, name)
+    due_at = batch.vacancies[name].since + delay_s
+    world.run(due_at - BEFORE_ACQUISITION_S - world.now)
+    context.owner.store_unreachable = False
+
+
+@behave.when("its renewals and its calls that show its successor get no answer")
+def step(context):
+    for purpose in (
+        ownership.LeaseRenewal,
+        ownership.OwnersRead,
+        ownership.OwnersWatch,
+        live_records.JobsRead,
+        live_records.JobsWatch,
+        commits.Commit,
+        summaries.SummaryWrite,
+        takeover.RosterWrite,
+    ):
+        context.world.call_faults.fail_store_calls(
+            context.owner.name,
+            purpose,
+            batch_call_faults.StoreFault.UNANSWERED,
+            ALL_CALLS,
+        )
+
+
+@behave.when("{seconds:g} s later its calls get answers again")
+def step(context, seconds):
+    context.world.run(seconds)
+    context.world.call_faults.store_calls.clear()
+
+
+@behave.then("it has not acquired that partition")
+def step(context):
+    batch = context.owner.batch
+    assert ACQUIRED_DATA_CENTRE not in batch.vacancies
+    assert ACQUIRED_DATA_CENTRE not in batch.partitions
+
+
 def list_orders(world):
     """Returns the log fields of all starts that instances sent, in order."""
     logs = [log for node in world.nodes for log in node.logs]
