--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -23,11 +23,11 @@
     "an owner beside two instances of three workers with long-running tasks"
 )
 def step(context):
-    make_world(context)
+    batch_owners.make_world(context)
     for number in range(3):
-        context.world.add_node(f"e-{number}", DATA_CENTRE)
-    context.world.run(START_S)
-    submit_tasks(context)
+        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
+    context.world.run(batch_owners.START_S)
+    batch_owners.submit_tasks(context)
 
 
 @behave.given(
@@ -121,20 +121,20 @@
 
 @behave.when("only that owner reaches any worker")
 def step(context):
-    for node in list_others(context):
+    for node in batch_owners.list_others(context):
         node.unreachable_workers.update(context.world.workers)
 
 
 @behave.when("the next owner is killed")
 def step(context):
-    owner = context.world.find_owner(DATA_CENTRE)
+    owner = context.world.find_owner(batch_owners.DATA_CENTRE)
     assert owner is not None and owner is not context.owner
     context.world.kill(owner)
 
 
 @behave.when("all other instances reach all workers but that one")
 def step(context):
-    for node in list_others(context):
+    for node in batch_owners.list_others(context):
         node.unreachable_workers = {context.worker_id}
 
 
