Remove a worker only once no poll to it is in flight

A worker that left and joined again within the time limit of a call got a second poll beside the one in flight, as its state was built anew. At most one of each kind is promised.

--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -336,6 +336,7 @@
         target_missed_since: Monotonic time since which a serving run on the
             worker misses its target, in seconds; None if none does.
         is_registered: Whether the platform's list has the worker.
+        is_leaving: Whether the worker is removed once no poll is in flight.
     """
 
     entry: model.WorkerEntry
@@ -373,6 +374,7 @@
     trust_changed_at: float = -1e9
     target_missed_since: float | None = None
     is_registered: bool = True
+    is_leaving: bool = False
 
 
 class Confirmation(enum.Enum):
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -192,14 +192,17 @@
     now: float,
 ) -> dispatch.Effects:
     """Sends a short poll to a worker if no poll is in flight."""
-    poll_in_flight = (
-        worker.long_poll is not None or worker.short_poll is not None
-    )
-    if poll_in_flight or now - worker.polled_at <= UNCOMMITTED_POLL_S:
+    if worker.is_leaving or _has_poll_in_flight(worker):
+        return []
+    if now - worker.polled_at <= UNCOMMITTED_POLL_S:
         return []
     return contact.short_poll(batch, partition, worker, now)
 
 
+def _has_poll_in_flight(worker: state.Worker) -> bool:
+    return worker.long_poll is not None or worker.short_poll is not None
+
+
 def _check_worker(
     batch: state.Batch,
     partition: state.Partition,
@@ -229,7 +232,9 @@
     is_gone = has_left or (not worker.is_registered and is_silent)
     # A worker of the former owner that the list lacks may answer yet.
     is_awaited = worker_id in partition.unlisted_workers
-    if is_gone and not is_awaited and not worker.runs:
+    worker.is_leaving = is_gone and not is_awaited and not worker.runs
+    # A worker that joins again gets no second poll while one is in flight.
+    if worker.is_leaving and not _has_poll_in_flight(worker):
         partition.workers.pop(worker_id, None)
         effects.append(contact.make_log("left", partition, worker_id))
         # A successor would wait for a worker that the roster names.
