--- a/features/batch_owners.py
+++ b/features/batch_owners.py
@@ -25,6 +25,13 @@
         world.add_worker(f"w-{data_centre}-{number}", data_centre, CPU_MILLIS)
 
 
+def start_instances(world, count):
+    """Starts instances beside the workers, one of which becomes their owner."""
+    for number in range(count):
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+
+
 def submit_tasks(context, *, long_running=True):
     """Starts the tasks, and chooses the owner and the worker with most runs."""
     world = context.world
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -13,9 +13,7 @@
 )
 def step(context):
     batch_owners.make_world(context)
-    for number in range(2):
-        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
-    context.world.run(batch_owners.START_S)
+    batch_owners.start_instances(context.world, 2)
     batch_owners.submit_tasks(context)
 
 
@@ -24,9 +22,7 @@
 )
 def step(context):
     batch_owners.make_world(context)
-    for number in range(3):
-        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
-    context.world.run(batch_owners.START_S)
+    batch_owners.start_instances(context.world, 3)
     batch_owners.submit_tasks(context)
 
 
@@ -46,9 +42,7 @@
 def step(context, seconds):
     batch_owners.make_world(context)
     context.world.run_duration_s = (seconds, seconds)
-    for number in range(2):
-        context.world.add_node(f"e-{number}", batch_owners.DATA_CENTRE)
-    context.world.run(batch_owners.START_S)
+    batch_owners.start_instances(context.world, 2)
     batch_owners.submit_tasks(context, long_running=False)
 
 
--- a/standins/batch_cuts.py
+++ b/standins/batch_cuts.py
@@ -126,10 +126,7 @@
             return
         world, rng = self.world, self.world.rng
         self.jobs += 1
-        amount = resources.Vector(rng.choice((500, 1000, 3000)), 100, 0)
-        steps = [model.Step(rng.randint(1, 4), amount)]
-        if rng.random() < 0.5:
-            steps.append(model.Step(rng.randint(1, 3), amount, after=(0,)))
+        steps = batch_restarts.draw_short_steps(rng)
         nodes = self.faults.list_sound_nodes()
         if nodes:
             world.submit(rng.choice(nodes), f"f{self.jobs:015x}", *steps)
--- a/standins/batch_restarts.py
+++ b/standins/batch_restarts.py
@@ -1,6 +1,7 @@
 """Check that long-running tasks are restarted, and random scenarios for it."""
 
 import functools
+import random
 
 import attrs
 
@@ -250,10 +251,7 @@
     def _submit_short_job(self) -> None:
         world, rng = self.world, self.world.rng
         self.short_jobs += 1
-        amount = resources.Vector(rng.choice((500, 1000, 3000)), 100, 0)
-        steps = [model.Step(rng.randint(1, 4), amount)]
-        if rng.random() < 0.5:
-            steps.append(model.Step(rng.randint(1, 3), amount, after=(0,)))
+        steps = draw_short_steps(rng)
         nodes = self.faults.list_sound_nodes()
         if nodes:
             job_id = f"f{self.short_jobs:015x}"
@@ -351,6 +349,15 @@
             )
 
 
+def draw_short_steps(rng: random.Random) -> list[model.Step]:
+    """Draws the steps of a job that ends by itself."""
+    amount = resources.Vector(rng.choice((500, 1000, 3000)), 100, 0)
+    steps = [model.Step(rng.randint(1, 4), amount)]
+    if rng.random() < 0.5:
+        steps.append(model.Step(rng.randint(1, 3), amount, after=(0,)))
+    return steps
+
+
 def build_scenario(seed: int) -> RestartScenario:
     """Starts a random deployment."""
     scenario = _make_scenario(seed)
