--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -13,6 +13,7 @@
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import division
+from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
@@ -23,6 +24,7 @@
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import workers
 
 TAKEOVER = "batch_takeover.feature"
@@ -32,6 +34,9 @@
 LOAD = "batch_load.feature"
 DIVISION = "batch_division.feature"
 CONTACT = "batch_contact.feature"
+CUTS = "batch_cuts.feature"
+TENURE = "batch_tenure.feature"
+HANDOVER = "batch_handover.feature"
 
 
 def assume_no_former_lease() -> None:
@@ -65,6 +70,64 @@
     contact.make_poll = mutated
 
 
+def act_without_confirmation() -> None:
+    """Lets an owner without a renewed store lease act as if it had one."""
+    tenure.may_have_successor = lambda *_: False
+
+
+def assume_killed_owners() -> None:
+    """Makes a new owner count from the end of the key alone."""
+    find_leases_end = tenure.find_leases_end
+
+    def mutated(lease_s: float, unowned_since: float, _: Any) -> float:
+        return find_leases_end(lease_s, unowned_since, unowned_since)
+
+    tenure.find_leases_end = mutated
+
+
+def start_without_confirmation() -> None:
+    """Starts tasks of silent workers without a later confirmation."""
+    tenure.was_confirmed_since = lambda *_: True
+
+
+def trust_old_answers() -> None:
+    """Counts the time of an answer and not that of its call."""
+    record_answer = contact.record_answer
+
+    def mutated(
+        worker: state.Worker, clock_ms: int | None, now: float, **times: float
+    ) -> None:
+        record_answer(worker, clock_ms, now, **dict.fromkeys(times, now))
+
+    contact.record_answer = mutated
+
+
+def accept_any_witness() -> None:
+    """Counts the answer of any worker as noticed by former owners."""
+    record_contact = former_runs.record_contact
+
+    def mutated(partition: state.Partition, worker_id: str, *rest: Any) -> None:
+        partition.witnesses |= {worker_id}
+        record_contact(partition, worker_id, *rest)
+
+    former_runs.record_contact = mutated
+
+
+def extend_before_listing() -> None:
+    """Extends the leases on a worker before its first listing."""
+    make_poll = contact.make_poll
+
+    def mutated(
+        partition: state.Partition, worker: state.Worker, *rest: Any
+    ) -> Any:
+        listed, worker.listing_received = worker.listing_received, True
+        call = make_poll(partition, worker, *rest)
+        worker.listing_received = listed
+        return call
+
+    contact.make_poll = mutated
+
+
 def acknowledge_before_commit() -> None:
     """Acknowledges ended runs before their effects are in the store."""
     make_poll = contact.make_poll
@@ -231,6 +294,36 @@
         f"{TAKEOVER}: A job accepted while its owner loads",
         drop_changes_while_loading,
     ),
+    (
+        "bounds of an owner without confirmation",
+        f"{CUTS}: Tasks of a data centre that is cut off do not run",
+        act_without_confirmation,
+    ),
+    (
+        "bounds of its successor",
+        f"{CUTS}: An owner that reaches its workers again starts nothing",
+        assume_killed_owners,
+    ),
+    (
+        "confirmation after silence",
+        f"{TENURE}: A task whose worker fell silent starts after",
+        start_without_confirmation,
+    ),
+    (
+        "time of a call",
+        f"{TENURE}: The stored roster decides whether an owner may act",
+        trust_old_answers,
+    ),
+    (
+        "witnesses",
+        f"{TAKEOVER}: The wait for former runs depends on",
+        accept_any_witness,
+    ),
+    (
+        "no lease before a listing",
+        f"{HANDOVER}: A new owner",
+        extend_before_listing,
+    ),
     (
         "replaced worker",
         f"{TAKEOVER}: Another worker at the same address",
