Limit the run time of a shutdown in soaks, not its wall time

Change: the time from the first SIGTERM, without pauses of this process, has to be within the same bound of 7 s. A throttled process gets 7 s of run time; before, it got the bound again each time that the bound passed in the paused part of a period.

--- a/features/soak_guarantees.feature
+++ b/features/soak_guarantees.feature
@@ -27,3 +27,35 @@
     Given a job of two steps on workers with 2 processors
     When the job is accepted, runs in order and is shown as completed
     Then no guarantee is violated
+
+  Scenario Outline: The time for which a process can shut down is limited
+    Guards against a check that counts the time for which a process is paused,
+    so that it can't handle SIGTERM, or that does nothing after a pause.
+    Given an instance that needs <work> s of run time to end after SIGTERM
+    When it is paused from <start> s to <end> s and gets SIGTERM at <sigterm> s
+    Then "processes end after SIGTERM" is violated: <violated>
+
+    Examples:
+      | work | start | end | sigterm | violated |
+      | 1.5  | 0.0   | 6.0 | 0.2     | no       |
+      | 1.5  | 1.0   | 9.0 | 0.8     | no       |
+      | 6.5  | 3.0   | 4.0 | 0.2     | no       |
+      | 7.5  | 0.0   | 0.0 | 0.2     | yes      |
+      | 7.5  | 0.0   | 3.0 | 3.2     | yes      |
+      | 7.5  | 0.0   | 9.0 | 0.2     | yes      |
+      | 7.5  | 3.0   | 8.0 | 0.2     | yes      |
+
+  Scenario: A process that started during a pause is not paused
+    Guards against a check that waits for the end of a fault that does not
+    affect the process.
+    Given an instance that needs 7.5 s of run time to end after SIGTERM
+    And it was started while a fault paused its former process
+    When it is paused from 0 s to 0 s and gets SIGTERM at 0.2 s
+    Then "processes end after SIGTERM" is violated: yes
+
+  Scenario: A process that does not end is killed
+    Guards against instances that are not restarted after a violation.
+    Given an instance that needs 1000 s of run time to end after SIGTERM
+    When it is paused from 0 s to 0 s and gets SIGTERM at 0.2 s
+    Then "processes end after SIGTERM" is violated: yes
+    And the process has ended
--- a/features/steps/soak_guarantees_steps.py
+++ b/features/steps/soak_guarantees_steps.py
@@ -1,14 +1,22 @@
 """Steps for soak_guarantees.feature."""
 
+import pathlib
+import random
+import signal
+from unittest import mock
+
+import attrs
 import behave
 
 from sapphirestall_core import resources
 from sapphirestall_core.batch import model
 from sapphirestall_standins import caller_client
 from sapphirestall_standins import observations
+from soak import deployment as deployment_module
 from soak import disturbances
 from soak import guarantees
 from soak import history as history_module
+from soak import processes
 from soak import workload
 
 JOB = "00000000000000aa"
@@ -176,3 +184,130 @@
 @behave.then("no guarantee is violated")
 def step(context):
     assert not context.checker.history.violations
+
+
+@attrs.define(eq=False)
+class Clock:
+    """Clock of a test; sleeping advances it and calls what is due.
+
+    Attributes:
+        now: Current time, in seconds.
+        calls: Times and functions to call then, in order.
+    """
+
+    now: float = 0.0
+    calls: list = attrs.field(factory=list)
+
+    def read(self):
+        """Returns the current time."""
+        return self.now
+
+    async def sleep(self, seconds):
+        """Advances the clock and calls what is due."""
+        end = self.now + seconds
+        while self.calls and self.calls[0][0] <= end:
+            self.now, call = self.calls.pop(0)
+            call()
+        self.now = end
+
+
+@attrs.define(eq=False)
+class SlowProcess:
+    """Process that runs for some time after SIGTERM, unless it is paused.
+
+    Attributes:
+        clock: Clock of the test.
+        work_s: Run time from SIGTERM to the end, in seconds.
+        is_paused: Whether the process is paused.
+        is_ending: Whether SIGTERM was sent.
+        was_killed: Whether SIGKILL was sent.
+        updated_at: Time to which `work_s` applies, in seconds.
+    """
+
+    clock: Clock
+    work_s: float
+    is_paused: bool = False
+    is_ending: bool = False
+    was_killed: bool = False
+    updated_at: float = 0.0
+
+    def send_signal(self, number):
+        """Handles a signal."""
+        self.update()
+        if number == signal.SIGKILL:
+            self.was_killed = True
+        if number == signal.SIGTERM:
+            self.is_ending = True
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.is_paused = number == signal.SIGSTOP
+
+    def poll(self):
+        """Returns the exit code; None if the process runs."""
+        self.update()
+        return 0 if self.was_killed or self.work_s <= 0 else None
+
+    def update(self):
+        """Advances the process to the current time."""
+        if self.is_ending and not self.is_paused:
+            self.work_s -= self.clock.now - self.updated_at
+        self.updated_at = self.clock.now
+
+
+@behave.given(
+    "an instance that needs {work:g} s of run time to end after SIGTERM"
+)
+def step(context, work):
+    context.clock = Clock()
+    context.process = SlowProcess(context.clock, work)
+    context.deployment = deployment_module.build(
+        deployment_module.SIZES["small"], pathlib.Path(), random.Random(1)
+    )
+    path = pathlib.Path("e-1")
+    context.instance = processes.Instance("e-1", "dc0", "", path, path)
+    context.instance.process = context.process
+    context.deployment.instances["e-1"] = context.instance
+
+
+@behave.given("it was started while a fault paused its former process")
+def step(context):
+    context.instance.pause_count = 1
+
+
+@behave.when(
+    "it is paused from {start:g} s to {end:g} s and gets SIGTERM at "
+    "{sigterm:g} s"
+)
+def step(context, start, end, sigterm):
+    clock, instance = context.clock, context.instance
+    clock.calls = [(sigterm, instance.stop)]
+    if end > start:
+        clock.calls += [(start, instance.pause), (end, instance.resume)]
+    clock.calls.sort(key=lambda call: call[0])
+    with (
+        mock.patch("time.monotonic", clock.read),
+        mock.patch("asyncio.sleep", clock.sleep),
+    ):
+        run_without_loop(clock.sleep(sigterm))
+        run_without_loop(context.deployment.wait_stopped("e-1"))
+
+
+def run_without_loop(coroutine):
+    """Runs a coroutine that waits for nothing but the clock of a test."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("the coroutine waits for something else")
+
+
+@behave.then('"processes end after SIGTERM" is violated: {answer}')
+def step(context, answer):
+    violations = context.deployment.history.violations
+    found = [violation.guarantee for violation in violations]
+    expected = ["processes end after SIGTERM"] if answer == "yes" else []
+    assert found == expected, violations
+
+
+@behave.then("the process has ended")
+def step(context):
+    assert context.process.poll() is not None
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import functools
+import math
 import os
 import pathlib
 import random
@@ -233,18 +234,17 @@
     async def wait_stopped(self, name: str) -> None:
         """Waits for an instance to end after SIGTERM.
 
-        An instance that does not end in time, and is not paused, violates a
-        guarantee and is killed.
+        An instance that does not end in time violates a guarantee and is
+        killed. The time for which it is paused does not count.
         """
         instance = self.instances[name]
-        while not await instance.wait_exit(GRACE_S + GRACE_MARGIN_S):
-            if instance.pause_count:
-                continue
-            text = f"{name} runs {GRACE_S:g} s after SIGTERM"
-            self.history.report_violation(
-                "processes end after SIGTERM", "", text
-            )
-            instance.kill()
+        limit_s = GRACE_S + GRACE_MARGIN_S
+        if await instance.wait_exit(limit_s):
+            return
+        text = f"{name} still runs, {limit_s:g} s of run time after SIGTERM"
+        self.history.report_violation("processes end after SIGTERM", "", text)
+        instance.kill()
+        await instance.wait_exit(math.inf)
 
     def list_parties(self, data_centre: str) -> set[str]:
         """Returns all instances and workers of a data centre."""
