Pause opportunistic runs while a target is missed

Cause: measurements of an overloaded serving task are ignored, so paces followed the load predicted before, which may fall, and were only multiplied by the trust in the model. Change: all opportunistic runs of a worker pause once a target was missed for 1.5 s, and no pace rises while one is missed. The new scenarios fail without it.

--- /dev/null
+++ b/features/batch_pacing.feature
@@ -0,0 +1,18 @@
+Feature: Pace of opportunistic runs
+
+  Scenario Outline: An image begins to disturb a serving task
+    Guards against a serving task that stays over its target for seconds while
+    opportunistic runs beside it work on: measurements of an overloaded task
+    teach the owner nothing, and its paces followed the load that it had
+    predicted before, and even rose.
+    Given a serving task with load <load>, swing <swing>, seed <seed>
+    And six runs of image "loud", which did not disturb it for <calm> s
+    When the interference of image "loud" rises to <interference>
+    Then the serving task is never over its target for 2.5 s beside working runs
+
+    Examples:
+      | seed | load | swing | calm | interference |
+      | 2    | 0.4  | 0.5   | 17   | 4.0          |
+      | 1    | 0.3  | 0.3   | 12   | 5.0          |
+      | 2    | 0.4  | 0.0   | 17   | 5.0          |
+      | 1    | 0.3  | 0.5   | 12   | 9.0          |
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -7,7 +7,8 @@
 unless slowing the others does not suffice.
 
 Measurements lag by about half a second, so the effect of a change is awaited
-before a pace rises again. It may be reduced at any time.
+before a pace rises again, and none rises while a target is missed. It may be
+reduced at any time.
 """
 
 from sapphirestall_core import messages
@@ -46,8 +47,9 @@
 # progress is below this percentage, or after it had a low pace for this time.
 LOW_PROGRESS_PERCENT = 15
 FORCED_RELOCATION_DELAY_S = 3.0
-# When a target was missed for this time, in seconds, images with negligible
-# interference are slowed down as well.
+# When a target was missed for this time, in seconds, all opportunistic runs
+# pause until it is met: measurements of an overloaded task say nothing about
+# the interference of their images, and predictions of its load are outdated.
 MISSED_TARGET_S = 1.5
 
 
@@ -176,10 +178,10 @@
         pace = int(pace * common_share)
         if target_missed:
             # The learned interference does not explain the tail latencies.
-            pace = min(pace, int(state.FULL_PACE_PERCENT * worker.trust))
-        if (
-            pace > run.pace_percent
-            and now - run.pace_sent_at < RAISE_INTERVAL_S
+            pace = 0
+        if pace > run.pace_percent and (
+            worker.target_missed_since is not None
+            or now - run.pace_sent_at < RAISE_INTERVAL_S
         ):
             pace = run.pace_percent
         limits = (0, state.FULL_PACE_PERCENT)
