Repeat a pace that a worker refused

Cause: a pace that was refused for another reason than the fencing token, as by a worker that is unhealthy for a moment (429, 503), counted as set. Change: a pace that was not confirmed is sent again with the next listing. Result: the new scenario fails without it, with working runs beside a serving task over its target until the end of the simulation.

--- a/features/batch_pacing.feature
+++ b/features/batch_pacing.feature
@@ -16,3 +16,12 @@
       | 1    | 0.3  | 0.3   | 12   | 5.0          |
       | 2    | 0.4  | 0.0   | 17   | 5.0          |
       | 1    | 0.3  | 0.5   | 12   | 9.0          |
+
+  Scenario: A worker that is unhealthy for a moment refuses paces
+    Guards against runs that work on at full pace beside a serving task over its
+    target, because a pace that was refused counted as set.
+    Given a serving task with load 0.3, swing 0.0, seed 1
+    And six runs of image "loud", which did not disturb it for 12 s
+    When the interference of image "loud" rises to 9.0
+    And the worker refuses all calls for 2 s, as it is unhealthy
+    Then the serving task is never over its target for 2.5 s beside working runs
--- a/features/steps/batch_pacing_steps.py
+++ b/features/steps/batch_pacing_steps.py
@@ -72,6 +72,14 @@
     context.world.contention.interference[pair] = interference
 
 
+@behave.when(
+    "the worker refuses all calls for {seconds:g} s, as it is unhealthy"
+)
+def step(context, seconds):
+    context.worker.unhealthy_until = context.world.now + seconds
+    context.world.run(seconds)
+
+
 @behave.then(
     "the serving task is never over its target for {limit:g} s beside "
     "working runs"
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -77,7 +77,7 @@
     if run.pace_in_flight:
         return []
     run.pace_in_flight = True
-    run.pace_unanswered = False
+    run.pace_unconfirmed = False
     command = worker_messages.PaceRun(
         worker.target,
         partition.name,
@@ -299,13 +299,19 @@
     if run is None:
         return []
     run.pace_in_flight = False
-    if isinstance(reply, worker_messages.NoAnswer):
+    if not isinstance(reply, worker_messages.Done):
         # The pace is set again when the next measurements arrive.
-        run.pace_unanswered = True
-        return [messages.CountRetry(PART, "pace_no_answer")]
+        run.pace_unconfirmed = True
+        return [_count_unconfirmed_pace(reply)]
     if (
         run.pace_percent == call.percent
         or run.phase is not state.RunPhase.RUNNING
     ):
         return []
     return set_pace(partition, worker, run, run.pace_percent)
+
+
+def _count_unconfirmed_pace(reply: worker_messages.Reply) -> messages.Effect:
+    if isinstance(reply, worker_messages.Rejected):
+        return messages.CountRefusal(PART, reply.reason)
+    return messages.CountRetry(PART, "pace_no_answer")
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -187,7 +187,7 @@
         limits = (0, state.FULL_PACE_PERCENT)
         is_small = abs(pace - run.pace_percent) < MIN_CHANGE_PERCENT
         changed = pace != run.pace_percent and (not is_small or pace in limits)
-        if changed or run.pace_unanswered:
+        if changed or run.pace_unconfirmed:
             run.pace_sent_at = now
             effects += commands.set_pace(partition, worker, run, pace)
         is_low = pace <= RELOCATION_PERCENT
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -105,7 +105,8 @@
         pace_sent_at: Monotonic time at which the target pace was last changed
             or sent again, in seconds.
         pace_in_flight: Whether a pace command is in flight.
-        pace_unanswered: Whether the last pace command got no answer.
+        pace_unconfirmed: Whether the last pace command got no answer or was
+            refused.
         forced: Whether the task was placed although it was expected to disturb
             serving tasks on the worker, because it had waited too long.
         low_pace_since: Monotonic time since which the pace is so low that the
@@ -131,7 +132,7 @@
     pace_percent: int = FULL_PACE_PERCENT
     pace_sent_at: float = -1e9
     pace_in_flight: bool = False
-    pace_unanswered: bool = False
+    pace_unconfirmed: bool = False
     forced: bool = False
     low_pace_since: float | None = None
     progress_percent: int = 0
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -52,6 +52,7 @@
             ended or was stopped; starts up to this number are refused.
         expired_position: Position of the newest run that had ended when the
             lease was last seen to be expired.
+        unhealthy_until: Time before which the worker refuses all calls.
     """
 
     entry: model.WorkerEntry
@@ -68,6 +69,7 @@
     last_position: int = 0
     voided_numbers: dict[model.TaskName, int] = attrs.field(factory=dict)
     expired_position: int = 0
+    unhealthy_until: float = 0.0
 
     def read_clock(self, now: float) -> int:
         """Returns the time on the worker's own clock, in milliseconds."""
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -779,6 +779,10 @@
         answer(worker_messages.Rejected("fence", clock_ms))
         return
     worker.fence = call.token
+    if world.now < worker.unhealthy_until:
+        clock_ms = worker.read_clock(world.now)
+        answer(worker_messages.Rejected("unhealthy", clock_ms))
+        return
     apply_call(call, world, worker, answer)
 
 
