Limit the size of answers of workers and of the store

Cause: the body of an answer was read to its end or to the time limit of its call. A server that answers at a worker's address, which any writer of the store may name, filled the memory of the process: 890 MB in one poll of 2.1 s, measured over loopback.

--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -65,21 +65,25 @@
 
 
 class FixedSession:
-    """Answers each request with the same body, as an HTTP session would."""
+    """Answers each request with the same body, as an HTTP session would.
+
+    It is the session, its only response and the content of that response.
+    """
 
     def __init__(self, body, status=200):
         self.status = status
         self.body = body
+        self.content = self
 
     @contextlib.asynccontextmanager
     async def request(self, *_, **__):
         """Yields the response."""
         yield self
 
-    async def read(self):
-        """Returns the body of the response."""
+    async def iter_any(self):
+        """Yields the body of the response."""
         await asyncio.sleep(0)
-        return self.body
+        yield self.body
 
 
 def make_store(context, answer=None):
--- a/features/steps/worker_calls_steps.py
+++ b/features/steps/worker_calls_steps.py
@@ -1,6 +1,7 @@
 """Steps for worker_calls.feature."""
 
 import asyncio
+import contextlib
 import errno
 import logging
 import os
@@ -33,6 +34,7 @@
 from sapphirestall_platform import workers
 
 TASK = model.TaskName("00000000000000aa", 0, 0, 0)
+MEGABYTE = 2**20
 
 
 @behave.when("a loop runs its timers {late_s:g} s late for {seconds:g} s")
@@ -98,6 +100,28 @@
     context.serve = serve
 
 
+@behave.given("a worker that answers each call with {megabytes:d} MB")
+def step(context, megabytes):
+    context.sent_megabytes = 0
+    chunk = b" " * MEGABYTE
+
+    async def serve(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        with contextlib.suppress(ConnectionError):
+            for _ in range(megabytes):
+                await response.write(chunk)
+                context.sent_megabytes += 1
+        return response
+
+    context.serve = serve
+
+
+@behave.then("at most {megabytes:d} MB of the answer were sent")
+def step(context, megabytes):
+    assert context.sent_megabytes <= megabytes, context.sent_megabytes
+
+
 async def start_server(serve):
     app = web.Application()
     if serve is not None:
--- a/features/worker_calls.feature
+++ b/features/worker_calls.feature
@@ -113,3 +113,11 @@
       | 409    | {"code": "x", "highest_epoch": "9"} |
       | 200    | 100000 lists      |
       | 200    | bytes that are not UTF-8 |
+
+  Scenario: An answer over the limit is not read to its end
+    Guards against a server at a worker's address that fills the memory of the
+    process, which the platform then ends.
+    Given a worker that answers each call with 512 MB
+    When 1 commands are sent to it at once
+    Then 1 replies are NoAnswer
+    And at most 32 MB of the answer were sent
