Start a timer again whose handler failed

Cause: periodic work (lease renewal, periodic checks, reads of owners and lists) is continued by the effects of its own timer's handler. An exception in the handler was logged, and its effects were lost, among them the next timer: the process went on, looked healthy and never did that work again. Change: the loop starts a timer again after 1 s if its handler failed. No input was found that makes such a handler fail; the fault is that one error would have ended the work for good.

--- a/packages/entry/src/sapphirestall_entry/loop.py
+++ b/packages/entry/src/sapphirestall_entry/loop.py
@@ -8,6 +8,9 @@
 from sapphirestall_core import messages
 from sapphirestall_entry import counters
 
+# Time after which a timer is started again whose handler failed.
+FAILED_TIMER_RETRY_S = 1.0
+
 
 class Process(Protocol):
     """Part of the process context that the loop uses."""
@@ -38,13 +41,19 @@
         """Handles one event and performs its effects in order.
 
         An exception in a handler or adapter is logged and counted. It ends only
-        the event or effect concerned; the process continues.
+        the event or effect concerned; the process continues. A timer is started
+        again, because otherwise periodic work, which is continued by the
+        effects of its handler, would end for good.
         """
         started = self.clock()
         try:
             effects = self.handle(event, started)
         except Exception as error:  # noqa: BLE001
             self.context.report_fault(type(event).__name__, error)
+            if isinstance(event, messages.TimerFired):
+                self.perform(
+                    messages.StartTimer(event.timer, FAILED_TIMER_RETRY_S)
+                )
             return
         for effect in effects:
             try:
