Send paces again while a target stays missed

Cause: a pace command without an answer may be carried out seconds later, after newer ones. Change: while a target has been missed for 1.5 s, each pace is sent again each second. The choice of a run's pace and of whether to send it are functions of their own.

--- a/features/batch_pacing.feature
+++ b/features/batch_pacing.feature
@@ -25,3 +25,14 @@
     When the interference of image "loud" rises to 9.0
     And the worker refuses all calls for 2 s, as it is unhealthy
     Then the serving task is never over its target for 2.5 s beside working runs
+
+  Scenario: A pace that got no answer is carried out late
+    Guards against runs that work on at full pace beside a serving task over its
+    target, because an older command reached the worker after the newest one.
+    Given a serving task with load 0.3, swing 0.0, seed 1
+    And six runs of image "loud", which did not disturb it for 12 s
+    When the interference of image "loud" rises to 9.0
+    And the load of the serving task rises to 0.74 for 10 s
+    Then all runs of image "loud" have a pace of 0
+    When an older command sets their paces to 100 percent
+    Then the serving task is never over its target for 3 s beside working runs
--- a/features/steps/batch_pacing_steps.py
+++ b/features/steps/batch_pacing_steps.py
@@ -80,6 +80,26 @@
     context.world.run(seconds)
 
 
+@behave.when("the load of the serving task rises to {load:g} for {seconds:g} s")
+def step(context, load, seconds):
+    context.world.contention.load = load
+    context.world.run(seconds)
+
+
+@behave.then('all runs of image "loud" have a pace of {percent:d}')
+def step(context, percent):
+    found = {
+        run.percent for run in context.worker.running.values() if run.step.fills
+    }
+    assert found == {percent}, found
+
+
+@behave.when("an older command sets their paces to {percent:d} percent")
+def step(context, percent):
+    for key in context.worker.running:
+        context.worker.set_pace(key, percent)
+
+
 @behave.then(
     "the serving task is never over its target for {limit:g} s beside "
     "working runs"
--- a/packages/core/src/sapphirestall_core/batch/pacing.py
+++ b/packages/core/src/sapphirestall_core/batch/pacing.py
@@ -51,6 +51,9 @@
 # pause until it is met: measurements of an overloaded task say nothing about
 # the interference of their images, and predictions of its load are outdated.
 MISSED_TARGET_S = 1.5
+# While such a target is missed, each pace is sent again at this interval, in
+# seconds: a command without an answer may be carried out after newer ones.
+REPETITION_INTERVAL_S = 1.0
 
 
 def find_highest_tail_share(worker: state.Worker) -> float:
@@ -165,29 +168,14 @@
     worker.serving_load = interference.estimate_serving_load(worker, now)
     paces = choose_paces(worker, interference, now)
     common_share = find_common_share(worker, paces)
-    target_missed = (
-        worker.target_missed_since is not None
-        and now - worker.target_missed_since > MISSED_TARGET_S
-    )
     effects: dispatch.Effects = []
     for run in worker.runs.values():
         step = run.task.step
         if not step.fills or run.phase is not state.RunPhase.RUNNING:
             continue
         pace = paces.get(step.image, state.FULL_PACE_PERCENT)
-        pace = int(pace * common_share)
-        if target_missed:
-            # The learned interference does not explain the tail latencies.
-            pace = 0
-        if pace > run.pace_percent and (
-            worker.target_missed_since is not None
-            or now - run.pace_sent_at < RAISE_INTERVAL_S
-        ):
-            pace = run.pace_percent
-        limits = (0, state.FULL_PACE_PERCENT)
-        is_small = abs(pace - run.pace_percent) < MIN_CHANGE_PERCENT
-        changed = pace != run.pace_percent and (not is_small or pace in limits)
-        if changed or run.pace_unconfirmed:
+        pace = _limit_pace(worker, run, int(pace * common_share), now)
+        if _is_command_due(worker, run, pace, now):
             run.pace_sent_at = now
             effects += commands.set_pace(partition, worker, run, pace)
         is_low = pace <= RELOCATION_PERCENT
@@ -205,6 +193,51 @@
     return [messages.Log(PART, "changed", fields), *effects]
 
 
+def _is_target_missed_long(worker: state.Worker, now: float) -> bool:
+    """Returns whether the paces have not sufficed to meet a target in time."""
+    return (
+        worker.target_missed_since is not None
+        and now - worker.target_missed_since > MISSED_TARGET_S
+    )
+
+
+def _limit_pace(
+    worker: state.Worker, run: state.Run, pace: int, now: float
+) -> int:
+    """Returns the pace that a run may get at this time, in percent.
+
+    Args:
+        worker: Worker of the run.
+        run: The run.
+        pace: Pace that the learned interference allows, in percent.
+        now: Monotonic time, in seconds.
+    """
+    if _is_target_missed_long(worker, now):
+        # The learned interference does not explain the tail latencies.
+        return 0
+    if pace > run.pace_percent and (
+        worker.target_missed_since is not None
+        or now - run.pace_sent_at < RAISE_INTERVAL_S
+    ):
+        return run.pace_percent
+    return pace
+
+
+def _is_command_due(
+    worker: state.Worker, run: state.Run, pace: int, now: float
+) -> bool:
+    """Returns whether a pace has to be sent to the worker of a run."""
+    if run.pace_unconfirmed:
+        return True
+    if pace == run.pace_percent:
+        return (
+            _is_target_missed_long(worker, now)
+            and now - run.pace_sent_at >= REPETITION_INTERVAL_S
+        )
+    is_small = abs(pace - run.pace_percent) < MIN_CHANGE_PERCENT
+    return not is_small or pace in (0, state.FULL_PACE_PERCENT)
+
+
 def _relocate(
     partition: state.Partition,
     worker: state.Worker,
