--- a/features/batch_capacity.feature
+++ b/features/batch_capacity.feature
@@ -24,3 +24,18 @@
     Then its capacity is not logged
     Given a waiting task of a harmless image
     Then its capacity is logged once within a second
+
+  Scenario Outline: Waiting tasks are reported by what keeps them waiting
+    Guards against urgent tasks that wait while no log line tells whether
+    long-running tasks hold the processors, no worker has enough of them free or
+    the memory is missing.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And a waiting task of <cores> processors and <memory> MB submitted <age> s ago
+    Then 8 processors are reported as reserved by long-running tasks
+    And <cores> processors are reported as <waiting> and <lacking> as lacking memory
+
+    Examples:
+      | cores | memory | age | waiting        | lacking |
+      | 30    | 100    | 0   | waiting_finite | 0       |
+      | 10    | 100    | 9   | waiting_late   | 0       |
+      | 10    | 64001  | 0   | waiting_finite | 10      |
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -7,6 +7,7 @@
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import interference
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import reservation_reports
 
 IMAGE, OTHER_IMAGE = "loud", "calm"
 KNOWN_VARIANCE = 0.1
@@ -83,3 +84,30 @@
     now = builders.NOW + capacity_reports.REPORT_INTERVAL_S
     assert len(log_capacity(context, now)) == 1
     assert not log_capacity(context, now + 0.5)
+
+
+@behave.given(
+    "a waiting task of {cores:d} processors and {memory:d} MB submitted"
+    " {age:d} s ago"
+)
+def step(context, cores, memory, age):
+    amount = resources.Vector(cores * builders.CORE_MILLIS, memory, 0)
+    builders.add_job(context, 1, 0, age, model.Step(1, amount, estimate_s=1.0))
+
+
+@behave.then(
+    "{cores:d} processors are reported as reserved by long-running tasks"
+)
+def step(context, cores):
+    report = reservation_reports.make_report(context.partition, builders.NOW)
+    assert report.long_running == cores * builders.CORE_MILLIS, report
+
+
+@behave.then(
+    "{cores:d} processors are reported as {field} and {lacking:d} as lacking"
+    " memory"
+)
+def step(context, cores, field, lacking):
+    report = reservation_reports.make_report(context.partition, builders.NOW)
+    assert getattr(report, field) == cores * builders.CORE_MILLIS, report
+    assert report.lacking_memory == lacking * builders.CORE_MILLIS, report
--- a/packages/core/src/sapphirestall_core/batch/capacity_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/capacity_reports.py
@@ -13,6 +13,7 @@
 from sapphirestall_core.batch import interference as interference_module
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import reservation_reports
 from sapphirestall_core.batch import state
 
 PART = "capacity"
@@ -56,12 +57,22 @@
 def log_capacity(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
-    """Logs a report of a partition with opportunistic work, once a second."""
+    """Logs the reports of a partition in which tasks wait, once a second."""
     if partition.phase is not state.Phase.ACTIVE:
         return []
     if now - partition.capacity_logged_at < REPORT_INTERVAL_S:
         return []
     partition.capacity_logged_at = now
+    return [
+        *_log_idle(batch, partition, now),
+        *reservation_reports.log_reservations(partition, now),
+    ]
+
+
+def _log_idle(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> dispatch.Effects:
+    """Logs the use of idle processors if there is opportunistic work."""
     report = make_report(partition, batch.interference, now)
     if not report.used and not report.waiting and not report.paced_down:
         return []
