--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,11 @@
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
-# Worth of opportunistic work beside serving tasks; RACKS=N sets the division.
+# Worth of opportunistic work beside serving tasks, and of all classes while
+# long-running tasks fill the fleet; RACKS=N sets the division.
 contention: $(STAMP)
 	$(BIN)/python -m bench.contention $(or $(SEED),1) $(RACKS)
+	$(BIN)/python -m bench.full_fleet $(or $(SEED),1) $(RACKS)
 
 # Processor time of starts, listings, idle seconds and calls.
 cost: $(STAMP)
