--- a/bench/full_fleet.py
+++ b/bench/full_fleet.py
@@ -5,16 +5,18 @@
 that are not reserved. Shows what each class earns and where the tasks of urgent
 jobs that can still meet their objectives wait.
 
-Usage: `python -m bench.full_fleet [SEED] [RACKS_PER_PARTITION]`.
+Usage: `python -m bench.full_fleet [SEED] [RACKS_PER_PARTITION] [--share SHARE]
+[--draw-memory]`.
 """
 
+import argparse
 import collections
 import random
-import sys
 
 import attrs
 
 from bench import contention
+from sapphirestall_core import resources
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import objectives
@@ -23,6 +25,11 @@
 
 # Share of all processors that long-running jobs request at the start.
 SERVING_SHARE = 0.88
+# Mean and highest memory of a task, in MB, by its mean processors, in
+# thousandths.
+MEMORY_MB = {3500: (6400, 13_000), 6400: (13_000, 26_000)}
+MEMORY_SPREAD = 0.3
+MIN_MEMORY_MB = 500
 # Long-running jobs a second, for each worker.
 SERVING_RATE = 0.00108
 STAY_S, STAY_SPREAD, MAX_STAY_S = 70.0, 0.5, 210.0
@@ -33,6 +40,8 @@
     """Random jobs, of which the long-running ones are cancelled after a time.
 
     Attributes:
+        draws_memory: Whether the memory of a task is drawn by itself, so that
+            some tasks request much more for their processors than others.
         present: Steps of the long-running jobs that are not cancelled, by id.
         requested_s: Time of the tasks of these jobs, added up, in seconds.
         working_s: The part of `requested_s` in which the tasks ran.
@@ -41,6 +50,7 @@
         running: Samples of running urgent tasks, by the status of their job.
     """
 
+    draws_memory: bool = False
     present: dict[str, model.Step] = attrs.field(factory=dict)
     requested_s: float = 0.0
     working_s: float = 0.0
@@ -51,6 +61,15 @@
         factory=collections.Counter
     )
 
+    def draw_amount(self, cpu: float, spread: float) -> resources.Vector:
+        """Draws what a task requests."""
+        amount = super().draw_amount(cpu, spread)
+        if not self.draws_memory:
+            return amount
+        mean, most = MEMORY_MB[int(cpu)]
+        memory_mb = int(self.draw(mean, MEMORY_SPREAD, most))
+        return attrs.evolve(amount, memory_mb=max(MIN_MEMORY_MB, memory_mb))
+
     def submit_serving(self) -> None:
         """Submits a long-running job and schedules its cancellation."""
         super().submit_serving()
@@ -66,13 +85,13 @@
         path = contention.SERVING.prefix + job_id
         self.world.call(node, caller_messages.CancelCalled, path)
 
-    def fill(self) -> None:
-        """Submits long-running jobs that request `SERVING_SHARE`."""
+    def fill(self, share: float) -> None:
+        """Submits long-running jobs that request a share of all processors."""
         capacity = sum(
             worker.entry.capacity.cpu_millis
             for worker in self.world.workers.values()
         )
-        while self._sum_requested() < SERVING_SHARE * capacity:
+        while self._sum_requested() < share * capacity:
             self.submit_serving()
 
     def _sum_requested(self) -> int:
@@ -162,11 +181,18 @@
         return total
 
 
-def run_load(seed: int) -> FullLoad:
-    """Submits random jobs for a time and waits for their ends."""
+def run_load(seed: int, share: float, *, draws_memory: bool) -> FullLoad:
+    """Submits random jobs for a time and waits for their ends.
+
+    Args:
+        seed: Seed of the jobs and of the simulation.
+        share: Share of all processors that long-running jobs request at the
+            start.
+        draws_memory: Whether the memory of a task is drawn by itself.
+    """
     world = contention.make_world(seed)
-    load = FullLoad(world, random.Random(seed))
-    load.fill()
+    load = FullLoad(world, random.Random(seed), draws_memory=draws_memory)
+    load.fill(share)
     workers = len(world.workers)
     for _ in range(round(contention.OPPORTUNISTIC_AT_START * workers)):
         load.submit_opportunistic()
@@ -190,11 +216,16 @@
 
 def main() -> None:
     """Runs one load and prints what became of it."""
-    arguments = [int(text) for text in sys.argv[1:]]
-    seed = arguments[0] if arguments else 1
-    if len(arguments) > 1:
-        model.RACKS_PER_PARTITION = arguments[1]
-    load = run_load(seed)
+    parser = argparse.ArgumentParser(description="Load of a full fleet.")
+    parser.add_argument("seed", type=int, nargs="?", default=1)
+    parser.add_argument("racks", type=int, nargs="?")
+    parser.add_argument("--share", type=float, default=SERVING_SHARE)
+    parser.add_argument("--draw-memory", action="store_true")
+    arguments = parser.parse_args()
+    seed = arguments.seed
+    if arguments.racks:
+        model.RACKS_PER_PARTITION = arguments.racks
+    load = run_load(seed, arguments.share, draws_memory=arguments.draw_memory)
     print(f"seed {seed}, {model.RACKS_PER_PARTITION} racks in a partition")
     for queue in (contention.FILLING, contention.URGENT):
         share = load.find_earned_share(queue)
