--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -293,23 +293,17 @@
     return sum(interference >= bound for bound in INTERFERENCE_BOUNDS)
 
 
-def _prefer_undisturbed(
+def _has_undisturbed(
     candidates: list[Candidate],
     step: model.Step,
     interference: interference_module.InterferenceModel,
-) -> list[Candidate]:
-    """Returns the candidates whose serving tasks a step disturbs little.
-
-    Returns:
-        All candidates if there is none that the step may use.
-    """
-    undisturbed = [
-        candidate
-        for candidate in candidates
-        if _has_required_label(candidate, step)
+) -> bool:
+    """Returns whether a step disturbs few serving tasks of any candidate."""
+    return any(
+        _has_required_label(candidate, step)
         and not candidate.is_strong(step.image, interference)
-    ]
-    return undisturbed or candidates
+        for candidate in candidates
+    )
 
 
 def choose_candidate(
@@ -336,8 +330,12 @@
     """
     step = task.step
     limited = step.fills and not starved
-    if limited and selective:
-        candidates = _prefer_undisturbed(candidates, step, interference)
+    # Waits for one of these even if none has room now.
+    undisturbed_only = (
+        limited
+        and selective
+        and _has_undisturbed(candidates, step, interference)
+    )
     best = None
     best_rank: tuple[float, ...] = ()
     for candidate in candidates:
@@ -345,6 +343,8 @@
             continue
         if not _meets_constraints(candidate, task):
             continue
+        if undisturbed_only and candidate.is_strong(step.image, interference):
+            continue
         if limited and not candidate.tolerates(step, interference, now):
             continue
         candidate_rank = rank(candidate.worker, task, interference)
