--- a/features/steps/worker_calls_steps.py
+++ b/features/steps/worker_calls_steps.py
@@ -91,6 +91,25 @@
     assert context.read == f"log: dropped lines={count}\nlater\n"
 
 
+@behave.when("log lines are formatted {delays} s after {start:g} s")
+def step(context, delays, start):
+    formatter = logs.Formatter()
+    standard = logging.Formatter(logs.FORMAT)
+    context.lines = []
+    for delay in delays.split(","):
+        record = logging.LogRecord("x", logging.INFO, "", 0, "text", (), None)
+        record.created = start + float(delay)
+        record.msecs = record.created % 1 * 1000
+        pair = (formatter.format(record), standard.format(record))
+        context.lines.append(pair)
+
+
+@behave.then("each has the time that the standard formatter writes")
+def step(context):
+    for line, expected in context.lines:
+        assert line == expected, (line, expected)
+
+
 @behave.given("a worker that answers each call after {seconds:g} s")
 def step(context, seconds):
     async def serve(request):
--- a/features/worker_calls.feature
+++ b/features/worker_calls.feature
@@ -121,3 +121,8 @@
     When 1 commands are sent to it at once
     Then 1 replies are NoAnswer
     And at most 32 MB of the answer were sent
+
+  Scenario: Log lines have the time of the standard format
+    Guards against a date and time that stay those of an earlier second.
+    When log lines are formatted 0, 0.4, 1.2, 3601 s after 1700000000.75 s
+    Then each has the time that the standard formatter writes
--- a/packages/entry/src/sapphirestall_entry/logs.py
+++ b/packages/entry/src/sapphirestall_entry/logs.py
@@ -30,6 +30,30 @@
         logging.getLogger(library).setLevel(logging.WARNING)
 
 
+class Formatter(logging.Formatter):
+    """Formatter that computes the date and time once for each second.
+
+    Attributes:
+        second: Second of the last record, since the epoch.
+        second_text: That second in local time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(FORMAT)
+        self.second = -1
+        self.second_text = ""
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Returns the time of a record with milliseconds."""
+        second = int(record.created)
+        if second != self.second:
+            self.second = second
+            self.second_text = super().formatTime(record, "%Y-%m-%d %H:%M:%S")
+        return f"{self.second_text},{int(record.msecs):03d}"
+
+
 class StdoutHandler(logging.Handler):
     """Writes lines to a file descriptor without blocking.
 
@@ -113,13 +137,14 @@
 
 def configure_stdout() -> None:
     """Writes log lines to standard output without blocking."""
-    # The format has no fields for thread and process, so collecting them would
-    # be wasted.
+    # The format has no fields for thread, process and place in the code, so
+    # collecting them would be wasted.
+    logging._srcfile = None
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
     handler = StdoutHandler(sys.stdout.fileno())
-    handler.setFormatter(logging.Formatter(FORMAT))
+    handler.setFormatter(Formatter())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     for library in VERBOSE_LOGGERS:
         logging.getLogger(library).setLevel(logging.WARNING)
