--- a/bench/process_cost.py
+++ b/bench/process_cost.py
@@ -24,6 +24,7 @@
 from sapphirestall_core.batch import model  # noqa: E402
 from sapphirestall_standins import documents  # noqa: E402
 from sapphirestall_standins import store as store_module  # noqa: E402
+from soak import processes  # noqa: E402
 
 REPEATS = 5
 SETTLE_S = 2.0
@@ -98,7 +99,7 @@
         sys.executable,
         "-m",
         "sapphirestall_platform",
-        env={**os.environ, "SAPPHIRESTALL_CONFIG": str(settings)},
+        env={**os.environ, processes.SETTINGS_VARIABLE: str(settings)},
         stdout=asyncio.subprocess.DEVNULL,
     )
     try:
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -55,21 +55,27 @@
     placement.is_usable = mutated
 
 
-def extend_unresponsive_workers() -> None:
-    """Extends the lease with each attempt to reach an unresponsive worker."""
+def override_in_polls(name: str, value: object) -> None:
+    """Makes polls as if an attribute of the worker had another value."""
     make_poll = contact.make_poll
 
     def mutated(
         partition: state.Partition, worker: state.Worker, *rest: Any
     ) -> Any:
-        unresponsive, worker.unresponsive = worker.unresponsive, False
+        before = getattr(worker, name)
+        setattr(worker, name, value)
         call = make_poll(partition, worker, *rest)
-        worker.unresponsive = unresponsive
+        setattr(worker, name, before)
         return call
 
     contact.make_poll = mutated
 
 
+def extend_unresponsive_workers() -> None:
+    """Extends the lease with each attempt to reach an unresponsive worker."""
+    override_in_polls("unresponsive", value=False)
+
+
 def act_without_confirmation() -> None:
     """Lets an owner without a renewed store lease act as if it had one."""
     tenure.may_have_successor = lambda *_: False
@@ -115,17 +121,7 @@
 
 def extend_before_listing() -> None:
     """Extends the leases on a worker before its first listing."""
-    make_poll = contact.make_poll
-
-    def mutated(
-        partition: state.Partition, worker: state.Worker, *rest: Any
-    ) -> Any:
-        listed, worker.listing_received = worker.listing_received, True
-        call = make_poll(partition, worker, *rest)
-        worker.listing_received = listed
-        return call
-
-    contact.make_poll = mutated
+    override_in_polls("listing_received", value=True)
 
 
 def acknowledge_before_commit() -> None:
