Ask one place only whether former runs on a worker have ended

departures.has_left compared the end of a wait itself, although the periodic checks settle the workers of former owners just before and take those out. The log fields of a wait have one user left and stand there.

--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -129,10 +129,9 @@
         return False
     worker = partition.workers.get(name)
     if worker is None or worker.last_answer_at is None:
-        # This owner starts runs only on workers that have answered it.
-        return name not in partition.unlisted_workers or now >= (
-            former_runs.find_end(partition, name)
-        )
+        # This owner starts runs only on workers that have answered it, and
+        # `former_runs` decides when those of former owners have ended.
+        return name not in partition.unlisted_workers
     if not listed.draining:
         # The periodic checks give its runs up when their leases have expired.
         return False
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -141,6 +141,7 @@
     if not ended:
         return []
     partition.unlisted_workers -= ended
+    answered_at = partition.witness_answered_at
     released = sum(
         math.isfinite(find_released_end(partition, name)) for name in ended
     )
@@ -149,21 +150,11 @@
         "token": partition.token,
         "workers": sorted(ended),
         "released": released,
-        **describe_wait(partition, now),
-    }
-    return [messages.Log(PART, "former_ended", fields)]
-
-
-def describe_wait(
-    partition: state.Partition, now: float
-) -> dict[str, float | str]:
-    """Returns log fields that tell by which facts a wait has ended."""
-    answered_at = partition.witness_answered_at
-    return {
         "unowned_s": round(now - partition.vacancy.since, 3),
         "contact_s": "" if answered_at is None else round(now - answered_at, 3),
         "held_s": round(now - partition.acquired_at, 3),
     }
+    return [messages.Log(PART, "former_ended", fields)]
 
 
 def have_ended(partition: state.Partition, now: float) -> bool:
