Test the loss of a worker around the ends of successive owners

Every long-running task has to run again 9 s after its last run, or 7 s after the last disturbance.

The random restarts draw the same events, but rarely aim them at one partition.

--- /dev/null
+++ b/features/batch_successions.feature
@@ -0,0 +1,38 @@
+Feature: Successive owners of a partition that has lost a worker
+
+  Scenario Outline: Tasks of a crashed worker start again under the next owner
+    Guards against long-running tasks without a run for more than 9 s although
+    nothing but planned work has happened for 7 s: <failure>.
+    Given a partition with long-running tasks
+    When a worker crashes and owners end <delay> s later, every <interval> s: <ends>
+    Then every long-running task was restarted in time
+    And no invariant was violated
+
+    Examples: Owners that shut down
+      | delay | interval | ends                                 | failure                                            |
+      | 6.0   | 1        | shuts down                           | the next owner awaits a listing of runs that ended |
+      | 4.5   | 2        | shuts down, shuts down, shuts down   | a release lacks a worker that has been settled     |
+      | 1.5   | 3        | shuts down, shuts down, shuts down   | a release lacks a worker that has been settled     |
+
+    Examples: Owners that are killed
+      | delay | interval | ends                                 | failure                                            |
+      | 6.0   | 1        | is killed                            | nobody knows that the owner extended no lease      |
+      | 4.5   | 1        | is killed                            | nobody knows that the owner extended no lease      |
+      | 6.0   | 3        | is killed, is killed                 | the third owner does not know what the second knew |
+      | 3.0   | 2        | shuts down, is killed                | the third owner does not know of the first release |
+      | 4.5   | 2        | is killed, shuts down                | the third owner does not know of the first release |
+      | 4.5   | 2        | shuts down, is killed, shuts down    | the third owner does not know of the first release |
+
+  Scenario Outline: Random ends of owners around the loss of a worker
+    Guards against the same, and against tasks that run twice, where a worker
+    crashes, leaves or is cut off at a random time around the end of its owner.
+    Given a random sequence of ends of owners, by seed <seed>
+    When the sequence is played
+    Then every long-running task was restarted in time
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 3    |
+      | 43   |
+      | 198  |
