Include workers without a listing in a release once their wait is over

Callers saw the tasks of a partition wait for 4.4 s after each further restart of its owner. Cause: the release of an owner left out a worker that it had never reached and for which its wait was over, since the worker's clock was unknown. The next owner then waited by the bounds that hold without a release. An owner requests no lease while it does not know the clock, so the time is 0, unless a restarted worker may still have runs or carry out late starts.

batch_successions.feature: the third of three sequences of shutdowns failed before and passes; those with kills still fail.

--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -87,8 +87,10 @@
         return former_s or 0.0
     lease_s = batch.identity.limits.worker_lease_s
     own_s = leases.compute_remaining(worker, lease_s, now)
-    if own_s is None or former_s is None:
+    if own_s is None and not worker.runs and not worker.abandoned_starts:
         # No lease is requested while the worker's clock is unknown.
+        own_s = 0.0
+    if own_s is None or former_s is None:
         return former_s if own_s is None else own_s
     return max(own_s, former_s)
 
