Store in the roster when the leases on silent workers end

Callers saw long-running tasks of a crashed worker without a run for up to 17 s if its owner was killed or replaced a few seconds later. Cause: the owner knew that it had extended no lease of the silent worker for seconds, and this knowledge was lost with it. A successor assumed leases that were extended until the end, and each further owner did so anew, as a release counts only for the next one.

The roster now names the workers that have not answered for 1.5 s, with the time within which the leases there expire; the owner grants none there before it has written a roster without the worker. A successor hands what it has read on. Instances have no common clock: a reader counts from the first time at which it saw a store revision as high as that of the roster, and the roster is written again if a time in it is too long by 1.5 s, for readers that have just started.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -36,3 +36,32 @@
       | 3    |
       | 43   |
       | 198  |
+      | 63   |
+      | 251  |
+
+  Scenario: A worker gets leases again only after its roster says so
+    Guards against tasks that run twice: a worker was silent, the roster named the
+    end of the leases there, the worker answered again and its leases were
+    extended, and a successor that did not reach it went by the roster.
+    Given a partition with long-running tasks
+    When a worker does not answer for 3 s
+    Then its owner grants no lease there
+    When the worker answers again for 1 s while rosters are refused
+    Then its owner has granted no lease there
+    When rosters are written again
+    Then its owner has granted a lease there
+    And no task of the worker has ended
+
+  Scenario Outline: The age of a record follows from the revisions seen since
+    Guards against a wait that begins only when a new owner reads a record that
+    was written seconds before, or that ends too early.
+    Given an instance saw revision 10 at 100 s, 20 at 101 s and 30 at 102 s
+    Then it knows at 104 s that revision <revision> was reached at <time> s
+
+    Examples:
+      | revision | time |
+      | 5        | 100  |
+      | 10       | 100  |
+      | 11       | 101  |
+      | 30       | 102  |
+      | 31       | 104  |
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -4,6 +4,9 @@
 
 import behave
 
+from sapphirestall_core.batch import revisions
+from sapphirestall_core.batch import takeover
+from standins import batch_call_faults
 from standins import batch_successions
 
 SEED = 2
@@ -37,3 +40,84 @@
     context.restarts = batch_successions.build(context.seed, context.sequence)
     context.world = context.restarts.world
     context.restarts.play()
+
+
+@behave.when("a worker does not answer for {seconds:g} s")
+def step(context, seconds):
+    context.sequence = batch_successions.Sequence(
+        batch_successions.Loss.CUT_TWICE, 0.0, ()
+    )
+    succession = batch_successions.build(context.seed, context.sequence)
+    world = context.world = succession.world
+    succession.start()
+    context.worker = succession.worker
+    context.runs = world.list_runs()
+    context.partition = world.find_partition(context.worker)
+    context.owner = world.find_owner(context.partition)
+    succession.faults.cut_worker_from_nodes(context.worker, seconds)
+    world.run(seconds - 0.1)
+
+
+def read_lease_end(context):
+    return context.world.workers[context.worker].lease_end_ms
+
+
+@behave.then("its owner grants no lease there")
+def step(context):
+    partition = context.owner.batch.partitions[context.partition]
+    assert partition.withholds_leases(context.worker)
+    context.lease_end_ms = read_lease_end(context)
+
+
+@behave.when(
+    "the worker answers again for {seconds:g} s while rosters are refused"
+)
+def step(context, seconds):
+    context.world.call_faults.fail_store_calls(
+        context.owner.name,
+        takeover.RosterWrite,
+        batch_call_faults.StoreFault.REFUSED,
+        1000,
+    )
+    context.world.run(seconds)
+    worker = context.owner.batch.partitions[context.partition].workers[
+        context.worker
+    ]
+    assert not worker.unresponsive
+
+
+@behave.then("its owner has granted no lease there")
+def step(context):
+    assert read_lease_end(context) == context.lease_end_ms
+
+
+@behave.when("rosters are written again")
+def step(context):
+    context.world.call_faults.store_calls.clear()
+    context.world.run(1.0)
+
+
+@behave.then("its owner has granted a lease there")
+def step(context):
+    assert read_lease_end(context) > context.lease_end_ms
+
+
+@behave.then("no task of the worker has ended")
+def step(context):
+    assert set(context.world.list_runs()) == set(context.runs)
+
+
+@behave.given(
+    "an instance saw revision 10 at 100 s, 20 at 101 s and 30 at 102 s"
+)
+def step(context):
+    context.times = revisions.RevisionTimes()
+    for revision, now in ((10, 100.0), (20, 101.0), (30, 102.0)):
+        context.times.record(revision, now)
+
+
+@behave.then(
+    "it knows at {now:g} s that revision {revision:d} was reached at {time:g} s"
+)
+def step(context, now, revision, time):
+    assert context.times.find_reached_at(revision, now) == time
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -8,6 +8,8 @@
 
 import math
 
+import attrs
+
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import leases
@@ -40,6 +42,16 @@
 RESTARTED = "reborn"
 
 
+@attrs.frozen
+class RosterDue(messages.Event):
+    """Reports that the roster of a partition may no longer be right.
+
+    Its workers may have changed, or one of them may be silent or answer again.
+    """
+
+    partition: str
+
+
 def find_worker(
     call: worker_messages.WorkerCall, batch: state.Batch
 ) -> tuple[state.Partition, state.Worker] | None:
@@ -285,7 +297,8 @@
     is_active = (
         partition.phase is state.Phase.ACTIVE and worker.listing_received
     )
-    if lease_s is not None and is_active and is_responsive:
+    is_granted = not partition.withholds_leases(worker.entry.worker_id)
+    if lease_s is not None and is_active and is_responsive and is_granted:
         lease_end_ms = leases.extend(worker, lease_s, now)
     worker.polled_at = now
     partition.poll_number += 1
--- a/packages/core/src/sapphirestall_core/batch/dispatch.py
+++ b/packages/core/src/sapphirestall_core/batch/dispatch.py
@@ -12,6 +12,7 @@
 from sapphirestall_core import errors
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import worker_messages
 
 if TYPE_CHECKING:
@@ -85,6 +86,9 @@
     event: store_messages.StoreReply, batch: state.Batch, now: float
 ) -> Effects:
     effects: Effects = []
+    revision = revisions.find_revision(event.outcome)
+    if revision is not None:
+        batch.revision_times.record(revision, now)
     if not isinstance(event.outcome, store_messages.Unavailable):
         if batch.store_down_since is not None:
             effects.append(
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -112,7 +112,8 @@
     """Returns when all runs of former owners on a worker have ended.
 
     A release counts even if it names a later time than the bounds do: the store
-    lease of the former owner may have been revoked.
+    lease of the former owner may have been revoked. A lease that the former
+    owner withheld has ended in any case.
 
     Args:
         partition: The owned partition.
@@ -121,12 +122,10 @@
     Returns:
         Monotonic time, in seconds.
     """
-    if partition.active_at is None:
-        return math.inf
     end_at = find_released_end(partition, name)
     if math.isinf(end_at):
         end_at = partition.former_runs_end_at
-    return end_at
+    return min(end_at, partition.former_withheld_end_at.get(name, math.inf))
 
 
 def _find_wait_end(partition: state.Partition, name: str) -> float:
@@ -163,6 +162,7 @@
         "token": partition.token,
         "workers": sorted(ended),
         "released": released,
+        "withheld": len(ended & partition.former_withheld_end_at.keys()),
         "unowned_s": round(now - partition.vacancy.since, 3),
         "contact_s": "" if answered_at is None else round(now - answered_at, 3),
         "held_s": round(now - partition.acquired_at, 3),
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -169,9 +169,9 @@
     return job_changes.remove_job(partition, job, removed, now)
 
 
-@dispatch.handle.register(workers.RosterDue)
+@dispatch.handle.register(contact.RosterDue)
 def write_roster(
-    event: workers.RosterDue, batch: state.Batch, now: float
+    event: contact.RosterDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Writes the roster, as runs may not start on workers that it lacks."""
     partition = batch.partitions[event.partition]
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -136,7 +136,7 @@
             workers = (
                 worker
                 for name, worker in self.partition.workers.items()
-                if name in roster
+                if name in roster and not self.partition.withholds_leases(name)
             )
             pool = candidate_pools.CandidatePool(
                 placement.list_candidates(workers, service, self.now)
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -67,7 +67,7 @@
         leases.assume_longest_lease(worker, lease_s, reply.clock_ms)
     if partition.phase is not state.Phase.ACTIVE:
         return []
-    effects: dispatch.Effects = []
+    effects = _request_roster(batch, partition, worker, now)
     if not stale:
         worker.listing_received = True
         worker.listed_clock_ms = reply.clock_ms
@@ -79,6 +79,18 @@
     return effects + contact.long_poll(batch, partition, worker, now)
 
 
+def _request_roster(
+    batch: state.Batch,
+    partition: state.Partition,
+    worker: state.Worker,
+    now: float,
+) -> dispatch.Effects:
+    """Has the roster written again if it withholds leases on a worker."""
+    if not partition.withholds_leases(worker.entry.worker_id):
+        return []
+    return dispatch.handle(contact.RosterDue(partition.name), batch, now)
+
+
 def _handle_failed_poll(
     batch: state.Batch,
     partition: state.Partition,
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -194,6 +194,9 @@
         entries: Entries of the workers, without labels, as the owner last read
             them. With them a successor calls workers that the platform's list
             lacks.
+        withheld_ms: For each worker on which the owner grants no lease before
+            it has written a roster that lacks it here, the time from the write
+            on within which all leases of runs there expire, in milliseconds.
     """
 
     generation: int
@@ -202,6 +205,7 @@
     settled: bool = False
     entries: tuple[model.WorkerEntry, ...] = ()
     witnesses: tuple[str, ...] = ()
+    withheld_ms: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -10,6 +10,8 @@
 between the one that wrote a release and one of the next generation.
 """
 
+import math
+
 import attrs
 
 from sapphirestall_core import store_messages
@@ -52,7 +54,7 @@
     batch.releases_in_flight.add(partition.name)
     names = partition.roster | partition.unlisted_workers
     remaining_s = {
-        name: _find_remaining(batch, partition, name, now)
+        name: find_remaining(batch, partition, name, now)
         for name in sorted(names)
     }
     record = records.ReleaseRecord(
@@ -68,7 +70,7 @@
     return [store_messages.StoreTransaction(purpose, (), (put,))]
 
 
-def _find_remaining(
+def find_remaining(
     batch: state.Batch, partition: state.Partition, name: str, now: float
 ) -> float | None:
     """Returns the time after which all runs on a worker have ended.
@@ -76,23 +78,34 @@
     Returns:
         Time in seconds; None if it is not known.
     """
-    former_s = None
+    former_s = 0.0
     if name in partition.unlisted_workers:
-        ends_at = former_runs.find_end(partition, name)
-        former_s = max(0.0, ends_at - now)
+        former_s = max(0.0, former_runs.find_end(partition, name) - now)
+    own_s = _find_own_remaining(batch, partition, name, now)
+    if own_s is None or math.isinf(former_s):
+        return None
+    return max(own_s, former_s)
+
+
+def _find_own_remaining(
+    batch: state.Batch, partition: state.Partition, name: str, now: float
+) -> float | None:
+    """Returns the time after which the leases of this owner have expired.
+
+    Returns:
+        Time in seconds; None if it is not known.
+    """
     worker = partition.workers.get(name)
     if worker is None:
         # The owner removes a worker only when it has no runs left, also if it
         # has not been able to store a roster without this worker yet.
-        return former_s or 0.0
+        return 0.0
     lease_s = batch.identity.limits.worker_lease_s
-    own_s = leases.compute_remaining(worker, lease_s, now)
-    if own_s is None and not worker.runs and not worker.abandoned_starts:
+    remaining_s = leases.compute_remaining(worker, lease_s, now)
+    if remaining_s is None and not worker.runs and not worker.abandoned_starts:
         # No lease is requested while the worker's clock is unknown.
-        own_s = 0.0
-    if own_s is None or former_s is None:
-        return former_s if own_s is None else own_s
-    return max(own_s, former_s)
+        return 0.0
+    return remaining_s
 
 
 @dispatch.handle_store_reply.register(ReleaseWrite)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import interference as interference_module
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import trends
 from sapphirestall_core.batch import worker_messages
 
@@ -429,6 +430,11 @@
             are left that no listing has shown.
         roster_targets_in_flight: The same for a roster whose write has not been
             confirmed, so that the store may hold it.
+        withheld_ms: By worker on which this owner grants no lease, the time
+            that the stored roster gives for the end of the leases there, in
+            milliseconds.
+        withheld_in_flight: Such workers of a roster whose write has not been
+            confirmed, so that the store may hold it.
         witnesses: Workers that the rosters of all former owners named that may
             still act. The answer of one proves that they will learn of this
             owner.
@@ -446,6 +452,9 @@
             was read; -1 before one was read.
         former_leases_end_at: By worker, monotonic time at which the leases
             there have expired according to the former owner, in seconds.
+        former_withheld_end_at: By worker on which the former owner granted no
+            lease any more, monotonic time at which the leases there have
+            expired, in seconds.
         witness_answered_at: Monotonic time at which one of `witnesses` first
             answered this owner, in seconds; None before.
         active_at: Monotonic time at which the owner became active, in seconds;
@@ -490,6 +499,8 @@
     roster: frozenset[str] = frozenset()
     roster_targets: frozenset[worker_messages.Target] = frozenset()
     roster_targets_in_flight: frozenset[worker_messages.Target] = frozenset()
+    withheld_ms: dict[str, int] = attrs.field(factory=dict)
+    withheld_in_flight: frozenset[str] = frozenset()
     witnesses: frozenset[str] = frozenset()
     roster_settled: bool = False
     roster_revision: int | None = None
@@ -500,6 +511,7 @@
     former_owner_ended_at: float | None = None
     released_generation: int = -1
     former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
+    former_withheld_end_at: dict[str, float] = attrs.field(factory=dict)
     witness_answered_at: float | None = None
     active_at: float | None = None
     job_read_in_flight: bool = False
@@ -525,6 +537,13 @@
     vacancy: Vacancy = attrs.field(factory=Vacancy)
     capacity_logged_at: float = -math.inf
 
+    def withholds_leases(self, worker_id: str) -> bool:
+        """Returns whether the owner must grant no lease on a worker."""
+        return (
+            worker_id in self.withheld_ms
+            or worker_id in self.withheld_in_flight
+        )
+
     def record_removal(self, removed: "RemovedJob") -> None:
         """Records that a job's record was removed.
 
@@ -639,6 +658,7 @@
         fenced_tokens: By partition, a token of this instance that workers
             refuse because they have received a higher one.
         owners_watching: Whether a call waits for changes of the owner keys.
+        revision_times: When the store had reached which revision.
         store_down_since: Monotonic time since which calls to the store fail, in
             seconds; None while they succeed.
         workers_read_sent_at: Monotonic time at which the read of the platform's
@@ -686,6 +706,9 @@
     acquiring: set[str] = attrs.field(factory=set)
     fenced_tokens: dict[str, int] = attrs.field(factory=dict)
     owners_watching: bool = False
+    revision_times: revisions.RevisionTimes = attrs.field(
+        factory=revisions.RevisionTimes
+    )
     store_down_since: float | None = None
     workers_read_sent_at: float | None = None
     workers_listed_at: float | None = None
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -5,6 +5,8 @@
 from then on refuses commands of former owners, and only then starts tasks.
 """
 
+from collections.abc import Collection
+
 import attrs
 
 from sapphirestall_core import messages
@@ -22,6 +24,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
+from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 
@@ -164,6 +167,9 @@
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.phase is state.Phase.LOADING:
             _add_former_workers(partition, outcome.value)
+            withheld_leases.observe_roster(
+                batch, partition, outcome.value, outcome.revision, now
+            )
             if outcome.revision > partition.vacancy.revision:
                 # Another owner has come and gone unnoticed.
                 partition.vacancy = state.Vacancy(
@@ -225,6 +231,7 @@
     names = frozenset(partition.workers) | partition.unlisted_workers
     settled = not loading and not partition.unlisted_workers
     targets = _list_targets(partition)
+    withheld_ms = withheld_leases.list_withheld(batch, partition, now)
     written = (
         partition.roster,
         partition.roster_settled,
@@ -232,10 +239,13 @@
     )
     # The store may hold the roster of a write that got no answer.
     is_known = not partition.roster_targets_in_flight
-    if not loading and is_known and (names, settled, targets) == written:
+    is_due = withheld_leases.needs_write(partition, withheld_ms)
+    is_same = (names, settled, targets) == written and not is_due
+    if not loading and is_known and is_same:
         return []
     partition.roster_write_in_flight = True
     partition.roster_targets_in_flight |= targets
+    partition.withheld_in_flight |= withheld_ms.keys()
     generation = partition.generation + (1 if loading else 0)
     roster = records.RosterRecord(
         generation,
@@ -244,6 +254,7 @@
         settled,
         _make_roster_entries(partition),
         () if settled else tuple(sorted(partition.witnesses & names)),
+        withheld_ms,
     )
     key = records.make_roster_key(partition.name)
     expected = (
@@ -312,12 +323,31 @@
     partition.roster_targets = purpose.targets
     partition.roster_targets_in_flight = frozenset()
     partition.generation = purpose.roster.generation
+    withheld_before = partition.withheld_ms
+    partition.withheld_ms = purpose.roster.withheld_ms
+    partition.withheld_in_flight = frozenset()
     return [
         *activate(batch, partition, now),
+        *_grant_again(batch, partition, withheld_before, now),
         *passes.request_pass(partition),
     ]
 
 
+def _grant_again(
+    batch: state.Batch,
+    partition: state.Partition,
+    withheld_before: Collection[str],
+    now: float,
+) -> dispatch.Effects:
+    """Extends the leases on workers from which they are no longer withheld."""
+    effects: dispatch.Effects = []
+    for name in sorted(withheld_before):
+        worker = partition.workers.get(name)
+        if worker is not None and not partition.withholds_leases(name):
+            effects += contact.short_poll(batch, partition, worker, now)
+    return effects
+
+
 @dispatch.handle_store_reply.register(ProgressRead)
 def apply_progress(
     purpose: ProgressRead,
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -44,13 +44,6 @@
     """Timer to run the periodic checks."""
 
 
-@attrs.frozen
-class RosterDue(messages.Event):
-    """Reports that the workers of a partition may differ from its roster."""
-
-    partition: str
-
-
 @dispatch.handle_timer.register(EntriesDue)
 def poll_entries(
     timer: EntriesDue, batch: state.Batch, now: float
@@ -91,7 +84,7 @@
             effects += _apply_entry(batch, partition, entry, now)
     effects += departures.record_entries(batch, event.entries, now)
     for name in list(batch.partitions):
-        effects += dispatch.handle(RosterDue(name), batch, now)
+        effects += dispatch.handle(contact.RosterDue(name), batch, now)
     for partition in batch.partitions.values():
         # Passes start nothing while the last read is too old.
         effects += passes.request_pass(partition)
@@ -175,6 +168,9 @@
         effects += former_runs.settle_workers(partition, now)
         for worker in list(partition.workers.values()):
             effects += _check_worker(batch, partition, worker, now)
+        # The roster says which workers are silent.
+        due = contact.RosterDue(partition.name)
+        effects += dispatch.handle(due, batch, now)
         effects += departures.evacuate_workers(batch, partition, now)
         effects += summaries.publish(batch, partition, now)
         effects += capacity_reports.log_capacity(batch, partition, now)
@@ -238,5 +234,6 @@
         partition.workers.pop(worker_id, None)
         effects.append(contact.make_log("left", partition, worker_id))
         # A successor would wait for a worker that the roster names.
-        effects += dispatch.handle(RosterDue(partition.name), batch, now)
+        due = contact.RosterDue(partition.name)
+        effects += dispatch.handle(due, batch, now)
     return effects
--- a/standins/batch_successions.py
+++ b/standins/batch_successions.py
@@ -34,10 +34,13 @@
 SETTLING_S = 30.0
 # Time for which a worker is cut off.
 CUT_S = 12.0
+# Time of the first of two cuts. The owner notices it, and the leases last.
+FIRST_CUT_S = 3.5
 # Time until an end is tried again that found the partition without an owner.
 RETRY_S = 0.1
 # Ranges of random sequences: time of the loss after the end of the first owner,
-# time between ends, time from the notice of a worker to its exit.
+# time between ends, time from the notice of a worker to its exit or between two
+# cuts.
 LOSS_S = (-7.5, 5.0)
 INTERVAL_S = (0.7, 4.0)
 NOTICE_S = (0.5, 4.0)
@@ -52,6 +55,8 @@
     EXIT = "exit"
     # It loses the store and all instances, but still runs its tasks.
     CUT = "cut"
+    # The same for a few seconds, and again after it was reached for a moment.
+    CUT_TWICE = "cut twice"
 
 
 class End(enum.Enum):
@@ -70,7 +75,8 @@
         loss_s: When, counted from the end of the first owner, in seconds.
         ends: How successive owners end.
         interval_s: Time between these ends, in seconds.
-        notice_s: Time from the notice of a worker to its exit, in seconds.
+        notice_s: Time from the notice of a worker to its exit, or between two
+            cuts of it, in seconds.
         processors: Processors of each instance.
     """
 
@@ -107,6 +113,21 @@
     def play(self) -> None:
         """Runs the jobs and the events until all tasks should run again."""
         world, sequence = self.world, self.sequence
+        self.start()
+        partition = world.find_partition(self.worker)
+        first_s = FIRST_END_S
+        world.schedule(first_s + sequence.loss_s, self._lose_worker)
+        for number, end in enumerate(sequence.ends):
+            world.schedule(
+                first_s + number * sequence.interval_s,
+                functools.partial(self._end_owner, partition, end),
+            )
+        last_s = first_s + len(sequence.ends) * sequence.interval_s
+        self.check.run(last_s + SETTLING_S)
+
+    def start(self) -> None:
+        """Submits the jobs and chooses the worker that will be lost."""
+        world = self.world
         self._submit_jobs()
         self.check.run(FIRST_END_S / 2)
         data_centre = DATA_CENTRES[0]
@@ -119,16 +140,6 @@
                 }
             )
         )
-        partition = world.find_partition(self.worker)
-        first_s = FIRST_END_S
-        world.schedule(first_s + sequence.loss_s, self._lose_worker)
-        for number, end in enumerate(sequence.ends):
-            world.schedule(
-                first_s + number * sequence.interval_s,
-                functools.partial(self._end_owner, partition, end),
-            )
-        last_s = first_s + len(sequence.ends) * sequence.interval_s
-        self.check.run(last_s + SETTLING_S)
 
     def _submit_jobs(self) -> None:
         amount = resources.Vector(1500, 100, 0)
@@ -147,8 +158,15 @@
                 successor = f"w-{next(self.numbers)}"
                 self.faults.replace_worker(name, successor, sequence.notice_s)
             case Loss.CUT:
-                self.faults.cut_worker_from_store(name, CUT_S)
-                self.faults.cut_worker_from_nodes(name, CUT_S)
+                self._cut_worker()
+            case Loss.CUT_TWICE:
+                self.faults.cut_worker_from_nodes(name, FIRST_CUT_S)
+                second_s = FIRST_CUT_S + sequence.notice_s
+                self.world.schedule(second_s, self._cut_worker)
+
+    def _cut_worker(self) -> None:
+        self.faults.cut_worker_from_store(self.worker, CUT_S)
+        self.faults.cut_worker_from_nodes(self.worker, CUT_S)
 
     def _end_owner(self, partition: str, end: End) -> None:
         owner = self.world.find_owner(partition)
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -22,9 +22,11 @@
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import retention
+from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import tenure
+from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import workers
 
 TAKEOVER = "batch_takeover.feature"
@@ -37,6 +39,7 @@
 CUTS = "batch_cuts.feature"
 TENURE = "batch_tenure.feature"
 HANDOVER = "batch_handover.feature"
+SUCCESSIONS = "batch_successions.feature"
 
 
 def assume_no_former_lease() -> None:
@@ -91,6 +94,21 @@
     tenure.find_leases_end = mutated
 
 
+def grant_withheld_leases() -> None:
+    """Extends leases that the roster in the store withholds."""
+    state.Partition.withholds_leases = lambda *_: False
+
+
+def forget_silent_workers() -> None:
+    """Writes rosters that say nothing of silent workers."""
+    withheld_leases.list_withheld = lambda *_: {}
+
+
+def count_from_reads() -> None:
+    """Counts the times in a roster from its read and not from its write."""
+    revisions.RevisionTimes.find_reached_at = lambda *args: args[-1]
+
+
 def start_without_confirmation() -> None:
     """Starts tasks of silent workers without a later confirmation."""
     tenure.was_confirmed_since = lambda *_: True
@@ -380,6 +398,21 @@
         f"{DIVISION}: The racks of a data centre have several owners",
         use_one_partition_per_data_centre,
     ),
+    (
+        "withheld leases",
+        f"{SUCCESSIONS}: Random ends of owners around the loss of a worker",
+        grant_withheld_leases,
+    ),
+    (
+        "silent workers in rosters",
+        f"{SUCCESSIONS}: Tasks of a crashed worker start again",
+        forget_silent_workers,
+    ),
+    (
+        "age of a roster",
+        f"{SUCCESSIONS}: The age of a record follows",
+        count_from_reads,
+    ),
     (
         "room of a job",
         f"{DIVISION}: A wide opportunistic job meets its objective",
