Wait for the owner of the partition before the tool's commands are tested

Trace: in three of five starts here the partition got its owner up to 2.2 s after the instance was listed, and the scenario had only its ten commands of 0.25 s for this. The refusal is right. The step now waits until a job that is too large is refused for its size; the commands and what they have to print are unchanged.

--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 
 import aiohttp
 import behave
@@ -82,6 +83,15 @@
                     await asyncio.sleep(0.1)
 
     asyncio.run(prepare())
+    wait_for_partition(context)
+
+
+def wait_for_partition(context):
+    """Waits until the partition has an owner, which refuses this job."""
+    command = "job submit big JOB --memory-mb 999999999"
+    deadline = time.monotonic() + 30
+    while "no_partition" in run_tool(context, command).stderr:
+        assert time.monotonic() < deadline, "the partition has no owner"
 
 
 @behave.then("these commands exit with the code and print the text")
