Read summaries more often while a long-running task waits

A task for which its partition has no worker moves to another partition by the summaries there. That this is the cause of a reported case is not shown.

--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -32,3 +32,23 @@
     And 30 s pass in all partitions
     Then the job is completed
     And the workers of all partitions have recorded no violation
+
+  Scenario Outline: A waiting task learns of room in another data centre in time
+    Guards against a long-running task that has no run for 3 s although another
+    data centre has room for two such tasks: the age of the summary there and
+    the interval of reads added up to 2.65 s, and a store call that gets no
+    answer takes 0.9 s.
+    Given three data centres in full use and a long-running task that waits
+    When a job in another data centre is cancelled after <phase> s
+    Then the task runs 2.1 s after the end of the cancelled tasks
+
+    Examples:
+      | phase |
+      | 0.0   |
+      | 0.3   |
+      | 0.6   |
+      | 0.9   |
+      | 1.2   |
+      | 1.5   |
+      | 1.8   |
+      | 2.1   |
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -4,6 +4,7 @@
 import behave
 
 from sapphirestall_core import resources
+from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import model
 from standins import batch_world
 
@@ -125,3 +126,49 @@
 def step(context):
     found = context.world.get_state(JOB)
     assert found is model.JobState.COMPLETED, found
+
+
+@behave.given(
+    "three data centres in full use and a long-running task that waits"
+)
+def step(context):
+    world = context.world = batch_world.BatchWorld(1)
+    world.store_division(2)
+    step = model.Step(4, resources.Vector(4000, 100, 0), long_running=True)
+    for centre in ("north", "south", "east"):
+        for number in range(4):
+            rack = f"r1-{number // 2 + 1}"
+            world.add_worker(f"w-{centre}-{number}", centre, 8000, rack)
+        for number in range(2):
+            world.add_node(f"e-{centre}-{number}", centre)
+    world.run(START_S)
+    for number in range(6):
+        world.submit(world.nodes[number // 2 * 2], f"{number:016x}", step)
+        world.run(0.5)
+    world.run(START_S)
+    context.waiting = f"{6:016x}"
+    world.submit(world.nodes[0], context.waiting, attrs.evolve(step, count=1))
+    world.run(START_S)
+
+
+@behave.when("a job in another data centre is cancelled after {phase:g} s")
+def step(context, phase):
+    world = context.world
+    world.run(phase)
+    job_id = f"{3:016x}"
+    assert not is_running(world, context.waiting)
+    assert is_running(world, job_id)
+    call = caller_messages.CancelCalled
+    world.call(world.nodes[2], call, f"/jobs/{job_id}")
+    while is_running(world, job_id):
+        world.run(0.05)
+
+
+@behave.then("the task runs {seconds:g} s after the end of the cancelled tasks")
+def step(context, seconds):
+    context.world.run(seconds)
+    assert is_running(context.world, context.waiting)
+
+
+def is_running(world, job_id):
+    return any(task.job_id == job_id for _, task, _ in world.list_runs())
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -32,6 +32,10 @@
 # Summaries that were read longer ago than this, in seconds, are read again
 # before a move.
 MAX_SUMMARY_AGE_S = 0.9
+# The same for the summaries of all data centres while a long-running task
+# waits, which has to run within 3 s where there is room. The interval of
+# summaries and a store call that gets no answer count against this too.
+MAX_SUMMARY_AGE_FOR_TASKS_S = 0.5
 # Mean time until a write with unknown outcome is repeated, in seconds.
 MOVE_RETRY_S = 0.2
 # Highest number of partitions that may run tasks of one job. A move writes a
@@ -86,6 +90,12 @@
         return []
     if now - batch.summaries_read_at > MAX_SUMMARY_AGE_S:
         return summary_reads.read_summaries(batch, now)
+    all_age_s = now - batch.all_summaries_read_at
+    if (
+        all_age_s > MAX_SUMMARY_AGE_FOR_TASKS_S
+        and _has_waiting_long_running_task(unplaced)
+    ):
+        return summary_reads.read_all_summaries(batch)
     progress = former_runs.check_progress(partition, now)
     unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
     effects: dispatch.Effects = []
@@ -110,6 +120,15 @@
     )
 
 
+def _has_waiting_long_running_task(unplaced: list[state.Job]) -> bool:
+    """Returns whether some jobs have waiting tasks that move alone."""
+    return any(
+        step.step.long_running and step.runnable
+        for job in unplaced
+        for step in job.steps
+    )
+
+
 def _choose_move_delay(task: state.Task) -> float:
     """Returns how long a task waits for a worker before it may move.
 
