Count the times of a release from its write

A new owner counted the times of a release from when it read it, which is 0.5 to 1.5 s after the write. It now counts from the first time at which it saw a store revision as high, as for the times in rosters. A process that has just started counts from its read as before.

--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -102,7 +102,10 @@
     effects.append(_make_log(partition, outcome, reply, now))
     for found in outcome.entries:
         if isinstance(found.value, records.ReleaseRecord):
-            releases.observe_release(partition, found.value, now)
+            written_at = batch.revision_times.find_reached_at(
+                found.revision, now
+            )
+            releases.observe_release(partition, found.value, written_at)
     effects += _apply_jobs(batch, partition, outcome, now)
     if partition.phase is state.Phase.LOADING:
         effects += dispatch.handle(JobsLoaded(partition.name), batch, now)
@@ -260,7 +263,8 @@
     if isinstance(change, store_messages.Found) and isinstance(
         change.value, records.ReleaseRecord
     ):
-        releases.observe_release(partition, change.value, now)
+        written_at = batch.revision_times.find_reached_at(change.revision, now)
+        releases.observe_release(partition, change.value, written_at)
     observed = parse_change(partition, change, now)
     if observed is None:
         return []
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -126,20 +126,23 @@
 
 
 def observe_release(
-    partition: state.Partition, record: records.ReleaseRecord, now: float
+    partition: state.Partition,
+    record: records.ReleaseRecord,
+    written_at: float,
 ) -> None:
     """Keeps a release that was read, and when the leases expire at the latest.
 
     Args:
         partition: The owned partition.
         record: The release, which an earlier owner may have written.
-        now: Monotonic time, in seconds.
+        written_at: Monotonic time at which it had been written for certain, in
+            seconds.
     """
     if record.released_generation <= partition.released_generation:
         # A release that is read again says nothing about later leases.
         return
     partition.released_generation = record.released_generation
     partition.former_leases_end_at = {
-        name: now + lease_ms / 1000
+        name: written_at + lease_ms / 1000
         for name, lease_ms in record.lease_ms.items()
     }
