Read summaries before a waiting long-running task may move

A task that no worker of its partition can run waited for the 0.4 s until it may move, then for a read of the summaries, and for the next check after it. The read is now sent as soon as such a task waits.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -83,28 +83,27 @@
     """
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
+    effects: dispatch.Effects = []
+    all_age_s = now - batch.all_summaries_read_at
+    if all_age_s > MAX_SUMMARY_AGE_FOR_TASKS_S and _has_waiting_task(partition):
+        effects += summary_reads.read_all_summaries(batch)
     unplaced = [
         job for job in partition.jobs.values() if _has_unplaced_task(job, now)
     ]
     if not unplaced:
-        return []
+        return effects
     if now - batch.summaries_read_at > MAX_SUMMARY_AGE_S:
-        return summary_reads.read_summaries(batch, now)
-    all_age_s = now - batch.all_summaries_read_at
-    if (
-        all_age_s > MAX_SUMMARY_AGE_FOR_TASKS_S
-        and _has_waiting_long_running_task(unplaced)
-    ):
-        return summary_reads.read_all_summaries(batch)
+        return effects + summary_reads.read_summaries(batch, now)
     progress = former_runs.check_progress(partition, now)
     unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
-    effects: dispatch.Effects = []
+    moves = 0
     for job in unplaced:
-        # A move has two effects: a log line and a write.
-        if len(effects) >= 2 * MAX_MOVES:
+        if moves == MAX_MOVES:
             break
         if progress.allows(job):
-            effects += _start_move(batch, partition, job, now)
+            move = _start_move(batch, partition, job, now)
+            moves += bool(move)
+            effects += move
     return effects
 
 
@@ -120,11 +119,11 @@
     )
 
 
-def _has_waiting_long_running_task(unplaced: list[state.Job]) -> bool:
-    """Returns whether some jobs have waiting tasks that move alone."""
+def _has_waiting_task(partition: state.Partition) -> bool:
+    """Returns whether a long-running task, which moves alone, waits."""
     return any(
         step.step.long_running and step.runnable
-        for job in unplaced
+        for job in partition.jobs.values()
         for step in job.steps
     )
 
