Raise the generation of a partition once for each owner

A release counts for the owner of the next generation only, so that a new owner that skips a generation waits by the bounds without a release. Callers see this as long-running tasks that start seconds later after planned restarts on busy instances. There were two causes, both in slow takeovers:

- An owner that was still loading wrote the roster with each read of the list of workers, and raised the generation each time.
With lists of jobs that take 2.5 s, the untouched code reached generation 6 or 7 in place of 2.
- After a roster write whose answer was lost it read its own roster as that of another owner, and raised the generation once more (3 in place of 2).

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -65,3 +65,19 @@
       | 11       | 101  |
       | 30       | 102  |
       | 31       | 104  |
+
+  Scenario Outline: A slow takeover does not lose the release of its predecessor
+    Guards against long-running tasks that wait by the bounds without a release:
+    the new owner raised the generation more than once, as it <failure>, and the
+    release counts for the next generation only.
+    Given a partition with long-running tasks
+    When a worker crashes and its owner shuts down 0.5 s later
+    And lists of jobs take <list_s> s and <lost> answer to its roster is lost
+    Then the next owner is of the next generation
+    And it knows when the leases on the crashed worker end
+
+    Examples:
+      | list_s | lost | failure                                      |
+      | 2.5    | no   | read the list of workers again while loading |
+      | 0      | one  | read its own roster as that of another owner |
+      | 2.5    | one  | did both                                     |
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -1,10 +1,13 @@
 """Steps for batch_successions.feature."""
 
+import math
 import random
 
 import behave
 
+from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import revisions
+from sapphirestall_core.batch import state
 from sapphirestall_core.batch import takeover
 from standins import batch_call_faults
 from standins import batch_successions
@@ -42,20 +45,23 @@
     context.restarts.play()
 
 
-@behave.when("a worker does not answer for {seconds:g} s")
-def step(context, seconds):
-    context.sequence = batch_successions.Sequence(
-        batch_successions.Loss.CUT_TWICE, 0.0, ()
-    )
-    succession = batch_successions.build(context.seed, context.sequence)
-    world = context.world = succession.world
+def start(context):
+    """Starts the jobs and finds the owner of a worker with tasks."""
+    sequence = batch_successions.Sequence(batch_successions.Loss.CRASH, 0.0, ())
+    succession = batch_successions.build(context.seed, sequence)
+    context.world, context.faults = succession.world, succession.faults
     succession.start()
     context.worker = succession.worker
-    context.runs = world.list_runs()
-    context.partition = world.find_partition(context.worker)
-    context.owner = world.find_owner(context.partition)
-    succession.faults.cut_worker_from_nodes(context.worker, seconds)
-    world.run(seconds - 0.1)
+    context.partition = context.world.find_partition(context.worker)
+    context.owner = context.world.find_owner(context.partition)
+
+
+@behave.when("a worker does not answer for {seconds:g} s")
+def step(context, seconds):
+    start(context)
+    context.runs = context.world.list_runs()
+    context.faults.cut_worker_from_nodes(context.worker, seconds)
+    context.world.run(seconds - 0.1)
 
 
 def read_lease_end(context):
@@ -121,3 +127,51 @@
 )
 def step(context, now, revision, time):
     assert context.times.find_reached_at(revision, now) == time
+
+
+@behave.when("a worker crashes and its owner shuts down {seconds:g} s later")
+def step(context, seconds):
+    start(context)
+    context.faults.crash_worker(context.worker)
+    context.world.run(seconds)
+    context.generation = context.owner.batch.partitions[
+        context.partition
+    ].generation
+    context.faults.restart_node(context.owner)
+
+
+@behave.when(
+    "lists of jobs take {list_s:g} s and {lost} answer to its roster is lost"
+)
+def step(context, list_s, lost):
+    world = context.world
+    world.list_delay_s = (list_s, list_s)
+    for node in world.nodes if lost == "one" else ():
+        world.call_faults.fail_store_calls(
+            node.name,
+            takeover.RosterWrite,
+            batch_call_faults.StoreFault.ANSWER_LOST,
+            1,
+        )
+    # Takeover, two lists, an answer that is lost and the repeated reads.
+    for _ in range(100):
+        world.run(0.1)
+        context.owner = world.find_owner(context.partition)
+        if context.owner is not None:
+            partition = context.owner.batch.partitions[context.partition]
+            if partition.phase is state.Phase.ACTIVE:
+                return
+    raise AssertionError("the partition has no active owner")
+
+
+@behave.then("the next owner is of the next generation")
+def step(context):
+    partition = context.owner.batch.partitions[context.partition]
+    assert partition.generation == context.generation + 1, partition.generation
+
+
+@behave.then("it knows when the leases on the crashed worker end")
+def step(context):
+    partition = context.owner.batch.partitions[context.partition]
+    end_at = former_runs.find_released_end(partition, context.worker)
+    assert math.isfinite(end_at)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -424,6 +424,7 @@
         confirmation: Whether the ownership was confirmed when that was last
             logged.
         generation: Number of owners that the partition has had.
+        generation_raised: Whether the roster in the store counts this owner.
         roster: Workers on which runs may exist, as written to the store.
         roster_targets: Incarnations of workers whose entries the roster holds.
         roster_settled: Whether the roster says that no runs of former owners
@@ -440,6 +441,7 @@
             owner.
         roster_revision: Store revision of the roster; None before it was read.
         roster_write_in_flight: Whether a write of the roster is in flight.
+        roster_write_sent: Whether this owner has ever sent one.
         workers_listed: Whether the platform's list of workers was read.
         unlisted_workers: Workers on which runs of former owners may exist,
             because no listing has shown all runs there yet.
@@ -496,6 +498,7 @@
     phase: Phase = Phase.LOADING
     confirmation: Confirmation = Confirmation.CONFIRMED
     generation: int = 0
+    generation_raised: bool = False
     roster: frozenset[str] = frozenset()
     roster_targets: frozenset[worker_messages.Target] = frozenset()
     roster_targets_in_flight: frozenset[worker_messages.Target] = frozenset()
@@ -505,6 +508,7 @@
     roster_settled: bool = False
     roster_revision: int | None = None
     roster_write_in_flight: bool = False
+    roster_write_sent: bool = False
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
     former_runs_end_at: float = math.inf
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -166,22 +166,7 @@
     elif isinstance(outcome, store_messages.Found):
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.phase is state.Phase.LOADING:
-            _add_former_workers(partition, outcome.value)
-            withheld_leases.observe_roster(
-                batch, partition, outcome.value, outcome.revision, now
-            )
-            if outcome.revision > partition.vacancy.revision:
-                # Another owner has come and gone unnoticed.
-                partition.vacancy = state.Vacancy(
-                    partition.acquired_at, partition.token
-                )
-            partition.generation = max(
-                partition.generation, outcome.value.generation
-            )
-            if outcome.value.settled and ownership.was_former_process(
-                batch, outcome.value.owner
-            ):
-                partition.former_owner_ended_at = batch.started_at
+            _apply_former_roster(batch, partition, outcome, now)
         elif outcome.value.generation > partition.generation:
             return ownership.resign(batch, partition.name, "other_owner", now)
         partition.roster_revision = outcome.revision
@@ -190,6 +175,38 @@
     return write_roster(batch, partition, now)
 
 
+def _apply_former_roster(
+    batch: state.Batch,
+    partition: state.Partition,
+    found: store_messages.Found,
+    now: float,
+) -> None:
+    """Applies the roster of the former owner to a loading one.
+
+    It may also be that of this owner, whose write got no answer.
+    """
+    roster = found.value
+    assert isinstance(roster, records.RosterRecord)
+    is_newer = found.revision > partition.token
+    is_own = roster.owner == ownership.make_process_id(batch)
+    if partition.roster_write_sent and is_newer and is_own:
+        partition.generation = roster.generation
+        partition.generation_raised = True
+        return
+    _add_former_workers(partition, roster)
+    withheld_leases.observe_roster(
+        batch, partition, roster, found.revision, now
+    )
+    if found.revision > partition.vacancy.revision:
+        # Another owner has come and gone unnoticed.
+        partition.vacancy = state.Vacancy(
+            partition.acquired_at, partition.token
+        )
+    partition.generation = max(partition.generation, roster.generation)
+    if roster.settled and ownership.was_former_process(batch, roster.owner):
+        partition.former_owner_ended_at = batch.started_at
+
+
 def _add_former_workers(
     partition: state.Partition, roster: records.RosterRecord
 ) -> None:
@@ -241,12 +258,12 @@
     is_known = not partition.roster_targets_in_flight
     is_due = withheld_leases.needs_write(partition, withheld_ms)
     is_same = (names, settled, targets) == written and not is_due
-    if not loading and is_known and is_same:
+    if partition.generation_raised and is_known and is_same:
         return []
-    partition.roster_write_in_flight = True
+    partition.roster_write_in_flight = partition.roster_write_sent = True
     partition.roster_targets_in_flight |= targets
     partition.withheld_in_flight |= withheld_ms.keys()
-    generation = partition.generation + (1 if loading else 0)
+    generation = partition.generation + (not partition.generation_raised)
     roster = records.RosterRecord(
         generation,
         tuple(sorted(names)),
@@ -323,6 +340,7 @@
     partition.roster_targets = purpose.targets
     partition.roster_targets_in_flight = frozenset()
     partition.generation = purpose.roster.generation
+    partition.generation_raised = True
     withheld_before = partition.withheld_ms
     partition.withheld_ms = purpose.roster.withheld_ms
     partition.withheld_in_flight = frozenset()
--- a/standins/batch_call_faults.py
+++ b/standins/batch_call_faults.py
@@ -9,10 +9,14 @@
 
 
 class StoreFault(enum.Enum):
-    """What happens to a store call, which is not carried out in any case."""
+    """What happens to a store call.
+
+    Only a call whose answer is lost is carried out.
+    """
 
     REFUSED = "is refused"
     UNANSWERED = "gets no answer"
+    ANSWER_LOST = "loses its answer"
 
 
 StoreCallKey = tuple[str, type[store_messages.Purpose], StoreFault]
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -591,6 +591,9 @@
         return
     fault = world.call_faults.take_store_fault(node.name, effect.purpose)
     if fault is not None:
+        if fault is batch_call_faults.StoreFault.ANSWER_LOST:
+            carry_out = functools.partial(write_late, effect, world)
+            world.schedule(STORE_DELAY_S / 2, carry_out)
         delay_s, failure = describe_store_fault(fault)
         world.schedule(delay_s, lambda: answer(failure))
         return
