--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -25,6 +25,7 @@
 from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import workers
@@ -109,6 +110,20 @@
     revisions.RevisionTimes.find_reached_at = lambda *args: args[-1]
 
 
+def raise_generation_with_each_write() -> None:
+    """Counts each roster of a loading owner as that of another owner."""
+    write_roster = takeover.write_roster
+
+    def mutated(
+        batch: state.Batch, partition: state.Partition, now: float
+    ) -> Any:
+        if partition.phase is state.Phase.LOADING:
+            partition.generation_raised = False
+        return write_roster(batch, partition, now)
+
+    takeover.write_roster = mutated
+
+
 def start_without_confirmation() -> None:
     """Starts tasks of silent workers without a later confirmation."""
     tenure.was_confirmed_since = lambda *_: True
@@ -408,6 +423,11 @@
         f"{SUCCESSIONS}: Tasks of a crashed worker start again",
         forget_silent_workers,
     ),
+    (
+        "one generation for each owner",
+        f"{SUCCESSIONS}: A slow takeover does not lose the release",
+        raise_generation_with_each_write,
+    ),
     (
         "age of a roster",
         f"{SUCCESSIONS}: The age of a record follows",
