--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -10,9 +10,9 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import releases
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
-from sapphirestall_core.batch import takeover
 from standins import batch_call_faults
 from standins import batch_world
 
@@ -112,7 +112,7 @@
 def step(context):
     context.world.call_faults.fail_store_calls(
         get_successor(context).name,
-        takeover.RosterRead,
+        rosters.RosterRead,
         batch_call_faults.StoreFault.REFUSED,
         1,
     )
@@ -198,7 +198,7 @@
         live_records.JobsWatch,
         commits.Commit,
         summaries.SummaryWrite,
-        takeover.RosterWrite,
+        rosters.RosterWrite,
     ):
         context.world.call_faults.fail_store_calls(
             context.owner.name,
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -7,8 +7,8 @@
 
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import revisions
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
-from sapphirestall_core.batch import takeover
 from standins import batch_call_faults
 from standins import batch_successions
 
@@ -81,7 +81,7 @@
 def step(context, seconds):
     context.world.call_faults.fail_store_calls(
         context.owner.name,
-        takeover.RosterWrite,
+        rosters.RosterWrite,
         batch_call_faults.StoreFault.REFUSED,
         1000,
     )
@@ -149,7 +149,7 @@
     for node in world.nodes if lost == "one" else ():
         world.call_faults.fail_store_calls(
             node.name,
-            takeover.RosterWrite,
+            rosters.RosterWrite,
             batch_call_faults.StoreFault.ANSWER_LOST,
             1,
         )
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -20,6 +20,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
@@ -109,7 +110,7 @@
     )
     effects = reply(
         context,
-        takeover.RosterRead(PARTITION, TOKEN),
+        rosters.RosterRead(PARTITION, TOKEN),
         store_messages.Found(key, roster, 0, TOKEN - 20, TOKEN - 5),
         now,
     )
--- a/features/steps/batch_tenure_steps.py
+++ b/features/steps/batch_tenure_steps.py
@@ -12,8 +12,8 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
-from sapphirestall_core.batch import takeover
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
@@ -83,7 +83,7 @@
         "When it loses the store and a worker joins that no roster names"
     )
     context.partition.workers_listed = True
-    (write,) = takeover.write_roster(context.batch, context.partition, NOW)
+    (write,) = rosters.write_roster(context.batch, context.partition, NOW)
     lost = store_messages.Unavailable(True, "no answer")
     event = store_messages.StoreReply(write.purpose, lost, NOW)
     instance.handle(event, context.batch, NOW + 0.9)
@@ -224,7 +224,7 @@
         records.make_roster_key(name), roster, 0, 1, ROSTER_REVISION
     )
     event = store_messages.StoreReply(
-        takeover.RosterRead(name, TOKEN), found, NOW
+        rosters.RosterRead(name, TOKEN), found, NOW
     )
     instance.handle(event, context.batch, NOW)
 
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -21,6 +21,7 @@
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import pending_jobs
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import store_calls
 from sapphirestall_core.batch import summaries
@@ -40,6 +41,7 @@
     ownership,
     passes,
     pending_jobs,
+    rosters,
     store_calls,
     summaries,
     takeover,
@@ -175,7 +177,7 @@
 ) -> dispatch.Effects:
     """Writes the roster, as runs may not start on workers that it lacks."""
     partition = batch.partitions[event.partition]
-    effects = takeover.write_roster(batch, partition, now)
+    effects = rosters.write_roster(batch, partition, now)
     return effects + takeover.activate(batch, partition, now)
 
 
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -1,6 +1,6 @@
 """Acquisition, renewal and loss of the ownership of partitions.
 
-A partition consists of the workers of two racks, so that the work of a data
+A partition consists of the workers of some racks, so that the work of a data
 centre is divided among its instances whatever its size. Every instance learns
 which partitions exist from the platform's list of workers and from the rosters
 in the store, and acquires partitions that have no owner. Instances with more
--- a/packages/core/src/sapphirestall_core/batch/revisions.py
+++ b/packages/core/src/sapphirestall_core/batch/revisions.py
@@ -14,8 +14,8 @@
 
 # Least time between two kept revisions, in seconds.
 RESOLUTION_S = 0.1
-# Time for which revisions are kept, in seconds. No duration that a record names
-# is longer.
+# Time for which revisions are kept, in seconds. A record that is older than all
+# of them counts from the oldest.
 RETENTION_S = 30.0
 
 
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -5,8 +5,6 @@
 from then on refuses commands of former owners, and only then starts tasks.
 """
 
-from collections.abc import Collection
-
 import attrs
 
 from sapphirestall_core import messages
@@ -18,45 +16,18 @@
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
-from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
-from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import worker_list
-from sapphirestall_core.batch import worker_messages
 
 PART = "takeover"
 RETRY_S = 0.2
 
 
-@attrs.frozen
-class RosterRead(store_messages.Purpose):
-    """Purpose of the read of the roster of a partition."""
-
-    partition: str
-    token: int
-
-
-@attrs.frozen
-class RosterWrite(store_messages.Purpose):
-    """Purpose of the write of the roster of a partition.
-
-    Attributes:
-        partition: Name of the partition.
-        token: Fencing token of its owner.
-        roster: The roster.
-        targets: Incarnations of workers whose entries the roster holds.
-    """
-
-    partition: str
-    token: int
-    roster: records.RosterRecord
-    targets: frozenset[worker_messages.Target]
-
-
 @attrs.frozen
 class ProgressRead(store_messages.Purpose):
     """Purpose of the read of the progress of all jobs of a partition."""
@@ -93,13 +64,7 @@
 ) -> dispatch.Effects:
     effects: dispatch.Effects = []
     if partition.roster_revision is None:
-        effects.append(
-            store_messages.StoreGet(
-                RosterRead(partition.name, partition.token),
-                records.make_roster_key(partition.name),
-                records.RosterRecord,
-            )
-        )
+        effects += rosters.read_roster(partition)
     # Job records are read after the progress. A cancellation removes both, so
     # in the opposite order a job cancelled between the reads would look like
     # one without progress.
@@ -132,8 +97,11 @@
 
 
 @dispatch.handle.register(live_records.JobsLoaded)
-def handle_jobs_loaded(
-    event: live_records.JobsLoaded, batch: state.Batch, now: float
+@dispatch.handle.register(rosters.RosterWritten)
+def handle_loaded(
+    event: live_records.JobsLoaded | rosters.RosterWritten,
+    batch: state.Batch,
+    now: float,
 ) -> dispatch.Effects:
     """Activates the owner if everything else has been loaded."""
     return activate(batch, batch.partitions[event.partition], now)
@@ -144,228 +112,6 @@
     return [messages.StartTimer(timer, RETRY_S, 0.3)]
 
 
-@dispatch.handle_store_reply.register(RosterRead)
-def apply_roster(
-    purpose: RosterRead,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Applies the roster that was read and writes the new one.
-
-    Runs of former owners may exist on every worker that the roster of a loading
-    owner names. An active owner reads what it has written itself, or a
-    successor.
-    """
-    partition = batch.find_owned(purpose.partition, purpose.token)
-    if partition is None:
-        return []
-    outcome = reply.outcome
-    if isinstance(outcome, store_messages.Absent):
-        partition.roster_revision = 0
-    elif isinstance(outcome, store_messages.Found):
-        assert isinstance(outcome.value, records.RosterRecord)
-        if partition.phase is state.Phase.LOADING:
-            _apply_former_roster(batch, partition, outcome, now)
-        elif outcome.value.generation > partition.generation:
-            return ownership.resign(batch, partition.name, "other_owner", now)
-        partition.roster_revision = outcome.revision
-    else:
-        return _retry(partition)
-    return write_roster(batch, partition, now)
-
-
-def _apply_former_roster(
-    batch: state.Batch,
-    partition: state.Partition,
-    found: store_messages.Found,
-    now: float,
-) -> None:
-    """Applies the roster of the former owner to a loading one.
-
-    It may also be that of this owner, whose write got no answer.
-    """
-    roster = found.value
-    assert isinstance(roster, records.RosterRecord)
-    is_newer = found.revision > partition.token
-    is_own = roster.owner == ownership.make_process_id(batch)
-    if partition.roster_write_sent and is_newer and is_own:
-        partition.generation = roster.generation
-        partition.generation_raised = True
-        return
-    _add_former_workers(partition, roster)
-    withheld_leases.observe_roster(
-        batch, partition, roster, found.revision, now
-    )
-    if found.revision > partition.vacancy.revision:
-        # Another owner has come and gone unnoticed.
-        partition.vacancy = state.Vacancy(
-            partition.acquired_at, partition.token
-        )
-    partition.generation = max(partition.generation, roster.generation)
-    if roster.settled and ownership.was_former_process(batch, roster.owner):
-        partition.former_owner_ended_at = batch.started_at
-
-
-def _add_former_workers(
-    partition: state.Partition, roster: records.RosterRecord
-) -> None:
-    """Adds the workers on which runs of former owners may exist.
-
-    The platform's list lacks workers that have lost the store. They are called
-    by their entries in the roster, since a former owner may reach them, and
-    extend the leases of their runs, until the successor has called them.
-    """
-    partition.unlisted_workers |= set(roster.workers)
-    witnesses = {entry.worker_id for entry in roster.entries}
-    if not roster.settled:
-        witnesses &= set(roster.witnesses)
-    former_runs.record_witnesses(partition, witnesses)
-    for entry in roster.entries:
-        if entry.worker_id not in partition.workers:
-            worker = contact.make_worker(entry)
-            worker.is_registered = False
-            partition.workers[entry.worker_id] = worker
-
-
-def write_roster(
-    batch: state.Batch, partition: state.Partition, now: float
-) -> dispatch.Effects:
-    """Writes the roster if it does not match the workers of the partition.
-
-    A worker gets runs only after a roster that names it was written, so that
-    a successor knows where runs may exist. The roster also holds their entries
-    and tells whether runs of former owners may be left. The first write of an
-    owner also raises the generation.
-    """
-    if (
-        partition.roster_write_in_flight
-        or partition.roster_revision is None
-        or not partition.workers_listed
-    ):
-        return []
-    loading = partition.phase is state.Phase.LOADING
-    names = frozenset(partition.workers) | partition.unlisted_workers
-    settled = not loading and not partition.unlisted_workers
-    targets = _list_targets(partition)
-    withheld_ms = withheld_leases.list_withheld(batch, partition, now)
-    written = (
-        partition.roster,
-        partition.roster_settled,
-        partition.roster_targets,
-    )
-    # The store may hold the roster of a write that got no answer.
-    is_known = not partition.roster_targets_in_flight
-    is_due = withheld_leases.needs_write(partition, withheld_ms)
-    is_same = (names, settled, targets) == written and not is_due
-    if partition.generation_raised and is_known and is_same:
-        return []
-    partition.roster_write_in_flight = partition.roster_write_sent = True
-    partition.roster_targets_in_flight |= targets
-    partition.withheld_in_flight |= withheld_ms.keys()
-    generation = partition.generation + (not partition.generation_raised)
-    roster = records.RosterRecord(
-        generation,
-        tuple(sorted(names)),
-        ownership.make_process_id(batch),
-        settled,
-        _make_roster_entries(partition),
-        () if settled else tuple(sorted(partition.witnesses & names)),
-        withheld_ms,
-    )
-    key = records.make_roster_key(partition.name)
-    expected = (
-        (records.make_owner_key(partition.name), partition.token),
-        (key, partition.roster_revision),
-    )
-    return [
-        store_messages.StoreTransaction(
-            RosterWrite(partition.name, partition.token, roster, targets),
-            expected,
-            (store_messages.Put(key, roster),),
-        )
-    ]
-
-
-def _make_roster_entries(
-    partition: state.Partition,
-) -> tuple[model.WorkerEntry, ...]:
-    """Returns the entries of the workers of a partition for its roster.
-
-    They lack the labels: a successor starts nothing on a worker that the list
-    lacks, and an entry with very many labels could exceed the size of a value.
-    """
-    return tuple(
-        attrs.evolve(partition.workers[name].entry, labels=())
-        for name in sorted(partition.workers)
-    )
-
-
-def _list_targets(
-    partition: state.Partition,
-) -> frozenset[worker_messages.Target]:
-    """Returns the known incarnations of the workers of a partition."""
-    return frozenset(worker.target for worker in partition.workers.values())
-
-
-@dispatch.handle_store_reply.register(RosterWrite)
-def handle_roster_write(
-    purpose: RosterWrite,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Puts the written roster into effect, or reads it again.
-
-    Resigns if the owner key has changed.
-    """
-    partition = batch.find_owned(purpose.partition, purpose.token)
-    if partition is None:
-        return []
-    partition.roster_write_in_flight = False
-    outcome = reply.outcome
-    if isinstance(outcome, store_messages.Conflict):
-        owner_key = records.make_owner_key(partition.name)
-        if outcome.revisions.get(owner_key) != partition.token:
-            return ownership.resign(batch, partition.name, "conflict", now)
-        partition.roster_revision = None
-        return _retry(partition)
-    if not isinstance(outcome, store_messages.Committed):
-        # The write may still take effect, so the next attempt reads first.
-        partition.roster_revision = None
-        return _retry(partition)
-    partition.roster_revision = outcome.revision
-    partition.roster = frozenset(purpose.roster.workers)
-    partition.roster_settled = purpose.roster.settled
-    partition.roster_targets = purpose.targets
-    partition.roster_targets_in_flight = frozenset()
-    partition.generation = purpose.roster.generation
-    partition.generation_raised = True
-    withheld_before = partition.withheld_ms
-    partition.withheld_ms = purpose.roster.withheld_ms
-    partition.withheld_in_flight = frozenset()
-    return [
-        *activate(batch, partition, now),
-        *_grant_again(batch, partition, withheld_before, now),
-        *passes.request_pass(partition),
-    ]
-
-
-def _grant_again(
-    batch: state.Batch,
-    partition: state.Partition,
-    withheld_before: Collection[str],
-    now: float,
-) -> dispatch.Effects:
-    """Extends the leases on workers from which they are no longer withheld."""
-    effects: dispatch.Effects = []
-    for name in sorted(withheld_before):
-        worker = partition.workers.get(name)
-        if worker is not None and not partition.withholds_leases(name):
-            effects += contact.short_poll(batch, partition, worker, now)
-    return effects
-
-
 @dispatch.handle_store_reply.register(ProgressRead)
 def apply_progress(
     purpose: ProgressRead,
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -23,9 +23,9 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import revisions
+from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
-from sapphirestall_core.batch import takeover
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import workers
@@ -112,7 +112,7 @@
 
 def raise_generation_with_each_write() -> None:
     """Counts each roster of a loading owner as that of another owner."""
-    write_roster = takeover.write_roster
+    write_roster = rosters.write_roster
 
     def mutated(
         batch: state.Batch, partition: state.Partition, now: float
@@ -121,7 +121,7 @@
             partition.generation_raised = False
         return write_roster(batch, partition, now)
 
-    takeover.write_roster = mutated
+    rosters.write_roster = mutated
 
 
 def start_without_confirmation() -> None:
