--- a/standins/batch_cuts.py
+++ b/standins/batch_cuts.py
@@ -19,6 +19,7 @@
 from standins import batch_faults
 from standins import batch_restarts
 from standins import batch_world
+from standins import seeds
 
 DATA_CENTRES = ("north", "south")
 NODES_PER_DATA_CENTRE = 2
@@ -305,10 +306,10 @@
     return ", ".join(parts + violations[:1])
 
 
-def play(seeds: Iterable[int], rounds: int, *, mixed: bool) -> None:
+def play(numbers: Iterable[int], rounds: int, *, mixed: bool) -> None:
     """Plays scenarios and prints a line for each that broke an invariant."""
     played = failed = 0
-    for seed in seeds:
+    for seed in numbers:
         scenario = build_scenario(seed, mixed=mixed)
         scenario.run(rounds)
         played += 1
@@ -322,13 +323,11 @@
 def main() -> None:
     """Plays the scenarios that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", default="1-20", help="first and last seed")
+    seeds.add_argument(parser, "1-20")
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--mixed", action="store_true")
     arguments = parser.parse_args()
-    first, _, last = arguments.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    play(seeds, arguments.rounds, mixed=arguments.mixed)
+    play(arguments.seeds, arguments.rounds, mixed=arguments.mixed)
 
 
 if __name__ == "__main__":
--- a/standins/batch_successions.py
+++ b/standins/batch_successions.py
@@ -20,6 +20,7 @@
 from standins import batch_faults
 from standins import batch_restarts
 from standins import batch_world
+from standins import seeds
 
 DATA_CENTRES = ("north", "south")
 WORKERS_PER_DATA_CENTRE = 4
@@ -221,10 +222,10 @@
     return f"late {len(late)} {late[:1]} {violations[:1]} {succession.sequence}"
 
 
-def play(seeds: Iterable[int]) -> None:
+def play(numbers: Iterable[int]) -> None:
     """Plays random sequences and prints a line for each that failed."""
     played = failed = 0
-    for seed in seeds:
+    for seed in numbers:
         succession = build(seed, draw(random.Random(seed)))
         succession.play()
         played += 1
@@ -238,9 +239,8 @@
 def main() -> None:
     """Plays the sequences that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", default="1-100", help="first and last seed")
-    first, _, last = parser.parse_args().seeds.partition("-")
-    play(range(int(first), int(last or first) + 1))
+    seeds.add_argument(parser, "1-100")
+    play(parser.parse_args().seeds)
 
 
 if __name__ == "__main__":
