--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -32,10 +32,6 @@
 # Summaries that were read longer ago than this, in seconds, are read again
 # before a move.
 MAX_SUMMARY_AGE_S = 0.9
-# The same for the summaries of all data centres while a long-running task
-# waits, which has to run within 3 s where there is room. The interval of
-# summaries and a store call that gets no answer count against this too.
-MAX_SUMMARY_AGE_FOR_TASKS_S = 0.5
 # Mean time until a write with unknown outcome is repeated, in seconds.
 MOVE_RETRY_S = 0.2
 # Highest number of partitions that may run tasks of one job. A move writes a
@@ -83,27 +79,22 @@
     """
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
-    effects: dispatch.Effects = []
-    all_age_s = now - batch.all_summaries_read_at
-    if all_age_s > MAX_SUMMARY_AGE_FOR_TASKS_S and _has_waiting_task(partition):
-        effects += summary_reads.read_all_summaries(batch)
     unplaced = [
         job for job in partition.jobs.values() if _has_unplaced_task(job, now)
     ]
     if not unplaced:
-        return effects
+        return []
     if now - batch.summaries_read_at > MAX_SUMMARY_AGE_S:
-        return effects + summary_reads.read_summaries(batch, now)
+        return summary_reads.read_summaries(batch, now)
     progress = former_runs.check_progress(partition, now)
     unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
-    moves = 0
+    effects: dispatch.Effects = []
     for job in unplaced:
-        if moves == MAX_MOVES:
+        # A move has two effects: a log line and a write.
+        if len(effects) >= 2 * MAX_MOVES:
             break
         if progress.allows(job):
-            move = _start_move(batch, partition, job, now)
-            moves += bool(move)
-            effects += move
+            effects += _start_move(batch, partition, job, now)
     return effects
 
 
@@ -119,15 +110,6 @@
     )
 
 
-def _has_waiting_task(partition: state.Partition) -> bool:
-    """Returns whether a long-running task, which moves alone, waits."""
-    return any(
-        step.step.long_running and step.runnable
-        for job in partition.jobs.values()
-        for step in job.steps
-    )
-
-
 def _choose_move_delay(task: state.Task) -> float:
     """Returns how long a task waits for a worker before it may move.
 
