Share the loop over seeds and the reading of releases

batch_cuts and batch_successions had the same loop that plays seeds and prints those that failed; seeds.play holds it. live_records computed the time of a release at both places that read one. The steps of successive owners look up the owner's partition in one place. No behaviour changes.

--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -64,14 +64,18 @@
     context.world.run(seconds - 0.1)
 
 
+def get_partition(context):
+    """Returns the partition as its owner knows it."""
+    return context.owner.batch.partitions[context.partition]
+
+
 def read_lease_end(context):
     return context.world.workers[context.worker].lease_end_ms
 
 
 @behave.then("its owner grants no lease there")
 def step(context):
-    partition = context.owner.batch.partitions[context.partition]
-    assert partition.withholds_leases(context.worker)
+    assert get_partition(context).withholds_leases(context.worker)
     context.lease_end_ms = read_lease_end(context)
 
 
@@ -86,10 +90,7 @@
         1000,
     )
     context.world.run(seconds)
-    worker = context.owner.batch.partitions[context.partition].workers[
-        context.worker
-    ]
-    assert not worker.unresponsive
+    assert not get_partition(context).workers[context.worker].unresponsive
 
 
 @behave.then("its owner has granted no lease there")
@@ -134,9 +135,7 @@
     start(context)
     context.faults.crash_worker(context.worker)
     context.world.run(seconds)
-    context.generation = context.owner.batch.partitions[
-        context.partition
-    ].generation
+    context.generation = get_partition(context).generation
     context.faults.restart_node(context.owner)
 
 
@@ -157,21 +156,22 @@
     for _ in range(100):
         world.run(0.1)
         context.owner = world.find_owner(context.partition)
-        if context.owner is not None:
-            partition = context.owner.batch.partitions[context.partition]
-            if partition.phase is state.Phase.ACTIVE:
-                return
+        if context.owner is None:
+            continue
+        if get_partition(context).phase is state.Phase.ACTIVE:
+            return
     raise AssertionError("the partition has no active owner")
 
 
 @behave.then("the next owner is of the next generation")
 def step(context):
-    partition = context.owner.batch.partitions[context.partition]
-    assert partition.generation == context.generation + 1, partition.generation
+    generation = get_partition(context).generation
+    assert generation == context.generation + 1, generation
 
 
 @behave.then("it knows when the leases on the crashed worker end")
 def step(context):
-    partition = context.owner.batch.partitions[context.partition]
-    end_at = former_runs.find_released_end(partition, context.worker)
+    end_at = former_runs.find_released_end(
+        get_partition(context), context.worker
+    )
     assert math.isfinite(end_at)
--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -101,11 +101,7 @@
         return effects
     effects.append(_make_log(partition, outcome, reply, now))
     for found in outcome.entries:
-        if isinstance(found.value, records.ReleaseRecord):
-            written_at = batch.revision_times.find_reached_at(
-                found.revision, now
-            )
-            releases.observe_release(partition, found.value, written_at)
+        _observe_release(batch, partition, found, now)
     effects += _apply_jobs(batch, partition, outcome, now)
     if partition.phase is state.Phase.LOADING:
         effects += dispatch.handle(JobsLoaded(partition.name), batch, now)
@@ -252,6 +248,18 @@
     return effects + _watch(partition, outcome.revision)
 
 
+def _observe_release(
+    batch: state.Batch,
+    partition: state.Partition,
+    found: store_messages.Found,
+    now: float,
+) -> None:
+    """Keeps a record that was read if it is a release."""
+    if isinstance(found.value, records.ReleaseRecord):
+        written_at = batch.revision_times.find_reached_at(found.revision, now)
+        releases.observe_release(partition, found.value, written_at)
+
+
 def _apply_change(
     batch: state.Batch,
     partition: state.Partition,
@@ -260,11 +268,8 @@
 ) -> dispatch.Effects:
     if change.key == records.make_live_owner_key(partition.name):
         return ownership.apply_owner_change(batch, partition.name, change, now)
-    if isinstance(change, store_messages.Found) and isinstance(
-        change.value, records.ReleaseRecord
-    ):
-        written_at = batch.revision_times.find_reached_at(change.revision, now)
-        releases.observe_release(partition, change.value, written_at)
+    if isinstance(change, store_messages.Found):
+        _observe_release(batch, partition, change, now)
     observed = parse_change(partition, change, now)
     if observed is None:
         return []
--- a/standins/batch_cuts.py
+++ b/standins/batch_cuts.py
@@ -9,7 +9,6 @@
 
 import argparse
 import collections
-from collections.abc import Iterable
 import functools
 
 import attrs
@@ -306,18 +305,11 @@
     return ", ".join(parts + violations[:1])
 
 
-def play(numbers: Iterable[int], rounds: int, *, mixed: bool) -> None:
-    """Plays scenarios and prints a line for each that broke an invariant."""
-    played = failed = 0
-    for seed in numbers:
-        scenario = build_scenario(seed, mixed=mixed)
-        scenario.run(rounds)
-        played += 1
-        description = describe(scenario)
-        if description:
-            failed += 1
-            print(f"seed {seed}: {description}", flush=True)
-    print(f"{played} played, {failed} failed", flush=True)
+def play(seed: int, rounds: int, *, mixed: bool) -> str:
+    """Plays the scenario of a seed and describes the broken invariants."""
+    scenario = build_scenario(seed, mixed=mixed)
+    scenario.run(rounds)
+    return describe(scenario)
 
 
 def main() -> None:
@@ -327,7 +319,10 @@
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--mixed", action="store_true")
     arguments = parser.parse_args()
-    play(arguments.seeds, arguments.rounds, mixed=arguments.mixed)
+    play_one = functools.partial(
+        play, rounds=arguments.rounds, mixed=arguments.mixed
+    )
+    seeds.play(arguments.seeds, play_one)
 
 
 if __name__ == "__main__":
--- a/standins/batch_successions.py
+++ b/standins/batch_successions.py
@@ -7,7 +7,6 @@
 """
 
 import argparse
-from collections.abc import Iterable
 import enum
 import functools
 import itertools
@@ -222,25 +221,18 @@
     return f"late {len(late)} {late[:1]} {violations[:1]} {succession.sequence}"
 
 
-def play(numbers: Iterable[int]) -> None:
-    """Plays random sequences and prints a line for each that failed."""
-    played = failed = 0
-    for seed in numbers:
-        succession = build(seed, draw(random.Random(seed)))
-        succession.play()
-        played += 1
-        description = describe(succession)
-        if description:
-            failed += 1
-            print(f"seed {seed}: {description}", flush=True)
-    print(f"{played} played, {failed} failed", flush=True)
+def play(seed: int) -> str:
+    """Plays the random sequence of a seed and describes what failed."""
+    succession = build(seed, draw(random.Random(seed)))
+    succession.play()
+    return describe(succession)
 
 
 def main() -> None:
     """Plays the sequences that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
     seeds.add_argument(parser, "1-100")
-    play(parser.parse_args().seeds)
+    seeds.play(parser.parse_args().seeds, play)
 
 
 if __name__ == "__main__":
--- a/standins/seeds.py
+++ b/standins/seeds.py
@@ -1,6 +1,8 @@
-"""Seeds of random sequences on the command line."""
+"""Random sequences that a range of seeds on the command line selects."""
 
 import argparse
+from collections.abc import Callable
+from collections.abc import Iterable
 
 
 def parse_range(text: str) -> range:
@@ -17,3 +19,21 @@
         default=default,
         help="first and last seed",
     )
+
+
+def play(seeds: Iterable[int], play_one: Callable[[int], str]) -> None:
+    """Plays random sequences and prints a line for each that failed.
+
+    Args:
+        seeds: Seeds of the sequences.
+        play_one: Plays the sequence of a seed; returns a description of what
+            failed, empty if nothing did.
+    """
+    played = failed = 0
+    for seed in seeds:
+        description = play_one(seed)
+        played += 1
+        if description:
+            failed += 1
+            print(f"seed {seed}: {description}", flush=True)
+    print(f"{played} played, {failed} failed", flush=True)
