Report what keeps long-running tasks waiting

The logs did not tell for how long a long-running task had waited, whether its owner was allowed to start it, how many workers a pass could use, or whether another partition had room. Without these, a late move, a worker that a pass leaves out and an unknown end of the last run look alike. A line `capacity: waits` now has them, once a second for each partition in which such a task has no run. It changes no decision.

--- a/features/batch_capacity.feature
+++ b/features/batch_capacity.feature
@@ -39,3 +39,20 @@
       | 30    | 100    | 0   | waiting_finite | 0       |
       | 10    | 100    | 9   | waiting_late   | 0       |
       | 10    | 64001  | 0   | waiting_finite | 10      |
+
+  Scenario Outline: A waiting long-running task is reported with the room for it
+    Guards against long-running tasks without a run while no log line tells
+    whether their owner may not start them, whether a worker of the partition
+    has room for them and whether another partition has.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And a long-running task of 10 processors that has waited for 2 s
+    And another partition with a worker that has 20 processors free
+    And <state>
+    Then a wait of 2 s is reported with <free> processors free here and 20 elsewhere
+    And <number> tasks are reported as not allowed to start
+
+    Examples:
+      | state                                    | free | number |
+      | no other disturbance                     | 24   | 0      |
+      | its worker is suspended                  | 0    | 0      |
+      | its owner awaits the runs of former ones | 24   | 1      |
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -7,7 +7,9 @@
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import interference
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import records
 from sapphirestall_core.batch import reservation_reports
+from sapphirestall_core.batch import wait_reports
 
 IMAGE, OTHER_IMAGE = "loud", "calm"
 KNOWN_VARIANCE = 0.1
@@ -111,3 +113,63 @@
     report = reservation_reports.make_report(context.partition, builders.NOW)
     assert getattr(report, field) == cores * builders.CORE_MILLIS, report
     assert report.lacking_memory == lacking * builders.CORE_MILLIS, report
+
+
+@behave.given(
+    "a long-running task of {cores:d} processors that has waited for {wait:d} s"
+)
+def step(context, cores, wait):
+    amount = resources.Vector(cores * builders.CORE_MILLIS, 100, 0)
+    waiting = model.Step(1, amount, long_running=True)
+    job = builders.add_job(context, 1, 0, wait, waiting)
+    (task,) = job.steps[0].runnable.values()
+    task.unplaced_since = builders.NOW - wait
+
+
+@behave.given(
+    "another partition with a worker that has {cores:d} processors free"
+)
+def step(context, cores):
+    room = records.FreeCapacity(cores * builders.CORE_MILLIS, 1000)
+    summary = records.SummaryRecord({}, 0.0, {}, (room,), None)
+    context.batch.summaries[builders.OTHER] = summary
+    context.batch.summary_changes[builders.OTHER] = (1, builders.NOW)
+
+
+@behave.given("no other disturbance")
+def step(context):
+    pass
+
+
+@behave.given("its worker is suspended")
+def step(context):
+    context.worker.suspended_until = builders.NOW + 1.0
+
+
+@behave.given("its owner awaits the runs of former ones")
+def step(context):
+    context.partition.token = 1000
+    context.partition.unlisted_workers.add("w-2")
+
+
+def read_wait(context):
+    (log,) = wait_reports.log_waits(
+        context.batch, context.partition, builders.NOW
+    )
+    return log.fields
+
+
+@behave.then(
+    "a wait of {wait:d} s is reported with {free:d} processors free here and"
+    " {elsewhere:d} elsewhere"
+)
+def step(context, wait, free, elsewhere):
+    fields = read_wait(context)
+    assert fields["longest_s"] == wait, fields
+    assert fields["largest_free"] == free * builders.CORE_MILLIS, fields
+    assert fields["elsewhere_free"] == elsewhere * builders.CORE_MILLIS, fields
+
+
+@behave.then("{number:d} tasks are reported as not allowed to start")
+def step(context, number):
+    assert read_wait(context)["not_allowed"] == number, read_wait(context)
--- a/packages/core/src/sapphirestall_core/batch/capacity_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/capacity_reports.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import reservation_reports
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import wait_reports
 
 PART = "capacity"
 # Time between two reports of a partition, in seconds.
@@ -66,6 +67,7 @@
     return [
         *_log_idle(batch, partition, now),
         *reservation_reports.log_reservations(partition, now),
+        *wait_reports.log_waits(batch, partition, now),
     ]
 
 
