--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,10 @@
 	$(BIN)/python -m bench.contention $(or $(SEED),1) $(RACKS)
 	$(BIN)/python -m bench.full_fleet $(or $(SEED),1) $(RACKS)
 
+# Longest times without a run of long-running tasks, from log files (FILES).
+waits: $(STAMP)
+	$(BIN)/python -m tools.task_waits $(FILES)
+
 # Processor time of starts, listings, idle seconds and calls.
 cost: $(STAMP)
 	$(BIN)/python -m bench.batch_cost
