Read summaries twice a second while a long-running task waits

A task for which its partition has no worker moves by the summaries of other partitions. A summary is up to 0.95 s old, those of all data centres were read every 1.5 to 2.2 s, and a move waited for the periodic check after the read.

An instance now reads all summaries every 0.5 s while a long-running task waits in any of its partitions: two reads a second for each instance, however many partitions it owns. Moves are decided when the summaries arrive.

Publishing a summary early when room appears was not needed and is left out, as each write is priced.

--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -52,3 +52,18 @@
       | 1.5   |
       | 1.8   |
       | 2.1   |
+
+  Scenario Outline: A waiting task starts in time although a store call is lost
+    Guards against the same where the store does not answer one call on the way.
+    Given three data centres in full use and a long-running task that waits
+    When a job in another data centre is cancelled after <phase> s
+    And the next <call> of each instance gets no answer
+    Then the task runs 2.6 s after the end of the cancelled tasks
+
+    Examples:
+      | phase | call              |
+      | 0.0   | read of summaries |
+      | 1.8   | read of summaries |
+      | 0.0   | move              |
+      | 0.9   | move              |
+      | 1.8   | move              |
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -4,8 +4,11 @@
 import behave
 
 from sapphirestall_core import resources
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import summary_reads
+from standins import batch_call_faults
 from standins import batch_world
 
 DATA_CENTRE = "north"
@@ -164,6 +167,21 @@
         world.run(0.05)
 
 
+PURPOSES = {
+    "move": balance.MoveWrite,
+    "read of summaries": summary_reads.SummaryRead,
+}
+
+
+@behave.when("the next {call} of each instance gets no answer")
+def step(context, call):
+    fault = batch_call_faults.StoreFault.UNANSWERED
+    for node in context.world.nodes:
+        context.world.call_faults.fail_store_calls(
+            node.name, PURPOSES[call], fault, 1
+        )
+
+
 @behave.then("the task runs {seconds:g} s after the end of the cancelled tasks")
 def step(context, seconds):
     context.world.run(seconds)
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -32,6 +32,10 @@
 # Summaries that were read longer ago than this, in seconds, are read again
 # before a move.
 MAX_SUMMARY_AGE_S = 0.9
+# The same for the summaries of all data centres while a long-running task
+# waits, which has to run within 3 s where there is room. With the interval of
+# the periodic checks, which read them, they are read every 0.5 s.
+MAX_SUMMARY_AGE_FOR_TASKS_S = 0.4
 # Mean time until a write with unknown outcome is repeated, in seconds.
 MOVE_RETRY_S = 0.2
 # Highest number of partitions that may run tasks of one job. A move writes a
@@ -75,17 +79,44 @@
     """Moves jobs and tasks for which no worker was found to other partitions.
 
     Reads the summaries of the partitions first if they are too old to choose
-    by. A job is not moved while runs that former owners started may exist.
+    by, and often while a long-running task waits. A job is not moved while runs
+    that former owners started may exist.
     """
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
+    effects: dispatch.Effects = []
+    if _has_unplaced_long_running_task(partition):
+        effects = summary_reads.keep_recent(
+            batch, MAX_SUMMARY_AGE_FOR_TASKS_S, now
+        )
     unplaced = [
         job for job in partition.jobs.values() if _has_unplaced_task(job, now)
     ]
     if not unplaced:
-        return []
+        return effects
     if now - batch.summaries_read_at > MAX_SUMMARY_AGE_S:
-        return summary_reads.read_summaries(batch, now)
+        return effects + summary_reads.read_summaries(batch, now)
+    return effects + _start_moves(batch, partition, unplaced, now)
+
+
+@dispatch.handle.register(summary_reads.SummariesUpdated)
+def move_after_read(
+    event: summary_reads.SummariesUpdated, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Moves what other partitions can run according to new summaries."""
+    effects: dispatch.Effects = []
+    for partition in batch.partitions.values():
+        effects += move_unplaced_jobs(batch, partition, now)
+    return effects
+
+
+def _start_moves(
+    batch: state.Batch,
+    partition: state.Partition,
+    unplaced: list[state.Job],
+    now: float,
+) -> dispatch.Effects:
+    """Moves at most `MAX_MOVES` of the jobs that have waited long enough."""
     progress = former_runs.check_progress(partition, now)
     unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
     effects: dispatch.Effects = []
@@ -98,6 +129,18 @@
     return effects
 
 
+def _has_unplaced_long_running_task(partition: state.Partition) -> bool:
+    """Returns whether no worker was found for a task that moves alone."""
+    return any(
+        task.unplaced_since is not None
+        for job in partition.jobs.values()
+        if job.final_state is None
+        for step in job.steps
+        if step.step.long_running
+        for task in step.runnable.values()
+    )
+
+
 def _has_unplaced_task(job: state.Job, now: float) -> bool:
     """Returns whether a task of a job has waited so long that it may move."""
     if job.move_in_flight or job.final_state is not None:
--- a/packages/core/src/sapphirestall_core/batch/pending_jobs.py
+++ b/packages/core/src/sapphirestall_core/batch/pending_jobs.py
@@ -127,7 +127,7 @@
         if isinstance(found.value, records.SummaryRecord):
             batch.summaries[name] = found.value
             batch.summary_changes[name] = (found.revision, now)
-    effects: dispatch.Effects = []
+    effects = dispatch.handle(summary_reads.SummariesUpdated(), batch, now)
     for call in waiting:
         effects += count(batch, call, now)
     return effects
--- a/packages/core/src/sapphirestall_core/batch/summary_reads.py
+++ b/packages/core/src/sapphirestall_core/batch/summary_reads.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from sapphirestall_core import messages
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import records
@@ -24,6 +25,11 @@
     all_partitions: bool
 
 
+@attrs.frozen
+class SummariesUpdated(messages.Event):
+    """Reports that summaries were read."""
+
+
 def read_summaries(batch: state.Batch, now: float) -> dispatch.Effects:
     """Reads the summaries of the instance's own data centre.
 
@@ -41,6 +47,21 @@
     return _read_summaries(batch, records.SUMMARIES_PREFIX, all_partitions=True)
 
 
+def keep_recent(
+    batch: state.Batch, max_age_s: float, now: float
+) -> dispatch.Effects:
+    """Reads the summaries of all data centres if they are too old.
+
+    Args:
+        batch: State of this instance.
+        max_age_s: Age from which they are read again, in seconds.
+        now: Monotonic time, in seconds.
+    """
+    if now - batch.all_summaries_read_at <= max_age_s:
+        return []
+    return read_all_summaries(batch)
+
+
 def _read_summaries(
     batch: state.Batch, prefix: str, *, all_partitions: bool
 ) -> dispatch.Effects:
