Name workers that have not answered in an owner's first roster

An owner learns that a worker is silent 1.5 s after its takeover. If it was killed before, the end of the former owners' leases that it had computed was lost, and its successor counted anew from the end of this owner's key, although this owner had extended no lease on that worker. Callers saw long-running tasks without a run for more than 9 s after a worker was lost around two or more kills of its partition's owners; each kill cost 6.7 s.

The first roster of an owner, before which it extends no lease, now names every worker of the former roster that has not answered it, with the end of the former leases there. It is written at once if all have answered, and else when the job records are read: a release among them may name a later time. A worker of the roster that the platform's list lacks is called when the roster is read, and not with the next periodic check. While an owner loads, a release counts by the generation that it will have. A worker stays named after a roster write that got no answer.

One fixture of batch_takeover.feature confirms the roster that follows the first answer of a worker, which the first roster now names; what it checks is the same.

Four new rows of "Tasks of a crashed worker start again" and four new seeds fail before this change and pass with it.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -23,6 +23,13 @@
       | 4.5   | 2        | is killed, shuts down                | the third owner does not know of the first release |
       | 4.5   | 2        | shuts down, is killed, shuts down    | the third owner does not know of the first release |
 
+    Examples: Owners that are killed before they know that the worker is silent
+      | delay | interval | ends                                 | failure                                            |
+      | -0.5  | 3        | is killed, is killed, is killed      | each owner counts from the end of the key before it |
+      | -1.5  | 3.4      | is killed, is killed                 | each owner counts from the end of the key before it |
+      | -1.5  | 2        | is killed, is killed, shuts down     | each owner counts from the end of the key before it |
+      | 0     | 2        | is killed, shuts down, is killed     | each owner counts from the end of the key before it |
+
   Scenario Outline: Random ends of owners around the loss of a worker
     Guards against the same, and against tasks that run twice, where a worker
     crashes, leaves or is cut off at a random time around the end of its owner.
@@ -38,6 +45,10 @@
       | 198  |
       | 63   |
       | 251  |
+      | 372  |
+      | 458  |
+      | 619  |
+      | 752  |
 
   Scenario: A worker gets leases again only after its roster says so
     Guards against tasks that run twice: a worker was silent, the roster named the
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -114,13 +114,19 @@
         store_messages.Found(key, roster, 0, TOKEN - 20, TOKEN - 5),
         now,
     )
+    confirm_roster(context, effects, now)
+    assert context.partition.phase is state.Phase.ACTIVE
+
+
+def confirm_roster(context, effects, now=NOW):
+    """Delivers the reply that the roster among some effects was written."""
     write = next(
         effect
         for effect in effects
         if isinstance(effect, store_messages.StoreTransaction)
     )
+    assert isinstance(write.purpose, rosters.RosterWrite)
     reply(context, write.purpose, store_messages.Committed(TOKEN + 5), now)
-    assert context.partition.phase is state.Phase.ACTIVE
 
 
 def make_poll(context):
@@ -211,7 +217,10 @@
 
 @behave.when("the worker lists no runs")
 def step(context):
-    answer(context, make_poll(context), worker_messages.Listing(60_000, (), ()))
+    listing = worker_messages.Listing(60_000, (), ())
+    effects = answer(context, make_poll(context), listing)
+    # The first roster of the owner names the worker, which had not answered.
+    confirm_roster(context, effects)
 
 
 @behave.when("the start of the task is not answered")
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -38,6 +38,16 @@
         now: Monotonic time, in seconds.
     """
     partition.active_at = now
+    update_end(partition, lease_s)
+
+
+def update_end(partition: state.Partition, lease_s: float) -> None:
+    """Computes again when the leases of former owners have expired.
+
+    Args:
+        partition: Partition of the owner.
+        lease_s: Longest lease that an owner requests, in seconds.
+    """
     partition.former_runs_end_at = _find_leases_end(partition, lease_s)
 
 
@@ -76,8 +86,7 @@
     if worker_id not in partition.witnesses:
         return
     partition.witness_answered_at = now
-    if partition.active_at is not None:
-        partition.former_runs_end_at = _find_leases_end(partition, lease_s)
+    update_end(partition, lease_s)
 
 
 def _find_leases_end(partition: state.Partition, lease_s: float) -> float:
@@ -103,7 +112,8 @@
         Monotonic time, in seconds; infinite if the former owner has stored no
         release, or none for this worker.
     """
-    if partition.released_generation != partition.generation - 1:
+    former_generation = partition.compute_own_generation() - 1
+    if partition.released_generation != former_generation:
         return math.inf
     return partition.former_leases_end_at.get(name, math.inf)
 
--- a/packages/core/src/sapphirestall_core/batch/rosters.py
+++ b/packages/core/src/sapphirestall_core/batch/rosters.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
@@ -115,18 +116,19 @@
     if partition is None:
         return []
     outcome = reply.outcome
+    effects: dispatch.Effects = []
     if isinstance(outcome, store_messages.Absent):
         partition.roster_revision = 0
     elif isinstance(outcome, store_messages.Found):
         assert isinstance(outcome.value, records.RosterRecord)
         if partition.phase is state.Phase.LOADING:
-            _apply_former_roster(batch, partition, outcome, now)
+            effects = _apply_former_roster(batch, partition, outcome, now)
         elif outcome.value.generation > partition.generation:
             return ownership.resign(batch, partition.name, "other_owner", now)
         partition.roster_revision = outcome.revision
     else:
         return _retry(partition)
-    return write_roster(batch, partition, now)
+    return effects + write_roster(batch, partition, now)
 
 
 def _apply_former_roster(
@@ -134,7 +136,7 @@
     partition: state.Partition,
     found: store_messages.Found,
     now: float,
-) -> None:
+) -> dispatch.Effects:
     """Applies the roster of the former owner to a loading one.
 
     It may also be that of this owner, whose write got no answer.
@@ -146,8 +148,8 @@
     if partition.roster_write_sent and is_newer and is_own:
         partition.generation = roster.generation
         partition.generation_raised = True
-        return
-    _add_former_workers(partition, roster)
+        return []
+    effects = _add_former_workers(batch, partition, roster, now)
     withheld_leases.observe_roster(
         batch, partition, roster, found.revision, now
     )
@@ -159,11 +161,17 @@
     partition.generation = max(partition.generation, roster.generation)
     if roster.settled and ownership.was_former_process(batch, roster.owner):
         partition.former_owner_ended_at = batch.started_at
+    lease_s = leases.choose_run_lease(batch.identity.limits)
+    former_runs.update_end(partition, lease_s)
+    return effects
 
 
 def _add_former_workers(
-    partition: state.Partition, roster: records.RosterRecord
-) -> None:
+    batch: state.Batch,
+    partition: state.Partition,
+    roster: records.RosterRecord,
+    now: float,
+) -> dispatch.Effects:
     """Adds the workers on which runs of former owners may exist.
 
     The platform's list lacks workers that have lost the store. They are called
@@ -175,11 +183,14 @@
     if not roster.settled:
         witnesses &= set(roster.witnesses)
     former_runs.record_witnesses(partition, witnesses)
+    effects: dispatch.Effects = []
     for entry in roster.entries:
         if entry.worker_id not in partition.workers:
             worker = contact.make_worker(entry)
             worker.is_registered = False
             partition.workers[entry.worker_id] = worker
+            effects += contact.short_poll(batch, partition, worker, now)
+    return effects
 
 
 def write_roster(
@@ -196,6 +207,7 @@
         partition.roster_write_in_flight
         or partition.roster_revision is None
         or not partition.workers_listed
+        or _awaits_answers(partition)
     ):
         return []
     loading = partition.phase is state.Phase.LOADING
@@ -217,9 +229,8 @@
     partition.roster_write_in_flight = partition.roster_write_sent = True
     partition.roster_targets_in_flight |= targets
     partition.withheld_in_flight |= withheld_ms.keys()
-    generation = partition.generation + (not partition.generation_raised)
     roster = records.RosterRecord(
-        generation,
+        partition.compute_own_generation(),
         tuple(sorted(names)),
         ownership.make_process_id(batch),
         settled,
@@ -241,6 +252,18 @@
     ]
 
 
+def _awaits_answers(partition: state.Partition) -> bool:
+    """Returns whether the first write of an owner waits for workers' answers.
+
+    It names the workers that have not answered until everything is loaded. The
+    end of the leases there also depends on a release among the job records.
+    """
+    return partition.loaded_jobs is None and any(
+        withheld_leases.awaits_first_answer(partition, name)
+        for name in partition.unlisted_workers
+    )
+
+
 def _make_roster_entries(
     partition: state.Partition,
 ) -> tuple[model.WorkerEntry, ...]:
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -541,6 +541,10 @@
     vacancy: Vacancy = attrs.field(factory=Vacancy)
     capacity_logged_at: float = -math.inf
 
+    def compute_own_generation(self) -> int:
+        """Returns the generation of this owner, also before it is stored."""
+        return self.generation + (not self.generation_raised)
+
     def withholds_leases(self, worker_id: str) -> bool:
         """Returns whether the owner must grant no lease on a worker."""
         return (
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -103,8 +103,14 @@
     batch: state.Batch,
     now: float,
 ) -> dispatch.Effects:
-    """Activates the owner if everything else has been loaded."""
-    return activate(batch, batch.partitions[event.partition], now)
+    """Activates the owner if everything else has been loaded.
+
+    The first roster of the owner may have waited for the job records, and a
+    worker that it names may have answered since it was sent.
+    """
+    partition = batch.partitions[event.partition]
+    effects = activate(batch, partition, now)
+    return effects + rosters.write_roster(batch, partition, now)
 
 
 def _retry(partition: state.Partition) -> dispatch.Effects:
@@ -150,6 +156,7 @@
         or partition.loaded_jobs is None
         or partition.loaded_progress is None
         or not partition.workers_listed
+        or not partition.generation_raised
         or not partition.roster
         and partition.workers
         or partition.roster_write_in_flight
--- a/packages/core/src/sapphirestall_core/batch/withheld_leases.py
+++ b/packages/core/src/sapphirestall_core/batch/withheld_leases.py
@@ -5,8 +5,9 @@
 would be lost with a killed owner, and its successor would have to assume that
 leases were extended until the end. The roster therefore names the workers that
 have been silent for a while, with the time within which the leases there
-expire. The owner grants no lease on such a worker before it has written a
-roster that lacks it again.
+expire. The first roster of an owner names all that have not answered it yet.
+The owner grants no lease on such a worker before it has written a roster that
+lacks it again.
 """
 
 from collections.abc import Mapping
@@ -46,9 +47,9 @@
     batch: state.Batch, partition: state.Partition, name: str, now: float
 ) -> bool:
     """Returns whether the roster should withhold the leases on a worker."""
-    was_silent = name in partition.withheld_ms
+    was_silent = partition.withholds_leases(name)
     if partition.phase is state.Phase.LOADING:
-        was_silent = name in partition.former_withheld_end_at
+        was_silent |= name in partition.former_withheld_end_at
     if batch.store_down_since is not None and not was_silent:
         # The roster could not be written again once the worker answers.
         return False
@@ -57,11 +58,25 @@
         return True
     if worker.last_answer_at is None:
         # This owner has not reached it yet, and so grants no leases there.
-        return worker.unresponsive or was_silent
+        is_awaited = awaits_first_answer(partition, name)
+        return worker.unresponsive or was_silent or is_awaited
     silence_s = now - worker.last_answer_at
     return worker.unresponsive and silence_s >= SILENCE_S
 
 
+def awaits_first_answer(partition: state.Partition, name: str) -> bool:
+    """Returns whether the first roster of an owner should name a worker.
+
+    Former owners may have had runs there, and this owner, which has written no
+    roster yet, has got no answer. If it is killed before it knows that the
+    worker is silent, its successor need not wait anew.
+    """
+    if partition.generation_raised or name not in partition.unlisted_workers:
+        return False
+    worker = partition.workers.get(name)
+    return worker is None or worker.last_answer_at is None
+
+
 def needs_write(
     partition: state.Partition, withheld_ms: Mapping[str, int]
 ) -> bool:
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -105,6 +105,11 @@
     withheld_leases.list_withheld = lambda *_: {}
 
 
+def omit_unanswered_workers() -> None:
+    """Names only workers that are known to be silent, also in first rosters."""
+    withheld_leases.awaits_first_answer = lambda *_: False
+
+
 def count_from_reads() -> None:
     """Counts the times in a roster from its read and not from its write."""
     revisions.RevisionTimes.find_reached_at = lambda *args: args[-1]
@@ -423,6 +428,11 @@
         f"{SUCCESSIONS}: Tasks of a crashed worker start again",
         forget_silent_workers,
     ),
+    (
+        "unanswered workers in first rosters",
+        f"{SUCCESSIONS}: Tasks of a crashed worker start again",
+        omit_unanswered_workers,
+    ),
     (
         "one generation for each owner",
         f"{SUCCESSIONS}: A slow takeover does not lose the release",
