Correct a roster by a release that is read late

The roster names the end of the leases on workers that do not answer. An owner whose store lease was revoked stores its release only after its successor has taken over, and the release may name a later time than the roster that the successor has just written. The successor itself went by the release; the next one, which finds only the roster, would have gone by the earlier time, and could have started tasks that still ran. Since first rosters name such workers, this could happen within the first second of an owner, not only 1.5 s later.

The roster is written again if a time in it is too short by more than rounding. "A release that is read late corrects the roster" fails before this change.

--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -83,6 +83,14 @@
     When it reads a release of 4 s, and the same release 3 s later
     Then it waits for the leases until 4 s after the first read
 
+  Scenario: A release that is read late corrects the roster
+    Guards against tasks that run twice: an owner whose store lease was revoked
+    stored its release after the successor's first roster had named an earlier
+    end of the leases there, by which the next successor would go.
+    Given an active owner that waits for former runs on a worker
+    When it reads a release of 60 s 1 s later
+    Then it writes a roster that names 60 s for the leases there
+
   Scenario: A job continues after a failed read that follows a failed move
     Guards against a job that is never started again after its move
     conflicted and a read of its record failed.
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -319,11 +319,29 @@
     " later"
 )
 def step(context, lease_s, later_s):
+    for now in (NOW, NOW + later_s):
+        read_release(context, lease_s, now)
+
+
+def read_release(context, lease_s, now=NOW):
     generation = context.partition.generation - 1
     lease_ms = {ENTRY.worker_id: lease_s * 1000}
     record = records.ReleaseRecord(generation, lease_ms)
-    for now in (NOW, NOW + later_s):
-        releases.observe_release(context.partition, record, now)
+    releases.observe_release(context.partition, record, now)
+
+
+@behave.when("it reads a release of {lease_s:d} s {later_s:d} s later")
+def step(context, lease_s, later_s):
+    read_release(context, lease_s, NOW + later_s)
+    due = contact.RosterDue(PARTITION)
+    context.effects = instance.handle(due, context.batch, NOW + later_s)
+
+
+@behave.then("it writes a roster that names {seconds:d} s for the leases there")
+def step(context, seconds):
+    (write,) = list_store_purposes(context)
+    withheld_ms = write.roster.withheld_ms[ENTRY.worker_id]
+    assert withheld_ms == seconds * 1000 + 1, withheld_ms
 
 
 @behave.then("it waits for the leases until {seconds:d} s after the first read")
--- a/packages/core/src/sapphirestall_core/batch/rosters.py
+++ b/packages/core/src/sapphirestall_core/batch/rosters.py
@@ -45,12 +45,14 @@
         token: Fencing token of its owner.
         roster: The roster.
         targets: Incarnations of workers whose entries the roster holds.
+        made_at: Monotonic time from which the roster counts, in seconds.
     """
 
     partition: str
     token: int
     roster: records.RosterRecord
     targets: frozenset[worker_messages.Target]
+    made_at: float
 
 
 @attrs.frozen
@@ -222,7 +224,7 @@
     )
     # The store may hold the roster of a write that got no answer.
     is_known = not partition.roster_targets_in_flight
-    is_due = withheld_leases.needs_write(partition, withheld_ms)
+    is_due = withheld_leases.needs_write(partition, withheld_ms, now)
     is_same = (names, settled, targets) == written and not is_due
     if partition.generation_raised and is_known and is_same:
         return []
@@ -245,7 +247,7 @@
     )
     return [
         store_messages.StoreTransaction(
-            RosterWrite(partition.name, partition.token, roster, targets),
+            RosterWrite(partition.name, partition.token, roster, targets, now),
             expected,
             (store_messages.Put(key, roster),),
         )
@@ -320,6 +322,7 @@
     partition.generation_raised = True
     withheld_before = partition.withheld_ms
     partition.withheld_ms = purpose.roster.withheld_ms
+    partition.withheld_from = purpose.made_at
     partition.withheld_in_flight = frozenset()
     return [
         *dispatch.handle(RosterWritten(partition.name), batch, now),
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -434,6 +434,8 @@
         withheld_ms: By worker on which this owner grants no lease, the time
             that the stored roster gives for the end of the leases there, in
             milliseconds.
+        withheld_from: Monotonic time from which on these times last at the
+            least, in seconds.
         withheld_in_flight: Such workers of a roster whose write has not been
             confirmed, so that the store may hold it.
         witnesses: Workers that the rosters of all former owners named that may
@@ -503,6 +505,7 @@
     roster_targets: frozenset[worker_messages.Target] = frozenset()
     roster_targets_in_flight: frozenset[worker_messages.Target] = frozenset()
     withheld_ms: dict[str, int] = attrs.field(factory=dict)
+    withheld_from: float = 0.0
     withheld_in_flight: frozenset[str] = frozenset()
     witnesses: frozenset[str] = frozenset()
     roster_settled: bool = False
--- a/packages/core/src/sapphirestall_core/batch/withheld_leases.py
+++ b/packages/core/src/sapphirestall_core/batch/withheld_leases.py
@@ -22,6 +22,8 @@
 # The roster is written again when a time in it is longer by this than it needs
 # to be, because a process that has just started counts from its read.
 MAX_EXCESS_MS = 1500
+# Difference of two times for the end of the same leases by rounding.
+TOLERANCE_MS = 10
 
 
 def list_withheld(
@@ -78,21 +80,29 @@
 
 
 def needs_write(
-    partition: state.Partition, withheld_ms: Mapping[str, int]
+    partition: state.Partition, withheld_ms: Mapping[str, int], now: float
 ) -> bool:
     """Returns whether the roster in the store has to be written again.
 
+    A release that was read later than the roster was written may name a later
+    time than the roster.
+
     Args:
         partition: Partition whose roster was written.
         withheld_ms: What it has to say now.
+        now: Monotonic time, in seconds.
     """
     stored_ms = partition.withheld_ms
     if stored_ms.keys() != withheld_ms.keys():
         return True
-    return any(
-        stored_ms[name] - current_ms >= MAX_EXCESS_MS
-        for name, current_ms in withheld_ms.items()
-    )
+    age_ms = (now - partition.withheld_from) * 1000
+    for name, current_ms in withheld_ms.items():
+        if stored_ms[name] - current_ms >= MAX_EXCESS_MS:
+            return True
+        left_ms = max(0.0, stored_ms[name] - age_ms)
+        if current_ms - left_ms > TOLERANCE_MS:
+            return True
+    return False
 
 
 def observe_roster(
