--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -114,13 +114,19 @@
         store_messages.Found(key, roster, 0, TOKEN - 20, TOKEN - 5),
         now,
     )
+    confirm_roster(context, effects, now)
+    assert context.partition.phase is state.Phase.ACTIVE
+
+
+def confirm_roster(context, effects, now=NOW):
+    """Delivers the reply that the roster among some effects was written."""
     write = next(
         effect
         for effect in effects
         if isinstance(effect, store_messages.StoreTransaction)
     )
+    assert isinstance(write.purpose, rosters.RosterWrite)
     reply(context, write.purpose, store_messages.Committed(TOKEN + 5), now)
-    assert context.partition.phase is state.Phase.ACTIVE
 
 
 def make_poll(context):
@@ -211,7 +217,10 @@
 
 @behave.when("the worker lists no runs")
 def step(context):
-    answer(context, make_poll(context), worker_messages.Listing(60_000, (), ()))
+    listing = worker_messages.Listing(60_000, (), ())
+    effects = answer(context, make_poll(context), listing)
+    # The first roster of the owner names the worker, which had not answered.
+    confirm_roster(context, effects)
 
 
 @behave.when("the start of the task is not answered")
@@ -310,11 +319,29 @@
     " later"
 )
 def step(context, lease_s, later_s):
+    for now in (NOW, NOW + later_s):
+        read_release(context, lease_s, now)
+
+
+def read_release(context, lease_s, now=NOW):
     generation = context.partition.generation - 1
     lease_ms = {ENTRY.worker_id: lease_s * 1000}
     record = records.ReleaseRecord(generation, lease_ms)
-    for now in (NOW, NOW + later_s):
-        releases.observe_release(context.partition, record, now)
+    releases.observe_release(context.partition, record, now)
+
+
+@behave.when("it reads a release of {lease_s:d} s {later_s:d} s later")
+def step(context, lease_s, later_s):
+    read_release(context, lease_s, NOW + later_s)
+    due = contact.RosterDue(PARTITION)
+    context.effects = instance.handle(due, context.batch, NOW + later_s)
+
+
+@behave.then("it writes a roster that names {seconds:d} s for the leases there")
+def step(context, seconds):
+    (write,) = list_store_purposes(context)
+    withheld_ms = write.roster.withheld_ms[ENTRY.worker_id]
+    assert withheld_ms == seconds * 1000 + 1, withheld_ms
 
 
 @behave.then("it waits for the leases until {seconds:d} s after the first read")
