Leave capacity free for long-running tasks that wait

A long-running task waited for as long as there were smaller finite tasks of its priority: each of them started as soon as the end of another one had freed enough processors for it, so that no worker ever had enough for the large task.

A pass now nominates a worker for a long-running task that has been unplaced for 0.6 s: the one whose finite runs first leave enough free, by their estimates, within 5 s. Finite tasks of the same or a lower priority leave that much free there; long-running tasks, and finite ones of a higher priority, need not. At most four tasks of a partition have a worker nominated at a time. A nomination ends with the wait of the task here, so that nothing has to be undone when the task moves or is cancelled. A search goes through the runs of the partition at most once a second for each step that finds no worker.

Amounts that finite tasks found nowhere are recorded apart, since long-running tasks may still use what they left free. The reference search of batch_passes.feature knows nominations, and the test counts that there were some.

--- a/features/steps/batch_passes_steps.py
+++ b/features/steps/batch_passes_steps.py
@@ -13,6 +13,7 @@
 from sapphirestall_core.batch import interference as interference_module
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import nominations
 from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
@@ -94,7 +95,44 @@
     return [worker for worker in suitable if worker not in strong]
 
 
-def search_workers(batch, partition, task, now, starved):
+def nominate_workers(partition, ordered, now):
+    """Returns the workers nominated for waiting tasks, by task."""
+    usable = [
+        worker
+        for name, worker in partition.workers.items()
+        if name in partition.roster
+    ]
+    candidates = placement.list_candidates(usable, "service", now)
+    remaining = nominations.MAX_NOMINATIONS
+    for _, step in nominations.list_waiting_steps(ordered, now):
+        remaining -= nominations.nominate_workers(
+            step, candidates, remaining, now
+        )[0]
+    return {
+        task.name: (task, candidate.worker)
+        for candidate in candidates
+        for task in candidate.nominated_tasks
+    }
+
+
+def find_free(worker, task, nominated):
+    """Returns what is free for a task beside those that are nominated."""
+    free = placement.find_free_capacity(worker, task.step)
+    if task.step.long_running:
+        return free
+    for other, nominated_worker in nominated.values():
+        amount = other.step.amount
+        if task.step.fills:
+            amount = attrs.evolve(amount, cpu_millis=0)
+        if (
+            nominated_worker is worker
+            and other.job.queue.priority <= task.job.queue.priority
+        ):
+            free = free.minus(amount)
+    return free
+
+
+def search_workers(batch, partition, task, now, starved, nominated):
     """Returns the best worker for a task, after a search of all workers.
 
     Computes the free capacity of each worker anew.
@@ -106,7 +144,7 @@
             continue
         if not placement.accepts_service(worker, task.job.queue.service, now):
             continue
-        if not step.amount.fits(placement.find_free_capacity(worker, step)):
+        if not step.amount.fits(find_free(worker, task, nominated)):
             continue
         if step.required_label and (
             step.required_label not in worker.entry.labels
@@ -160,15 +198,20 @@
             job.create_revision,
         ),
     )
+    nominated = nominate_workers(partition, ordered, now)
     for job in ordered:
         for step in job.steps:
             for task in list(step.runnable.values()):
                 starved = is_starved(task, now)
-                worker = search_workers(batch, partition, task, now, starved)
+                worker = search_workers(
+                    batch, partition, task, now, starved, nominated
+                )
                 if worker is None:
                     task.unplaced_since = task.unplaced_since or now
                     continue
                 started += passes.start(batch, partition, worker, task, now)
+                if nominated.get(task.name) == (task, worker):
+                    del nominated[task.name]
                 task.run.forced = starved and task.step.fills
                 if task.step.fills:
                     opportunistic_workers.add(worker.entry.worker_id)
@@ -231,7 +274,7 @@
 
 @behave.then("passes start what a search of all workers for each task starts")
 def step(context):
-    started_count = starved_count = 0
+    started_count = starved_count = nominated_count = 0
     for seed in context.seeds:
         make_random_partition(context, random.Random(seed))
         batch = copy.deepcopy(context.batch)
@@ -257,7 +300,14 @@
             )
             started_count += len(expected)
             starved_count += sum(list_forced(reference).values())
+            nominated_count += sum(
+                bool(task.nomination and task.nomination.worker_id)
+                for job in reference.jobs.values()
+                for step in job.steps
+                for task in step.runnable.values()
+            )
             end_runs(context.partition, ends)
             end_runs(reference, reference_ends)
     assert started_count > 1000, started_count
     assert starved_count > 20, starved_count
+    assert nominated_count > 20, nominated_count
--- a/packages/core/src/sapphirestall_core/batch/candidate_pools.py
+++ b/packages/core/src/sapphirestall_core/batch/candidate_pools.py
@@ -21,6 +21,8 @@
         candidates: Workers on which new runs of the service may start.
         rejected: Amounts that no worker had free, for tasks that reserve
             processors.
+        rejected_finite: The same for finite tasks, which leave capacity free
+            for nominated tasks.
         rejected_opportunistic: Amounts that no worker had free for
             opportunistic tasks.
         rejected_interfering: By opportunistic image, amounts that its tasks
@@ -31,6 +33,7 @@
 
     candidates: list[placement.Candidate]
     rejected: list[resources.Vector] = attrs.field(factory=list)
+    rejected_finite: list[resources.Vector] = attrs.field(factory=list)
     rejected_opportunistic: list[resources.Vector] = attrs.field(factory=list)
     rejected_interfering: dict[str, list[resources.Vector]] = attrs.field(
         factory=dict
@@ -52,6 +55,8 @@
         rejected = self.rejected_opportunistic if step.fills else self.rejected
         if _exceeds_any(rejected, step.amount):
             return True
+        if not step.fills and not step.long_running:
+            return _exceeds_any(self.rejected_finite, step.amount)
         if not step.fills or starved:
             return False
         interfering = self.rejected_interfering.get(step.image, ())
@@ -76,7 +81,10 @@
             # other steps that request the same amount may still find a worker.
             return
         if not step.fills:
-            self.rejected.append(step.amount)
+            rejections = (
+                self.rejected if step.long_running else self.rejected_finite
+            )
+            rejections.append(step.amount)
         elif starved:
             self.rejected_opportunistic.append(step.amount)
         else:
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -13,6 +13,7 @@
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import leases
+from sapphirestall_core.batch import nominations
 from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
@@ -93,9 +94,10 @@
         # A worker may drain without the owner knowing it. The reply to the read
         # requests another pass.
         return worker_list.read_entries(batch, now)
-    effects: dispatch.Effects = []
     scheduling_pass = SchedulingPass(batch, partition, now)
-    for job in sort_startable_jobs(batch, partition, now):
+    startable = sort_startable_jobs(batch, partition, now)
+    effects = _nominate_workers(startable, scheduling_pass)
+    for job in startable:
         for step in job.steps:
             if step.runnable and scheduling_pass.starts_left:
                 effects += _start_step(job, step, scheduling_pass)
@@ -145,6 +147,28 @@
         return pool
 
 
+def _nominate_workers(
+    startable: list[state.Job], scheduling_pass: SchedulingPass
+) -> dispatch.Effects:
+    """Nominates workers for long-running tasks that have waited.
+
+    Finite tasks that come before them must leave the capacity free as well.
+    """
+    effects: dispatch.Effects = []
+    now = scheduling_pass.now
+    remaining = nominations.MAX_NOMINATIONS
+    for job, step in nominations.list_waiting_steps(startable, now):
+        pool = scheduling_pass.get_pool(job.queue.service)
+        count, logs = nominations.nominate_workers(
+            step, pool.candidates, remaining, now
+        )
+        remaining -= count
+        effects += logs
+        if not remaining:
+            break
+    return effects
+
+
 def _start_step(
     job: state.Job, step: state.StepState, scheduling_pass: SchedulingPass
 ) -> dispatch.Effects:
@@ -189,6 +213,8 @@
         effects += start(batch, partition, chosen.worker, task, now)
         scheduling_pass.starts_left -= 1
         chosen.refresh()
+        if task in chosen.nominated_tasks:
+            chosen.nominated_tasks.remove(task)
         if task.run is not None:
             task.run.forced = starved
         if step.step.fills:
@@ -314,6 +340,7 @@
     )
     task.next_run_number += 1
     task.unplaced_since = None
+    task.nomination = None
     task.run = run
     job.steps[task.name.step].runnable.pop(task.name.index, None)
     reserve(worker, run)
@@ -370,11 +397,10 @@
         sign: 1 to add, -1 to subtract.
     """
     step = run.task.step
-    amount = step.amount
+    amount = placement.find_reserved_amount(step)
     if step.fills:
-        worker.opportunistic_cpu_millis += sign * amount.cpu_millis
+        worker.opportunistic_cpu_millis += sign * step.amount.cpu_millis
         worker.paced_cpu_millis += sign * run.count_paced_cpu()
-        amount = attrs.evolve(amount, cpu_millis=0)
     if sign > 0:
         worker.reserved = worker.reserved.plus(amount)
     else:
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -76,6 +76,13 @@
     return resources.Vector(cpu, free.memory_mb, free.accelerators)
 
 
+def find_reserved_amount(step: model.Step) -> resources.Vector:
+    """Returns what a run of a step reserves on its worker."""
+    if step.fills:
+        return attrs.evolve(step.amount, cpu_millis=0)
+    return step.amount
+
+
 def count_step_runs(worker: state.Worker, task: state.Task) -> int:
     """Counts the runs of a task's step that may exist on a worker."""
     return sum(
@@ -107,6 +114,8 @@
         strong_images: Whether an opportunistic image disturbs serving tasks of
             the worker a lot; contains the images for which it was computed.
         planned_tasks: Tasks for which capacity was deducted.
+        nominated_tasks: Waiting long-running tasks for which finite tasks leave
+            capacity free here.
     """
 
     worker: state.Worker
@@ -118,6 +127,7 @@
     allowed_cpu: dict[str, int] = attrs.field(factory=dict)
     strong_images: dict[str, bool] = attrs.field(factory=dict)
     planned_tasks: list[model.TaskName] = attrs.field(factory=list)
+    nominated_tasks: list[state.Task] = attrs.field(factory=list)
 
     def refresh(self) -> None:
         """Recomputes free capacity and discards what was derived from it."""
@@ -144,6 +154,12 @@
         self.memory_mb -= amount.memory_mb
         self.accelerators -= amount.accelerators
 
+    def get_free_capacity(self) -> resources.Vector:
+        """Returns what no run reserves."""
+        return resources.Vector(
+            self.cpu_millis, self.memory_mb, self.accelerators
+        )
+
     def fits(self, step: model.Step) -> bool:
         """Returns whether the free capacity suffices for a task of a step."""
         amount = step.amount
@@ -154,6 +170,22 @@
             and amount.accelerators <= self.accelerators
         )
 
+    def fits_beside_nominations(self, task: state.Task) -> bool:
+        """Returns whether a task leaves enough free for nominated tasks.
+
+        A long-running task, or one of a higher priority, need not. An
+        opportunistic task takes no processors from them.
+        """
+        if task.step.long_running:
+            return True
+        amount = find_reserved_amount(task.step)
+        for nominated in self.nominated_tasks:
+            if nominated.job.queue.priority <= task.job.queue.priority:
+                amount = amount.plus(nominated.step.amount)
+        if task.step.fills:
+            amount = attrs.evolve(amount, cpu_millis=0)
+        return amount.fits(self.get_free_capacity().maximum(resources.Vector()))
+
     def tolerates(
         self,
         step: model.Step,
@@ -212,22 +244,29 @@
     return not step.required_label or step.required_label in labels
 
 
-def _meets_constraints(candidate: Candidate, task: state.Task) -> bool:
+def meets_constraints(
+    candidate: Candidate, task: state.Task, planned: Iterable[model.TaskName]
+) -> bool:
     """Returns whether a worker meets the placement constraints of a task.
 
     These are the label that the step requires and the highest number of its
     tasks on one worker.
+
+    Args:
+        candidate: The worker.
+        task: The task.
+        planned: Tasks that count as if they ran on the worker.
     """
     worker, step = candidate.worker, task.step
     if not _has_required_label(candidate, step):
         return False
     if not step.max_per_worker:
         return True
-    planned = sum(
+    count = count_step_runs(worker, task) + sum(
         name.job_id == task.name.job_id and name.step == task.name.step
-        for name in candidate.planned_tasks
+        for name in planned
     )
-    return count_step_runs(worker, task) + planned < step.max_per_worker
+    return count < step.max_per_worker
 
 
 def rank(
@@ -341,7 +380,11 @@
     for candidate in candidates:
         if not candidate.fits(step):
             continue
-        if not _meets_constraints(candidate, task):
+        if candidate.nominated_tasks and (
+            not candidate.fits_beside_nominations(task)
+        ):
+            continue
+        if not meets_constraints(candidate, task, candidate.planned_tasks):
             continue
         if undisturbed_only and candidate.is_strong(step.image, interference):
             continue
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -146,6 +146,20 @@
         return cpu_millis * self.pace_percent // FULL_PACE_PERCENT
 
 
+@attrs.frozen(slots=True)
+class Nomination:
+    """Worker on which finite tasks leave capacity free for a waiting task.
+
+    Attributes:
+        worker_id: Id of the worker; empty if none will have enough free
+            capacity soon.
+        made_at: Monotonic time at which the worker was chosen, in seconds.
+    """
+
+    worker_id: str
+    made_at: float
+
+
 @attrs.define(slots=True, eq=False)
 class Task:
     """A task that is not done.
@@ -160,6 +174,8 @@
         unplaced_since: Monotonic time at which a scheduling pass first found no
             worker for the task, in seconds; None if that has not happened since
             its last start.
+        nomination: Worker nominated for the task, which is long-running; None
+            if none was chosen since its last start.
         failed_run_numbers: Numbers of the runs that failed.
         failed_worker_ids: Workers on which runs of the task failed.
     """
@@ -171,6 +187,7 @@
     next_run_number: int = 1
     checkpoint: str = ""
     unplaced_since: float | None = None
+    nomination: Nomination | None = None
     failed_run_numbers: set[int] = attrs.field(factory=set)
     failed_worker_ids: set[str] = attrs.field(factory=set)
 
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import nominations
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import placement
@@ -36,6 +37,7 @@
 INTERFERENCE = "batch_interference.feature"
 LOAD = "batch_load.feature"
 DIVISION = "batch_division.feature"
+POOLS = "batch_candidate_pools.feature"
 CONTACT = "batch_contact.feature"
 CUTS = "batch_cuts.feature"
 TENURE = "batch_tenure.feature"
@@ -48,6 +50,11 @@
     leases.assume_longest_lease = lambda *_: None
 
 
+def never_nominate_workers() -> None:
+    """Lets finite tasks use all that ends of runs free."""
+    nominations.choose_candidate = lambda *_: None
+
+
 def use_unlisted_workers() -> None:
     """Lets tasks start on workers that have not listed their runs."""
     is_usable = placement.is_usable
@@ -433,6 +440,11 @@
         f"{SUCCESSIONS}: The age of a record follows",
         count_from_reads,
     ),
+    (
+        "nominated workers",
+        f"{POOLS}: A large long-running task runs again",
+        never_nominate_workers,
+    ),
     (
         "room of a job",
         f"{DIVISION}: A wide opportunistic job meets its objective",
