Take a 404 to a write without a lease as no answer

The client of the store took status 404 of any transaction as the loss of a lease, and a submission took every outcome that is neither a failure nor a conflict as stored. A 404 from something else than the store, such as another server at its address or a proxy, was therefore told to the caller as accepted although no record existed; a cancellation that got it was never answered, as its handler failed.

404 now counts as the loss of a lease only if the transaction uses one. For any other write it is an answer that proves nothing: the call is repeated, and the caller gets 504 in the end.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -490,3 +490,16 @@
       | 5000 digits          | 60      |
       | no text              | 3       |
       | superscript two      | 3       |
+
+  Scenario Outline: A write answered 404 <what> is <outcome>
+    Guards against a job that is accepted although no record of it was stored:
+    for a write without a lease, 404 comes from something else than the store,
+    such as another server at its address, and proves nothing.
+    Given a store that answers each call with status 404
+    When a key is written <what>
+    Then the outcome of the write is <outcome>
+
+    Examples:
+      | what            | outcome                       |
+      | without a lease | an unanswered write          |
+      | with a lease    | the loss of the lease         |
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -86,11 +86,11 @@
         yield self.body
 
 
-def make_store(context, answer=None):
+def make_store(context, answer=None, status=200):
     """Makes a client of a store that answers each call alike."""
     context.events = []
     context.reports = []
-    session = FixedSession(json.dumps(answer).encode())
+    session = FixedSession(json.dumps(answer).encode(), status)
     context.store = store.Store(
         transport.Transport(session),
         "127.0.0.1:1",
@@ -814,3 +814,32 @@
     assert workers_differ == (which == "new"), context.events
     versions_differ = old.configuration != new.configuration
     assert versions_differ == (which == "new"), context.events
+
+
+@behave.given("a store that answers each call with status {status:d}")
+def step(context, status):
+    make_store(context, {}, status)
+
+
+@behave.when("a key is written {what}")
+def step(context, what):
+    lease_id = "7" if what == "with a lease" else ""
+    put = store_messages.Put("k", records.EndedRecord(1), lease_id)
+    effect = store_messages.StoreTransaction(
+        store_messages.Purpose(), (("k", 0),), (put,)
+    )
+    asyncio.run(context.store.call(effect))
+
+
+WRITE_OUTCOMES = {
+    "an unanswered write": store_messages.Unavailable(
+        True, "StoreTransaction status 404"
+    ),
+    "the loss of the lease": store_messages.LeaseLost(""),
+}
+
+
+@behave.then("the outcome of the write is {outcome}")
+def step(context, outcome):
+    (event,) = context.events
+    assert event.outcome == WRITE_OUTCOMES[outcome], event
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -134,6 +134,7 @@
         # Until the state is read, the job may have been accepted before.
         call.ambiguous = True
         return store_calls.send(RepeatRead(call.call_id), call)
+    assert isinstance(reply.outcome, store_messages.Committed)
     assert call.record is not None
     return calls.answer_call(
         batch,
