Go on after a handler of the core has failed

An exception in a handler ended its event: the effects were lost, and with them whatever the reply or the state was to lead to. A configuration that was read, a watch, an acquisition, a commit or a start then never came to an end, and a caller waited without limit; only timers were started again.

The loop now handles a failure in place of the event: a reply of the store or of a worker becomes one that did not come, a read becomes a failed read, a caller is told that the outcome is unknown. Effects that a handler had requested before it failed are lost although the state says that they are on their way; 2 s later the marks are removed and the work is requested again (lost_effects.py). A poll without a reply for 3 s counts as lost.

Not repeated is a watch that was lost after its read; starting it is the last thing that the handler does.

--- a/features/loop.feature
+++ b/features/loop.feature
@@ -21,3 +21,9 @@
     Given a loop whose handler fails for an event
     When the event is handled
     Then the error is reported, and no timer is started
+
+  Scenario: An event whose handler failed is replaced by its failure
+    Guards against work that ends for good with a reply that was dropped.
+    Given a loop whose handler fails for an event that has a failure
+    When the event is handled
+    Then the error is reported, and the failure was handled instead
--- a/features/steps/loop_steps.py
+++ b/features/steps/loop_steps.py
@@ -97,3 +97,22 @@
 def step(context):
     assert context.faults == ["Started"], context.faults
     assert context.performed == [], context.performed
+
+
+@behave.given("a loop whose handler fails for an event that has a failure")
+def step(context):
+    failure = messages.ShutdownRequested()
+
+    def handle(event, now):
+        if event is not failure:
+            raise KeyError("worker")
+        return [LOG]
+
+    make_loop(context, handle)
+    context.loop.make_failures = lambda event: [failure]
+
+
+@behave.then("the error is reported, and the failure was handled instead")
+def step(context):
+    assert context.faults == ["Started"], context.faults
+    assert context.performed == [LOG], context.performed
--- a/packages/core/src/sapphirestall_core/batch/calls.py
+++ b/packages/core/src/sapphirestall_core/batch/calls.py
@@ -1,5 +1,7 @@
 """Callers' calls that wait for the store, and the answers to them."""
 
+import attrs
+
 from sapphirestall_core import messages
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import dispatch
@@ -99,3 +101,24 @@
     answer = caller_messages.Refused("store_unavailable", retry_after_s)
     away_s = round(now - (batch.store_down_since or now), 3)
     return answer_call(batch, call, answer, now, store_away_s=away_s)
+
+
+@attrs.frozen
+class CallFailed(messages.Event):
+    """Reports that a handler failed while it served a caller's call.
+
+    Attributes:
+        call_id: Id of the call.
+    """
+
+    call_id: str
+
+
+@dispatch.handle.register(CallFailed)
+def answer_failed_call(
+    event: CallFailed, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Answers that it is unknown whether the call has taken effect."""
+    batch.calls.pop(event.call_id, None)
+    answer = caller_messages.Undecided("internal_error")
+    return make_answer(event.call_id, answer)
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -7,16 +7,19 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import calls
 from sapphirestall_core.batch import cancellations
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import division
+from sapphirestall_core.batch import failures
 from sapphirestall_core.batch import intake
 from sapphirestall_core.batch import interference_exchange
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import live_records
+from sapphirestall_core.batch import lost_effects
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
@@ -30,6 +33,7 @@
 
 # Modules with handlers. Importing them registers the handlers with `dispatch`.
 HANDLER_MODULES = (
+    calls,
     cancellations,
     commits,
     configuration,
@@ -38,6 +42,7 @@
     intake,
     job_changes,
     live_records,
+    lost_effects,
     ownership,
     passes,
     pending_jobs,
@@ -75,6 +80,17 @@
     return dispatch.handle(event, batch, now)
 
 
+def make_failures(event: messages.Event) -> list[messages.Event]:
+    """Returns the events to handle in place of one whose handler failed."""
+    if isinstance(event, lost_effects.EffectsLost):
+        return []
+    failure = failures.make_failure(event)
+    if isinstance(event, messages.ShutdownRequested):
+        failure = messages.TimerFired(DrainDue())
+    lost = lost_effects.EffectsLost()
+    return [lost] if failure is None else [failure, lost]
+
+
 def is_ready(batch: state.Batch, now: float) -> bool:
     """Returns whether this instance should get new connections."""
     if batch.shutting_down or batch.configuration is None:
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/lost_effects.py
@@ -0,0 +1,118 @@
+"""Repetition of effects that were lost because a handler failed.
+
+A handler that fails after it has changed the state leaves marks there of calls
+and timers that were never made. What waits for them would wait for ever. Some
+time after a failure these marks are removed, and the work is requested again;
+polls that were lost are found by the periodic checks of workers.
+All of it is safe to repeat: replies to calls that were in flight nevertheless
+are ignored or lead to a conflict in the store, which is then read.
+"""
+
+import attrs
+
+from sapphirestall_core import messages
+from sapphirestall_core.batch import commits
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import rosters
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import takeover
+
+PART = "process"
+# Calls but watches and long polls take less than this, in seconds, also while
+# the loop is late. A start that got no reply for this long was not sent.
+REPEAT_DELAY_S = 2.0
+
+
+@attrs.frozen
+class EffectsLost(messages.Event):
+    """Reports that a handler failed, so that its effects were lost."""
+
+
+@attrs.frozen
+class RepeatDue(messages.Timer):
+    """Timer to repeat the effects that may have been lost.
+
+    Attributes:
+        acquiring: Partitions whose acquisition was in flight at the failure.
+    """
+
+    acquiring: frozenset[str]
+
+
+@dispatch.handle.register(EffectsLost)
+def schedule_repetition(
+    event: EffectsLost, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Schedules the repetition, unless one is scheduled."""
+    if now < batch.effects_repeated_at:
+        return []
+    batch.effects_repeated_at = now + REPEAT_DELAY_S
+    timer = RepeatDue(frozenset(batch.acquiring))
+    return [messages.StartTimer(timer, REPEAT_DELAY_S)]
+
+
+@dispatch.handle_timer.register(RepeatDue)
+def repeat(
+    timer: RepeatDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Repeats all effects that the state says are on their way."""
+    batch.acquiring -= timer.acquiring
+    batch.lease_call_in_flight = False
+    batch.summaries_read_in_flight = False
+    fields = {"partitions": len(batch.partitions)}
+    effects: dispatch.Effects = [messages.Log(PART, "effects repeated", fields)]
+    for name in batch.vacancies:
+        # It does nothing if another one fires first.
+        acquisition = ownership.AcquisitionDue(name)
+        effects.append(messages.StartTimer(acquisition, 0.0))
+    for partition in batch.partitions.values():
+        if partition.phase is state.Phase.ACTIVE:
+            effects += _repeat_active(batch, partition, now)
+        else:
+            effects += _repeat_loading(batch, partition, now)
+    return effects
+
+
+def _repeat_loading(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> dispatch.Effects:
+    partition.job_read_in_flight = False
+    partition.roster_write_in_flight = False
+    partition.roster_revision = None
+    load_due = takeover.LoadDue(partition.name, partition.token)
+    return dispatch.handle_timer(load_due, batch, now)
+
+
+def _repeat_active(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> dispatch.Effects:
+    partition.pass_scheduled = False
+    partition.commit_scheduled = False
+    partition.summary_write_in_flight = False
+    partition.retention_in_flight = False
+    effects: dispatch.Effects = []
+    if partition.commit_in_flight:
+        # A commit that failed takes the jobs that it names out of the others.
+        partition.commit_in_flight = False
+        partition.dirty_jobs.update(partition.jobs)
+    if partition.roster_write_in_flight:
+        partition.roster_write_in_flight = False
+        partition.roster_revision = None
+        effects += rosters.read_roster(partition)
+    for worker in partition.workers.values():
+        _mark_unanswered_starts(worker, now)
+    effects += commits.request_commit(partition)
+    return effects + passes.request_pass(partition)
+
+
+def _mark_unanswered_starts(worker: state.Worker, now: float) -> None:
+    """Marks starts that got no reply; a listing tells what became of them."""
+    for run in worker.runs.values():
+        is_open = (
+            run.started_clock_ms is None and run.start_unanswered_at is None
+        )
+        if is_open and now - run.started_at >= REPEAT_DELAY_S:
+            run.start_unanswered_at = now
+        run.pace_in_flight = False
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -29,6 +29,10 @@
 # While listed ends await their commit, a long poll would return at once, so
 # short polls at this interval extend the leases.
 UNCOMMITTED_POLL_S = 0.5
+# A poll without a reply for this long, in seconds, was never sent: its time
+# limit has passed, even if the loop was late. Without another one the leases of
+# all runs on the worker would expire.
+POLL_LOST_S = 3.0
 # Lease end of a run whose worker has restarted. The new clock is not known; no
 # reading of it is above this.
 UNKNOWN_CLOCK_MS = 2**62
@@ -188,6 +192,8 @@
     now: float,
 ) -> dispatch.Effects:
     """Sends a short poll to a worker if no poll is in flight."""
+    if now - worker.polled_at > POLL_LOST_S:
+        worker.long_poll = worker.short_poll = None
     if worker.is_leaving or _has_poll_in_flight(worker):
         return []
     if now - worker.polled_at <= UNCOMMITTED_POLL_S:
