Keep damaged records from costing more than their own jobs

A record that an owner cannot use, as another version or a bug may write it, had three effects. A progress record that could not be decoded was left out of the list, so that its job seemed to have none and tasks that were done ran again. One with fewer steps than its job ended the new owner's activation half way: the partition's other jobs were not loaded, and their runs were stopped as unknown. A job record with the id of another job started tasks that nobody had submitted.

Lists now name the keys that could not be decoded. A job whose progress cannot be used is not run, a job record that cannot be decoded any more does not count as removed, and rosters that cannot be decoded still show that there were owners. Job records are checked for the key, the number of tasks, the order of steps and negative amounts; one with a billion tasks would have filled the memory of each owner in turn.

standins/batch_record_fuzz.py damages records and kills the owner. It leaves rosters and amounts of resources alone: nothing tells that a well-formed one is wrong.

--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -503,3 +503,18 @@
       | what            | outcome                       |
       | without a lease | an unanswered write          |
       | with a lease    | the loss of the lease         |
+
+  Scenario Outline: A list tells that the record <value> cannot be used
+    Guards against an owner that takes a job whose record or progress cannot be
+    read for one that was removed or has none.
+    Given a store that lists a job record with <value>
+    Then the list contains no record and names its key as unreadable
+
+    Examples:
+      | value                                         |
+      | "job_id": 7                                   |
+      | "job_id": "another"                           |
+      | "steps": [{"count": 20001, "amount": {}}]     |
+      | "steps": [{"count": -1, "amount": {}}]        |
+      | "steps": [{"count": 1, "amount": {}, "after": [0]}] |
+      | "steps": [{"count": 1, "amount": {"cpu_millis": -1}}] |
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from standins import batch_record_fuzz
 from standins import fuzz
 
 
@@ -15,3 +16,13 @@
     if context.failure:
         path = fuzz.save_last()
         raise AssertionError(f"saved as {path.name}: {context.failure}")
+
+
+@behave.when("stored records are damaged with the seeds {first:d} to {last:d}")
+def step(context, first, last):
+    context.problems = batch_record_fuzz.find_problems(first, last)
+
+
+@behave.then("no handler fails, and all other jobs end")
+def step(context):
+    assert not context.problems, "\n".join(context.problems)
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -644,17 +644,22 @@
 
 def decode_record(context, document, value):
     make_store(context)
-    item = make_item("x", json.dumps(value).encode())
+    key = records.make_job_key("sefrou/r1", JOB_ID)
+    item = make_item(key, json.dumps(value).encode())
     context.found = context.store.decode_each(
         [item], lambda item: context.store.decode(item, document)
     )
 
 
-@behave.given('a stored job record with "{field}" set to {value}')
-def step(context, field, value):
+def make_job_record():
     queue = {**ROUTE, "priority": 0, "max_attempts": 1, "stretch": 1.0}
     queue["target_latency_s"] = 1.0
-    record = {"job_id": JOB_ID, "queue": queue, "partition": "sefrou/r1"}
+    return {"job_id": JOB_ID, "queue": queue, "partition": "sefrou/r1"}
+
+
+@behave.given('a stored job record with "{field}" set to {value}')
+def step(context, field, value):
+    record = make_job_record()
     document = records.LiveDocument
     decode_record(context, document, record)
     assert context.found, context.reports
@@ -843,3 +848,28 @@
 def step(context, outcome):
     (event,) = context.events
     assert event.outcome == WRITE_OUTCOMES[outcome], event
+
+
+def list_record(context, record):
+    item = make_item(context.key, json.dumps(record).encode())
+    make_store(context, make_list([item]))
+    effect = store_messages.StoreList(
+        store_messages.Purpose(), "live/", records.LiveDocument
+    )
+    asyncio.run(context.store.call(effect))
+    return context.events[0].outcome
+
+
+@behave.given("a store that lists a job record with {fields}")
+def step(context, fields):
+    context.key = records.make_job_key("sefrou/r1", JOB_ID)
+    record = make_job_record()
+    assert list_record(context, record).entries
+    record.update(json.loads(f"{{{fields}}}"))
+    context.outcome = list_record(context, record)
+
+
+@behave.then("the list contains no record and names its key as unreadable")
+def step(context):
+    assert context.outcome.entries == (), context.outcome
+    assert context.outcome.unreadable == (context.key,), context.outcome
--- a/packages/core/src/sapphirestall_core/batch/division.py
+++ b/packages/core/src/sapphirestall_core/batch/division.py
@@ -95,7 +95,8 @@
     outcome = reply.outcome
     if not isinstance(outcome, store_messages.Listed):
         return _retry("store_unavailable")
-    division = UNSTORED_DIVISION if outcome.entries else model.Division()
+    has_rosters = bool(outcome.entries or outcome.unreadable)
+    division = UNSTORED_DIVISION if has_rosters else model.Division()
     put = store_messages.Put(
         records.DIVISION_KEY,
         records.DivisionRecord(division.racks_per_partition),
--- a/packages/core/src/sapphirestall_core/batch/job_changes.py
+++ b/packages/core/src/sapphirestall_core/batch/job_changes.py
@@ -84,6 +84,12 @@
         # The job was moved away and back. Another owner has run it in the
         # meantime, so the state kept here is out of date.
         effects = remove_job(partition, current, removed, now)
+    if progress and len(progress.record.steps) != len(record.steps):
+        partition.unreadable_progress.add(record.job_id)
+    if record.job_id in partition.unreadable_progress:
+        # Without its progress, tasks that are done would run again.
+        log = jobs.make_log("progress_unreadable", record.job_id)
+        return [*effects, log]
     if record.has_progress and progress is None:
         return [*effects, *_read_moved_progress(partition, loaded)]
     assert batch.configuration is not None
--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -179,6 +179,9 @@
         event = commits.RecordObserved(partition.name, loaded)
         effects += dispatch.handle(event, batch, now)
     present = {job.record.job_id for job in listed}
+    # A record that cannot be decoded any more has not been removed.
+    prefix = records.make_live_jobs_prefix(partition.name)
+    present.update(key.removeprefix(prefix) for key in outcome.unreadable)
     for job_id, job in list(partition.jobs.items()):
         if job_id not in present and job.revision <= outcome.revision:
             removed = state.RemovedJob(job_id, outcome.revision, now)
--- a/packages/core/src/sapphirestall_core/batch/model.py
+++ b/packages/core/src/sapphirestall_core/batch/model.py
@@ -10,6 +10,8 @@
 # that it does not disturb. An owner with 0.3 processors does not carry the 60
 # workers of eight racks.
 RACKS_PER_PARTITION = 4
+# The progress of all tasks of a job must fit into one value of the store.
+MAX_TASKS = 20_000
 
 
 class JobState(enum.StrEnum):
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -5,6 +5,8 @@
 id.
 """
 
+import functools
+
 import attrs
 
 from sapphirestall_core.batch import model
@@ -38,6 +40,19 @@
     tried: tuple[str, ...] = ()
 
 
+def _check_steps(
+    record: object, attribute: object, steps: tuple[model.Step, ...]
+) -> None:
+    """Checks that an owner can build the tasks of stored steps."""
+    if sum(step.count for step in steps) > model.MAX_TASKS:
+        raise ValueError(f"more than {model.MAX_TASKS} tasks")
+    for number, step in enumerate(steps):
+        if step.count < 0 or any(not 0 <= i < number for i in step.after):
+            raise ValueError(f"step {number} has a bad count or order")
+        if min(attrs.astuple(step.amount)) < 0:
+            raise ValueError(f"step {number} has a negative amount")
+
+
 @attrs.frozen(slots=True)
 class JobRecord:
     """Record of a job that has not ended.
@@ -62,7 +77,9 @@
     queue: model.Queue
     partition: str
     spec: str = ""
-    steps: tuple[model.Step, ...] = ()
+    steps: tuple[model.Step, ...] = attrs.field(
+        default=(), validator=_check_steps
+    )
     moved: dict[str, MovedTask] = attrs.field(factory=dict)
     accepted_ms: int = 0
     first_number: int = 1
@@ -272,6 +289,21 @@
     offers: dict[str, tuple[str, ...]] | None = None
 
 
+@functools.singledispatch
+def check_key(document: object, key: str) -> None:
+    """Checks that a document belongs to the key under which it is stored.
+
+    Raises:
+        ValueError: It belongs to another key.
+    """
+
+
+@check_key.register
+def _(document: JobRecord, key: str) -> None:
+    if key.rpartition("/")[2] != document.job_id:
+        raise ValueError("the record of another job")
+
+
 def make_live_prefix(partition: str) -> str:
     """Returns the prefix that the owner of a partition watches."""
     return f"{LIVE_PREFIX}{partition}/"
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -468,6 +468,7 @@
         loading_changes: Changes of job records that arrived while the owner was
             loading.
         loaded_progress: Progress records read at the takeover; None before.
+        unreadable_progress: Jobs whose progress records cannot be used.
         workers: Workers of the partition, by id.
         jobs: Jobs of which the partition runs tasks, by id.
         dirty_jobs: Jobs whose progress or final state is not in the store yet.
@@ -524,6 +525,7 @@
     loaded_revision: int = 0
     loading_changes: "list[LoadedJob | RemovedJob]" = attrs.field(factory=list)
     loaded_progress: "dict[str, LoadedProgress] | None" = None
+    unreadable_progress: set[str] = attrs.field(factory=set)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     dirty_jobs: dict[str, Job] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/submissions.py
+++ b/packages/core/src/sapphirestall_core/batch/submissions.py
@@ -6,8 +6,6 @@
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 MAX_SPEC_BYTES = 4000
-# The progress of all tasks of a job must fit into one value of the store.
-MAX_TASKS = 20_000
 
 
 def is_job_id(text: str) -> bool:
@@ -55,8 +53,8 @@
             return caller_messages.Invalid(
                 "unsupported", f"step {number} asks for a gang or one rack"
             )
-    if sum(step.count for step in steps) > MAX_TASKS:
+    if sum(step.count for step in steps) > model.MAX_TASKS:
         return caller_messages.Invalid(
-            "too_many_tasks", f"the job has more than {MAX_TASKS} tasks"
+            "too_many_tasks", f"the job has more than {model.MAX_TASKS} tasks"
         )
     return None
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -128,6 +128,9 @@
         return _retry(partition)
     partition.loaded_progress = {}
     prefix = records.make_progress_prefix(partition.name)
+    partition.unreadable_progress.update(
+        key.removeprefix(prefix) for key in outcome.unreadable
+    )
     for found in outcome.entries:
         assert isinstance(found.value, records.ProgressRecord)
         job_id = found.key.removeprefix(prefix)
--- a/packages/core/src/sapphirestall_core/store_messages.py
+++ b/packages/core/src/sapphirestall_core/store_messages.py
@@ -193,10 +193,16 @@
 
 @attrs.frozen
 class Listed(Outcome):
-    """All keys with a prefix, at a revision of the store."""
+    """All keys with a prefix, at a revision of the store.
+
+    Attributes:
+        entries: The keys whose values could be decoded.
+        unreadable: The other keys.
+    """
 
     entries: tuple[Found, ...]
     revision: int
+    unreadable: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/standins/batch_store.py
+++ b/standins/batch_store.py
@@ -47,6 +47,7 @@
         items: Current keys.
         leases: Current leases, by id.
         history: All changes, oldest first.
+        unreadable: Current keys whose values the client cannot decode.
     """
 
     revision: int = 1
@@ -55,6 +56,7 @@
     history: list[store_messages.Found | store_messages.Removed] = attrs.field(
         factory=list
     )
+    unreadable: set[str] = attrs.field(factory=set)
 
     def find(self, key: str) -> store_messages.Found | None:
         """Returns the current value of a key, or None if it does not exist."""
@@ -88,6 +90,7 @@
 
     def put(self, put: store_messages.Put) -> None:
         """Writes a key at the current revision."""
+        self.unreadable.discard(put.key)
         old = self.items.get(put.key)
         created = old.create_revision if old else self.revision
         self.items[put.key] = Item(
@@ -123,6 +126,8 @@
 def _(
     effect: store_messages.StoreGet, store: BatchStore, now: float
 ) -> store_messages.Outcome:
+    if effect.key in store.unreadable:
+        return store_messages.Unavailable(False, "unreadable")
     return store.find(effect.key) or store_messages.Absent(effect.key)
 
 
@@ -130,11 +135,11 @@
 def _(
     effect: store_messages.StoreList, store: BatchStore, now: float
 ) -> store_messages.Outcome:
-    found = [store.find(key) for key in sorted(store.items)]
-    entries = tuple(
-        item for item in found if item and item.key.startswith(effect.prefix)
-    )
-    return store_messages.Listed(entries, store.revision)
+    keys = [key for key in sorted(store.items) if key.startswith(effect.prefix)]
+    found = [store.find(key) for key in keys if key not in store.unreadable]
+    entries = tuple(item for item in found if item)
+    unreadable = tuple(key for key in keys if key in store.unreadable)
+    return store_messages.Listed(entries, store.revision, unreadable)
 
 
 @apply.register
