--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -518,3 +518,16 @@
       | "steps": [{"count": -1, "amount": {}}]        |
       | "steps": [{"count": 1, "amount": {}, "after": [0]}] |
       | "steps": [{"count": 1, "amount": {"cpu_millis": -1}}] |
+
+  Scenario: A call that the core never answers is answered
+    Guards against a caller that waits without limit, and a call that is kept
+    for ever, because an answer was lost with the effects of a failed handler.
+    When a submission is served and the core does not answer it
+    Then the call is answered with status 504
+    And no call is waiting
+
+  Scenario: A HEAD request does not submit a job
+    Guards against a job that is submitted by a request that must have no
+    effect.
+    When a HEAD request with the body of a submission is decoded
+    Then it asks for the state of the job
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import time
+from unittest import mock
 
 import attrs
 import behave
@@ -14,6 +15,7 @@
 from sapphirestall_core import errors
 from sapphirestall_core import resources
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
@@ -873,3 +875,33 @@
 def step(context):
     assert context.outcome.entries == (), context.outcome
     assert context.outcome.unreadable == (context.key,), context.outcome
+
+
+SUBMISSION = b'{"spec": "x", "steps": [{"count": 1}]}'
+
+
+@behave.when("a submission is served and the core does not answer it")
+def step(context):
+    context.front = front.FrontEnd(
+        lambda event: None, time.monotonic, None, counters.Counters(), "e-1"
+    )
+    request = make_request(SUBMISSION, [(b"deadline-ms", b"10")])
+    with mock.patch.object(front, "ANSWER_MARGIN_S", 0.01):
+        call = asyncio.wait_for(context.front.serve(request), READ_TIMEOUT_S)
+        context.response = asyncio.run(call)
+
+
+@behave.then("no call is waiting")
+def step(context):
+    assert not context.front.waiting_calls, context.front.waiting_calls
+
+
+@behave.when("a HEAD request with the body of a submission is decoded")
+def step(context):
+    request = make_request(SUBMISSION, method="HEAD")
+    context.event = asyncio.run(front.decode(request, "c-1"))
+
+
+@behave.then("it asks for the state of the job")
+def step(context):
+    assert isinstance(context.event, caller_messages.StateCalled), context.event
