--- a/packages/entry/src/sapphirestall_entry/logs.py
+++ b/packages/entry/src/sapphirestall_entry/logs.py
@@ -91,7 +91,7 @@
         if self.dropped:
             line = f"log: dropped lines={self.dropped}\n{line}"
         try:
-            os.write(self._descriptor, line.encode())
+            os.write(self._descriptor, line.encode(errors="backslashreplace"))
         except OSError:
             # A failure to write can't be logged; the next line that is written
             # gives the count.
@@ -143,8 +143,11 @@
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
-    handler = StdoutHandler(sys.stdout.fileno())
-    handler.setFormatter(Formatter())
+    handler: logging.Handler = logging.NullHandler()
+    # It is None if the process was started with a closed standard output.
+    if sys.stdout is not None:
+        handler = StdoutHandler(sys.stdout.fileno())
+        handler.setFormatter(Formatter())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     for library in VERBOSE_LOGGERS:
         logging.getLogger(library).setLevel(logging.WARNING)
