--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -531,3 +531,22 @@
     effect.
     When a HEAD request with the body of a submission is decoded
     Then it asks for the state of the job
+
+  Scenario Outline: A list whose pages are <pages> is not read
+    Guards against a read that never ends and fills the memory, and against a
+    list that lacks items and is taken as complete, after which workers and jobs
+    seem to have gone.
+    Given a store whose pages are <pages>
+    When the list of workers is read
+    Then the core is told that the list was not read
+
+    Examples:
+      | pages                      |
+      | two that lead to each other |
+      | empty but not the last      |
+
+  Scenario: An unreadable item at the end of a page does not hide the next one
+    Guards against one item that hides all others of a long list.
+    Given a store whose first page ends with an unreadable item
+    When the list of workers is read
+    Then the workers of both pages are passed on
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -905,3 +905,64 @@
 @behave.then("it asks for the state of the job")
 def step(context):
     assert isinstance(context.event, caller_messages.StateCalled), context.event
+
+
+class PagedSession(FixedSession):
+    """Answers each request with the page that its query asks for."""
+
+    def __init__(self, choose_page):
+        super().__init__(b"")
+        self.choose_page = choose_page
+
+    @contextlib.asynccontextmanager
+    async def request(self, method, url, **_):
+        """Yields the response."""
+        # Reads of pages without end would otherwise never let others run.
+        await asyncio.sleep(0)
+        page = self.choose_page(url.query.get("after", ""))
+        self.body = json.dumps(page).encode()
+        yield self
+
+
+def make_worker_item(name):
+    return make_item(f"servers/{name}", json.dumps(ENTRY).encode())
+
+
+def make_paged_store(context, choose_page):
+    make_store(context)
+    context.store.transport = transport.Transport(PagedSession(choose_page))
+
+
+@behave.given("a store whose pages are two that lead to each other")
+def step(context):
+    def choose_page(after):
+        name = "w-1" if after.endswith("w-2") else "w-2"
+        return standin_documents.encode_page([make_worker_item(name)], True, 9)
+
+    make_paged_store(context, choose_page)
+
+
+@behave.given("a store whose pages are empty but not the last")
+def step(context):
+    page = standin_documents.encode_page([], True, 9)
+    make_paged_store(context, lambda after: page)
+
+
+@behave.given("a store whose first page ends with an unreadable item")
+def step(context):
+    first = [make_worker_item("w-1"), 7]
+    pages = {
+        "": standin_documents.encode_page(first, True, 9),
+        "servers/w-1": standin_documents.encode_page(
+            [make_worker_item("w-2")], False, 9
+        ),
+    }
+    make_paged_store(context, pages.__getitem__)
+
+
+@behave.then("the workers of both pages are passed on")
+def step(context):
+    (event,) = context.events
+    assert event.entries is not None, context.reports
+    names = [entry.worker_id for entry in event.entries]
+    assert names == ["w-1", "w-2"], names
