--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -490,3 +490,63 @@
       | 5000 digits          | 60      |
       | no text              | 3       |
       | superscript two      | 3       |
+
+  Scenario Outline: A write answered 404 <what> is <outcome>
+    Guards against a job that is accepted although no record of it was stored:
+    for a write without a lease, 404 comes from something else than the store,
+    such as another server at its address, and proves nothing.
+    Given a store that answers each call with status 404
+    When a key is written <what>
+    Then the outcome of the write is <outcome>
+
+    Examples:
+      | what            | outcome                       |
+      | without a lease | an unanswered write          |
+      | with a lease    | the loss of the lease         |
+
+  Scenario Outline: A list tells that the record <value> cannot be used
+    Guards against an owner that takes a job whose record or progress cannot be
+    read for one that was removed or has none.
+    Given a store that lists a job record with <value>
+    Then the list contains no record and names its key as unreadable
+
+    Examples:
+      | value                                         |
+      | "job_id": 7                                   |
+      | "job_id": "another"                           |
+      | "steps": [{"count": 20001, "amount": {}}]     |
+      | "steps": [{"count": -1, "amount": {}}]        |
+      | "steps": [{"count": 1, "amount": {}, "after": [0]}] |
+      | "steps": [{"count": 1, "amount": {"cpu_millis": -1}}] |
+
+  Scenario: A call that the core never answers is answered
+    Guards against a caller that waits without limit, and a call that is kept
+    for ever, because an answer was lost with the effects of a failed handler.
+    When a submission is served and the core does not answer it
+    Then the call is answered with status 504
+    And no call is waiting
+
+  Scenario: A HEAD request does not submit a job
+    Guards against a job that is submitted by a request that must have no
+    effect.
+    When a HEAD request with the body of a submission is decoded
+    Then it asks for the state of the job
+
+  Scenario Outline: A list whose pages are <pages> is not read
+    Guards against a read that never ends and fills the memory, and against a
+    list that lacks items and is taken as complete, after which workers and jobs
+    seem to have gone.
+    Given a store whose pages are <pages>
+    When the list of workers is read
+    Then the core is told that the list was not read
+
+    Examples:
+      | pages                      |
+      | two that lead to each other |
+      | empty but not the last      |
+
+  Scenario: An unreadable item at the end of a page does not hide the next one
+    Guards against one item that hides all others of a long list.
+    Given a store whose first page ends with an unreadable item
+    When the list of workers is read
+    Then the workers of both pages are passed on
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import time
+from unittest import mock
 
 import attrs
 import behave
@@ -14,6 +15,7 @@
 from sapphirestall_core import errors
 from sapphirestall_core import resources
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
@@ -86,11 +88,11 @@
         yield self.body
 
 
-def make_store(context, answer=None):
+def make_store(context, answer=None, status=200):
     """Makes a client of a store that answers each call alike."""
     context.events = []
     context.reports = []
-    session = FixedSession(json.dumps(answer).encode())
+    session = FixedSession(json.dumps(answer).encode(), status)
     context.store = store.Store(
         transport.Transport(session),
         "127.0.0.1:1",
@@ -644,17 +646,22 @@
 
 def decode_record(context, document, value):
     make_store(context)
-    item = make_item("x", json.dumps(value).encode())
+    key = records.make_job_key("sefrou/r1", JOB_ID)
+    item = make_item(key, json.dumps(value).encode())
     context.found = context.store.decode_each(
         [item], lambda item: context.store.decode(item, document)
     )
 
 
-@behave.given('a stored job record with "{field}" set to {value}')
-def step(context, field, value):
+def make_job_record():
     queue = {**ROUTE, "priority": 0, "max_attempts": 1, "stretch": 1.0}
     queue["target_latency_s"] = 1.0
-    record = {"job_id": JOB_ID, "queue": queue, "partition": "sefrou/r1"}
+    return {"job_id": JOB_ID, "queue": queue, "partition": "sefrou/r1"}
+
+
+@behave.given('a stored job record with "{field}" set to {value}')
+def step(context, field, value):
+    record = make_job_record()
     document = records.LiveDocument
     decode_record(context, document, record)
     assert context.found, context.reports
@@ -814,3 +821,148 @@
     assert workers_differ == (which == "new"), context.events
     versions_differ = old.configuration != new.configuration
     assert versions_differ == (which == "new"), context.events
+
+
+@behave.given("a store that answers each call with status {status:d}")
+def step(context, status):
+    make_store(context, {}, status)
+
+
+@behave.when("a key is written {what}")
+def step(context, what):
+    lease_id = "7" if what == "with a lease" else ""
+    put = store_messages.Put("k", records.EndedRecord(1), lease_id)
+    effect = store_messages.StoreTransaction(
+        store_messages.Purpose(), (("k", 0),), (put,)
+    )
+    asyncio.run(context.store.call(effect))
+
+
+WRITE_OUTCOMES = {
+    "an unanswered write": store_messages.Unavailable(
+        True, "StoreTransaction status 404"
+    ),
+    "the loss of the lease": store_messages.LeaseLost(""),
+}
+
+
+@behave.then("the outcome of the write is {outcome}")
+def step(context, outcome):
+    (event,) = context.events
+    assert event.outcome == WRITE_OUTCOMES[outcome], event
+
+
+def list_record(context, record):
+    item = make_item(context.key, json.dumps(record).encode())
+    make_store(context, make_list([item]))
+    effect = store_messages.StoreList(
+        store_messages.Purpose(), "live/", records.LiveDocument
+    )
+    asyncio.run(context.store.call(effect))
+    return context.events[0].outcome
+
+
+@behave.given("a store that lists a job record with {fields}")
+def step(context, fields):
+    context.key = records.make_job_key("sefrou/r1", JOB_ID)
+    record = make_job_record()
+    assert list_record(context, record).entries
+    record.update(json.loads(f"{{{fields}}}"))
+    context.outcome = list_record(context, record)
+
+
+@behave.then("the list contains no record and names its key as unreadable")
+def step(context):
+    assert context.outcome.entries == (), context.outcome
+    assert context.outcome.unreadable == (context.key,), context.outcome
+
+
+SUBMISSION = b'{"spec": "x", "steps": [{"count": 1}]}'
+
+
+@behave.when("a submission is served and the core does not answer it")
+def step(context):
+    context.front = front.FrontEnd(
+        lambda event: None, time.monotonic, None, counters.Counters(), "e-1"
+    )
+    request = make_request(SUBMISSION, [(b"deadline-ms", b"10")])
+    with mock.patch.object(front, "ANSWER_MARGIN_S", 0.01):
+        call = asyncio.wait_for(context.front.serve(request), READ_TIMEOUT_S)
+        context.response = asyncio.run(call)
+
+
+@behave.then("no call is waiting")
+def step(context):
+    assert not context.front.waiting_calls, context.front.waiting_calls
+
+
+@behave.when("a HEAD request with the body of a submission is decoded")
+def step(context):
+    request = make_request(SUBMISSION, method="HEAD")
+    context.event = asyncio.run(front.decode(request, "c-1"))
+
+
+@behave.then("it asks for the state of the job")
+def step(context):
+    assert isinstance(context.event, caller_messages.StateCalled), context.event
+
+
+class PagedSession(FixedSession):
+    """Answers each request with the page that its query asks for."""
+
+    def __init__(self, choose_page):
+        super().__init__(b"")
+        self.choose_page = choose_page
+
+    @contextlib.asynccontextmanager
+    async def request(self, method, url, **_):
+        """Yields the response."""
+        # Reads of pages without end would otherwise never let others run.
+        await asyncio.sleep(0)
+        page = self.choose_page(url.query.get("after", ""))
+        self.body = json.dumps(page).encode()
+        yield self
+
+
+def make_worker_item(name):
+    return make_item(f"servers/{name}", json.dumps(ENTRY).encode())
+
+
+def make_paged_store(context, choose_page):
+    make_store(context)
+    context.store.transport = transport.Transport(PagedSession(choose_page))
+
+
+@behave.given("a store whose pages are two that lead to each other")
+def step(context):
+    def choose_page(after):
+        name = "w-1" if after.endswith("w-2") else "w-2"
+        return standin_documents.encode_page([make_worker_item(name)], True, 9)
+
+    make_paged_store(context, choose_page)
+
+
+@behave.given("a store whose pages are empty but not the last")
+def step(context):
+    page = standin_documents.encode_page([], True, 9)
+    make_paged_store(context, lambda after: page)
+
+
+@behave.given("a store whose first page ends with an unreadable item")
+def step(context):
+    first = [make_worker_item("w-1"), 7]
+    pages = {
+        "": standin_documents.encode_page(first, True, 9),
+        "servers/w-1": standin_documents.encode_page(
+            [make_worker_item("w-2")], False, 9
+        ),
+    }
+    make_paged_store(context, pages.__getitem__)
+
+
+@behave.then("the workers of both pages are passed on")
+def step(context):
+    (event,) = context.events
+    assert event.entries is not None, context.reports
+    names = [entry.worker_id for entry in event.entries]
+    assert names == ["w-1", "w-2"], names
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -487,6 +487,7 @@
         loading_changes: Changes of job records that arrived while the owner was
             loading.
         loaded_progress: Progress records read at the takeover; None before.
+        unreadable_progress: Jobs whose progress records cannot be used.
         workers: Workers of the partition, by id.
         jobs: Jobs of which the partition runs tasks, by id.
         dirty_jobs: Jobs whose progress or final state is not in the store yet.
@@ -544,6 +545,7 @@
     loaded_revision: int = 0
     loading_changes: "list[LoadedJob | RemovedJob]" = attrs.field(factory=list)
     loaded_progress: "dict[str, LoadedProgress] | None" = None
+    unreadable_progress: set[str] = attrs.field(factory=set)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     dirty_jobs: dict[str, Job] = attrs.field(factory=dict)
@@ -712,6 +714,8 @@
         release_missing: Whether a release of this shutdown may not be stored.
         shutting_down: Whether the process was asked to end.
         shutdown_requested_at: Monotonic time at which it was asked, in seconds.
+        effects_repeated_at: Monotonic time at which effects that a failed
+            handler lost are, or were last, repeated, in seconds.
     """
 
     identity: Identity
@@ -754,6 +758,7 @@
     release_missing: bool = False
     shutting_down: bool = False
     shutdown_requested_at: float = 0.0
+    effects_repeated_at: float = 0.0
 
     def find_owned(self, name: str, token: int) -> Partition | None:
         """Returns a partition that this instance still owns under a token.
