Check the keys of records through the store's messages

features/architecture.feature failed on the merged code: the platform's adapter imported the record types to check that a record belongs to its key. The check is now declared beside the store's messages and registered by the records, so that the adapter knows only the former. No change of behaviour.

--- a/standins/batch_record_fuzz.py
+++ b/standins/batch_record_fuzz.py
@@ -95,7 +95,7 @@
         plain = converter.unstructure(item.value)
         try:
             value = converter.structure(damage(plain, rng), document)
-            records.check_key(value, key)
+            store_messages.check_key(value, key)
         except decoding.DECODE_ERRORS:
             world.store.unreadable.add(key)
             described.append(f"{key}: unreadable")
