Move long-running tasks that lost their runs without a delay

A long-running task for which a pass finds no worker moved 0.4 s later, which the interval of the periodic checks makes 0.5 s. The delay lets a new task wait for room in its own partition. Such a task now moves at the next check, 0.25 s after the pass, for 12 s from the loss or the takeover.

--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -82,7 +82,8 @@
   Scenario Outline: Tasks of a lost worker run elsewhere in time
     Guards against long-running tasks that wait although another partition has
     room: their worker is lost, and owners end or the store fails as they move.
-    In 375 and 378 their job had reached the highest number of partitions.
+    In 375 and 378 their job had reached the highest number of partitions. In 578
+    the next owner waited for a worker of its own after the end of the leases.
     When sequence <seed> of moves is played
     Then all its tasks run again in time
 
@@ -94,3 +95,4 @@
       | 375  |
       | 378  |
       | 449  |
+      | 578  |
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -27,6 +27,10 @@
 PART = "balance"
 # A task may move when no worker was found for it for this time, in seconds.
 MOVE_DELAY_S = 0.4
+# The same for a long-running task that may have lost its run within this time:
+# it has waited for the end of leases, and other partitions have had room.
+LOST_RUN_MOVE_DELAY_S = 0.1
+RECENT_LOSS_S = 12.0
 # A job that has started may move after this longer time, in seconds.
 STARTED_MOVE_DELAY_S = 1.2
 # Summaries that were read longer ago than this, in seconds, are read again
@@ -91,7 +95,9 @@
             batch, MAX_SUMMARY_AGE_FOR_TASKS_S, now
         )
     unplaced = [
-        job for job in partition.jobs.values() if _has_unplaced_task(job, now)
+        job
+        for job in partition.jobs.values()
+        if _has_unplaced_task(partition, job, now)
     ]
     if not unplaced:
         return effects
@@ -142,27 +148,49 @@
     )
 
 
-def _has_unplaced_task(job: state.Job, now: float) -> bool:
+def _has_unplaced_task(
+    partition: state.Partition, job: state.Job, now: float
+) -> bool:
     """Returns whether a task of a job has waited so long that it may move."""
     if job.move_in_flight or job.final_state is not None:
         return False
+    lost_run = _may_have_lost_run(partition, job, now)
     return any(
         task.unplaced_since is not None
-        and now - task.unplaced_since > _choose_move_delay(task)
+        and now - task.unplaced_since > _choose_move_delay(task, lost_run)
         for step in job.steps
         for task in step.runnable.values()
     )
 
 
-def _choose_move_delay(task: state.Task) -> float:
+def _may_have_lost_run(
+    partition: state.Partition, job: state.Job, now: float
+) -> bool:
+    """Returns whether tasks of a job may have lost their runs recently.
+
+    The owner gave up their worker, or it took them over without their runs.
+    """
+    if now - job.runs_lost_at < RECENT_LOSS_S:
+        return True
+    was_taken_over = job.create_revision < partition.token
+    return was_taken_over and now - partition.acquired_at < RECENT_LOSS_S
+
+
+def _choose_move_delay(task: state.Task, lost_run: bool) -> float:
     """Returns how long a task waits for a worker before it may move.
 
     A long-running task moves alone and should run again soon. Other tasks move
     with their whole job, which has to be worth it once the job has started.
 
+    Args:
+        task: The task.
+        lost_run: Whether tasks of its job may have lost their runs recently.
+
     Returns:
         Time in seconds.
     """
+    if task.step.long_running and lost_run:
+        return LOST_RUN_MOVE_DELAY_S
     if task.step.long_running or not task.job.start_sent:
         return MOVE_DELAY_S
     return STARTED_MOVE_DELAY_S
@@ -260,13 +288,15 @@
         The changed record; None if no task can be moved.
     """
     moved = dict(job.record.moved)
+    lost_run = _may_have_lost_run(partition, job, now)
     for number, step in enumerate(job.steps):
         if not step.step.long_running:
             continue
         for index, task in step.runnable.items():
             if (
                 task.unplaced_since is None
-                or now - task.unplaced_since < MOVE_DELAY_S
+                or now - task.unplaced_since
+                < _choose_move_delay(task, lost_run)
             ):
                 continue
             planned = attrs.evolve(job.record, moved=moved)
