Store what a new owner knows before a long load has ended

The first roster of an owner, which names the workers that have not answered, waited for the job records, as a release among them may name a later end of the leases. Where reading the records took long, an owner that was killed meanwhile left nothing, and its successor counted the leases anew: with lists of 0.8 s, long-running tasks had no run for 9.7 to 10.2 s after a crash and two kills.

A new owner reads the release by itself too. The roster is written 0.2 s after the takeover if the release was read by then, whatever else is still loading. It costs one small read for each takeover.

The two rows of "Tasks start again although an owner that was killed was loading" fail before this change and pass with it.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -30,6 +30,20 @@
       | -1.5  | 2        | is killed, is killed, shuts down     | each owner counts from the end of the key before it |
       | 0     | 2        | is killed, shuts down, is killed     | each owner counts from the end of the key before it |
 
+  Scenario Outline: Tasks start again although an owner that was killed was loading
+    Guards against the same where reads of job records take long: an owner that
+    was killed meanwhile had written nothing of a worker that did not answer.
+    Given a partition with long-running tasks
+    And every list of jobs takes 0.8 s
+    When a worker crashes and owners end <delay> s later, every <interval> s: <ends>
+    Then every long-running task was restarted in time
+    And no invariant was violated
+
+    Examples:
+      | delay | interval | ends                             |
+      | -0.5  | 3.6      | is killed, is killed             |
+      | 0.2   | 3.5      | is killed, is killed, shuts down |
+
   Scenario Outline: Random ends of owners around the loss of a worker
     Guards against the same, and against tasks that run twice, where a worker
     crashes, leaves or is cut off at a random time around the end of its owner.
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -20,6 +20,11 @@
     context.seed = SEED
 
 
+@behave.given("every list of jobs takes {seconds:g} s")
+def step(context, seconds):
+    context.list_delay_s = (seconds, seconds)
+
+
 @behave.given("a random sequence of ends of owners, by seed {seed:d}")
 def step(context, seed):
     context.seed = seed
@@ -42,6 +47,8 @@
 def step(context):
     context.restarts = batch_successions.build(context.seed, context.sequence)
     context.world = context.restarts.world
+    if "list_delay_s" in context:
+        context.world.list_delay_s = context.list_delay_s
     context.restarts.play()
 
 
--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -101,7 +101,7 @@
         return effects
     effects.append(_make_log(partition, outcome, reply, now))
     for found in outcome.entries:
-        _observe_release(batch, partition, found, now)
+        releases.observe_record(batch, partition, found, now)
     effects += _apply_jobs(batch, partition, outcome, now)
     if partition.phase is state.Phase.LOADING:
         effects += dispatch.handle(JobsLoaded(partition.name), batch, now)
@@ -248,18 +248,6 @@
     return effects + _watch(partition, outcome.revision)
 
 
-def _observe_release(
-    batch: state.Batch,
-    partition: state.Partition,
-    found: store_messages.Found,
-    now: float,
-) -> None:
-    """Keeps a record that was read if it is a release."""
-    if isinstance(found.value, records.ReleaseRecord):
-        written_at = batch.revision_times.find_reached_at(found.revision, now)
-        releases.observe_release(partition, found.value, written_at)
-
-
 def _apply_change(
     batch: state.Batch,
     partition: state.Partition,
@@ -269,7 +257,7 @@
     if change.key == records.make_live_owner_key(partition.name):
         return ownership.apply_owner_change(batch, partition.name, change, now)
     if isinstance(change, store_messages.Found):
-        _observe_release(batch, partition, change, now)
+        releases.observe_record(batch, partition, change, now)
     observed = parse_change(partition, change, now)
     if observed is None:
         return []
--- a/packages/core/src/sapphirestall_core/batch/releases.py
+++ b/packages/core/src/sapphirestall_core/batch/releases.py
@@ -35,6 +35,14 @@
     partition: str
 
 
+@attrs.frozen
+class ReleaseRead(store_messages.Purpose):
+    """Purpose of the read of the former owner's release by a new owner."""
+
+    partition: str
+    token: int
+
+
 def release(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
@@ -125,6 +133,55 @@
     return []
 
 
+def read_release(partition: state.Partition) -> dispatch.Effects:
+    """Reads the release of the former owner.
+
+    The records of jobs, among which it lies, may take long to read.
+    """
+    return [
+        store_messages.StoreGet(
+            ReleaseRead(partition.name, partition.token),
+            records.make_release_key(partition.name),
+            records.ReleaseRecord,
+        )
+    ]
+
+
+@dispatch.handle_store_reply.register(ReleaseRead)
+def apply_release(
+    purpose: ReleaseRead,
+    reply: store_messages.StoreReply,
+    batch: state.Batch,
+    now: float,
+) -> dispatch.Effects:
+    """Keeps the release that was read, if there is one.
+
+    After a failed read the release is found among the job records.
+    """
+    partition = batch.find_owned(purpose.partition, purpose.token)
+    if partition is None:
+        return []
+    outcome = reply.outcome
+    if isinstance(outcome, store_messages.Found):
+        observe_record(batch, partition, outcome, now)
+    elif not isinstance(outcome, store_messages.Absent):
+        return []
+    partition.release_read = True
+    return []
+
+
+def observe_record(
+    batch: state.Batch,
+    partition: state.Partition,
+    found: store_messages.Found,
+    now: float,
+) -> None:
+    """Keeps a record that was read if it is a release."""
+    if isinstance(found.value, records.ReleaseRecord):
+        written_at = batch.revision_times.find_reached_at(found.revision, now)
+        observe_release(partition, found.value, written_at)
+
+
 def observe_release(
     partition: state.Partition,
     record: records.ReleaseRecord,
--- a/packages/core/src/sapphirestall_core/batch/rosters.py
+++ b/packages/core/src/sapphirestall_core/batch/rosters.py
@@ -26,6 +26,9 @@
 
 # Mean time from a failed call to the next read, in seconds.
 RETRY_S = 0.2
+# Time after which the first roster of an owner that is still loading does not
+# wait for the answers of further workers, in seconds.
+FIRST_ANSWERS_S = 0.2
 
 
 @attrs.frozen
@@ -209,7 +212,7 @@
         partition.roster_write_in_flight
         or partition.roster_revision is None
         or not partition.workers_listed
-        or _awaits_answers(partition)
+        or _awaits_answers(partition, now)
     ):
         return []
     loading = partition.phase is state.Phase.LOADING
@@ -254,13 +257,18 @@
     ]
 
 
-def _awaits_answers(partition: state.Partition) -> bool:
+def _awaits_answers(partition: state.Partition, now: float) -> bool:
     """Returns whether the first write of an owner waits for workers' answers.
 
-    It names the workers that have not answered until everything is loaded. The
-    end of the leases there also depends on a release among the job records.
+    The write names the workers that have not answered. The end of the leases
+    there depends on a release, which is also read with the job records.
     """
-    return partition.loaded_jobs is None and any(
+    if partition.loaded_jobs is not None:
+        return False
+    age_s = now - partition.acquired_at
+    if partition.release_read and age_s >= FIRST_ANSWERS_S:
+        return False
+    return any(
         withheld_leases.awaits_first_answer(partition, name)
         for name in partition.unlisted_workers
     )
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -452,6 +452,8 @@
         former_owner_ended_at: Monotonic time before which the former owner's
             process, and all before it, had ended, in seconds; None if that is
             not known.
+        release_read: Whether the release of the former owner was read, or is
+            known not to exist.
         released_generation: Generation of the owner that wrote the release that
             was read; -1 before one was read.
         former_leases_end_at: By worker, monotonic time at which the leases
@@ -516,6 +518,7 @@
     unlisted_workers: set[str] = attrs.field(factory=set)
     former_runs_end_at: float = math.inf
     former_owner_ended_at: float | None = None
+    release_read: bool = False
     released_generation: int = -1
     former_leases_end_at: dict[str, float] = attrs.field(factory=dict)
     former_withheld_end_at: dict[str, float] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/takeover.py
+++ b/packages/core/src/sapphirestall_core/batch/takeover.py
@@ -19,6 +19,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
+from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
@@ -52,6 +53,7 @@
     partition = batch.partitions[event.partition]
     return [
         *_read_missing(batch, partition),
+        *releases.read_release(partition),
         *worker_list.read_entries(batch, now),
         *summary_reads.read_summaries(batch, now),
         # The record holds the interference that former owners have learned.
