Take back failures of steps that fail everywhere

Three failed runs in a row suspend a worker for 5 s, whatever failed.

A step whose runs failed on two workers while none of its tasks is done now counts as the cause itself. Its failures are taken back, and the workers resume at once. After a suspension one failure does not cause the next one any more; two do. The code moves from polls.py to suspensions.py, and a refusal, which pauses a worker for 0.5 s, does not shorten a suspension any more.

Tried and left out: counting each step without a done task once.

--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -44,6 +44,7 @@
         and not worker.unresponsive
         and worker.restarted_at is None
         and worker.suspended_until <= now
+        and worker.failing_until <= now
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import suspensions
 from sapphirestall_core.batch import worker_messages
 
 PART = "workers"
@@ -25,10 +26,6 @@
 # A worker that has not answered for this long counts as unresponsive, even if
 # the cause lies in this process.
 LOCAL_CAUSE_LIMIT_S = 3.0
-# Number of consecutive failed runs, of any jobs, after which a worker gets no
-# starts for `SUSPENSION_S`.
-FAILURES_TO_SUSPEND = 3
-SUSPENSION_S = 5.0
 
 
 @dispatch.handle_worker_reply.register(worker_messages.HoldLease)
@@ -329,12 +326,13 @@
     effects: dispatch.Effects = [log]
     job_ended = False
     if end.kind is model.EndKind.DONE and not task.step.long_running:
-        worker.consecutive_failures = 0
+        suspensions.record_done(worker)
         job_ended = jobs.finish_task(task)
         if task.run is not None and task.run is not run:
             effects += _stop_other_run(partition, task.run, now)
     elif end.kind is model.EndKind.FAILED:
-        effects += _count_failure(partition, worker, now)
+        step = task.job.steps[end.task.step]
+        effects += suspensions.record_failure(partition, worker, step, now)
         job_ended = jobs.record_failed_run(task, end, worker.entry.worker_id)
     if not job_ended and (task.run is run or task.run is None):
         jobs.requeue(task)
@@ -348,24 +346,6 @@
     return effects
 
 
-def _count_failure(
-    partition: state.Partition, worker: state.Worker, now: float
-) -> dispatch.Effects:
-    worker.consecutive_failures += 1
-    if worker.consecutive_failures < FAILURES_TO_SUSPEND:
-        return []
-    worker.suspended_until = now + SUSPENSION_S
-    return [
-        contact.make_log(
-            "suspended",
-            partition,
-            worker.entry.worker_id,
-            failures=worker.consecutive_failures,
-            for_s=SUSPENSION_S,
-        )
-    ]
-
-
 def _stop_other_run(
     partition: state.Partition, run: state.Run, now: float
 ) -> dispatch.Effects:
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -206,6 +206,7 @@
             this step costs; None before the first measurement.
         load_corrected_at: Monotonic time at which a measurement last corrected
             `load_estimate`, in seconds.
+        failed_worker_ids: Workers on which runs of the step failed.
     """
 
     step: model.Step
@@ -215,6 +216,7 @@
     unblocked: bool = False
     load_estimate: trends.Trend | None = None
     load_corrected_at: float = 0.0
+    failed_worker_ids: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(slots=True, eq=False)
@@ -346,6 +348,10 @@
             seconds.
         consecutive_failures: Number of failed runs since the last run that was
             done.
+        failing_until: Monotonic time before which no starts are sent since too
+            many runs failed, in seconds.
+        failed_steps: The steps of these runs, but for steps that are the cause
+            themselves.
         measurements_learned_at: Monotonic time at which the interference model
             last used the measurements of the worker, in seconds.
         trust: Trust in the interference model for this worker, 0 to 1. It
@@ -388,6 +394,8 @@
     restarted_at: float | None = None
     suspended_until: float = -1e9
     consecutive_failures: int = 0
+    failing_until: float = -1e9
+    failed_steps: list[StepState] = attrs.field(factory=list)
     measurements_learned_at: float = -1e9
     trust: float = 1.0
     trust_changed_at: float = -1e9
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -0,0 +1,87 @@
+"""Suspension of workers on which runs fail.
+
+A worker that fails all that it runs gets no starts for a while. A step whose
+tasks fail everywhere says nothing about the workers on which they failed.
+"""
+
+from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import state
+
+# Number of failed runs, since the last one that was done, after which a worker
+# gets no starts for `SUSPENSION_S`.
+FAILURES_TO_SUSPEND = 3
+SUSPENSION_S = 5.0
+# A step whose runs failed on this many workers, and of which no task is done,
+# counts as the cause itself.
+WORKERS_TO_DISCOUNT = 2
+
+
+def record_done(worker: state.Worker) -> None:
+    """Records that a run on a worker was done."""
+    worker.consecutive_failures = 0
+    worker.failed_steps.clear()
+
+
+def record_failure(
+    partition: state.Partition,
+    worker: state.Worker,
+    step: state.StepState,
+    now: float,
+) -> dispatch.Effects:
+    """Records that a run of a step failed on a worker.
+
+    Suspends the worker after too many failures. Those of a step that counts
+    as their cause are taken back, also on other workers.
+    """
+    worker.consecutive_failures += 1
+    step.failed_worker_ids.add(worker.entry.worker_id)
+    if _is_cause(step):
+        return _discount_failures(partition, step, now)
+    if (
+        len(worker.failed_steps) >= FAILURES_TO_SUSPEND
+        and worker.failing_until <= now
+    ):
+        # A single failure after a suspension does not cause another one.
+        del worker.failed_steps[:-1]
+    worker.failed_steps.append(step)
+    if len(worker.failed_steps) < FAILURES_TO_SUSPEND:
+        return []
+    worker.failing_until = now + SUSPENSION_S
+    return [
+        contact.make_log(
+            "suspended",
+            partition,
+            worker.entry.worker_id,
+            failures=len(worker.failed_steps),
+            for_s=SUSPENSION_S,
+        )
+    ]
+
+
+def _is_cause(step: state.StepState) -> bool:
+    """Returns whether a step counts as the cause of its own failures."""
+    return len(step.failed_worker_ids) >= WORKERS_TO_DISCOUNT and not step.done
+
+
+def _discount_failures(
+    partition: state.Partition, step: state.StepState, now: float
+) -> dispatch.Effects:
+    """Takes the failures of a step back, with suspensions that they caused."""
+    effects: dispatch.Effects = []
+    for name in step.failed_worker_ids:
+        worker = partition.workers.get(name)
+        if worker is None or step not in worker.failed_steps:
+            continue
+        worker.failed_steps = [
+            other for other in worker.failed_steps if other is not step
+        ]
+        if (
+            worker.failing_until > now
+            and len(worker.failed_steps) < FAILURES_TO_SUSPEND
+        ):
+            worker.failing_until = now
+            effects.append(contact.make_log("resumed", partition, name))
+            effects += passes.request_pass(partition)
+    return effects
--- a/standins/batch_faults.py
+++ b/standins/batch_faults.py
@@ -11,6 +11,7 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import model
+from standins import batch_worker
 from standins import batch_world
 
 # The platform removes the entry of a worker that it has not heard of for this
@@ -26,6 +27,13 @@
 # Range of the time until the entry of a worker that exited disappears, in
 # seconds.
 DEREGISTRATION_S = (0.4, 1.2)
+# Ranges of the times for which a worker that flaps is down and up, in seconds.
+DOWN_S = (0.5, 4.0)
+UP_S = (0.5, 6.0)
+# Range of the time for which a worker fails, stalls or refuses, in seconds.
+TROUBLE_S = (1.0, 7.0)
+# Range of the pauses of an instance that is slow, in seconds.
+SLOW_S = (0.05, 0.4)
 
 
 @attrs.define
@@ -90,6 +98,19 @@
 
         world.schedule(seconds, end)
 
+    def lose_start_answers(self, fraction: float, seconds: float) -> None:
+        """Loses the answers to starts, half of which are carried out late."""
+        world = self.world
+        self._begin(f"lose {fraction:.2f} of the starts for {seconds:.2f} s")
+        world.late_start_fraction = fraction / 2
+        world.unanswered_start_fraction = fraction / 2
+
+        def end() -> None:
+            world.late_start_fraction = world.unanswered_start_fraction = 0.0
+            self._end()
+
+        world.schedule(seconds, end)
+
     def write_late(self, fraction: float, seconds: float) -> None:
         """Carries out a fraction of the store's writes late, without answer."""
         world = self.world
@@ -180,6 +201,60 @@
         self.world.schedule(ENTRY_EXPIRY_S, lambda: self._deregister(name))
         self._end()
 
+    def flap_worker(self, name: str, times: int) -> None:
+        """Lets a worker go down and up by turns, under the same id.
+
+        Its entry is there all the time, as it is never down for long.
+        """
+        world = self.world
+        self._begin(f"flap {name} {times} times")
+        entry = world.listed_workers[name]
+
+        def go_down(remaining: int) -> None:
+            if not remaining or name not in world.workers:
+                self._end()
+                return
+            del world.workers[name]
+            delay_s = world.rng.uniform(*DOWN_S)
+            world.schedule(delay_s, lambda: go_up(remaining))
+
+        def go_up(remaining: int) -> None:
+            world.restart_worker(name, entry)
+            delay_s = world.rng.uniform(*UP_S) if remaining > 1 else 0.0
+            world.schedule(delay_s, lambda: go_down(remaining - 1))
+
+        go_down(times)
+
+    def fail_worker_runs(self, name: str) -> None:
+        """Lets all that a worker runs or starts fail for some seconds."""
+        worker, seconds = self._begin_trouble("fail the runs of", name)
+        worker.fail_runs(self.world.now, seconds)
+
+    def stall_worker_runs(self, name: str) -> None:
+        """Lets all that a worker runs or starts stand still for some time."""
+        worker, seconds = self._begin_trouble("stall the runs of", name)
+        worker.stall_runs(self.world.now, seconds)
+
+    def refuse_calls(self, name: str) -> None:
+        """Lets a worker refuse all calls for some seconds."""
+        worker, seconds = self._begin_trouble("refuse calls at", name)
+        worker.unhealthy_until = self.world.now + seconds
+
+    def slow_node(self, node: batch_world.Node, seconds: float) -> None:
+        """Lets an instance handle events only at intervals for some time."""
+        world = self.world
+        self._begin(f"slow {node.name} for {seconds:.2f} s")
+        ends_at = world.now + seconds
+
+        def pause() -> None:
+            if world.now >= ends_at:
+                self._end()
+                return
+            node.paused_until = world.now + world.rng.uniform(*SLOW_S)
+            world.schedule(world.rng.uniform(*SLOW_S) + SLOW_S[1], pause)
+
+        pause()
+
     def crash_node(self, node: batch_world.Node) -> None:
         """Kills an instance, which starts again later."""
         self._begin(f"crash {node.name}")
@@ -263,6 +338,15 @@
         self.active -= 1
         self.disturbed_at = self.world.now
 
+    def _begin_trouble(
+        self, what: str, name: str
+    ) -> tuple[batch_worker.BatchWorker, float]:
+        """Records the trouble of a worker; returns it and the time it lasts."""
+        seconds = self.world.rng.uniform(*TROUBLE_S)
+        self._begin(f"{what} {name} for {seconds:.2f} s")
+        self.world.schedule(seconds, self._end)
+        return self.world.workers[name], seconds
+
     def _deregister(self, name: str) -> None:
         self.world.listed_workers.pop(name, None)
 
--- a/standins/batch_restarts.py
+++ b/standins/batch_restarts.py
@@ -77,15 +77,20 @@
                 self.last_run_at[task] = world.now
                 continue
             last_run_at = self.last_run_at.setdefault(task, world.now)
-            late_since = max(
-                last_run_at + RESTART_S, self.faults.find_calm_since() + CALM_S
-            )
+            late_since = self.find_late_since(task, last_run_at)
             if world.now - late_since > NOTICE_S and task not in self.late:
                 self.late[task] = (
                     f"{task} without a run from {last_run_at:.1f}"
                     f" to {world.now:.1f}"
                 )
 
+    def find_late_since(
+        self, task: model.TaskName, last_run_at: float
+    ) -> float:
+        """Returns from when on a task without a run counts as late."""
+        calm_since = self.faults.find_calm_since()
+        return max(last_run_at + RESTART_S, calm_since + CALM_S)
+
     def list_tasks(self) -> list[model.TaskName]:
         """Returns the long-running tasks that should run."""
         return [
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -12,6 +12,8 @@
 from sapphirestall_core.batch import worker_messages
 
 STOP_DELAY_S = 0.1
+# Time after which a run fails on a worker that fails all runs, in seconds.
+FAILURE_DELAY_S = 0.2
 
 
 @attrs.define
@@ -53,6 +55,8 @@
         expired_position: Position of the newest run that had ended when the
             lease was last seen to be expired.
         unhealthy_until: Time before which the worker refuses all calls.
+        fails_until: Time before which all runs that start fail.
+        stalls_until: Time before which runs that start make no progress.
     """
 
     entry: model.WorkerEntry
@@ -70,11 +74,27 @@
     voided_numbers: dict[model.TaskName, int] = attrs.field(factory=dict)
     expired_position: int = 0
     unhealthy_until: float = 0.0
+    fails_until: float = 0.0
+    stalls_until: float = 0.0
 
     def read_clock(self, now: float) -> int:
         """Returns the time on the worker's own clock, in milliseconds."""
         return int((now - self.started_at) * self.speed * 1000)
 
+    def fail_runs(self, now: float, seconds: float) -> None:
+        """Lets all runs fail for a time, also those that start meanwhile."""
+        self.fails_until = now + seconds
+        for run in self.running.values():
+            run.end_kind = model.EndKind.FAILED
+            run.done_at = now + FAILURE_DELAY_S
+
+    def stall_runs(self, now: float, seconds: float) -> None:
+        """Lets all runs make no progress for a time."""
+        self.stalls_until = now + seconds
+        for run in self.running.values():
+            if run.done_at is not None:
+                run.done_at += seconds
+
     def advance(self, now: float) -> None:
         """Ends the runs that are done, stopped or without a lease by `now`."""
         lease_ends_at = self.started_at + self.lease_end_ms / (
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -118,6 +118,7 @@
         lost_history_fraction: Fraction of watches for which the store has no
             history.
         failure_fraction: Fraction of runs that fail.
+        hopeless_jobs: Jobs of which all runs fail.
         unanswered_start_fraction: Fraction of starts that are carried out at
             once but get no answer.
         polls_in_flight: Number of polls in flight, by instance, token,
@@ -165,6 +166,7 @@
     worker_list_delay_s: float = STORE_DELAY_S
     lost_history_fraction: float = 0.0
     failure_fraction: float = 0.0
+    hopeless_jobs: set[str] = attrs.field(factory=set)
     unanswered_start_fraction: float = 0.0
     polls_in_flight: "collections.Counter[PollKey]" = attrs.field(
         factory=collections.Counter
@@ -244,6 +246,14 @@
         self.listed_workers[name] = entry
         return worker
 
+    def restart_worker(self, name: str, entry: model.WorkerEntry) -> None:
+        """Starts a new incarnation of a worker that has ended."""
+        entry = attrs.evolve(entry, started_at_ms=int(self.now * 1000))
+        self.workers[name] = batch_worker.BatchWorker(
+            entry, self.limits.worker_lease_s, self.now
+        )
+        self.listed_workers[name] = entry
+
     def drain_worker(self, name: str) -> None:
         """Makes a worker announce that it will leave."""
         entry = attrs.evolve(self.listed_workers[name], draining=True)
@@ -404,10 +414,17 @@
         self._check(worker, call.task, step)
         ends_at = None
         if not step.long_running:
-            ends_at = self.now + self.rng.uniform(*self.run_duration_s)
+            begins_at = max(self.now, worker.stalls_until)
+            ends_at = begins_at + self.rng.uniform(*self.run_duration_s)
         kind = model.EndKind.DONE
-        if self.rng.random() < self.failure_fraction:
+        if (
+            self.rng.random() < self.failure_fraction
+            or call.task.job_id in self.hopeless_jobs
+        ):
+            kind = model.EndKind.FAILED
+        if self.now < worker.fails_until:
             kind = model.EndKind.FAILED
+            ends_at = self.now + batch_worker.FAILURE_DELAY_S
         worker.running[key] = self.make_run(call, step, ends_at, kind)
         self.starts += 1
         return worker_messages.Done(clock_ms)
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -27,6 +27,7 @@
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import suspensions
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import workers
@@ -38,6 +39,7 @@
 LOAD = "batch_load.feature"
 DIVISION = "batch_division.feature"
 POOLS = "batch_candidate_pools.feature"
+FULL_FLEET = "batch_full_fleet.feature"
 CONTACT = "batch_contact.feature"
 CUTS = "batch_cuts.feature"
 TENURE = "batch_tenure.feature"
@@ -55,6 +57,11 @@
     nominations.choose_candidate = lambda *_: None
 
 
+def blame_workers_for_all_failures() -> None:
+    """Suspends workers also for failures of steps that fail everywhere."""
+    suspensions.WORKERS_TO_DISCOUNT = 10**9
+
+
 def use_unlisted_workers() -> None:
     """Lets tasks start on workers that have not listed their runs."""
     is_usable = placement.is_usable
@@ -445,6 +452,11 @@
         f"{POOLS}: A large long-running task runs again",
         never_nominate_workers,
     ),
+    (
+        "failures of a step",
+        f"{FULL_FLEET}: A step that fails everywhere",
+        blame_workers_for_all_failures,
+    ),
     (
         "room of a job",
         f"{DIVISION}: A wide opportunistic job meets its objective",
