Measure two scenarios of worker calls in virtual time

"A call times out even if the loop is always late" and "Commands do not wait for long polls" failed now and then beside a load of 20 to 35 on 8 cores: they compared real time, which a busy machine stretches, with a bound of the process itself. The cause was the check and not the process: both bounds are kept to by the loop's own clock.

The steps now run their real sockets on a loop in virtual time, which advances only when nothing is ready, and by the delays that the test asks for.

--- a/features/steps/worker_calls_steps.py
+++ b/features/steps/worker_calls_steps.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 import behave
 
+from features import virtual_time
 from sapphirestall_core import messages
 from sapphirestall_core import request_messages
 from sapphirestall_core import task_messages
@@ -202,11 +203,18 @@
     asyncio.run(send_calls(context, [make_command] * count, concurrent))
 
 
-async def block_loop(seconds, times=1):
+async def block_loop(seconds):
     """Blocks the event loop after the calls have been sent."""
+    await asyncio.sleep(0.02)
+    asyncio.get_running_loop().call_soon(time.sleep, seconds)
+
+
+async def delay_loop(seconds, times):
+    """Makes the event loop late again and again, in virtual time."""
+    loop = asyncio.get_running_loop()
     for _ in range(times):
         await asyncio.sleep(0.02)
-        asyncio.get_running_loop().call_soon(time.sleep, seconds)
+        loop.call_soon(loop.pass_time, seconds)
 
 
 @behave.when("{count:d} commands are sent to it at once")
@@ -226,7 +234,9 @@
     "{count:d} commands are sent to it while the loop is blocked repeatedly"
 )
 def step(context, count):
-    send_commands(context, count, block_loop(0.13, times=20))
+    context.count = count
+    calls = [make_command] * count
+    virtual_time.run(send_calls(context, calls, delay_loop(0.13, times=20)))
 
 
 @behave.given("an address on which no worker listens")
@@ -251,7 +261,7 @@
 @behave.when("{count:d} polls and then a command are sent to it")
 def step(context, count):
     calls = [make_poll] * count + [make_command]
-    asyncio.run(send_calls(context, calls, asyncio.sleep(0)))
+    virtual_time.run(send_calls(context, calls, asyncio.sleep(0)))
 
 
 @behave.then("the command was answered within {seconds:g} s")
