Test callers whose calls and answers are lost and repeated

standins/batch_callers.py submits, queries and cancels jobs, each call several times and at any instance, while answers of the store are lost, its writes are carried out late, and starts get no answer. Checked: nothing runs whose submissions were all rejected, nothing starts after a cancellation was acknowledged, nothing accepted becomes unknown or stays undone, nothing runs twice, and each call gets an answer.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -167,3 +167,10 @@
       | 4    |
       | 5    |
       | 6    |
+
+  Scenario: Callers whose calls and answers are lost, late and repeated
+    Guards against work that runs although each of its submissions was rejected,
+    that runs again or after its cancellation, and against a job that is unknown
+    or lost after it was accepted.
+    When callers repeat their calls at any instance with the seeds 1 to 12
+    Then all answers are kept
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -8,6 +8,7 @@
 from sapphirestall_core.batch import configuration
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
+from standins import batch_callers
 from standins import batch_world
 
 DATA_CENTRE = "north"
@@ -260,3 +261,16 @@
 def step(context, count):
     answer = context.world.answers[context.call_ids[-1]]
     assert answer == caller_messages.PendingShown(count), answer
+
+
+@behave.when(
+    "callers repeat their calls at any instance with the seeds {first:d} to "
+    "{last:d}"
+)
+def step(context, first, last):
+    context.problems = batch_callers.find_problems(first, last)
+
+
+@behave.then("all answers are kept")
+def step(context):
+    assert not context.problems, "\n".join(context.problems)
