Show that restarted processes use no former state or rights

Two scenarios of what could have happened after a restart and can't: a read of the store never allows an older state, so that a process that has just started does not put a withdrawn configuration or a worker that has left in use again, and a process under the name of a killed one does not adopt the owner key that this one left.

--- a/features/batch_stale_state.feature
+++ b/features/batch_stale_state.feature
@@ -17,3 +17,11 @@
     And new jobs arrive for 10 s
     Then no task was started on the worker that left
     And no invariant was violated
+
+  Scenario: A restarted process does not use the rights of the former one
+    Guards against two processes with one fencing token: a process under the
+    same name that finds the owner key of the former one, whose last calls may
+    still be on their way.
+    Given an owner whose process is killed
+    When a process under its name starts before the owner key has expired
+    Then it acquires the partition under a higher fencing token only
--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -550,3 +550,10 @@
     Given a store whose first page ends with an unreadable item
     When the list of workers is read
     Then the workers of both pages are passed on
+
+  Scenario: No read of the store may be answered with an older state
+    Guards against a process that has just started and puts a withdrawn version
+    of the configuration, or a worker that has left, in use again. Only a read
+    that allows it is answered with an older state.
+    When everything is read from the store
+    Then no read allowed an older state
--- a/features/steps/batch_stale_state_steps.py
+++ b/features/steps/batch_stale_state_steps.py
@@ -109,3 +109,29 @@
         and at >= context.restarted_at
     ]
     assert started_on and LEFT not in started_on, set(started_on)
+
+
+@behave.given("an owner whose process is killed")
+def step(context):
+    world = context.world = batch_world.BatchWorld(1)
+    world.add_worker(LEFT, "north")
+    context.former = world.add_node("e-1", "north")
+    world.run(4)
+    world.kill(context.former)
+
+
+@behave.when("a process under its name starts before the owner key has expired")
+def step(context):
+    context.restarted = context.world.add_node("e-1", "north")
+
+
+@behave.then("it acquires the partition under a higher fencing token only")
+def step(context):
+    former_token = context.former.batch.partitions["north"].token
+    tokens = set()
+    for _ in range(80):
+        context.world.run(0.1)
+        for partition in context.restarted.batch.partitions.values():
+            tokens.add(partition.token)
+    assert tokens, "the partition was not acquired"
+    assert min(tokens) > former_token, (tokens, former_token)
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -966,3 +966,39 @@
     assert event.entries is not None, context.reports
     names = [entry.worker_id for entry in event.entries]
     assert names == ["w-1", "w-2"], names
+
+
+@behave.when("everything is read from the store")
+def step(context):
+    context.queries = []
+
+    class RecordingSession(FixedSession):
+        """Records the query of each request."""
+
+        @contextlib.asynccontextmanager
+        async def request(self, method, url, **_):
+            """Yields the response."""
+            context.queries.append(dict(url.query))
+            yield self
+
+    make_store(context)
+    body = json.dumps(make_list([])).encode()
+    context.store.transport = transport.Transport(RecordingSession(body))
+    purpose, document = store_messages.Purpose(), records.EndedRecord
+    for call in (
+        context.store.read_configuration(),
+        context.store.read_workers(),
+        context.store.call(store_messages.StoreGet(purpose, "k", document)),
+        context.store.call(store_messages.StoreList(purpose, "k", document)),
+        context.store.call(
+            store_messages.StoreFollow(purpose, "k", 7, document, 1.0)
+        ),
+    ):
+        asyncio.run(call)
+
+
+@behave.then("no read allowed an older state")
+def step(context):
+    assert len(context.queries) == 5, context.queries
+    names = {name for query in context.queries for name in query}
+    assert names == {"key", "prefix", "after", "wait_ms"}, names
