Refuse invalid HEAD requests without an exception

A HEAD request that is not valid HTTP, such as one with a chunk whose length is no number, was refused with a body, which h11 does not let a server send after HEAD: the exception ended up as a fault of the process, with a traceback for each such request. The connection is now closed instead.

--- a/packages/entry/src/sapphirestall_entry/servers.py
+++ b/packages/entry/src/sapphirestall_entry/servers.py
@@ -53,21 +53,35 @@
                     await self._stop_requested.wait()
 
 
-def _make_protocol(reject: RenderRejection) -> type[h11_impl.H11Protocol]:
-    class Protocol(h11_impl.H11Protocol):
+class Protocol(h11_impl.H11Protocol):
+    """Closes a connection on which an invalid request cannot be refused."""
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses a request that is not valid HTTP."""
+        # The response has a body, also to a HEAD request.
+        with contextlib.suppress(h11.LocalProtocolError):
+            self.send_refusal(msg)
+        self.transport.close()
+
+    def send_refusal(self, message: str) -> None:
+        """Sends the response to a request that is not valid HTTP."""
+        super().send_400_response(message)
+
+
+def _make_protocol(reject: RenderRejection) -> type[Protocol]:
+    class RejectingProtocol(Protocol):
         """Answers requests that are not valid HTTP with `reject`."""
 
-        def send_400_response(self, msg: str) -> None:
-            response = reject(msg)
+        def send_refusal(self, message: str) -> None:
+            response = reject(message)
             for event in (
                 h11.Response(status_code=400, headers=response.raw_headers),
                 h11.Data(data=bytes(response.body)),
                 h11.EndOfMessage(),
             ):
                 self.transport.write(self.conn.send(event) or b"")
-            self.transport.close()
 
-    return Protocol
+    return RejectingProtocol
 
 
 def open_socket(address: str) -> socket.socket:
@@ -107,7 +121,7 @@
         log_config=None,
         access_log=False,
         ws="none",
-        http=_make_protocol(reject) if reject else "auto",
+        http=_make_protocol(reject) if reject else Protocol,
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
         timeout_keep_alive=KEEP_ALIVE_S,
     )
