Limit the rate of warnings and errors in the log

The server writes a warning for each request that is not valid HTTP, and only informational lines had a limit, so that a faulty caller decided how much time the process spends on log lines. Warnings and errors now have a limit of their own, with the same figures; informational lines displace none of them.

The scenario failed before: all of 1500 warnings were written.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -19,3 +19,10 @@
     When callers send an invalid HEAD request
     Then no exception was reported, and no call is waiting
     And a valid request is answered
+
+  Scenario: Warnings beyond a limit are dropped and counted
+    Guards against a process that spends its time on log lines about malformed
+    requests, and against errors that are lost among informational lines.
+    Given a log that has dropped informational lines
+    When 1500 warnings are logged at once
+    Then 1000 of them were written
--- a/features/steps/platform_wire_steps.py
+++ b/features/steps/platform_wire_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import os
 import random
 import time
 
@@ -13,6 +14,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_entry import counters
+from sapphirestall_entry import logs
 from sapphirestall_entry import servers
 from sapphirestall_platform import call_report
 from sapphirestall_platform import front
@@ -177,3 +179,31 @@
     data = b"HEAD /q/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
     data += b"\r\nZZ\r\n"
     asyncio.run(send_requests(context, [data]))
+
+
+@behave.given("a log that has dropped informational lines")
+def step(context):
+    reader, writer = os.pipe()
+    context.reader = os.fdopen(reader, "rb")
+    context.handler = logs.StdoutHandler(writer, lambda: 0.0)
+    for _ in range(logs.BURST_LINES + 1):
+        log(context, logging.INFO)
+    assert context.handler.dropped == 1, context.handler.dropped
+
+
+def log(context, level):
+    record = logging.LogRecord("x", level, "", 0, "x", (), None)
+    context.handler.emit(record)
+
+
+@behave.when("{count:d} warnings are logged at once")
+def step(context, count):
+    context.count = count
+    context.handler.dropped = 0
+    for _ in range(count):
+        log(context, logging.WARNING)
+
+
+@behave.then("{count:d} of them were written")
+def step(context, count):
+    assert context.handler.dropped == context.count - count
--- a/packages/entry/src/sapphirestall_entry/logs.py
+++ b/packages/entry/src/sapphirestall_entry/logs.py
@@ -16,8 +16,8 @@
 QUOTED_CHARACTERS = re.compile(r"[ \"'=]")
 # Libraries whose informational messages are not needed to explain a decision.
 VERBOSE_LOGGERS = ("websockets", "uvicorn", "asyncio")
-# Rate limit of informational lines. Writing a line takes processor time, so the
-# number of lines must not grow with the load.
+# Rate limit of informational lines, and of all others. Writing a line takes
+# processor time, so the number of lines must not grow with the load.
 LINES_PER_S = 300
 BURST_LINES = 1000
 MAX_REPORTED_FAULTS = 10_000
@@ -54,12 +54,35 @@
         return f"{self.second_text},{int(record.msecs):03d}"
 
 
+@attrs.define
+class TokenBucket:
+    """Rate limit of `LINES_PER_S` with bursts of `BURST_LINES`.
+
+    Attributes:
+        tokens: Number of lines that may be written now.
+        refilled_at: Monotonic time to which `tokens` applies, in seconds.
+    """
+
+    tokens: float = float(BURST_LINES)
+    refilled_at: float = 0.0
+
+    def take_token(self, now: float) -> bool:
+        """Returns whether a line may be written, and counts it if so."""
+        refill = (now - self.refilled_at) * LINES_PER_S
+        self.tokens = min(BURST_LINES, self.tokens + refill)
+        self.refilled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
 class StdoutHandler(logging.Handler):
     """Writes lines to a file descriptor without blocking.
 
-    Lines are dropped and counted if the pipe is full. Informational lines are
-    also dropped if they exceed a token bucket of `BURST_LINES` that is refilled
-    with `LINES_PER_S`. The count is written with the next line that passes.
+    Lines are dropped and counted if the pipe is full or if they exceed a rate
+    limit. Informational lines have a limit of their own, so that they displace
+    no others. The count is written with the next line that passes.
 
     Attributes:
         dropped: Number of lines dropped since the last one that was written.
@@ -78,13 +101,15 @@
         self.dropped = 0
         self._descriptor = descriptor
         self._clock = clock
-        self._tokens = float(BURST_LINES)
-        self._refilled_at = 0.0
+        self._information = TokenBucket()
+        self._warnings = TokenBucket()
         os.set_blocking(self._descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a record or counts it as dropped."""
-        if record.levelno <= logging.INFO and not self._take_token():
+        is_information = record.levelno <= logging.INFO
+        bucket = self._information if is_information else self._warnings
+        if not bucket.take_token(self._clock()):
             self.dropped += 1
             return
         line = self.format(record) + "\n"
@@ -99,16 +124,6 @@
         else:
             self.dropped = 0
 
-    def _take_token(self) -> bool:
-        now = self._clock()
-        refill = (now - self._refilled_at) * LINES_PER_S
-        self._tokens = min(BURST_LINES, self._tokens + refill)
-        self._refilled_at = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
 
 @attrs.define
 class FaultLog:
