Test chains of owners around a worker that a cut-off owner keeps

A new outline of batch_successions.feature has a worker that only its former owner reaches, which has lost the store, while the next owners are killed or shut down. Random sequences draw the same kinds of losses as before.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -44,6 +44,20 @@
       | -0.5  | 3.6      | is killed, is killed             |
       | 0.2   | 3.5      | is killed, is killed, shuts down |
 
+  Scenario Outline: Tasks that a cut-off owner keeps running do not run twice
+    Guards against successors that go by a roster which names an earlier end of
+    the leases on a worker than that of an owner that has lost the store.
+    Given a partition with long-running tasks
+    When only an owner without the store reaches a worker, and owners end <delay> s later, every <interval> s: <ends>
+    Then every long-running task was restarted in time
+    And no invariant was violated
+
+    Examples:
+      | delay | interval | ends                               |
+      | 3     | 1.5      | is killed, is killed               |
+      | 3     | 2.7      | is killed, shuts down, is killed   |
+      | 4     | 3        | is killed, is killed, is killed    |
+
   Scenario Outline: Random ends of owners around the loss of a worker
     Guards against the same, and against tasks that run twice, where a worker
     crashes, leaves or is cut off at a random time around the end of its owner.
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -36,10 +36,21 @@
     " {ends}"
 )
 def step(context, delay, interval, ends):
+    play_loss(context, batch_successions.Loss.CRASH, delay, interval, ends)
+
+
+@behave.when(
+    "only an owner without the store reaches a worker, and owners end"
+    " {delay:g} s later, every {interval:g} s: {ends}"
+)
+def step(context, delay, interval, ends):
+    play_loss(context, batch_successions.Loss.KEPT, delay, interval, ends)
+
+
+def play_loss(context, loss, delay, interval, ends):
+    """Plays the loss of a worker, and ends of owners some time later."""
     kinds = tuple(batch_successions.End(text) for text in ends.split(", "))
-    context.sequence = batch_successions.Sequence(
-        batch_successions.Loss.CRASH, -delay, kinds, interval
-    )
+    context.sequence = batch_successions.Sequence(loss, -delay, kinds, interval)
     context.execute_steps("When the sequence is played")
 
 
--- a/standins/batch_successions.py
+++ b/standins/batch_successions.py
@@ -57,6 +57,11 @@
     CUT = "cut"
     # The same for a few seconds, and again after it was reached for a moment.
     CUT_TWICE = "cut twice"
+    # Only its owner, which loses the store, still reaches it.
+    KEPT = "kept"
+
+
+DRAWN_LOSSES = (Loss.CRASH, Loss.EXIT, Loss.CUT, Loss.CUT_TWICE)
 
 
 class End(enum.Enum):
@@ -163,11 +168,23 @@
                 self.faults.cut_worker_from_nodes(name, FIRST_CUT_S)
                 second_s = FIRST_CUT_S + sequence.notice_s
                 self.world.schedule(second_s, self._cut_worker)
+            case Loss.KEPT:
+                self._isolate_with_owner()
 
     def _cut_worker(self) -> None:
         self.faults.cut_worker_from_store(self.worker, CUT_S)
         self.faults.cut_worker_from_nodes(self.worker, CUT_S)
 
+    def _isolate_with_owner(self) -> None:
+        """Cuts the worker and its owner off from all but each other."""
+        world, faults, name = self.world, self.faults, self.worker
+        owner = world.find_owner(world.find_partition(name))
+        assert owner is not None
+        others = [node.name for node in world.nodes if node is not owner]
+        faults.cut_node_from_store(owner.name, CUT_S)
+        faults.cut_worker_from_store(name, CUT_S)
+        faults.cut_paths(others, [name], CUT_S)
+
     def _end_owner(self, partition: str, end: End) -> None:
         owner = self.world.find_owner(partition)
         if owner is None or owner.name in self.faults.restarting:
@@ -203,7 +220,7 @@
 def draw(rng: random.Random) -> Sequence:
     """Draws a random sequence."""
     return Sequence(
-        rng.choice(tuple(Loss)),
+        rng.choice(DRAWN_LOSSES),
         rng.uniform(*LOSS_S),
         tuple(rng.choices(tuple(End), k=rng.randint(1, MAX_ENDS))),
         rng.uniform(*INTERVAL_S),
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -105,6 +105,16 @@
     withheld_leases.list_withheld = lambda *_: {}
 
 
+def end_withheld_leases_early() -> None:
+    """Names the silent workers as if the leases there had ended."""
+    list_withheld = withheld_leases.list_withheld
+
+    def mutated(*args: Any) -> dict[str, int]:
+        return dict.fromkeys(list_withheld(*args), 1)
+
+    withheld_leases.list_withheld = mutated
+
+
 def omit_unanswered_workers() -> None:
     """Names only workers that are known to be silent, also in first rosters."""
     withheld_leases.awaits_first_answer = lambda *_: False
@@ -428,6 +438,11 @@
         f"{SUCCESSIONS}: Tasks of a crashed worker start again",
         forget_silent_workers,
     ),
+    (
+        "end of withheld leases",
+        f"{SUCCESSIONS}: Tasks that a cut-off owner keeps running",
+        end_withheld_leases_early,
+    ),
     (
         "unanswered workers in first rosters",
         f"{SUCCESSIONS}: Tasks of a crashed worker start again",
