Suspend no worker for failures of a single step

Three failures of one job that cannot be done suspended a sound worker until another task of the job had failed on a second worker.

Three failures suspend a worker only if they are of two steps, or of one of which a task is done. After three the count starts anew, whether they suspended the worker or not. A worker that fails all runs fails those of many steps.

--- a/features/batch_full_fleet.feature
+++ b/features/batch_full_fleet.feature
@@ -13,18 +13,32 @@
     Examples:
       | seed |
       | 3    |
+      | 21   |
 
-  Scenario Outline: A step that fails everywhere does not suspend workers
+  Scenario Outline: Failures of a step that cannot be done suspend no worker
     Guards against sound workers that get no starts, so that long-running tasks
     wait although there is capacity, because tasks failed there that fail on all
-    workers.
-    Given two workers and a step of which <done> of 5 tasks are done
-    When 3 of its tasks fail on the first worker
-    Then that worker is suspended
-    When 1 of its tasks fails on the second worker
+    workers; and against a worker that fails all runs and is not suspended.
+    Given two workers and two steps, the first with <done> of 5 tasks done
+    When tasks of the first step fail <first> times on the first worker
+    And tasks of the second step fail <second> times on the first worker
+    And tasks of the first step fail <elsewhere> times on the second worker
     Then the first worker is <state>
 
     Examples:
-      | done | state         |
-      | 0    | not suspended |
-      | 1    | suspended     |
+      | done | first | second | elsewhere | state         |
+      | 0    | 3     | 0      | 0         | not suspended |
+      | 0    | 3     | 1      | 0         | not suspended |
+      | 0    | 2     | 1      | 0         | suspended     |
+      | 0    | 2     | 1      | 1         | not suspended |
+      | 1    | 3     | 0      | 0         | suspended     |
+      | 1    | 3     | 0      | 1         | suspended     |
+
+  Scenario: One failure after a suspension does not cause another one
+    Guards against a worker that recovered and is suspended again, and again,
+    because of single tasks that fail by their own fault.
+    Given two workers and two steps, the first with 1 of 5 tasks done
+    When tasks of the first step fail 3 times on the first worker
+    And 6 s pass after the failures
+    And tasks of the second step fail 1 times on the first worker
+    Then the first worker is not suspended
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -10,7 +10,7 @@
 from sapphirestall_core.batch import state
 
 # Number of failed runs, since the last one that was done, after which a worker
-# gets no starts for `SUSPENSION_S`.
+# may be suspended for `SUSPENSION_S`. The next failure is counted as the first.
 FAILURES_TO_SUSPEND = 3
 SUSPENSION_S = 5.0
 # A step whose runs failed on this many workers, and of which no task is done,
@@ -43,10 +43,11 @@
         len(worker.failed_steps) >= FAILURES_TO_SUSPEND
         and worker.failing_until <= now
     ):
-        # A single failure after a suspension does not cause another one.
-        del worker.failed_steps[:-1]
+        # A single failure after a suspension, or after failures of one step
+        # that caused none, is not enough.
+        worker.failed_steps.clear()
     worker.failed_steps.append(step)
-    if len(worker.failed_steps) < FAILURES_TO_SUSPEND:
+    if not _seems_to_fail(worker):
         return []
     worker.failing_until = now + SUSPENSION_S
     return [
@@ -60,6 +61,18 @@
     ]
 
 
+def _seems_to_fail(worker: state.Worker) -> bool:
+    """Returns whether failures seem to have their cause in a worker.
+
+    Those of a single step tell this only if one of its tasks is done elsewhere.
+    """
+    steps = worker.failed_steps
+    return len(steps) >= FAILURES_TO_SUSPEND and (
+        any(step.done for step in steps)
+        or any(step is not steps[0] for step in steps)
+    )
+
+
 def _is_cause(step: state.StepState) -> bool:
     """Returns whether a step counts as the cause of its own failures."""
     return len(step.failed_worker_ids) >= WORKERS_TO_DISCOUNT and not step.done
@@ -77,10 +90,7 @@
         worker.failed_steps = [
             other for other in worker.failed_steps if other is not step
         ]
-        if (
-            worker.failing_until > now
-            and len(worker.failed_steps) < FAILURES_TO_SUSPEND
-        ):
+        if worker.failing_until > now and not _seems_to_fail(worker):
             worker.failing_until = now
             effects.append(contact.make_log("resumed", partition, name))
             effects += passes.request_pass(partition)
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -454,7 +454,7 @@
     ),
     (
         "failures of a step",
-        f"{FULL_FLEET}: A step that fails everywhere",
+        f"{FULL_FLEET}: Failures of a step that cannot be done",
         blame_workers_for_all_failures,
     ),
     (
