Check the keys of records by a hook of the store's messages

The client of the store imported the records of the core for this check, which architecture.feature forbids to the adapter. The check is now registered by the records with the messages that the adapter uses anyway. No change of behaviour.

--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -5,10 +5,9 @@
 id.
 """
 
-import functools
-
 import attrs
 
+from sapphirestall_core import store_messages
 from sapphirestall_core.batch import model
 
 # Prefix of the job records and a copy of the owner key of each partition, which
@@ -289,16 +288,7 @@
     offers: dict[str, tuple[str, ...]] | None = None
 
 
-@functools.singledispatch
-def check_key(document: object, key: str) -> None:
-    """Checks that a document belongs to the key under which it is stored.
-
-    Raises:
-        ValueError: It belongs to another key.
-    """
-
-
-@check_key.register
+@store_messages.check_key.register
 def _(document: JobRecord, key: str) -> None:
     if key.rpartition("/")[2] != document.job_id:
         raise ValueError("the record of another job")
--- a/packages/core/src/sapphirestall_core/store_messages.py
+++ b/packages/core/src/sapphirestall_core/store_messages.py
@@ -4,6 +4,7 @@
 the call and its outcome.
 """
 
+import functools
 from typing import Any
 
 import attrs
@@ -184,6 +185,15 @@
     revision: int
 
 
+@functools.singledispatch
+def check_key(document: object, key: str) -> None:
+    """Checks that a document belongs to the key under which it is stored.
+
+    Raises:
+        ValueError: It belongs to another key.
+    """
+
+
 @attrs.frozen
 class Absent(Outcome):
     """A key does not exist."""
