Share what the processes of both programs have in common

The contexts of both programs had the same counters, exit, background tasks and reports of faults, and both performers the same five effects. They stand in process.py now. No change of behaviour: processes, shutdown, metrics, callers, operators, platform_process and platform_wire pass.

--- a/packages/entry/src/sapphirestall_entry/composition.py
+++ b/packages/entry/src/sapphirestall_entry/composition.py
@@ -68,13 +68,9 @@
         time.monotonic,
     )
     context = context_module.Context(
-        settings,
-        core,
-        identity,
-        runner.feed,
-        time.monotonic,
-        counters.Counters(),
+        counters.Counters(), settings, core, identity, time.monotonic
     )
+    context.feed = runner.feed
     runner.context = context
     converter = converters.make_converter()
     context.callers = callers.Callers(context)
@@ -115,11 +111,7 @@
         )
     ]
     event_loop = asyncio.get_running_loop()
-    event_loop.set_exception_handler(
-        lambda _, details: context.report_fault(
-            "callback", details.get("exception") or RuntimeError(str(details))
-        )
-    )
+    context.report_callbacks(event_loop)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         event_loop.add_signal_handler(
             signal_number, context.feed, messages.ShutdownRequested()
--- a/packages/entry/src/sapphirestall_entry/performer.py
+++ b/packages/entry/src/sapphirestall_entry/performer.py
@@ -1,10 +1,7 @@
 """Performs the effects of the core, dispatched by their type."""
 
-import asyncio
 import functools
-import random
 
-from sapphirestall_core import errors
 from sapphirestall_core import membership
 from sapphirestall_core import messages
 from sapphirestall_core import operator_messages
@@ -13,7 +10,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core import task_messages
 from sapphirestall_entry import context as context_module
-from sapphirestall_entry import logs
+from sapphirestall_entry import process
 
 
 @functools.singledispatch
@@ -23,41 +20,7 @@
     Raises:
         errors.UnhandledMessageError: No adapter performs this type of effect.
     """
-    raise errors.UnhandledMessageError(
-        f"no adapter performs {type(effect).__name__}", step="perform"
-    )
-
-
-@perform.register
-def _(effect: messages.StartTimer, context: context_module.Context) -> None:
-    # Jitter spreads the timers of instances that started together; it needs no
-    # cryptographic random numbers.
-    factor = 1 + effect.jitter * random.uniform(-1, 1)
-    asyncio.get_running_loop().call_later(
-        effect.delay_s * factor,
-        context.feed,
-        messages.TimerFired(effect.timer),
-    )
-
-
-@perform.register
-def _(effect: messages.Exit, context: context_module.Context) -> None:
-    context.exit.set()
-
-
-@perform.register
-def _(effect: messages.CountRefusal, context: context_module.Context) -> None:
-    context.counters.count_refusal(effect.part, effect.code)
-
-
-@perform.register
-def _(effect: messages.CountRetry, context: context_module.Context) -> None:
-    context.counters.count_retry(effect.part, effect.code)
-
-
-@perform.register
-def _(effect: messages.Log, context: context_module.Context) -> None:
-    logs.write(effect.part, effect.text, effect.fields)
+    process.perform(effect, context)
 
 
 @perform.register
