--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -268,7 +268,11 @@
     "{last:d}"
 )
 def step(context, first, last):
-    context.problems = batch_callers.find_problems(first, last)
+    context.problems = []
+    for seed in range(first, last + 1):
+        problem = batch_callers.describe(seed)
+        if problem:
+            context.problems.append(f"seed {seed}: {problem}")
 
 
 @behave.then("all answers are kept")
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -20,7 +20,11 @@
 
 @behave.when("stored records are damaged with the seeds {first:d} to {last:d}")
 def step(context, first, last):
-    context.problems = batch_record_fuzz.find_problems(first, last)
+    context.problems = []
+    for seed in range(first, last + 1):
+        problem = batch_record_fuzz.describe(seed)
+        if problem:
+            context.problems.append(f"seed {seed}: {problem}")
 
 
 @behave.then("no handler fails, and all other jobs end")
--- a/standins/batch_callers.py
+++ b/standins/batch_callers.py
@@ -4,10 +4,10 @@
 call several times, at any instance, whatever was answered before. Meanwhile the
 store's answers are lost and its writes are carried out late.
 
-    python -m standins.batch_callers 1 200   # the seeds 1 to 200
+    python -m standins.batch_callers --seeds 1-200
 """
 
-import sys
+import argparse
 
 import attrs
 
@@ -16,6 +16,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from standins import batch_world
+from standins import seeds
 
 # The second data centre has room for few tasks, so that jobs are moved.
 DATA_CENTRES = ("north", "south")
@@ -191,20 +192,16 @@
     ]
 
 
-def find_problems(first: int, last: int) -> list[str]:
-    """Plays seeds; returns what went wrong, with the seed."""
-    return [
-        f"seed {seed}: {text}"
-        for seed in range(first, last + 1)
-        for text in play(seed)
-    ]
+def describe(seed: int) -> str:
+    """Plays a seed; returns what went wrong."""
+    return "; ".join(play(seed))
 
 
 def main() -> None:
     """Plays seeds and prints what went wrong."""
-    problems = find_problems(int(sys.argv[1]), int(sys.argv[2]))
-    print("\n".join(problems) or "ok")
-    sys.exit(1 if problems else 0)
+    parser = argparse.ArgumentParser(description=__doc__)
+    seeds.add_argument(parser, "1-60")
+    seeds.play(parser.parse_args().seeds, describe)
 
 
 if __name__ == "__main__":
--- a/standins/batch_handler_faults.py
+++ b/standins/batch_handler_faults.py
@@ -20,11 +20,9 @@
 from sapphirestall_core import resources
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import caller_messages
-from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import worker_messages
-from sapphirestall_entry import counters as counters_module
-from sapphirestall_entry import loop
+from standins import batch_loop_world
 from standins import batch_world
 
 DATA_CENTRE = "north"
@@ -85,55 +83,37 @@
 
 
 @attrs.define
-class FailingWorld(batch_world.BatchWorld):
+class FailingWorld(batch_loop_world.LoopWorld):
     """A simulation in which the handler of one event fails.
 
-    Events pass through the loop of the real process.
-
     Attributes:
         fault: The failure; None for none.
         counts: Number of handled events of each kind.
-        reported: Failures that the loop has reported, by place.
     """
 
     fault: HandlerFault | None = None
     counts: "collections.Counter[str]" = attrs.field(
         factory=collections.Counter
     )
-    reported: list[str] = attrs.field(factory=list)
-    counters: counters_module.Counters = attrs.field(
-        factory=counters_module.Counters
-    )
-
-    def deliver(self, node: batch_world.Node, event: messages.Event) -> None:
-        """Passes an event to the loop of an instance."""
-        runner = loop.Loop(
-            lambda event, now: self._handle(node, event, now),
-            lambda effect: batch_world.perform(effect, self, node),
-            lambda: self.now,
-            instance.make_failures,
-        )
-        runner.context = self
-        runner.feed(event)
-
-    def report_fault(self, place: str, error: BaseException) -> None:
-        """Records a failure that the loop reports."""
-        if not isinstance(error, HandlerError):
-            raise error
-        self.reported.append(place)
 
-    def _handle(
+    def handle(
         self, node: batch_world.Node, event: messages.Event, now: float
     ) -> list[messages.Effect]:
+        """Handles an event, or fails if it is the chosen one."""
         kind = name_kind(event)
         self.counts[kind] += 1
         fault = self.fault
         if fault != HandlerFault(kind, self.counts[kind], fault.late):
-            return instance.handle(event, node.batch, now)
+            return super().handle(node, event, now)
         if fault.late:
-            instance.handle(event, node.batch, now)
+            super().handle(node, event, now)
         raise HandlerError(kind)
 
+    def report_fault(self, place: str, error: BaseException) -> None:
+        """Lets only the chosen failure pass."""
+        if not isinstance(error, HandlerError):
+            raise error
+
 
 def play(fault: HandlerFault) -> tuple[FailingWorld, list[str]]:
     """Plays a failure; returns the simulation and what went wrong."""
--- a/standins/batch_record_fuzz.py
+++ b/standins/batch_record_fuzz.py
@@ -4,27 +4,22 @@
 version or a bug may have written, and the owner is killed. The records that its
 successor cannot use must cost only their own jobs.
 
-    python -m standins.batch_record_fuzz 1 200   # the seeds 1 to 200
+    python -m standins.batch_record_fuzz --seeds 1-200
 """
 
+import argparse
 import copy
 import random
-import sys
 from typing import Any
 
-import attrs
-
-from sapphirestall_core import messages
 from sapphirestall_core import resources
 from sapphirestall_core import store_messages
-from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
-from sapphirestall_entry import counters as counters_module
 from sapphirestall_entry import decoding
-from sapphirestall_entry import loop
 from sapphirestall_platform import store as store_module
-from standins import batch_world
+from standins import batch_loop_world
+from standins import seeds
 
 DATA_CENTRE = "north"
 AMOUNT = resources.Vector(1000, 100, 0)
@@ -37,37 +32,6 @@
 ODD_VALUES += ("x", "0.99", "\u00e9", True, None, [], {}, [7], {"x": 1}, "a/b")
 
 
-@attrs.define
-class RecordWorld(batch_world.BatchWorld):
-    """A simulation that records failures of handlers and goes on.
-
-    Attributes:
-        faults: Failures of handlers, with the place of each.
-    """
-
-    faults: list[str] = attrs.field(factory=list)
-    counters: counters_module.Counters = attrs.field(
-        factory=counters_module.Counters
-    )
-
-    def deliver(self, node: batch_world.Node, event: messages.Event) -> None:
-        """Passes an event to the loop of an instance."""
-        if not node.alive:
-            return
-        runner = loop.Loop(
-            lambda event, now: instance.handle(event, node.batch, now),
-            lambda effect: batch_world.perform(effect, self, node),
-            lambda: self.now,
-            instance.make_failures,
-        )
-        runner.context = self
-        runner.feed(event)
-
-    def report_fault(self, place: str, error: BaseException) -> None:
-        """Records a failure of a handler."""
-        self.faults.append(f"{place}: {error!r:.120}")
-
-
 def damage(value: Any, rng: random.Random) -> Any:
     """Returns a JSON value with one part changed, removed or repeated."""
     if isinstance(value, dict) and value and rng.random() < 0.9:
@@ -85,7 +49,9 @@
     return rng.choice(ODD_VALUES)
 
 
-def damage_records(world: RecordWorld, rng: random.Random) -> list[str]:
+def damage_records(
+    world: batch_loop_world.LoopWorld, rng: random.Random
+) -> list[str]:
     """Damages up to three records; returns a description of each."""
     converter = store_module.make_converter()
     described = []
@@ -95,7 +61,7 @@
         plain = converter.unstructure(item.value)
         try:
             value = converter.structure(damage(plain, rng), document)
-            records.check_key(value, key)
+            store_messages.check_key(value, key)
         except decoding.DECODE_ERRORS:
             world.store.unreadable.add(key)
             described.append(f"{key}: unreadable")
@@ -118,7 +84,7 @@
     return [step.amount for step in value.steps]
 
 
-def _list_damaged_keys(world: RecordWorld) -> list[str]:
+def _list_damaged_keys(world: batch_loop_world.LoopWorld) -> list[str]:
     # A roster that lies about the workers of former owners has no remedy.
     prefixes = (records.SUMMARIES_PREFIX, records.INTERFERENCE_KEY)
     return sorted(
@@ -131,7 +97,7 @@
 def play(seed: int) -> tuple[list[str], list[str]]:
     """Plays a seed; returns the damage and what went wrong."""
     rng = random.Random(seed)
-    world = RecordWorld(seed, run_duration_s=(1.0, 4.0))
+    world = batch_loop_world.LoopWorld(seed, run_duration_s=(1.0, 4.0))
     for number in (1, 2):
         world.add_worker(f"w-{number}", DATA_CENTRE, 32_000)
     owner = world.add_node("e-1", DATA_CENTRE)
@@ -153,7 +119,9 @@
     return described, _list_problems(world, described)
 
 
-def _list_problems(world: RecordWorld, described: list[str]) -> list[str]:
+def _list_problems(
+    world: batch_loop_world.LoopWorld, described: list[str]
+) -> list[str]:
     # A job whose progress is lost must not run at all; of a job whose record
     # lies nothing is known.
     is_known = all(text.endswith(": unreadable") for text in described)
@@ -172,21 +140,17 @@
     return problems
 
 
-def find_problems(first: int, last: int) -> list[str]:
-    """Plays seeds; returns what went wrong, with seed and damage."""
-    found = []
-    for seed in range(first, last + 1):
-        described, problems = play(seed)
-        if problems:
-            found.append(f"seed {seed}: {problems} after {described}")
-    return found
+def describe(seed: int) -> str:
+    """Plays a seed; returns what went wrong, with the damage."""
+    described, problems = play(seed)
+    return f"{problems} after {described}" if problems else ""
 
 
 def main() -> None:
     """Plays seeds and prints what went wrong."""
-    problems = find_problems(int(sys.argv[1]), int(sys.argv[2]))
-    print("\n".join(problems) or "ok")
-    sys.exit(1 if problems else 0)
+    parser = argparse.ArgumentParser(description=__doc__)
+    seeds.add_argument(parser, "1-60")
+    seeds.play(parser.parse_args().seeds, describe)
 
 
 if __name__ == "__main__":
