--- /dev/null
+++ b/features/batch_review.feature
@@ -0,0 +1,48 @@
+Feature: Long-running tasks that wait, or lose their runs, in spite of room
+
+  Scenario Outline: A task gets a worker nominated although it moves
+    Guards against a long-running task that moves to and fro between its own
+    partition, where finite tasks use all that is freed, and one that shows free
+    capacity on workers that it must not use. It never waits long enough in one
+    partition to get a worker nominated there.
+    Given a partition full of small tasks beside one with room that does not help, by seed <seed>
+    When a worker with a large long-running task crashes there
+    Then the large long-running tasks run 15 s later
+
+    Examples:
+      | seed |
+      | 1    |
+      | 3    |
+
+  Scenario Outline: Runs outlast a store that fails just after a takeover
+    Guards against sound workers whose runs lapse: the first roster of an owner
+    names workers that have not answered yet, and cannot be withdrawn while the
+    store is unavailable, so that the owner extends no leases there.
+    Given workers that answer within 0.2 s, with long-running tasks
+    When an owner is killed, and the store fails for 6 s once it has a successor
+    Then every run that existed before still exists, by seed <seed>
+
+    Examples:
+      | seed |
+      | 1    |
+
+  Scenario: A task moves to workers with memory
+    Guards against a long-running task that waits for good: a summary names the
+    eight workers with most free processors, and these have no memory left.
+    Given a partition of eight workers without memory and two with both
+    When a worker of another partition with a long-running task crashes
+    Then the large long-running tasks run 9 s later
+
+  Scenario: Many waiting tasks do not take long in a pass
+    Guards against a pass that delays polls and renewals: it searched all runs of
+    the partition anew for each of many waiting steps that no worker can take.
+    Given 32 workers with 20 long runs and 150 jobs that have waited for 1 s
+    Then the next pass estimates at most 640 waits for workers
+
+  Scenario: A failing worker is suspended whatever failed elsewhere before
+    Guards against long-running tasks that start again and again on workers that
+    fail all runs. No task of a long-running step is ever done, so that it counts
+    as the cause of all failures once two of its runs have failed on two workers.
+    Given a long-running job of which a run has failed on each of four workers
+    When the workers of its partition fail all runs
+    Then all of its tasks run in the other partition 5 s later
