Suspend workers that fail the runs of a long-running step

No task of a long-running step is ever done, so that its failures counted as its own once they had come from two workers, which a task that fails now and then reaches in time. Workers that failed all runs were then never suspended, and the tasks of such a job started there again and again: 94 starts in 5 s, none on the sound workers of the other partition. A run that has lasted for 2 s now shows as well that a step can run.

--- a/features/steps/batch_full_fleet_steps.py
+++ b/features/steps/batch_full_fleet_steps.py
@@ -45,6 +45,7 @@
             context.partition,
             context.workers[worker == "second"],
             context.steps[name],
+            0.0,
             context.now,
         )
 
--- a/features/steps/batch_passes_steps.py
+++ b/features/steps/batch_passes_steps.py
@@ -103,11 +103,9 @@
         if name in partition.roster
     ]
     candidates = placement.list_candidates(usable, "service", now)
-    remaining = nominations.MAX_NOMINATIONS
+    budget = nominations.Budget()
     for _, step in nominations.list_waiting_steps(ordered, now):
-        remaining -= nominations.nominate_workers(
-            step, candidates, remaining, now
-        )[0]
+        nominations.nominate_workers(step, candidates, budget, now)
     return {
         task.name: (task, candidate.worker)
         for candidate in candidates
--- a/features/steps/batch_review_steps.py
+++ b/features/steps/batch_waits_steps.py
@@ -1,4 +1,4 @@
-"""Steps for batch_review.feature."""
+"""Steps for batch_waits.feature."""
 
 import attrs
 import behave
@@ -119,9 +119,7 @@
         world.add_worker(f"w-{number}", "north", 8000, rack)
     start_nodes(world)
     amount = resources.Vector(1500, 100, 0)
-    world.submit(
-        world.nodes[0], JOB, model.Step(16, amount, long_running=True)
-    )
+    world.submit(world.nodes[0], JOB, model.Step(16, amount, long_running=True))
     world.run(5)
     world.call_delay_s = CALL_DELAY_S
     runs = world.list_runs()
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -332,7 +332,10 @@
             effects += _stop_other_run(partition, task.run, now)
     elif end.kind is model.EndKind.FAILED:
         step = task.job.steps[end.task.step]
-        effects += suspensions.record_failure(partition, worker, step, now)
+        ran_s = now - run.started_at if run else 0.0
+        effects += suspensions.record_failure(
+            partition, worker, step, ran_s, now
+        )
         job_ended = jobs.record_failed_run(task, end, worker.entry.worker_id)
     if not job_ended and (task.run is run or task.run is None):
         jobs.requeue(task)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -207,6 +207,8 @@
         load_corrected_at: Monotonic time at which a measurement last corrected
             `load_estimate`, in seconds.
         failed_worker_ids: Workers on which runs of the step failed.
+        has_worked: Whether a run of the step, which is long-running, has lasted
+            long enough to show that the step can run.
     """
 
     step: model.Step
@@ -217,6 +219,7 @@
     load_estimate: trends.Trend | None = None
     load_corrected_at: float = 0.0
     failed_worker_ids: set[str] = attrs.field(factory=set)
+    has_worked: bool = False
 
 
 @attrs.define(slots=True, eq=False)
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -16,6 +16,9 @@
 # A step whose runs failed on this many workers, and of which no task is done,
 # counts as the cause itself.
 WORKERS_TO_DISCOUNT = 2
+# No task of a long-running step is ever done. A run that lasts for this time,
+# in seconds, shows as well that the step can run.
+WORKING_RUN_S = 2.0
 
 
 def record_done(worker: state.Worker) -> None:
@@ -28,13 +31,23 @@
     partition: state.Partition,
     worker: state.Worker,
     step: state.StepState,
+    ran_s: float,
     now: float,
 ) -> dispatch.Effects:
     """Records that a run of a step failed on a worker.
 
     Suspends the worker after too many failures. Those of a step that counts
     as their cause are taken back, also on other workers.
+
+    Args:
+        partition: Partition of the worker.
+        worker: The worker.
+        step: The step.
+        ran_s: Time for which the run is known to have lasted, in seconds.
+        now: Monotonic time, in seconds.
     """
+    if step.step.long_running and ran_s >= WORKING_RUN_S:
+        step.has_worked = True
     worker.consecutive_failures += 1
     step.failed_worker_ids.add(worker.entry.worker_id)
     if _is_cause(step):
@@ -64,18 +77,24 @@
 def _seems_to_fail(worker: state.Worker) -> bool:
     """Returns whether failures seem to have their cause in a worker.
 
-    Those of a single step tell this only if one of its tasks is done elsewhere.
+    Those of a single step tell this only if the step can run elsewhere.
     """
     steps = worker.failed_steps
     return len(steps) >= FAILURES_TO_SUSPEND and (
-        any(step.done for step in steps)
+        any(_can_run(step) for step in steps)
         or any(step is not steps[0] for step in steps)
     )
 
 
 def _is_cause(step: state.StepState) -> bool:
     """Returns whether a step counts as the cause of its own failures."""
-    return len(step.failed_worker_ids) >= WORKERS_TO_DISCOUNT and not step.done
+    failed_count = len(step.failed_worker_ids)
+    return failed_count >= WORKERS_TO_DISCOUNT and not _can_run(step)
+
+
+def _can_run(step: state.StepState) -> bool:
+    """Returns whether some run of a step has shown that the step can run."""
+    return bool(step.done) or step.has_worked
 
 
 def _discount_failures(
