Publish workers with free memory in summaries

A summary names the eight workers with most free processors. If these had no memory left, as opportunistic tasks hold memory and no processors, a long-running task of another partition waited although workers here had both. Two of the eight are now chosen by the lower of their shares of both.

--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from sapphirestall_core import resources
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import interference as interference_module
@@ -30,6 +31,8 @@
 # Number of workers whose free capacity is published. This suffices for the
 # tasks of a usual job and keeps the summary small.
 MAX_PUBLISHED_WORKERS = 8
+# Number of these that are chosen by memory as well as by processors.
+BALANCED_WORKERS = 2
 # Lowest load of a partition that has no idle processors.
 SATURATED_LOAD = 1000.0
 
@@ -109,25 +112,48 @@
     ]
     idle_cpu = sum(placement.estimate_idle_cpu(worker) for worker in usable)
     min_load = 0.0 if idle_cpu > 0 else SATURATED_LOAD
-    capacities = [
-        worker.entry.capacity.minus(worker.reserved) for worker in usable
-    ]
-    capacities.sort(key=lambda capacity: -capacity.cpu_millis)
     return records.SummaryRecord(
         {name: tuple(ids) for name, ids in pending.items()},
         round(max(opportunistic_cpu / max(1, idle_cpu), min_load), 2),
         interference_records.find_allowed_cpu_by_image(
             usable, interference, now
         ),
-        tuple(
-            records.FreeCapacity(capacity.cpu_millis, capacity.memory_mb)
-            for capacity in capacities[:MAX_PUBLISHED_WORKERS]
-        ),
+        _list_rooms(usable),
         _list_labels(usable),
         dict(collections.Counter(worker.entry.service for worker in usable)),
     )
 
 
+def _list_rooms(
+    usable: list[state.Worker],
+) -> tuple[records.FreeCapacity, ...]:
+    """Returns the free capacity of the workers that have most of it.
+
+    Those with most free processors may have no memory left, so that some are
+    chosen by both: by the lower of two shares, each of the most that a worker
+    has free.
+    """
+    free = [worker.entry.capacity.minus(worker.reserved) for worker in usable]
+    free.sort(key=lambda amount: -amount.cpu_millis)
+    most_cpu = max((amount.cpu_millis for amount in free), default=1)
+    most_memory = max((amount.memory_mb for amount in free), default=1)
+
+    def find_lower_share(amount: resources.Vector) -> float:
+        return min(
+            amount.cpu_millis / max(1, most_cpu),
+            amount.memory_mb / max(1, most_memory),
+        )
+
+    chosen = free[: MAX_PUBLISHED_WORKERS - BALANCED_WORKERS]
+    others = sorted(free[len(chosen) :], key=find_lower_share, reverse=True)
+    chosen += others[:BALANCED_WORKERS]
+    chosen.sort(key=lambda amount: -amount.cpu_millis)
+    return tuple(
+        records.FreeCapacity(amount.cpu_millis, amount.memory_mb)
+        for amount in chosen
+    )
+
+
 def _list_labels(
     usable: list[state.Worker],
 ) -> dict[str, tuple[str, ...]]:
