Bound the searches for nominated workers in a pass

Each long-running step that waits searched all workers with their runs once a second, all in the same pass: 4,800 estimates for 150 waiting jobs and 32 workers. A pass delays polls and renewals. It now makes 16 searches; the other steps get theirs in later passes.

--- a/packages/core/src/sapphirestall_core/batch/nominations.py
+++ b/packages/core/src/sapphirestall_core/batch/nominations.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 import math
 
+import attrs
+
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import placement
@@ -29,6 +31,8 @@
 MAX_WAIT_S = 5.0
 # Highest number of tasks for which a partition leaves capacity free at a time.
 MAX_NOMINATIONS = 4
+# Highest number of searches in a pass, which delays all other work.
+MAX_SEARCHES = 16
 # A run that has lasted longer than estimated is expected to last on for this
 # share of the time that it has lasted.
 OVERRUN_SHARE = 0.5
@@ -47,42 +51,51 @@
     ]
 
 
+@attrs.define
+class Budget:
+    """What a pass may still spend on nominations.
+
+    Attributes:
+        nominations: Number of tasks that may have a worker nominated.
+        searches: Number of searches for a worker.
+    """
+
+    nominations: int = MAX_NOMINATIONS
+    searches: int = MAX_SEARCHES
+
+
 def nominate_workers(
     step: state.StepState,
     candidates: list[placement.Candidate],
-    limit: int,
+    budget: Budget,
     now: float,
-) -> tuple[int, dispatch.Effects]:
+) -> dispatch.Effects:
     """Nominates workers for waiting tasks of a long-running step.
 
     Args:
         step: The step.
         candidates: Workers on which its tasks may start. The tasks are added to
             those that are nominated for them.
-        limit: Highest number of tasks to nominate workers for.
+        budget: What the pass may still spend.
         now: Monotonic time, in seconds.
-
-    Returns:
-        Number of tasks that have a worker nominated, and effects.
     """
-    count = 0
     effects: dispatch.Effects = []
     for task in step.runnable.values():
-        if count == limit:
+        if not budget.nominations:
             break
         if not _has_waited(task, now):
             continue
         before = task.nomination
-        nominated = _renew_nomination(task, candidates, now)
+        nominated = _renew_nomination(task, candidates, budget, now)
         if nominated is None:
             # The other tasks of the step request as much.
             break
         nominated.nominated_tasks.append(task)
-        count += 1
+        budget.nominations -= 1
         worker_id = nominated.worker.entry.worker_id
         if before is None or before.worker_id != worker_id:
             effects.append(_make_log(task, worker_id))
-    return count, effects
+    return effects
 
 
 def _has_waited(task: state.Task, now: float) -> bool:
@@ -94,7 +107,10 @@
 
 
 def _renew_nomination(
-    task: state.Task, candidates: list[placement.Candidate], now: float
+    task: state.Task,
+    candidates: list[placement.Candidate],
+    budget: Budget,
+    now: float,
 ) -> placement.Candidate | None:
     """Returns the worker that is nominated for a task, or None.
 
@@ -108,6 +124,9 @@
                 return candidate
     elif age_s < SEARCH_INTERVAL_S:
         return None
+    if not budget.searches:
+        return None
+    budget.searches -= 1
     chosen = choose_candidate(task, candidates, now)
     worker_id = chosen.worker.entry.worker_id if chosen else ""
     task.nomination = state.Nomination(worker_id, now)
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -156,16 +156,14 @@
     """
     effects: dispatch.Effects = []
     now = scheduling_pass.now
-    remaining = nominations.MAX_NOMINATIONS
+    budget = nominations.Budget()
     for job, step in nominations.list_waiting_steps(startable, now):
+        if not budget.nominations:
+            break
         pool = scheduling_pass.get_pool(job.queue.service)
-        count, logs = nominations.nominate_workers(
-            step, pool.candidates, remaining, now
+        effects += nominations.nominate_workers(
+            step, pool.candidates, budget, now
         )
-        remaining -= count
-        effects += logs
-        if not remaining:
-            break
     return effects
 
 
