Show that repeated effects can lose acknowledged ends

Both rows of "Repeated effects lose no progress" fail on: finite tasks run again after their ends were acknowledged. They pass if lost_effects repeats nothing for active partitions.

--- a/features/batch_review.feature
+++ b/features/batch_review.feature
@@ -46,3 +46,16 @@
     Given a long-running job of which a run has failed on each of four workers
     When the workers of its partition fail all runs
     Then all of its tasks run in the other partition 5 s later
+
+  Scenario Outline: Repeated effects lose no progress
+    Guards against tasks that run twice: a repetition while a commit is in flight
+    lets two commits overlap. The second one acknowledges ends of runs that only
+    the first one writes, which conflicts, and the owner is killed.
+    Given finite jobs and a store whose calls take 0.3 s, by seed <seed>
+    When an owner repeats its effects, and is killed 10 s later
+    Then no invariant was violated after 15 s
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/batch_review_steps.py
+++ b/features/steps/batch_review_steps.py
@@ -4,8 +4,10 @@
 import behave
 
 from features import builders
+from sapphirestall_core import messages
 from sapphirestall_core import resources
 from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import lost_effects
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import nominations
 from sapphirestall_core.batch import passes
@@ -252,3 +254,46 @@
         if world.find_partition(name) != context.failing
     ]
     assert len(sound) == 4, f"{len(sound)}, {world.starts - before} starts"
+
+
+@behave.given(
+    "finite jobs and a store whose calls take 0.3 s, by seed {seed:d}"
+)
+def step(context, seed):
+    context.add_cleanup(
+        setattr, batch_world, "STORE_DELAY_S", batch_world.STORE_DELAY_S
+    )
+    batch_world.STORE_DELAY_S = 0.3
+    world = build_world(context, seed)
+    world.store_division(2)
+    world.run_duration_s = (0.3, 1.5)
+    for number in range(8):
+        rack = f"r1-{number // 2 + 1}"
+        world.add_worker(f"w-{number}", "north", 8000, rack)
+    start_nodes(world)
+    world.run(1)
+    submit_two_steps(world, 0)
+    world.run(5.5)
+
+
+def submit_two_steps(world, number):
+    first = model.Step(world.rng.randint(1, 4), SMALL, estimate_s=1.0)
+    second = model.Step(2, SMALL, estimate_s=1.0, after=(0,))
+    world.submit(world.nodes[number % 3], f"f{number:015x}", first, second)
+    world.schedule(0.2, lambda: submit_two_steps(world, number + 1))
+
+
+@behave.when("an owner repeats its effects, and is killed 10 s later")
+def step(context):
+    world = context.world
+    owner = max(world.nodes, key=lambda node: len(node.batch.partitions))
+    timer = lost_effects.RepeatDue(frozenset())
+    world.deliver(owner, messages.TimerFired(timer))
+    world.run(10)
+    context.faults.crash_node(owner)
+
+
+@behave.then("no invariant was violated after {seconds:g} s")
+def step(context, seconds):
+    context.world.run(seconds)
+    assert not context.world.violations, context.world.violations[:3]
