Repeat only calls that can get no reply any more

After the failure of a handler, the repetition removed the marks of all calls in flight, also of those that had just been sent. If another handler fails meanwhile, there is another repetition.

--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -159,6 +159,7 @@
     for job_id in chosen:
         partition.dirty_jobs.pop(job_id)
     partition.commit_in_flight = True
+    partition.commit_sent_at = now
     purpose = Commit(partition.name, partition.token, tuple(chosen), positions)
     return [
         store_messages.StoreTransaction(
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -235,7 +235,7 @@
     if batch.lease_id:
         if batch.releases_in_flight and waited_s <= DRAIN_TIMEOUT_S:
             return [again]
-        return [*_end_store_lease(batch), again]
+        return [*_end_store_lease(batch, now), again]
     in_flight = (
         batch.lease_call_in_flight or batch.releases_in_flight or batch.calls
     )
@@ -296,7 +296,7 @@
     return [*effects, log]
 
 
-def _end_store_lease(batch: state.Batch) -> dispatch.Effects:
+def _end_store_lease(batch: state.Batch, now: float) -> dispatch.Effects:
     """Ends the store lease of the owner keys if all releases are stored.
 
     Without a release, the next owner counts from the end of the key and assumes
@@ -306,6 +306,7 @@
     if batch.release_missing or batch.releases_in_flight:
         return []
     batch.lease_call_in_flight = True
+    batch.lease_call_sent_at = now
     return [store_messages.StoreEndLease(ownership.LeaseEnd(), lease_id)]
 
 
--- a/packages/core/src/sapphirestall_core/batch/lost_effects.py
+++ b/packages/core/src/sapphirestall_core/batch/lost_effects.py
@@ -46,6 +46,7 @@
     event: EffectsLost, batch: state.Batch, now: float
 ) -> dispatch.Effects:
     """Schedules the repetition, unless one is scheduled."""
+    batch.effects_lost_at = now
     if batch.repetition_scheduled:
         return []
     batch.repetition_scheduled = True
@@ -57,9 +58,14 @@
 def repeat(
     timer: RepeatDue, batch: state.Batch, now: float
 ) -> dispatch.Effects:
-    """Repeats all effects that the state says are on their way."""
+    """Repeats all effects that the state says are on their way.
+
+    A call that was sent less than `REPEAT_DELAY_S` ago may still get its reply,
+    and two writes of the same records must not overlap.
+    """
     batch.acquiring -= timer.acquiring
-    batch.lease_call_in_flight = False
+    if _is_lost(batch.lease_call_sent_at, now):
+        batch.lease_call_in_flight = False
     batch.summaries_read_in_flight = False
     fields = {"partitions": len(batch.partitions)}
     effects: dispatch.Effects = [messages.Log(PART, "effects repeated", fields)]
@@ -73,16 +79,27 @@
         else:
             effects += _repeat_loading(batch, partition, now)
     # If the repetition itself fails, the loop starts its timer again.
-    batch.repetition_scheduled = False
+    remaining_s = batch.effects_lost_at + REPEAT_DELAY_S - now
+    batch.repetition_scheduled = remaining_s > 0
+    if batch.repetition_scheduled:
+        # Another handler has failed since the repetition was scheduled.
+        again = RepeatDue(frozenset(batch.acquiring))
+        effects.append(messages.StartTimer(again, remaining_s))
     return effects
 
 
+def _is_lost(sent_at: float, now: float) -> bool:
+    """Returns whether a call that is in flight gets no reply any more."""
+    return now - sent_at >= REPEAT_DELAY_S
+
+
 def _repeat_loading(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
     partition.job_read_in_flight = False
-    partition.roster_write_in_flight = False
-    partition.roster_revision = None
+    if _is_lost(partition.roster_write_sent_at, now):
+        partition.roster_write_in_flight = False
+        partition.roster_revision = None
     load_due = takeover.LoadDue(partition.name, partition.token)
     return dispatch.handle_timer(load_due, batch, now)
 
@@ -95,11 +112,13 @@
     partition.summary_write_in_flight = False
     partition.retention_in_flight = False
     effects: dispatch.Effects = []
-    if partition.commit_in_flight:
+    if partition.commit_in_flight and _is_lost(partition.commit_sent_at, now):
         # A commit that failed takes the jobs that it names out of the others.
         partition.commit_in_flight = False
         partition.dirty_jobs.update(partition.jobs)
-    if partition.roster_write_in_flight:
+    if partition.roster_write_in_flight and _is_lost(
+        partition.roster_write_sent_at, now
+    ):
         partition.roster_write_in_flight = False
         partition.roster_revision = None
         effects += rosters.read_roster(partition)
@@ -117,4 +136,5 @@
         )
         if is_open and now - run.started_at >= REPEAT_DELAY_S:
             run.start_unanswered_at = now
-        run.pace_in_flight = False
+        if _is_lost(run.pace_sent_at, now):
+            run.pace_in_flight = False
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -164,6 +164,7 @@
     if batch.lease_call_in_flight or batch.shutting_down:
         return [next_renewal]
     batch.lease_call_in_flight = True
+    batch.lease_call_sent_at = now
     call: store_messages.StoreEffect
     if batch.lease_id:
         call = store_messages.StoreRenewLease(LeaseRenewal(), batch.lease_id)
@@ -205,12 +206,13 @@
     batch.lease_call_in_flight = False
     if isinstance(reply.outcome, store_messages.LeaseGranted):
         batch.lease_renewed_at = reply.sent_at
-        return _apply_confirmation(batch)
+        return _apply_confirmation(batch, now)
     if not isinstance(reply.outcome, store_messages.LeaseLost):
         return []
     effects = _drop_store_lease(batch, now)
     if not batch.shutting_down:
         batch.lease_call_in_flight = True
+        batch.lease_call_sent_at = now
         effects.append(
             store_messages.StoreGrantLease(LeaseGrant(), tenure.LEASE_TTL_S)
         )
@@ -226,13 +228,13 @@
     return effects
 
 
-def _apply_confirmation(batch: state.Batch) -> dispatch.Effects:
+def _apply_confirmation(batch: state.Batch, now: float) -> dispatch.Effects:
     """Requests the passes that waited for a confirmation of the ownership."""
     wanted_at = batch.confirmation_wanted_at
     if wanted_at is None:
         return []
     if batch.lease_renewed_at < wanted_at:
-        return _renew_now(batch)
+        return _renew_now(batch, now)
     batch.confirmation_wanted_at = None
     effects: dispatch.Effects = []
     for partition in batch.partitions.values():
@@ -247,13 +249,14 @@
     renewal that was sent later.
     """
     batch.confirmation_wanted_at = now
-    return _renew_now(batch)
+    return _renew_now(batch, now)
 
 
-def _renew_now(batch: state.Batch) -> dispatch.Effects:
+def _renew_now(batch: state.Batch, now: float) -> dispatch.Effects:
     if batch.lease_call_in_flight or not batch.lease_id or batch.shutting_down:
         return []
     batch.lease_call_in_flight = True
+    batch.lease_call_sent_at = now
     return [store_messages.StoreRenewLease(LeaseRenewal(), batch.lease_id)]
 
 
--- a/packages/core/src/sapphirestall_core/batch/rosters.py
+++ b/packages/core/src/sapphirestall_core/batch/rosters.py
@@ -232,6 +232,7 @@
     if partition.generation_raised and is_known and is_same:
         return []
     partition.roster_write_in_flight = partition.roster_write_sent = True
+    partition.roster_write_sent_at = now
     partition.roster_targets_in_flight |= targets
     partition.withheld_in_flight |= withheld_ms.keys()
     roster = records.RosterRecord(
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -471,6 +471,7 @@
             owner.
         roster_revision: Store revision of the roster; None before it was read.
         roster_write_in_flight: Whether a write of the roster is in flight.
+        roster_write_sent_at: Monotonic time at which it was sent, in seconds.
         roster_write_sent: Whether this owner has ever sent one.
         workers_listed: Whether the platform's list of workers was read.
         unlisted_workers: Workers on which runs of former owners may exist,
@@ -505,6 +506,7 @@
         jobs: Jobs of which the partition runs tasks, by id.
         dirty_jobs: Jobs whose progress or final state is not in the store yet.
         commit_in_flight: Whether a commit is in flight.
+        commit_sent_at: Monotonic time at which it was sent, in seconds.
         commit_scheduled: Whether a timer will start a commit.
         pass_scheduled: Whether a timer will start a scheduling pass.
         moved_jobs: Jobs that were moved to other partitions a short time ago,
@@ -542,6 +544,7 @@
     roster_settled: bool = False
     roster_revision: int | None = None
     roster_write_in_flight: bool = False
+    roster_write_sent_at: float = -math.inf
     roster_write_sent: bool = False
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
@@ -564,6 +567,7 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     dirty_jobs: dict[str, Job] = attrs.field(factory=dict)
     commit_in_flight: bool = False
+    commit_sent_at: float = -math.inf
     commit_scheduled: bool = False
     pass_scheduled: bool = False
     moved_jobs: dict[str, tuple[str, float]] = attrs.field(factory=dict)
@@ -686,6 +690,7 @@
         lease_id: Store lease of the owner keys; empty before it is granted.
         lease_call_in_flight: Whether a grant, renewal or end of the lease is in
             flight.
+        lease_call_sent_at: Monotonic time at which it was sent, in seconds.
         lease_renewed_at: Monotonic time at which the last renewal that the
             store confirmed was sent, in seconds.
         confirmation_wanted_at: Monotonic time after which a renewal has to be
@@ -728,6 +733,8 @@
         release_missing: Whether a release of this shutdown may not be stored.
         shutting_down: Whether the process was asked to end.
         shutdown_requested_at: Monotonic time at which it was asked, in seconds.
+        effects_lost_at: Monotonic time at which a handler last failed, in
+            seconds.
         repetition_scheduled: Whether a timer will repeat the effects that a
             failed handler lost.
     """
@@ -742,6 +749,7 @@
     partitions: dict[str, Partition] = attrs.field(factory=dict)
     lease_id: str = ""
     lease_call_in_flight: bool = False
+    lease_call_sent_at: float = -math.inf
     lease_renewed_at: float = -1e9
     confirmation_wanted_at: float | None = None
     division: model.Division = attrs.field(factory=model.Division)
@@ -772,6 +780,7 @@
     release_missing: bool = False
     shutting_down: bool = False
     shutdown_requested_at: float = 0.0
+    effects_lost_at: float = -math.inf
     repetition_scheduled: bool = False
 
     def find_owned(self, name: str, token: int) -> Partition | None:
