--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -94,8 +94,7 @@
   Scenario Outline: Tasks of a lost worker run elsewhere in time
     Guards against long-running tasks that wait although another partition has
     room: their worker is lost, and owners end or the store fails as they move.
-    In 375 and 378 their job had reached the highest number of partitions. In 578
-    the next owner waited for a worker of its own after the end of the leases.
+    In 378 their job had reached the highest number of partitions.
     When sequence <seed> of moves is played
     Then all its tasks run again in time
 
