--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -13,6 +13,7 @@
 import behave
 
 from sapphirestall_entry import logs
+from sapphirestall_platform import settings
 
 EXIT_TIMEOUT_S = 20
 POLL_INTERVAL_S = 0.01
@@ -32,7 +33,7 @@
     os.mkfifo(path)
     context.process = subprocess.Popen(
         [sys.executable, *options, *PROGRAM],
-        env={**os.environ, "SAPPHIRESTALL_CONFIG": str(path)},
+        env={**os.environ, settings.PATH_VARIABLE: str(path)},
         stdout=stdout,
         stderr=subprocess.DEVNULL,
     )
