--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format check test demo load budget bench contention mutations soak clean
+.PHONY: setup format check test demo load budget bench contention waits mutations soak clean
 
 setup: $(STAMP)
 
