--- a/standins/batch_callers.py
+++ b/standins/batch_callers.py
@@ -7,8 +7,6 @@
     python -m standins.batch_callers --seeds 1-200
 """
 
-import argparse
-
 import attrs
 
 from sapphirestall_core import resources
@@ -199,9 +197,7 @@
 
 def main() -> None:
     """Plays seeds and prints what went wrong."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    seeds.add_argument(parser, "1-60")
-    seeds.play(parser.parse_args().seeds, describe)
+    seeds.run(__doc__, "1-60", describe)
 
 
 if __name__ == "__main__":
--- a/standins/batch_cuts.py
+++ b/standins/batch_cuts.py
@@ -7,7 +7,6 @@
 that broke an invariant.
 """
 
-import argparse
 import collections
 import functools
 
@@ -314,15 +313,7 @@
 
 def main() -> None:
     """Plays the scenarios that the command line names."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    seeds.add_argument(parser, "1-20")
-    parser.add_argument("--rounds", type=int, default=2)
-    parser.add_argument("--mixed", action="store_true")
-    arguments = parser.parse_args()
-    play_one = functools.partial(
-        play, rounds=arguments.rounds, mixed=arguments.mixed
-    )
-    seeds.play(arguments.seeds, play_one)
+    seeds.run_rounds(__doc__, "1-20", play)
 
 
 if __name__ == "__main__":
--- a/standins/batch_full_fleet.py
+++ b/standins/batch_full_fleet.py
@@ -6,7 +6,6 @@
 task has to run again only while there is free capacity for it twice over.
 """
 
-import argparse
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
@@ -303,15 +302,7 @@
 
 def main() -> None:
     """Plays the sequences that the command line names."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    seeds.add_argument(parser, "1-20")
-    parser.add_argument("--rounds", type=int, default=2)
-    parser.add_argument("--mixed", action="store_true")
-    arguments = parser.parse_args()
-    play_one = functools.partial(
-        play, rounds=arguments.rounds, mixed=arguments.mixed
-    )
-    seeds.play(arguments.seeds, play_one)
+    seeds.run_rounds(__doc__, "1-20", play)
 
 
 if __name__ == "__main__":
--- a/standins/batch_moves.py
+++ b/standins/batch_moves.py
@@ -7,7 +7,6 @@
 not restarted in time.
 """
 
-import argparse
 import functools
 import random
 
@@ -263,9 +262,7 @@
 
 def main() -> None:
     """Plays the sequences that the command line names."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    seeds.add_argument(parser, "1-100")
-    seeds.play(parser.parse_args().seeds, play)
+    seeds.run(__doc__, "1-100", play)
 
 
 if __name__ == "__main__":
--- a/standins/batch_record_fuzz.py
+++ b/standins/batch_record_fuzz.py
@@ -7,7 +7,6 @@
     python -m standins.batch_record_fuzz --seeds 1-200
 """
 
-import argparse
 import copy
 import random
 from typing import Any
@@ -148,9 +147,7 @@
 
 def main() -> None:
     """Plays seeds and prints what went wrong."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    seeds.add_argument(parser, "1-60")
-    seeds.play(parser.parse_args().seeds, describe)
+    seeds.run(__doc__, "1-60", describe)
 
 
 if __name__ == "__main__":
--- a/standins/batch_successions.py
+++ b/standins/batch_successions.py
@@ -6,7 +6,6 @@
 those in which a task was not restarted in time.
 """
 
-import argparse
 import enum
 import functools
 import itertools
@@ -255,9 +254,7 @@
 
 def main() -> None:
     """Plays the sequences that the command line names."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    seeds.add_argument(parser, "1-100")
-    seeds.play(parser.parse_args().seeds, play)
+    seeds.run(__doc__, "1-100", play)
 
 
 if __name__ == "__main__":
