--- a/features/batch_capacity.feature
+++ b/features/batch_capacity.feature
@@ -56,3 +56,19 @@
       | no other disturbance                     | 24   | 0      |
       | its worker is suspended                  | 0    | 0      |
       | its owner awaits the runs of former ones | 24   | 1      |
+
+  Scenario Outline: A waiting long-running task is reported with its obstacle
+    Guards against a task without a run while no log line tells why the free
+    workers of its own partition are not used, or for how many tasks there is
+    room elsewhere.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And a long-running task of <cores> processors and <memory> MB that needs label "<label>"
+    And another partition with a worker that has 20 processors free
+    Then the task is reported as <obstacle> with room for <elsewhere> elsewhere
+
+    Examples:
+      | cores | memory | label | obstacle       | elsewhere |
+      | 10    | 100    | a     | unused         | 2         |
+      | 30    | 100    | a     | lacking_cpu    | 0         |
+      | 10    | 64001  | a     | lacking_memory | 0         |
+      | 6     | 100    | b     | constrained    | 3         |
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -173,3 +173,24 @@
 @behave.then("{number:d} tasks are reported as not allowed to start")
 def step(context, number):
     assert read_wait(context)["not_allowed"] == number, read_wait(context)
+
+
+@behave.given(
+    "a long-running task of {cores:d} processors and {memory:d} MB that needs"
+    ' label "{label}"'
+)
+def step(context, cores, memory, label):
+    amount = resources.Vector(cores * builders.CORE_MILLIS, memory, 0)
+    waiting = model.Step(1, amount, long_running=True, required_label=label)
+    builders.add_job(context, 1, 0, 0, waiting)
+
+
+@behave.then(
+    "the task is reported as {obstacle} with room for {count:d} elsewhere"
+)
+def step(context, obstacle, count):
+    fields = read_wait(context)
+    names = ("unused", "lacking_cpu", "lacking_memory", "constrained")
+    found = {name: fields[name] for name in names}
+    assert found == {name: int(name == obstacle) for name in names}, fields
+    assert fields["elsewhere_tasks"] == count, fields
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -10,6 +10,8 @@
 changed since it was read.
 """
 
+import collections
+
 import attrs
 
 from sapphirestall_core import messages
@@ -210,21 +212,44 @@
         return []
     job.move_in_flight = True
     loaded = state.LoadedJob(record, job.revision, job.create_revision)
-    fields = {
-        "job": record.job_id,
-        "from": partition.name,
-        "to": record.partition,
-        "tasks": len(record.moved),
-        "summary_age_s": round(now - batch.summaries_read_at, 3),
-    }
     return [
-        messages.Log(PART, "move", fields),
+        _make_log(batch, partition, job, record, now),
         _make_move_write(
             partition, MoveWrite(partition.name, partition.token, loaded)
         ),
     ]
 
 
+def _make_log(
+    batch: state.Batch,
+    partition: state.Partition,
+    job: state.Job,
+    record: records.JobRecord,
+    now: float,
+) -> messages.Log:
+    """Returns the log line of a move.
+
+    For each partition that tasks move to it has their number, and of all these
+    tasks the number of those that were tried elsewhere since their last run.
+    """
+    moved = [
+        move
+        for key, move in record.moved.items()
+        if move != job.record.moved.get(key)
+    ]
+    counts = collections.Counter(move.partition for move in moved)
+    targets = ",".join(f"{name}:{counts[name]}" for name in sorted(counts))
+    fields = {
+        "job": record.job_id,
+        "from": partition.name,
+        "to": targets or record.partition,
+        "tasks": len(moved),
+        "moved_again": sum(len(move.tried) > 1 for move in moved),
+        "summary_age_s": round(now - batch.summaries_read_at, 3),
+    }
+    return messages.Log(PART, "move", fields)
+
+
 def _list_others(
     batch: state.Batch, partition: state.Partition, job: state.Job, now: float
 ) -> dict[str, records.SummaryRecord]:
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -2,21 +2,40 @@
 
 A long-running task should run again within seconds. It waits because runs of
 former owners may still exist, because it is being moved, or because no usable
-worker of its partition has enough unreserved capacity. The report also tells
-how much capacity other partitions have according to their summaries.
+worker of its partition can take it. The report also tells why not, and how much
+capacity other partitions have according to their summaries.
 """
 
+import collections
+import enum
+
 import attrs
 
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
 
 PART = "capacity"
+# Highest number of tasks that are counted to fit in one other partition.
+MAX_COUNTED_TASKS = 99
+
+
+class Obstacle(enum.Enum):
+    """What keeps the tasks of a step off the usable workers of a partition."""
+
+    # A worker has the capacity, and the next pass may use it unless finite
+    # tasks of a higher priority come first.
+    NONE = "none"
+    CPU = "cpu"
+    # Workers have the processors, but none of them has the memory too.
+    MEMORY = "memory"
+    # Workers have the capacity, but the constraints of the step exclude them.
+    CONSTRAINTS = "constraints"
 
 
 @attrs.define
@@ -32,12 +51,19 @@
         moving: Of these, those whose move is being written.
         longest_s: Longest time since a pass found no worker for one of them, in
             seconds.
-        smallest_cpu: Lowest request among them.
+        unused: Tasks that may start, and that a usable worker could take.
+        lacking_cpu: Those for which no usable worker has the processors.
+        lacking_memory: Those for which workers have only the processors.
+        constrained: Those that constraints keep off workers with the capacity.
+        smallest_cpu: Lowest request among all waiting tasks.
         largest_free: Most unreserved processors on one usable worker.
         usable_workers: Number of workers on which new runs may start.
         workers: Number of workers.
         elsewhere_free: Most unreserved processors on one worker of another
             partition, by the summaries.
+        elsewhere_tasks: Number of tasks with the lowest request for which other
+            partitions have capacity, by the summaries.
+        elsewhere_partitions: Number of partitions that have some of it.
         summary_age_s: Time since summaries were last read, in seconds.
     """
 
@@ -45,11 +71,17 @@
     not_allowed: int = 0
     moving: int = 0
     longest_s: float = 0.0
+    unused: int = 0
+    lacking_cpu: int = 0
+    lacking_memory: int = 0
+    constrained: int = 0
     smallest_cpu: int = 0
     largest_free: int = 0
     usable_workers: int = 0
     workers: int = 0
     elsewhere_free: int = 0
+    elsewhere_tasks: int = 0
+    elsewhere_partitions: int = 0
     summary_age_s: float = 0.0
 
 
@@ -87,7 +119,7 @@
     Args:
         batch: State of this instance.
         partition: The owned partition.
-        waiting: Its long-running tasks that have no run.
+        waiting: Its long-running tasks that have no run; at least one.
         now: Monotonic time, in seconds.
     """
     progress = former_runs.check_progress(partition, now)
@@ -105,14 +137,19 @@
         if placement.is_usable(worker, now)
         and not partition.withholds_leases(worker.entry.worker_id)
     ]
+    obstacles = _count_obstacles(allowed, usable)
+    smallest = min(waiting, key=lambda task: task.step.amount.cpu_millis)
+    elsewhere = _count_fitting_elsewhere(batch, partition, smallest.step, now)
     return WaitReport(
         tasks=len(waiting),
         not_allowed=len(waiting) - len(allowed),
         moving=sum(task.job.move_in_flight for task in waiting),
         longest_s=round(now - min(since, default=now), 3),
-        smallest_cpu=min(
-            (task.step.amount.cpu_millis for task in waiting), default=0
-        ),
+        unused=obstacles[Obstacle.NONE],
+        lacking_cpu=obstacles[Obstacle.CPU],
+        lacking_memory=obstacles[Obstacle.MEMORY],
+        constrained=obstacles[Obstacle.CONSTRAINTS],
+        smallest_cpu=smallest.step.amount.cpu_millis,
         largest_free=max(
             (
                 worker.entry.capacity.minus(worker.reserved).cpu_millis
@@ -123,10 +160,71 @@
         usable_workers=len(usable),
         workers=len(partition.workers),
         elsewhere_free=_find_free_elsewhere(batch, partition, now),
+        elsewhere_tasks=sum(elsewhere),
+        elsewhere_partitions=sum(count > 0 for count in elsewhere),
         summary_age_s=round(now - batch.all_summaries_read_at, 3),
     )
 
 
+def _count_obstacles(
+    tasks: list[state.Task], workers: list[state.Worker]
+) -> collections.Counter[Obstacle]:
+    """Counts tasks by what keeps them off the workers of their partition.
+
+    The tasks of a step have the same obstacle, which is found once.
+    """
+    by_step: dict[tuple[str, int], list[state.Task]] = {}
+    for task in tasks:
+        key = (task.name.job_id, task.name.step)
+        by_step.setdefault(key, []).append(task)
+    candidates: dict[str, list[placement.Candidate]] = {}
+    for worker in workers:
+        candidate = placement.Candidate(worker)
+        candidate.refresh()
+        candidates.setdefault(worker.entry.service, []).append(candidate)
+    counts: collections.Counter[Obstacle] = collections.Counter()
+    for same_step in by_step.values():
+        task = same_step[0]
+        available = candidates.get(task.job.queue.service, [])
+        counts[_find_obstacle(task, available)] += len(same_step)
+    return counts
+
+
+def _find_obstacle(
+    task: state.Task, candidates: list[placement.Candidate]
+) -> Obstacle:
+    """Returns what keeps a task off all usable workers of its service."""
+    fitting = [
+        candidate for candidate in candidates if candidate.fits(task.step)
+    ]
+    if any(
+        placement.meets_constraints(candidate, task, ())
+        for candidate in fitting
+    ):
+        return Obstacle.NONE
+    if fitting:
+        return Obstacle.CONSTRAINTS
+    cpu_millis = task.step.amount.cpu_millis
+    if any(candidate.cpu_millis >= cpu_millis for candidate in candidates):
+        return Obstacle.MEMORY
+    return Obstacle.CPU
+
+
+def _count_fitting_elsewhere(
+    batch: state.Batch,
+    partition: state.Partition,
+    step: model.Step,
+    now: float,
+) -> list[int]:
+    """Returns for how many tasks of a step each other partition has room."""
+    summaries = routing.list_fresh_summaries(batch, now)
+    return [
+        routing.count_fitting_tasks(step, summary.rooms, MAX_COUNTED_TASKS)
+        for name, summary in summaries.items()
+        if name != partition.name
+    ]
+
+
 def _find_free_elsewhere(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> int:
--- a/tools/task_waits.py
+++ b/tools/task_waits.py
@@ -10,11 +10,13 @@
 from collections.abc import Iterator
 import datetime
 import fileinput
+import itertools
 import re
 import shlex
 
 import attrs
 
+WORKER_NAME = re.compile(r"'([^']+)'")
 LINE = re.compile(
     r"(\d{4}-\d\d-\d\d \d\d:\d\d:\d\d,\d{3}) INFO ([a-z]+): (\w+) (.*)"
 )
@@ -51,12 +53,25 @@
             not.
         known_at: Time at which its owner took it as ended, in seconds; None
             if no line tells.
+        former_ended_at: Times at which a successor took the runs of former
+            owners on the worker as ended, in seconds.
     """
 
     worker: str
     ordered_at: float
     ended_at: float | None = None
     known_at: float | None = None
+    former_ended_at: list[float] = attrs.field(factory=list)
+
+    def settle(self, until: float) -> None:
+        """Finds when a successor took the run as ended, if its owner did not.
+
+        Args:
+            until: Time of the next start of the task, in seconds.
+        """
+        if self.known_at is None:
+            times = [at for at in self.former_ended_at if at <= until]
+            self.known_at = max(times, default=None)
 
 
 @attrs.define
@@ -141,6 +156,8 @@
             case "runs_lost":
                 for name in fields["runs"].split(","):
                     self._add_loss(name, line.at)
+            case "former_ended":
+                self._add_former_end(fields["workers"], line.at)
 
     def _add_end(self, line: Line, job: Job) -> None:
         fields = line.fields
@@ -157,6 +174,17 @@
         if run is not None:
             run.known_at = at
 
+    def _add_former_end(self, workers: str, at: float) -> None:
+        """Adds that the runs of former owners on some workers have ended.
+
+        Runs that the owner itself has started there may go on.
+        """
+        names = set(WORKER_NAME.findall(workers))
+        for runs in self.runs.values():
+            for run in runs.values():
+                if run.worker in names and run.known_at is None:
+                    run.former_ended_at.append(at)
+
     def list_waits(self) -> Iterator[Wait]:
         """Returns the times without a run of all long-running tasks."""
         for task, runs in self.runs.items():
@@ -164,6 +192,8 @@
             if job.queue in self.done_queues:
                 continue
             ordered = sorted(runs.values(), key=lambda run: run.ordered_at)
+            for run, following in itertools.pairwise(ordered):
+                run.settle(following.ordered_at)
             for run, following in zip(ordered, ordered[1:], strict=False):
                 yield self._make_wait(task, job, run, following.ordered_at)
             last = ordered[-1]
