Add failing tests of the free capacity that owners publish

Of 40 tasks of a lost worker 8 start 5.1 s after its crash and the last 8.6 s after it (virtual time), beside 48 workers with room for one each: summaries show eight workers. Tasks are deducted from workers that cannot take them, and summaries show workers of other services, and such on which no pass starts anything.

--- /dev/null
+++ b/features/batch_published_capacity.feature
@@ -0,0 +1,28 @@
+Feature: Free capacity that owners publish
+
+  Scenario: Tasks of a lost worker move to many workers with room for one each
+    Guards against long-running tasks that wait although there is room: a summary
+    that names eight workers shows room for eight tasks, the others wait for the
+    next summaries.
+    Given a worker with 40 long-running tasks beside 48 workers with room for one
+    When the worker with the long-running tasks crashes
+    Then all 40 tasks run 7 s later
+
+  Scenario: A task is deducted from a worker that can take it
+    Guards against tasks that move to where there is no room: a task that was
+    deducted from the worker with most processors, which has no memory for it,
+    left the worker with memory free for the next one.
+    Given a partition with free processors on one worker and memory on another
+    When owners choose a partition for 2 tasks that fit on the latter
+    Then 1 of them is sent there
+
+  Scenario Outline: Free capacity of <worker> is not published
+    Guards against tasks that move to a partition and wait there, as its owner
+    starts nothing on the worker that has the room.
+    Given a partition with an idle worker that is <worker>
+    Then its summary shows no room for a task
+
+    Examples:
+      | worker                 |
+      | not in the roster      |
+      | withheld by its owner  |
--- a/features/batch_waits.feature
+++ b/features/batch_waits.feature
@@ -5,14 +5,15 @@
     partition, where finite tasks use all that is freed, and one that shows free
     capacity on workers that it must not use. It never waits long enough in one
     partition to get a worker nominated there.
-    Given a partition full of small tasks beside one with room that does not help, by seed <seed>
+    Given a partition full of small tasks beside one with room on workers of another <kind>, by seed <seed>
     When a worker with a large long-running task crashes there
     Then the large long-running tasks run 15 s later
 
     Examples:
-      | seed |
-      | 1    |
-      | 3    |
+      | kind    | seed |
+      | label   | 1    |
+      | label   | 3    |
+      | service | 1    |
 
   Scenario Outline: Runs outlast a store that fails just after a takeover
     Guards against sound workers whose runs lapse: the first roster of an owner
--- /dev/null
+++ b/features/steps/batch_published_capacity_steps.py
@@ -0,0 +1,104 @@
+"""Steps for batch_published_capacity.feature."""
+
+import attrs
+import behave
+
+from features import builders
+from sapphirestall_core import resources
+from sapphirestall_core.batch import model
+from sapphirestall_core.batch import routing
+from sapphirestall_core.batch import summaries
+from standins import batch_faults
+from standins import batch_restarts
+from standins import batch_world
+
+JOB = "00000000000000aa"
+AMOUNT = resources.Vector(4000, 1000, 0)
+TASK = model.Step(1, AMOUNT, long_running=True)
+
+
+@behave.given(
+    "a worker with {tasks:d} long-running tasks beside {workers:d} workers with"
+    " room for one"
+)
+def step(context, tasks, workers):
+    world = context.world = batch_world.BatchWorld(1)
+    context.faults = batch_faults.BatchFaults(world)
+    context.check = batch_restarts.RestartCheck(world, context.faults)
+    world.store_division(1)
+    world.add_worker("w-0", "north", tasks * AMOUNT.cpu_millis, "r1-1")
+    for number in range(3):
+        world.add_node(f"e-{number}", "north")
+    world.run(4)
+    world.submit(world.nodes[0], JOB, attrs.evolve(TASK, count=tasks))
+    context.check.run(4)
+    for number in range(workers):
+        world.add_worker(f"o-{number}", "north", 7000, "r1-2")
+    context.check.run(4)
+
+
+@behave.when("the worker with the long-running tasks crashes")
+def step(context):
+    runs = [name for name, t, _ in context.world.list_runs() if t.job_id == JOB]
+    assert set(runs) == {"w-0"}, sorted(set(runs))
+    context.faults.crash_worker("w-0")
+
+
+@behave.then("all {count:d} tasks run {seconds:g} s later")
+def step(context, count, seconds):
+    context.check.run(seconds)
+    running = {t for _, t, _ in context.world.list_runs() if t.job_id == JOB}
+    assert len(running) == count, f"{len(running)} of {count} run"
+
+
+@behave.given(
+    "a partition with free processors on one worker and memory on another"
+)
+def step(context):
+    workers = [builders.make_worker("w-0", 8), builders.make_worker("w-1", 6)]
+    filling = model.Step(1, resources.Vector(0, 64_000, 0))
+    builders.add_run(workers[0], filling)
+    builders.make_partition(context, *workers)
+    publish(context)
+
+
+def publish(context):
+    context.summary = summaries.make_summary(
+        context.partition, context.batch.interference, builders.NOW
+    )
+    context.batch.summaries = {builders.OTHER: context.summary}
+
+
+def choose(context, number):
+    return routing.choose_for_task(
+        context.batch, [builders.OTHER], TASK, f"{JOB}.0.{number}"
+    )
+
+
+@behave.when(
+    "owners choose a partition for {count:d} tasks that fit on the latter"
+)
+def step(context, count):
+    context.chosen = [choose(context, number) for number in range(count)]
+
+
+@behave.then("{count:d} of them is sent there")
+def step(context, count):
+    assert context.chosen.count(builders.OTHER) == count, context.chosen
+
+
+@behave.given("a partition with an idle worker that is {state}")
+def step(context, state):
+    builders.make_partition(context, builders.make_worker("w-0", 8))
+    if state == "not in the roster":
+        context.partition.roster = frozenset()
+    else:
+        context.partition.withheld_ms["w-0"] = 1000
+    publish(context)
+
+
+@behave.then("its summary shows no room for a task")
+def step(context):
+    assert choose(context, 0) is None
+    assert not context.summary.rooms
+    assert not routing.can_run(context.summary, "service", (TASK,))
--- a/features/steps/batch_waits_steps.py
+++ b/features/steps/batch_waits_steps.py
@@ -51,16 +51,20 @@
 
 
 @behave.given(
-    "a partition full of small tasks beside one with room that does not help,"
-    " by seed {seed:d}"
+    "a partition full of small tasks beside one with room on workers of another"
+    " {kind}, by seed {seed:d}"
 )
-def step(context, seed):
+def step(context, kind, seed):
     world = build_world(context, seed)
     world.store_division(1)
     capacity = resources.Vector(8000, 64_000, 0)
     for number in range(4):
         add_worker(world, f"w-{number}", "r1-1", capacity, "gpu")
-    add_worker(world, "d-0", "r1-2", capacity, "plain")
+    label = {"label": "plain", "service": "gpu"}[kind]
+    add_worker(world, "d-0", "r1-2", capacity, label)
+    if kind == "service":
+        entry = attrs.evolve(world.listed_workers["d-0"], service="other")
+        world.workers["d-0"].entry = world.listed_workers["d-0"] = entry
     add_worker(world, "d-1", "r1-2", capacity, "gpu", "hold")
     start_nodes(world)
     hold = model.Step(
