Publish the free capacity of each worker by service and labels

Cause: a summary showed the free capacity of eight workers, of any service and with any labels, also of workers on which the owner starts nothing. Tasks moved to where no worker could run them and waited there, and to a partition with room for one task on each of many workers at most eight moved for each summary. A task was deducted from the worker with most free processors, whether or not it could take it.

Change: summaries list the workers on which a pass may start tasks in groups of the same service and labels, with the free processors and memory of each. Choices of partitions count and deduct only what a step may use. Owners of the version before still find their eight workers, and their summaries are read as before.

--- a/features/batch_published_capacity.feature
+++ b/features/batch_published_capacity.feature
@@ -23,6 +23,19 @@
     Then its summary shows no room for a task
 
     Examples:
-      | worker                 |
-      | not in the roster      |
-      | withheld by its owner  |
+      | worker                |
+      | not in the roster     |
+      | withheld by its owner |
+
+  Scenario: Versions that differ read each other's summaries
+    Guards against an upgrade in which owners of one version see no room in the
+    partitions of the other, or cannot read their summaries at all.
+    Given a partition of 32 workers with the labels of 4 racks
+    Then an owner of the version before reads its stored summary with 8 rooms
+    And a stored summary of that version shows room for 8 tasks
+
+  Scenario: The summary of a partition of 32 workers is small
+    Guards against traffic between zones, which is priced: all instances read all
+    summaries about once a second.
+    Given a partition of 32 workers with the labels of 4 racks
+    Then its stored summary takes at most 1200 bytes
--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -458,6 +458,7 @@
       | SummaryRecord      | "fill_load": "nan"                           |
       | SummaryRecord      | "pending": {"q": "ab"}                       |
       | SummaryRecord      | "rooms": [{"cpu_millis": "1", "memory_mb": 1}] |
+      | SummaryRecord      | "groups": {"s": [{"labels": [], "workers": 1, "cpu_millis": [1]}]} |
       | InterferenceRecord | "harms": [{"serving": "a", "filling": "b", "loss": "inf"}] |
       | ProgressRecord     | "steps": [{"done": "12"}]                    |
       | ProgressRecord     | "steps": [{"failed": {"1": ["2"]}}]          |
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -7,6 +7,7 @@
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import interference
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import reservation_reports
 from sapphirestall_core.batch import wait_reports
@@ -130,7 +131,7 @@
     "another partition with a worker that has {cores:d} processors free"
 )
 def step(context, cores):
-    room = records.FreeCapacity(cores * builders.CORE_MILLIS, 1000)
+    room = published_capacity.FreeCapacity(cores * builders.CORE_MILLIS, 1000)
     summary = records.SummaryRecord({}, 0.0, {}, (room,), None)
     context.batch.summaries[builders.OTHER] = summary
     context.batch.summary_changes[builders.OTHER] = (1, builders.NOW)
--- a/features/steps/batch_division_steps.py
+++ b/features/steps/batch_division_steps.py
@@ -10,6 +10,7 @@
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import objectives
+from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
@@ -338,7 +339,11 @@
 def step(context):
     context.summaries = {
         name: records.SummaryRecord(
-            rooms=(records.FreeCapacity(16_000 if number else 17_000, 60_000),)
+            rooms=(
+                published_capacity.FreeCapacity(
+                    16_000 if number else 17_000, 60_000
+                ),
+            )
             * 8
         )
         for number, name in enumerate(list_partitions(EIGHT_PARTITIONS))
@@ -364,7 +369,7 @@
 
 @behave.given("summaries of 8 idle partitions")
 def step(context):
-    capacity = records.FreeCapacity(16_000, 60_000)
+    capacity = published_capacity.FreeCapacity(16_000, 60_000)
     context.summaries = {
         name: records.SummaryRecord(rooms=(capacity,) * 8)
         for name in list_partitions(EIGHT_PARTITIONS)
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -10,6 +10,7 @@
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
@@ -75,7 +76,7 @@
 @behave.given("summaries of a full own and an empty other data centre")
 def step(context):
     builders.make_partition(context)
-    capacity = records.FreeCapacity(8000, 8000)
+    capacity = published_capacity.FreeCapacity(8000, 8000)
     context.batch.summaries = {
         builders.OWN: records.SummaryRecord(),
         builders.OTHER: records.SummaryRecord(rooms=(capacity, capacity)),
@@ -205,7 +206,7 @@
 
 @behave.given("summaries of 8 partitions with free capacity for 3 tasks each")
 def step(context):
-    capacity = records.FreeCapacity(3 * builders.CORE_MILLIS, 8000)
+    capacity = published_capacity.FreeCapacity(3 * builders.CORE_MILLIS, 8000)
     context.summaries = {
         f"{builders.OTHER}/r{number}": records.SummaryRecord(rooms=(capacity,))
         for number in range(8)
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -2,12 +2,16 @@
 
 import attrs
 import behave
+import orjson
 
 from features import builders
 from sapphirestall_core import resources
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import published_capacity
+from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import summaries
+from sapphirestall_platform import store
 from standins import batch_faults
 from standins import batch_restarts
 from standins import batch_world
@@ -102,3 +106,59 @@
     assert choose(context, 0) is None
     assert not context.summary.rooms
     assert not routing.can_run(context.summary, "service", (TASK,))
+
+
+@attrs.frozen
+class FormerSummary:
+    """The summary as the version before defines it."""
+
+    pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    fill_load: float = 0.0
+    fill_rooms: dict[str, int] = attrs.field(factory=dict)
+    rooms: tuple[published_capacity.FreeCapacity, ...] = ()
+    offers: dict[str, tuple[str, ...]] | None = None
+    workers: dict[str, int] = attrs.field(factory=dict)
+
+
+@behave.given(
+    "a partition of {count:d} workers with the labels of {racks:d} racks"
+)
+def step(context, count, racks):
+    workers = []
+    for number in range(count):
+        worker = builders.make_worker(f"w-{number}", 16)
+        labels = ("a", f"r1-{number % racks + 1}")
+        worker.entry = attrs.evolve(worker.entry, labels=labels)
+        builders.add_run(worker, builders.make_step(1))
+        workers.append(worker)
+    builders.make_partition(context, *workers)
+    publish(context)
+    context.converter = store.make_converter()
+    context.stored = context.converter.unstructure(context.summary)
+
+
+@behave.then(
+    "an owner of the version before reads its stored summary with {count:d}"
+    " rooms"
+)
+def step(context, count):
+    found = context.converter.structure(context.stored, FormerSummary)
+    expected = {**attrs.asdict(context.summary, recurse=False)}
+    del expected["groups"]
+    assert found == FormerSummary(**expected), found
+    assert len(found.rooms) == count, found
+
+
+@behave.then("a stored summary of that version shows room for {count:d} tasks")
+def step(context, count):
+    del context.stored["groups"]
+    summary = context.converter.structure(context.stored, records.SummaryRecord)
+    large = attrs.evolve(TASK, amount=resources.Vector(15_000, 100, 0))
+    assert routing.can_run(summary, "service", (large,))
+    assert routing.count_fitting_tasks(summary, "service", large, 99) == count
+
+
+@behave.then("its stored summary takes at most {limit:d} bytes")
+def step(context, limit):
+    size = len(orjson.dumps(context.stored))
+    assert size <= limit, size
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import rosters
@@ -585,7 +586,9 @@
     second = attrs.evolve(STEP, after=(0,))
     load_partition(context, make_found(TOKEN - 10, (STEP, second)))
     # A job is moved only if another partition has free capacity for it.
-    summary = records.SummaryRecord(rooms=(records.FreeCapacity(8000, 8000),))
+    summary = records.SummaryRecord(
+        rooms=(published_capacity.FreeCapacity(8000, 8000),)
+    )
     context.batch.summaries = {
         PARTITION: records.SummaryRecord(),
         "south": summary,
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -378,10 +378,14 @@
     tried = (*_list_tried_partitions(record, task, partition), partition.name)
     untried = [name for name in names if name not in tried]
     subject = f"{record.job_id}.{key}"
-    name = routing.choose_for_task(batch, untried, task.step, subject, placed)
+    name = routing.choose_for_task(
+        batch, untried, task.step, subject, placed, service
+    )
     if name is None:
         tried = (partition.name,)
-        name = routing.choose_for_task(batch, names, task.step, subject, placed)
+        name = routing.choose_for_task(
+            batch, names, task.step, subject, placed, service
+        )
     if name is None:
         return None
     return records.MovedTask(name, task.next_run_number, tried)
@@ -428,7 +432,7 @@
     own_summary = batch.summaries.get(partition.name)
     if own_summary is None or not others:
         return None
-    steps = job.record.steps
+    steps, service = job.record.steps, job.queue.service
     if step.fills:
         loads = {
             name: routing.estimate_load(
@@ -440,7 +444,7 @@
         current_load = routing.estimate_load(
             batch.division, partition.name, own_summary, steps
         )
-        can_run_here = routing.can_run(own_summary, job.queue.service, steps)
+        can_run_here = routing.can_run(own_summary, service, steps)
         if (
             can_run_here
             and current_load - loads[target] <= routing.MIN_LOAD_ADVANTAGE
@@ -450,14 +454,14 @@
         target = max(
             others,
             key=lambda name: routing.count_fitting_tasks(
-                step, others[name].rooms, step.count
+                others[name], service, step, step.count
             ),
         )
         if not routing.count_fitting_tasks(
-            step, others[target].rooms, step.count
+            others[target], service, step, step.count
         ):
             return None
-    routing.deduct_job(batch, target, job.record.steps)
+    routing.deduct_job(batch, target, job.record.steps, service)
     # Former owners may have started tasks of an older job without a sign.
     if not job.start_sent and job.create_revision >= partition.token:
         return attrs.evolve(job.record, partition=target)
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -134,12 +134,7 @@
         """Returns the candidate workers of a service."""
         pool = self.pools.get(service)
         if pool is None:
-            roster = self.partition.roster
-            workers = (
-                worker
-                for name, worker in self.partition.workers.items()
-                if name in roster and not self.partition.withholds_leases(name)
-            )
+            workers = placement.list_startable_workers(self.partition, self.now)
             pool = candidate_pools.CandidatePool(
                 placement.list_candidates(workers, service, self.now)
             )
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -48,6 +48,22 @@
     )
 
 
+def list_startable_workers(
+    partition: state.Partition, now: float
+) -> list[state.Worker]:
+    """Returns the workers of a partition on which a pass may start tasks.
+
+    They are in the roster, and the owner may extend leases there.
+    """
+    return [
+        worker
+        for name, worker in partition.workers.items()
+        if name in partition.roster
+        and not partition.withholds_leases(name)
+        and is_usable(worker, now)
+    ]
+
+
 def estimate_idle_cpu(worker: state.Worker) -> int:
     """Estimates the processors that reserving tasks leave unused on a worker.
 
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -9,6 +9,7 @@
 
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import published_capacity
 
 # Prefix of the job records and a copy of the owner key of each partition, which
 # its owner watches together.
@@ -224,19 +225,6 @@
     withheld_ms: dict[str, int] = attrs.field(factory=dict)
 
 
-@attrs.frozen(slots=True)
-class FreeCapacity:
-    """Free capacity of one worker for tasks that are not opportunistic.
-
-    Attributes:
-        cpu_millis: Processors, in thousandths.
-        memory_mb: Memory, in megabytes.
-    """
-
-    cpu_millis: int
-    memory_mb: int
-
-
 @attrs.frozen(slots=True)
 class InterferenceEstimate:
     """Headroom that a serving image loses to an opportunistic image.
@@ -276,19 +264,60 @@
             as a share of those that other tasks leave unused.
         fill_rooms: Processors that each known opportunistic image could still
             use without too much interference, in thousandths.
-        rooms: Free capacity of the workers that have most of it.
+        rooms: Free capacity of the workers that have most of it, for owners of
+            the version before, which do not read `groups`.
         offers: Labels of the workers that accept new runs, by service; None if
             they are not known.
         workers: Number of the workers that accept new runs, by service; empty
             if it is not known.
+        groups: The workers that accept new runs with their free capacity, by
+            service; None if an owner of the version before wrote the summary.
     """
 
     pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     fill_load: float = 0.0
     fill_rooms: dict[str, int] = attrs.field(factory=dict)
-    rooms: tuple[FreeCapacity, ...] = ()
+    rooms: tuple[published_capacity.FreeCapacity, ...] = ()
     offers: dict[str, tuple[str, ...]] | None = None
     workers: dict[str, int] = attrs.field(factory=dict)
+    groups: dict[str, tuple[published_capacity.WorkerGroup, ...]] | None = None
+
+    def list_free(
+        self, service: str, step: model.Step
+    ) -> list[published_capacity.FreeCapacity]:
+        """Returns the free capacity of workers that can run a step.
+
+        Args:
+            service: Service of the workers; empty for all of them.
+            step: The step, which may require a label.
+        """
+        if self.groups is None:
+            return list(self.rooms)
+        return [
+            free
+            for name, groups in self.groups.items()
+            if service in ("", name)
+            for group in groups
+            if group.accepts(step)
+            for free in group.list_free()
+        ]
+
+    def deduct(
+        self, service: str, step: model.Step, count: int
+    ) -> "SummaryRecord":
+        """Returns the summary after tasks of a step were sent here."""
+        if self.groups is None:
+            rooms = published_capacity.deduct_tasks(
+                list(self.rooms), step, count
+            )
+            return attrs.evolve(self, rooms=tuple(rooms))
+        groups = {
+            name: published_capacity.deduct_from_groups(groups, step, count)
+            if service in ("", name)
+            else groups
+            for name, groups in self.groups.items()
+        }
+        return attrs.evolve(self, groups=groups)
 
 
 @store_messages.check_key.register
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -14,6 +14,7 @@
 import attrs
 
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 
@@ -39,27 +40,21 @@
 
 
 def count_fitting_tasks(
-    step: model.Step, capacities: tuple[records.FreeCapacity, ...], limit: int
+    summary: records.SummaryRecord,
+    service: str,
+    step: model.Step,
+    limit: int,
 ) -> int:
     """Counts the tasks of a step for which a partition has free capacity.
 
     Args:
+        summary: Summary of the partition.
+        service: Service of the step; empty for any.
         step: Step of the tasks.
-        capacities: Free capacities of workers of the partition.
         limit: Highest number to return.
     """
-    cpu_millis = max(1, step.amount.cpu_millis)
-    memory_mb = max(1, step.amount.memory_mb)
-    per_worker = step.max_per_worker or limit
-    count = 0
-    for capacity in capacities:
-        fitting = min(
-            capacity.cpu_millis // cpu_millis,
-            capacity.memory_mb // memory_mb,
-            per_worker,
-        )
-        count += max(0, fitting)
-    return min(count, limit)
+    capacities = summary.list_free(service, step)
+    return published_capacity.count_fitting_tasks(step, capacities, limit)
 
 
 def list_fresh_summaries(
@@ -104,10 +99,20 @@
         step: The step, of which only some tasks may share a worker.
         placed: Number of its tasks that the partition has already.
     """
-    workers = summary.workers.get(service)
-    if workers is None or not step.max_per_worker:
+    if not step.max_per_worker:
         return True
-    return placed < workers * step.max_per_worker
+    workers = _count_workers(summary, service, step)
+    return workers is None or placed < workers * step.max_per_worker
+
+
+def _count_workers(
+    summary: records.SummaryRecord, service: str, step: model.Step
+) -> int | None:
+    """Returns the number of workers for a step; None if it is not known."""
+    if summary.groups is None:
+        return summary.workers.get(service)
+    groups = summary.groups.get(service, ())
+    return sum(group.workers for group in groups if group.accepts(step))
 
 
 def choose_partition(
@@ -156,12 +161,14 @@
         steps, key=lambda step: step.count * step.amount.cpu_millis
     )
     if largest_step.tail_target_ms:
-        chosen = _choose_by_image(summaries, largest_step)
+        chosen = _choose_by_image(summaries, largest_step, service)
     elif largest_step.fills:
         chosen = _choose_least_loaded(batch, summaries, job_id, steps)
     else:
-        chosen = _choose_most_free(batch, summaries, job_id, largest_step)
-    deduct_job(batch, chosen, steps)
+        chosen = _choose_most_free(
+            batch, summaries, job_id, largest_step, service
+        )
+    deduct_job(batch, chosen, steps, service)
     return chosen
 
 
@@ -276,7 +283,7 @@
 
 
 def _choose_by_image(
-    summaries: dict[str, records.SummaryRecord], step: model.Step
+    summaries: dict[str, records.SummaryRecord], step: model.Step, service: str
 ) -> str:
     """Chooses a partition with free capacity for the tasks of a serving image.
 
@@ -285,7 +292,7 @@
     some of these finds a partition where it disturbs none.
     """
     fitting = {
-        name: count_fitting_tasks(step, summary.rooms, step.count)
+        name: count_fitting_tasks(summary, service, step, step.count)
         for name, summary in summaries.items()
     }
     return max(
@@ -305,6 +312,7 @@
     summaries: dict[str, records.SummaryRecord],
     job_id: str,
     step: model.Step,
+    service: str,
 ) -> str:
     """Chooses a partition with free capacity for the tasks of a step.
 
@@ -317,8 +325,9 @@
     def score(name: str) -> tuple[bool, int, bool, int]:
         """Returns a sort key of a partition; the highest is preferred."""
         summary = summaries[name]
-        fitting = count_fitting_tasks(step, summary.rooms, step.count)
-        free_cpu = sum(capacity.cpu_millis for capacity in summary.rooms)
+        fitting = count_fitting_tasks(summary, service, step, step.count)
+        free = summary.list_free(service, step)
+        free_cpu = sum(capacity.cpu_millis for capacity in free)
         has_data = not step.data_rack or (
             batch.division.contains_rack(name, step.data_rack)
         )
@@ -337,6 +346,7 @@
     step: model.Step,
     subject: str,
     placed: dict[str, int] | None = None,
+    service: str = "",
 ) -> str | None:
     """Chooses a partition with free capacity for a single task.
 
@@ -352,15 +362,17 @@
         subject: Name of the task, by which the choice among equal partitions
             differs.
         placed: Number of tasks of the step that each partition has already.
+        service: Service of the step; empty for any.
 
     Returns:
         Name of the partition; None if no partition has enough free capacity.
     """
     fitting = {}
     for name in names:
-        rooms = batch.summaries[name].rooms
         used = (placed or {}).get(name, 0) if step.max_per_worker else 0
-        count = count_fitting_tasks(step, rooms, MAX_COUNTED_TASKS + used)
+        count = count_fitting_tasks(
+            batch.summaries[name], service, step, MAX_COUNTED_TASKS + used
+        )
         if count:
             fitting[name] = max(0, count - used)
     chosen = max(
@@ -369,12 +381,15 @@
         default=None,
     )
     if chosen is not None:
-        deduct_job(batch, chosen, (attrs.evolve(step, count=1),))
+        deduct_job(batch, chosen, (attrs.evolve(step, count=1),), service)
     return chosen
 
 
 def deduct_job(
-    batch: state.Batch, name: str, steps: tuple[model.Step, ...]
+    batch: state.Batch,
+    name: str,
+    steps: tuple[model.Step, ...],
+    service: str = "",
 ) -> None:
     """Deducts a job that was sent to a partition from the partition's summary.
 
@@ -397,20 +412,4 @@
             summary, fill_load=load, fill_rooms=fill_rooms
         )
         return
-    capacities = list(summary.rooms)
-    for _ in range(first.count):
-        largest = max(
-            capacities,
-            key=lambda capacity: capacity.cpu_millis,
-            default=None,
-        )
-        if largest is None:
-            break
-        capacities.remove(largest)
-        capacities.append(
-            records.FreeCapacity(
-                largest.cpu_millis - first.amount.cpu_millis,
-                largest.memory_mb - first.amount.memory_mb,
-            )
-        )
-    batch.summaries[name] = attrs.evolve(summary, rooms=tuple(capacities))
+    batch.summaries[name] = summary.deduct(service, first, first.count)
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -8,13 +8,13 @@
 
 import attrs
 
-from sapphirestall_core import resources
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import interference as interference_module
 from sapphirestall_core.batch import interference_records
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 
@@ -28,8 +28,8 @@
 # here, as the new owner may become unreachable before its own summary shows the
 # job.
 MOVED_JOB_PENDING_S = 7.0
-# Number of workers whose free capacity is published. This suffices for the
-# tasks of a usual job and keeps the summary small.
+# Number of workers whose free capacity is published for owners of the version
+# before, which do not read the groups of workers.
 MAX_PUBLISHED_WORKERS = 8
 # Number of these that are chosen by memory as well as by processors.
 BALANCED_WORKERS = 2
@@ -105,11 +105,7 @@
             del partition.moved_jobs[job_id]
         else:
             pending.setdefault(queue, []).append(job_id)
-    usable = [
-        worker
-        for worker in partition.workers.values()
-        if placement.is_usable(worker, now)
-    ]
+    usable = placement.list_startable_workers(partition, now)
     idle_cpu = sum(placement.estimate_idle_cpu(worker) for worker in usable)
     min_load = 0.0 if idle_cpu > 0 else SATURATED_LOAD
     return records.SummaryRecord(
@@ -121,24 +117,25 @@
         _list_rooms(usable),
         _list_labels(usable),
         dict(collections.Counter(worker.entry.service for worker in usable)),
+        _group_workers(usable),
     )
 
 
 def _list_rooms(
     usable: list[state.Worker],
-) -> tuple[records.FreeCapacity, ...]:
+) -> tuple[published_capacity.FreeCapacity, ...]:
     """Returns the free capacity of the workers that have most of it.
 
     Those with most free processors may have no memory left, so that some are
     chosen by both: by the lower of two shares, each of the most that a worker
     has free.
     """
-    free = [worker.entry.capacity.minus(worker.reserved) for worker in usable]
+    free = [_find_free(worker) for worker in usable]
     free.sort(key=lambda amount: -amount.cpu_millis)
     most_cpu = max((amount.cpu_millis for amount in free), default=1)
     most_memory = max((amount.memory_mb for amount in free), default=1)
 
-    def find_lower_share(amount: resources.Vector) -> float:
+    def find_lower_share(amount: published_capacity.FreeCapacity) -> float:
         return min(
             amount.cpu_millis / max(1, most_cpu),
             amount.memory_mb / max(1, most_memory),
@@ -148,10 +145,40 @@
     others = sorted(free[len(chosen) :], key=find_lower_share, reverse=True)
     chosen += others[:BALANCED_WORKERS]
     chosen.sort(key=lambda amount: -amount.cpu_millis)
-    return tuple(
-        records.FreeCapacity(amount.cpu_millis, amount.memory_mb)
-        for amount in chosen
-    )
+    return tuple(chosen)
+
+
+def _find_free(worker: state.Worker) -> published_capacity.FreeCapacity:
+    free = worker.entry.capacity.minus(worker.reserved)
+    return published_capacity.FreeCapacity(free.cpu_millis, free.memory_mb)
+
+
+def _group_workers(
+    usable: list[state.Worker],
+) -> dict[str, tuple[published_capacity.WorkerGroup, ...]]:
+    """Returns workers with their free capacity, by service and labels."""
+    groups: dict[str, dict[tuple[str, ...], list[state.Worker]]] = {}
+    for worker in usable:
+        by_labels = groups.setdefault(worker.entry.service, {})
+        by_labels.setdefault(worker.entry.labels, []).append(worker)
+    return {
+        service: tuple(
+            _make_group(labels, by_labels[labels])
+            for labels in sorted(by_labels)
+        )
+        for service, by_labels in groups.items()
+    }
+
+
+def _make_group(
+    labels: tuple[str, ...], workers: list[state.Worker]
+) -> published_capacity.WorkerGroup:
+    """Returns the workers with the same labels, those with most free first."""
+    free = [_find_free(worker) for worker in workers]
+    some = [each for each in free if each.cpu_millis > 0 and each.memory_mb > 0]
+    some.sort(key=lambda each: -each.cpu_millis)
+    group = published_capacity.WorkerGroup(labels, len(workers))
+    return group.replace_free(some)
 
 
 def _list_labels(
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -14,7 +14,6 @@
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
-from sapphirestall_core.batch import model
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import routing
@@ -131,15 +130,10 @@
         for task in waiting
         if task.unplaced_since is not None
     ]
-    usable = [
-        worker
-        for worker in partition.workers.values()
-        if placement.is_usable(worker, now)
-        and not partition.withholds_leases(worker.entry.worker_id)
-    ]
+    usable = placement.list_startable_workers(partition, now)
     obstacles = _count_obstacles(allowed, usable)
     smallest = min(waiting, key=lambda task: task.step.amount.cpu_millis)
-    elsewhere = _count_fitting_elsewhere(batch, partition, smallest.step, now)
+    elsewhere = _count_fitting_elsewhere(batch, partition, smallest, now)
     return WaitReport(
         tasks=len(waiting),
         not_allowed=len(waiting) - len(allowed),
@@ -159,7 +153,7 @@
         ),
         usable_workers=len(usable),
         workers=len(partition.workers),
-        elsewhere_free=_find_free_elsewhere(batch, partition, now),
+        elsewhere_free=_find_free_elsewhere(batch, partition, smallest, now),
         elsewhere_tasks=sum(elsewhere),
         elsewhere_partitions=sum(count > 0 for count in elsewhere),
         summary_age_s=round(now - batch.all_summaries_read_at, 3),
@@ -213,29 +207,34 @@
 def _count_fitting_elsewhere(
     batch: state.Batch,
     partition: state.Partition,
-    step: model.Step,
+    task: state.Task,
     now: float,
 ) -> list[int]:
-    """Returns for how many tasks of a step each other partition has room."""
+    """Returns for how many tasks of a kind each other partition has room."""
     summaries = routing.list_fresh_summaries(batch, now)
     return [
-        routing.count_fitting_tasks(step, summary.rooms, MAX_COUNTED_TASKS)
+        routing.count_fitting_tasks(
+            summary, task.job.queue.service, task.step, MAX_COUNTED_TASKS
+        )
         for name, summary in summaries.items()
         if name != partition.name
     ]
 
 
 def _find_free_elsewhere(
-    batch: state.Batch, partition: state.Partition, now: float
+    batch: state.Batch,
+    partition: state.Partition,
+    task: state.Task,
+    now: float,
 ) -> int:
-    """Returns the most free processors that another partition publishes."""
+    """Returns the most free processors elsewhere on a worker for a task."""
     summaries = routing.list_fresh_summaries(batch, now)
     return max(
         (
             room.cpu_millis
             for name, summary in summaries.items()
             if name != partition.name
-            for room in summary.rooms
+            for room in summary.list_free(task.job.queue.service, task.step)
         ),
         default=0,
     )
