Show a former owner that starts a done task again

No change of logic. Long polls of the simulation can now be answered after their whole wait although a run has ended meanwhile.

--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -151,3 +151,25 @@
     And 9 s pass
     Then no invariant was violated
     And every task runs once
+
+  Scenario Outline: A former owner's late listing does not start a done task
+    Guards against a done task that starts again: the owner lost the store while
+    a long poll waited at a worker. The next owner listed the runs there as done,
+    stored and acknowledged that. The poll's answer then lacked the runs, so that
+    the former owner started the tasks on a worker that the next one did not
+    reach.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And long polls are answered late
+    And the runs on the worker are done when the next owner has its key
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | lost_s |
+      | 0.0    |
+      | 0.1    |
+      | 0.2    |
+      | 0.4    |
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -5,8 +5,12 @@
 import behave
 
 from features import batch_owners
+from sapphirestall_core.batch import records
 from standins import batch_faults
 
+# A successor's first call takes longer to reach a worker.
+KEY_CHECK_S = 0.0005
+
 
 @behave.given(
     "an owner in the same data centre of three workers with long-running tasks"
@@ -132,6 +136,30 @@
         node.unreachable_workers = {context.worker_id}
 
 
+@behave.when("all other instances reach only the worker")
+def step(context):
+    for node in batch_owners.list_others(context):
+        node.unreachable_workers = set(context.world.workers) - {
+            context.worker_id
+        }
+
+
+@behave.when("long polls are answered late")
+def step(context):
+    context.world.late_poll_fraction = 1.0
+
+
+@behave.when("the runs on the worker are done when the next owner has its key")
+def step(context):
+    world = context.world
+    key = records.make_owner_key(batch_owners.DATA_CENTRE)
+    former = world.store.find(key)
+    while world.store.find(key) in (former, None):
+        world.run(KEY_CHECK_S)
+    for run in world.workers[context.worker_id].running.values():
+        run.done_at = world.now
+
+
 @behave.when("only the other instance reaches the worker and reaches {others}")
 def step(context, others):
     context.owner.unreachable_workers.add(context.worker_id)
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -121,6 +121,8 @@
         hopeless_jobs: Jobs of which all runs fail.
         unanswered_start_fraction: Fraction of starts that are carried out at
             once but get no answer.
+        late_poll_fraction: Fraction of long polls that the worker answers only
+            after their whole wait, although a run has ended meanwhile.
         polls_in_flight: Number of polls in flight, by instance, token,
             incarnation of the worker and whether they wait.
         max_polls_in_flight: Largest number of such polls at any time.
@@ -168,6 +170,7 @@
     failure_fraction: float = 0.0
     hopeless_jobs: set[str] = attrs.field(factory=set)
     unanswered_start_fraction: float = 0.0
+    late_poll_fraction: float = 0.0
     polls_in_flight: "collections.Counter[PollKey]" = attrs.field(
         factory=collections.Counter
     )
@@ -778,6 +781,13 @@
     return act
 
 
+def draw_late_poll(world: BatchWorld) -> bool:
+    """Returns whether a worker answers a long poll only after its wait."""
+    # Without late polls, seeds draw the same numbers as before.
+    fraction = world.late_poll_fraction
+    return fraction > 0 and world.rng.random() < fraction
+
+
 Answer = Callable[[worker_messages.Reply], None]
 
 
@@ -865,6 +875,7 @@
     worker.acknowledge(call.acknowledged)
     worker.extend_lease(call.lease_end_ms, world.now)
     until = world.now + call.wait_s
+    is_late = draw_late_poll(world)
 
     def poll() -> None:
         if world.workers.get(call.target.worker_id) is not worker:
@@ -872,7 +883,7 @@
             return
         worker.advance(world.now)
         world.record_done(worker)
-        if worker.ended or world.now >= until:
+        if (worker.ended and not is_late) or world.now >= until:
             answer(worker.make_listing(world.now))
         else:
             world.schedule(POLL_INTERVAL_S, poll)
