Confirm the ownership before a run that a listing lacks starts again

A worker forgets an end that any owner has acknowledged, and it accepts the token of a call when the call arrives, not when it makes the listing. So a listing may lack a run because a successor has acknowledged that it was done, and a replaced worker may have exited after that. Both counted as ends of the run for an owner that no worker had refused yet, or whose store lease was revoked less than 2.5 s after its last renewal.

Every removal of a run without its listed end now goes through one function, as lapses did: the tasks of its job start after a renewal that was sent later.

Failed try: keeping such runs until the ownership counts as confirmed by the age of its last renewal starts the done tasks after a revoked lease (1 of 4) still.

--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -173,3 +173,44 @@
       | 0.1    |
       | 0.2    |
       | 0.4    |
+
+  Scenario Outline: The same where the former owner's store lease is revoked
+    Guards against a done task that starts again: the former owner's ownership
+    counted as confirmed, by the time of its last renewal.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And long polls are answered late
+    And the owner's store lease is revoked
+    And the runs on the worker are done when the next owner has its key
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | lost_s |
+      | 0.0    |
+      | 0.1    |
+      | 0.2    |
+      | 0.4    |
+
+  Scenario Outline: A former owner does not start what ran on a replaced worker
+    Guards against a done task that starts again: the next owner acknowledged
+    that the runs on a worker were done. Then the worker exited and another one
+    answered the former owner at its address, which took the runs as ended.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And long polls are answered late
+    And the runs on the worker are done when the next owner has its key
+    And the worker is replaced once the next owner has acknowledged this
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | lost_s |
+      | 0.0    |
+      | 0.1    |
+      | 0.2    |
+      | 0.4    |
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -160,6 +160,22 @@
         run.done_at = world.now
 
 
+@behave.when("the owner's store lease is revoked")
+def step(context):
+    batch_faults.BatchFaults(context.world).revoke_store_lease(context.owner)
+
+
+@behave.when("the worker is replaced once the next owner has acknowledged this")
+def step(context):
+    world = context.world
+    worker = world.workers[context.worker_id]
+    while worker.running or worker.ended:
+        world.run(KEY_CHECK_S)
+        worker.advance(world.now)
+    world.call_faults.replaced_workers.add(context.worker_id)
+    world.end_worker(context.worker_id)
+
+
 @behave.when("only the other instance reaches the worker and reaches {others}")
 def step(context, others):
     context.owner.unreachable_workers.add(context.worker_id)
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -140,7 +140,7 @@
     if reply.reason == REPLACED:
         worker.unresponsive = True
         partition.unlisted_workers.discard(worker.entry.worker_id)
-        return requeue_lost_runs(partition, worker, REPLACED, now)
+        return requeue_lost_runs(batch, partition, worker, REPLACED, now)
     stops: dispatch.Effects = []
     if reply.reason == RESTARTED and worker.restarted_at is None:
         worker.restarted_at = now
@@ -157,7 +157,11 @@
 
 
 def requeue_lost_runs(
-    partition: state.Partition, worker: state.Worker, reason: str, now: float
+    batch: state.Batch,
+    partition: state.Partition,
+    worker: state.Worker,
+    reason: str,
+    now: float,
 ) -> dispatch.Effects:
     """Removes the runs of a worker and queues their tasks for another start.
 
@@ -169,13 +173,12 @@
         for run in worker.runs.values()
         if reason in FINAL_REASONS or not may_start_late(run, now)
     ]
-    for run in lost:
-        if reason != REPLACED:
-            run.task.job.runs_lost_at = now
-        passes.remove_run(worker, run)
     worker.orphans.clear()
     if not lost:
         return []
+    effects: dispatch.Effects = []
+    for run in lost:
+        effects += remove_unlisted_run(batch, worker, run, now)
     log = make_log(
         "runs_lost",
         partition,
@@ -187,7 +190,22 @@
         clock_ms=worker.clock_ms,
         lease_end_ms=worker.lease_end_ms,
     )
-    return [log, *passes.request_pass(partition)]
+    return [log, *effects, *passes.request_pass(partition)]
+
+
+def remove_unlisted_run(
+    batch: state.Batch, worker: state.Worker, run: state.Run, now: float
+) -> dispatch.Effects:
+    """Removes a run that has ended although no listing has shown its end.
+
+    The task may be done: a successor may have listed the end and acknowledged
+    it, whereupon the worker has discarded it. The tasks of the job are
+    therefore started only after a later confirmation of the ownership, which
+    is requested here.
+    """
+    run.task.job.runs_lost_at = now
+    passes.remove_run(worker, run)
+    return ownership.request_confirmation(batch, now)
 
 
 def may_start_late(run: state.Run, now: float) -> bool:
--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -173,11 +173,16 @@
 
 
 def give_up_worker(
-    partition: state.Partition, worker: state.Worker, now: float
+    batch: state.Batch,
+    partition: state.Partition,
+    worker: state.Worker,
+    now: float,
 ) -> dispatch.Effects:
     """Removes all runs of a worker that has exited and queues their tasks."""
     partition.unlisted_workers.discard(worker.entry.worker_id)
-    return contact.requeue_lost_runs(partition, worker, contact.DEPARTED, now)
+    return contact.requeue_lost_runs(
+        batch, partition, worker, contact.DEPARTED, now
+    )
 
 
 def evacuate_workers(
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -165,7 +165,7 @@
                     lease_end_ms=run.lease_end_ms,
                 )
             )
-            passes.remove_run(worker, run)
+            effects += contact.remove_unlisted_run(batch, worker, run, now)
     if listing.lists_all_ends():
         partition.unlisted_workers.discard(worker.entry.worker_id)
     batch.interference.update(worker, now)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -244,8 +244,9 @@
         move_in_flight: Whether a write that moves tasks of the job to another
             partition is in flight.
         accepted_at: Monotonic time at which the job was accepted, in seconds.
-        runs_lost_at: Monotonic time at which this owner last concluded from a
-            worker's silence that a run of the job has ended, in seconds.
+        runs_lost_at: Monotonic time at which this owner last concluded that a
+            run of the job has ended without its listed end, from a worker's
+            silence or from a listing that lacks the run, in seconds.
         critical_path_s: Duration of the longest chain of dependent steps, in
             seconds; None until it is computed.
     """
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -219,13 +219,12 @@
     lease_s = batch.identity.limits.worker_lease_s
     worker_id = worker.entry.worker_id
     has_left = departures.has_left(batch, partition, worker_id, now)
-    lost: dispatch.Effects = []
     if has_left:
-        lost = departures.give_up_worker(partition, worker, now)
+        effects += departures.give_up_worker(batch, partition, worker, now)
     elif worker.runs and leases.have_expired(worker, lease_s, now):
-        lost = contact.requeue_lost_runs(partition, worker, "lapsed", now)
-    if lost:
-        effects += lost + ownership.request_confirmation(batch, now)
+        effects += contact.requeue_lost_runs(
+            batch, partition, worker, "lapsed", now
+        )
     for run in list(worker.runs.values()):
         stopping = run.phase is state.RunPhase.STOPPING
         if stopping or commands.is_start_overdue(run, now):
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -280,9 +280,9 @@
     def reaches_worker(self, node: Node, worker_id: str) -> bool:
         """Returns whether calls of an instance get answers of a worker."""
         worker = self.workers.get(worker_id)
-        return worker is not None and not self._is_path_cut(
-            node, worker_id, worker.entry.data_centre
-        )
+        if worker is None:
+            return worker_id in self.call_faults.replaced_workers
+        return not self._is_path_cut(node, worker_id, worker.entry.data_centre)
 
     def is_cut_off(self, node: Node, call: worker_messages.WorkerCall) -> bool:
         """Returns whether a worker, or its host, cannot answer a call."""
@@ -799,7 +799,11 @@
     A call reaches the worker by its id alone, so it is carried out by a later
     incarnation than the one that it was meant for as well.
     """
-    worker = world.workers.get(call.target.worker_id)
+    worker_id = call.target.worker_id
+    if worker_id in world.call_faults.replaced_workers:
+        answer(worker_messages.Rejected("replaced"))
+        return
+    worker = world.workers.get(worker_id)
     if worker is None:
         answer(EXITED)
         return
