--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -151,3 +151,66 @@
     And 9 s pass
     Then no invariant was violated
     And every task runs once
+
+  Scenario Outline: A former owner's late listing does not start a done task
+    Guards against a done task that starts again: the owner lost the store while
+    a long poll waited at a worker. The next owner listed the runs there as done,
+    stored and acknowledged that. The poll's answer then lacked the runs, so that
+    the former owner started the tasks on a worker that the next one did not
+    reach.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And long polls are answered late
+    And the runs on the worker are done when the next owner has its key
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | lost_s |
+      | 0.0    |
+      | 0.1    |
+      | 0.2    |
+      | 0.4    |
+
+  Scenario Outline: The same where the former owner's store lease is revoked
+    Guards against a done task that starts again: the former owner's ownership
+    counted as confirmed, by the time of its last renewal.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And long polls are answered late
+    And the owner's store lease is revoked
+    And the runs on the worker are done when the next owner has its key
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | lost_s |
+      | 0.0    |
+      | 0.1    |
+      | 0.2    |
+      | 0.4    |
+
+  Scenario Outline: A former owner does not start what ran on a replaced worker
+    Guards against a done task that starts again: the next owner acknowledged
+    that the runs on a worker were done. Then the worker exited and another one
+    answered the former owner at its address, which took the runs as ended.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And long polls are answered late
+    And the runs on the worker are done when the next owner has its key
+    And the worker is replaced once the next owner has acknowledged this
+    And 10 s pass
+    Then no invariant was violated
+
+    Examples:
+      | lost_s |
+      | 0.0    |
+      | 0.1    |
+      | 0.2    |
+      | 0.4    |
