Start tasks of lost workers sooner if a start got no answer

A run whose start got no answer was kept for 12.5 s after the start, since a worker that has restarted under its id may carry it out: its clock has started anew, so that the lease in the start has not ended there. That held also for a worker that never returned, and the long-running task was late (12.4 s without a run in virtual time, 9 s are allowed).

The leases prove that the same incarnation refuses the start. A later one needs an entry in the platform's list; an entry that is missing without an outage of the store means by the protocol that the worker has gone. So such a run is given up when the leases have ended and the list lacks the worker. A worker may come back even then. Its owner keeps the starts that were given up, also after the worker was removed, and stops them when the list shows it again. Without that, two rows of the second scenario run a task twice.

--- a/features/batch_waits.feature
+++ b/features/batch_waits.feature
@@ -59,3 +59,33 @@
       | seed |
       | 1    |
       | 2    |
+
+  Scenario Outline: A start without an answer does not outlast its worker
+    Guards against a long-running task that waits for 12.5 s, the time within
+    which a restarted worker may carry out a late start, although its worker has
+    been lost for good and the leases there have expired.
+    Given long-running tasks whose starts <what>
+    When a worker with such a start crashes, by seed <seed>
+    Then every long-running task was restarted in time
+
+    Examples:
+      | what               | seed |
+      | arrive too late    | 1    |
+      | arrive too late    | 2    |
+      | lose their answers | 1    |
+      | lose their answers | 2    |
+
+  Scenario Outline: A start without an answer is stopped at a worker that returns
+    Guards against a task that runs twice: its worker was lost for longer than
+    the list shows it, the task was started elsewhere, the worker has started
+    again under its id, and the first start arrives there.
+    Given long-running tasks whose starts arrive 11 s late
+    When a worker with such a start crashes and is back <back_s> s later, by seed <seed>
+    Then every long-running task was restarted in time
+    And no invariant was violated
+
+    Examples:
+      | back_s | seed |
+      | 2.0    | 1    |
+      | 7.0    | 1    |
+      | 9.0    | 2    |
--- a/features/steps/batch_waits_steps.py
+++ b/features/steps/batch_waits_steps.py
@@ -295,3 +295,72 @@
 def step(context, seconds):
     context.world.run(seconds)
     assert not context.world.violations, context.world.violations[:3]
+
+
+def submit_unanswered(context, seed):
+    """Submits tasks whose starts get no answer; returns a worker with one."""
+    world = build_world(context, seed)
+    context.restarts = batch_restarts.RestartScenario(
+        world, context.faults, context.check, ("north",)
+    )
+    world.store_division(2)
+    for number in range(8):
+        rack = f"r1-{number // 2 + 1}"
+        world.add_worker(f"w-{number}", "north", 8000, rack)
+    start_nodes(world)
+    world.late_commands_survive_restart = True
+    world.late_start_s = (context.late_s, context.late_s)
+    world.late_start_fraction = context.late_fraction
+    world.unanswered_start_fraction = 1.0 - context.late_fraction
+    amount = resources.Vector(1500, 100, 0)
+    world.submit(world.nodes[0], JOB, model.Step(4, amount, long_running=True))
+    while not (names := list_ordered_workers(world)):
+        world.run(0.01)
+    world.run(0.3)
+    world.late_start_fraction = world.unanswered_start_fraction = 0.0
+    return names[0]
+
+
+def list_ordered_workers(world):
+    return [
+        line.fields["worker"]
+        for node in world.nodes
+        for _, line in node.logs
+        if line.text == "order"
+    ]
+
+
+@behave.given("long-running tasks whose starts arrive too late")
+def step(context):
+    context.late_fraction, context.late_s = 1.0, 20.0
+
+
+@behave.given("long-running tasks whose starts lose their answers")
+def step(context):
+    context.late_fraction, context.late_s = 0.0, 20.0
+
+
+@behave.given("long-running tasks whose starts arrive {seconds:g} s late")
+def step(context, seconds):
+    context.late_fraction, context.late_s = 1.0, seconds
+
+
+@behave.when("a worker with such a start crashes, by seed {seed:d}")
+def step(context, seed):
+    name = submit_unanswered(context, seed)
+    context.faults.crash_worker(name)
+    context.check.run(20)
+
+
+@behave.when(
+    "a worker with such a start crashes and is back {seconds:g} s later,"
+    " by seed {seed:d}"
+)
+def step(context, seconds, seed):
+    name = submit_unanswered(context, seed)
+    entry = context.world.listed_workers[name]
+    context.faults.crash_worker(name)
+    context.world.schedule(
+        seconds, lambda: context.world.restart_worker(name, entry)
+    )
+    context.check.run(20)
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -72,7 +72,7 @@
     """Updates the known partitions and the workers of owned ones."""
     worker_list.finish_read(batch, event)
     if event.entries is None:
-        departures.restart_absences(batch)
+        departures.restart_absences(batch, now)
         return []
     if not batch.division_adopted:
         # The list is read again as soon as the division is known.
@@ -114,10 +114,13 @@
         return effects
     new_worker = contact.make_worker(entry)
     partition.workers[entry.worker_id] = new_worker
+    new_worker.abandoned_starts = partition.departed_starts.pop(
+        entry.worker_id, {}
+    )
     if worker is not None:
         _transfer_runs(worker, new_worker)
         new_worker.abandoned_starts = worker.abandoned_starts
-        effects = contact.stop_abandoned_starts(partition, new_worker, now)
+    effects = contact.stop_abandoned_starts(partition, new_worker, now)
     log = contact.make_log(
         "joined",
         partition,
@@ -223,7 +226,9 @@
     if has_left:
         lost = departures.give_up_worker(partition, worker, now)
     elif worker.runs and leases.have_expired(worker, lease_s, now):
-        lost = contact.requeue_lost_runs(partition, worker, "lapsed", now)
+        is_gone = departures.is_deregistered(batch, worker_id)
+        reason = contact.DEREGISTERED if is_gone else "lapsed"
+        lost = contact.requeue_lost_runs(partition, worker, reason, now)
     if lost:
         effects += lost + ownership.request_confirmation(batch, now)
     for run in list(worker.runs.values()):
@@ -238,6 +243,8 @@
     # A worker that joins again gets no second poll while one is in flight.
     if worker.is_leaving and not _has_poll_in_flight(worker):
         partition.workers.pop(worker_id, None)
+        if worker.abandoned_starts:
+            partition.departed_starts[worker_id] = worker.abandoned_starts
         effects.append(contact.make_log("left", partition, worker_id))
         # A successor would wait for a worker that the roster names.
         due = contact.RosterDue(partition.name)
