Let free capacity bound how many long-running tasks move

An event moved at most three jobs, so that an owner of a full partition sent away 9 jobs each half second whatever room other partitions had. The limit of three now holds for jobs that move as a whole. Single tasks move as long as the summaries, from which each move is deducted, show free capacity; an event starts at most 32 writes.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -48,9 +48,12 @@
 # at most 32 entries; the one that stores the end of a job needs one for each of
 # them and six others.
 MAX_COPIES = 26
-# Highest number of jobs that an owner moves at a time. It is low because the
-# summaries by which their partitions are chosen lag.
-MAX_MOVES = 3
+# Highest number of jobs that an owner moves as a whole at a time. It is low
+# because the summaries by which their partitions are chosen lag.
+MAX_JOB_MOVES = 3
+# Highest number of writes of moves that an event starts. The loop handles
+# answers of workers and renews leases only between events.
+MAX_MOVE_WRITES = 32
 
 
 @attrs.frozen
@@ -69,6 +72,29 @@
     loaded: state.LoadedJob
 
 
+@attrs.define
+class Budget:
+    """What an event may still spend on moves.
+
+    Attributes:
+        writes: Number of writes.
+        jobs: Number of jobs that may move as a whole.
+    """
+
+    writes: int = MAX_MOVE_WRITES
+    jobs: int = MAX_JOB_MOVES
+
+    def allows(self, job: state.Job) -> bool:
+        """Returns whether a job, or some of its tasks, may move."""
+        return self.writes > 0 and (self.jobs > 0 or _moves_tasks(job))
+
+    def spend(self, job: state.Job) -> None:
+        """Counts the move of a job or of some of its tasks."""
+        self.writes -= 1
+        if not _moves_tasks(job):
+            self.jobs -= 1
+
+
 @attrs.frozen
 class MoveRetryDue(messages.Timer):
     """Timer to repeat the write of a move whose outcome is unknown.
@@ -125,16 +151,21 @@
     unplaced: list[state.Job],
     now: float,
 ) -> dispatch.Effects:
-    """Moves at most `MAX_MOVES` of the jobs that have waited long enough."""
+    """Moves the jobs that have waited long enough, or some of their tasks.
+
+    Single tasks move as long as other partitions publish free capacity.
+    """
     progress = former_runs.check_progress(partition, now)
     unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
+    budget = Budget()
     effects: dispatch.Effects = []
     for job in unplaced:
-        # A move has two effects: a log line and a write.
-        if len(effects) >= 2 * MAX_MOVES:
-            break
-        if progress.allows(job):
-            effects += _start_move(batch, partition, job, now)
+        if not progress.allows(job) or not budget.allows(job):
+            continue
+        record = _plan_move(batch, partition, job, now)
+        if record is not None:
+            budget.spend(job)
+            effects += _start_move(batch, partition, job, record, now)
     return effects
 
 
@@ -198,18 +229,35 @@
     return STARTED_MOVE_DELAY_S
 
 
-def _start_move(
+def _moves_tasks(job: state.Job) -> bool:
+    """Returns whether tasks of a job move, and not the job as a whole."""
+    return any(step.step.long_running for step in job.steps)
+
+
+def _plan_move(
     batch: state.Batch, partition: state.Partition, job: state.Job, now: float
-) -> dispatch.Effects:
-    """Moves a job or some of its tasks if another partition can run them."""
+) -> records.JobRecord | None:
+    """Plans to move a job or some of its tasks.
+
+    Returns:
+        The changed record; None if no other partition can run them.
+    """
     others = _list_others(batch, partition, job, now)
-    record: records.JobRecord | None = None
-    if any(step.step.long_running for step in job.steps):
-        record = _plan_task_moves(batch, partition, job, others, now)
-    elif is_idle(partition, job):
-        record = _plan_job_move(batch, partition, job, others)
-    if record is None:
-        return []
+    if _moves_tasks(job):
+        return _plan_task_moves(batch, partition, job, others, now)
+    if is_idle(partition, job):
+        return _plan_job_move(batch, partition, job, others)
+    return None
+
+
+def _start_move(
+    batch: state.Batch,
+    partition: state.Partition,
+    job: state.Job,
+    record: records.JobRecord,
+    now: float,
+) -> dispatch.Effects:
+    """Starts the write of a planned move."""
     job.move_in_flight = True
     loaded = state.LoadedJob(record, job.revision, job.create_revision)
     return [
