Keep the last of several revisions that are seen shortly after each other

Successive owners count the times in a release or roster from the first moment at which they saw a store revision as high. Of revisions that were seen within 0.1 s only the first was kept. The last one replaces the others now, so that a record seems younger by 0.1 s at most.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -105,6 +105,13 @@
       | 30       | 102  |
       | 31       | 104  |
 
+  Scenario: Revisions that follow each other closely keep their times
+    Guards against an end of leases that an owner learns too late: it had seen
+    the revision of a release just after another one, and then none for long.
+    Given an instance saw revision 10 at 100 s, 11 at 100.05 s and 20 at 103 s
+    Then it knows at 104 s that revision 11 was reached at 100.05 s
+    And it knows at 104 s that revision 12 was reached at 103 s
+
   Scenario Outline: A slow takeover does not lose the release of its predecessor
     Guards against long-running tasks that wait by the bounds without a release:
     the new owner raised the generation more than once, as it <failure>, and the
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -133,12 +133,14 @@
 
 
 @behave.given(
-    "an instance saw revision 10 at 100 s, 20 at 101 s and 30 at 102 s"
+    "an instance saw revision {first:d} at {first_at:g} s,"
+    " {second:d} at {second_at:g} s and {third:d} at {third_at:g} s"
 )
-def step(context):
+def step(context, first, first_at, second, second_at, third, third_at):
     context.times = revisions.RevisionTimes()
-    for revision, now in ((10, 100.0), (20, 101.0), (30, 102.0)):
-        context.times.record(revision, now)
+    context.times.record(first, first_at)
+    context.times.record(second, second_at)
+    context.times.record(third, third_at)
 
 
 @behave.then(
--- a/packages/core/src/sapphirestall_core/batch/revisions.py
+++ b/packages/core/src/sapphirestall_core/batch/revisions.py
@@ -7,12 +7,14 @@
 
 import bisect
 import functools
+import math
 
 import attrs
 
 from sapphirestall_core import store_messages
 
-# Least time between two kept revisions, in seconds.
+# Of the revisions that are seen within this time, in seconds, only the last one
+# is kept, so that a record seems to be younger by at most this time.
 RESOLUTION_S = 0.1
 # Time for which revisions are kept, in seconds. A record that is older than all
 # of them counts from the oldest.
@@ -26,17 +28,22 @@
     Attributes:
         revisions: Revisions of the store, in ascending order.
         times: Monotonic time at which each was first seen, in seconds.
+        last_from: Monotonic time from which on the last one replaces those that
+            were seen before it, in seconds.
     """
 
     revisions: list[int] = attrs.field(factory=list)
     times: list[float] = attrs.field(factory=list)
+    last_from: float = -math.inf
 
     def record(self, revision: int, now: float) -> None:
         """Records that the store has reached a revision."""
         if self.revisions and revision <= self.revisions[-1]:
             return
-        if self.times and now - self.times[-1] < RESOLUTION_S:
+        if now - self.last_from < RESOLUTION_S:
+            self.revisions[-1], self.times[-1] = revision, now
             return
+        self.last_from = now
         self.revisions.append(revision)
         self.times.append(now)
         while now - self.times[0] > RETENTION_S:
