Start tasks at the end of the leases of former owners

A new owner looked only every 0.25 s whether the leases of former owners had ended on workers that it does not reach, after a wait that leaves little of the 9 s within which a long-running task has to run again. The periodic checks now schedule a pass for that moment.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -91,6 +91,19 @@
     Then its owner has granted a lease there
     And no task of the worker has ended
 
+  Scenario Outline: Tasks start as soon as the leases of former owners have ended
+    Guards against long-running tasks that wait for the next periodic checks of
+    their owner, 0.25 s at most, after a wait that leaves hardly more.
+    Given a partition with long-running tasks
+    When a worker crashes and its owner is killed <delay> s later
+    Then the next owner starts a task within 0.02 s of the end of the leases
+
+    Examples:
+      | delay |
+      | 0.1   |
+      | 0.5   |
+      | 1.1   |
+
   Scenario Outline: The age of a record follows from the revisions seen since
     Guards against a wait that begins only when a new owner reads a record that
     was written seconds before, or that ends too early.
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -195,3 +195,37 @@
         get_partition(context), context.worker
     )
     assert math.isfinite(end_at)
+
+
+@behave.when("a worker crashes and its owner is killed {seconds:g} s later")
+def step(context, seconds):
+    start(context)
+    context.faults.crash_worker(context.worker)
+    context.world.run(seconds)
+    context.faults.crash_node(context.owner)
+    context.former = context.owner
+    while context.owner in (None, context.former):
+        context.world.run(0.01)
+        context.owner = context.world.find_owner(context.partition)
+
+
+@behave.then(
+    "the next owner starts a task within {seconds:g} s of the end of the leases"
+)
+def step(context, seconds):
+    end_at = math.inf
+    while not (orders := list_orders(context)):
+        if get_partition(context).unlisted_workers:
+            end_at = former_runs.find_last_end(get_partition(context))
+        context.world.run(0.005)
+    assert end_at <= orders[0] <= end_at + seconds, (end_at, orders)
+
+
+def list_orders(context):
+    """Returns when the owner has started tasks in the partition."""
+    return [
+        at
+        for at, line in context.owner.logs
+        if line.text == "order"
+        and line.fields["partition"] == context.partition
+    ]
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -138,6 +138,18 @@
     return min(end_at, partition.former_withheld_end_at.get(name, math.inf))
 
 
+def find_last_end(partition: state.Partition) -> float:
+    """Returns when all runs of former owners have ended on all workers.
+
+    Returns:
+        Monotonic time, in seconds; minus infinity if none may exist.
+    """
+    return max(
+        (find_end(partition, name) for name in partition.unlisted_workers),
+        default=-math.inf,
+    )
+
+
 def _find_wait_end(partition: state.Partition, name: str) -> float:
     """Returns until when the listing of a worker is awaited at the latest.
 
@@ -212,6 +224,6 @@
     names = partition.unlisted_workers
     return Progress(
         partition.token,
-        all(now >= find_end(partition, name) for name in names),
+        now >= find_last_end(partition),
         all(now >= _find_wait_end(partition, name) for name in names),
     )
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -173,6 +173,7 @@
     for partition in list(batch.partitions.values()):
         effects += confirmation_reports.log_confirmation(batch, partition, now)
         effects += former_runs.settle_workers(partition, now)
+        effects += _schedule_pass(partition, now)
         for worker in list(partition.workers.values()):
             effects += _check_worker(batch, partition, worker, now)
         # The roster says which workers are silent.
@@ -188,6 +189,19 @@
     return effects
 
 
+def _schedule_pass(partition: state.Partition, now: float) -> dispatch.Effects:
+    """Schedules a pass for the moment at which the wait for former runs ends.
+
+    The next periodic checks may come later by almost their interval.
+    """
+    remaining_s = former_runs.find_last_end(partition) - now
+    if not 0 < remaining_s < CHECK_INTERVAL_S:
+        return []
+    due = passes.PassDue(partition.name)
+    delay_s = remaining_s + ownership.TIMER_TOLERANCE_S
+    return [messages.StartTimer(due, delay_s)]
+
+
 def _poll_if_idle(
     batch: state.Batch,
     partition: state.Partition,
