--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -91,6 +91,19 @@
     Then its owner has granted a lease there
     And no task of the worker has ended
 
+  Scenario Outline: Tasks start as soon as the leases of former owners have ended
+    Guards against long-running tasks that wait for the next periodic checks of
+    their owner, 0.25 s at most, after a wait that leaves hardly more.
+    Given a partition with long-running tasks
+    When a worker crashes and its owner is killed <delay> s later
+    Then the next owner starts a task within 0.02 s of the end of the leases
+
+    Examples:
+      | delay |
+      | 0.1   |
+      | 0.5   |
+      | 1.1   |
+
   Scenario Outline: The age of a record follows from the revisions seen since
     Guards against a wait that begins only when a new owner reads a record that
     was written seconds before, or that ends too early.
@@ -105,6 +118,13 @@
       | 30       | 102  |
       | 31       | 104  |
 
+  Scenario: Revisions that follow each other closely keep their times
+    Guards against an end of leases that an owner learns too late: it had seen
+    the revision of a release just after another one, and then none for long.
+    Given an instance saw revision 10 at 100 s, 11 at 100.05 s and 20 at 103 s
+    Then it knows at 104 s that revision 11 was reached at 100.05 s
+    And it knows at 104 s that revision 12 was reached at 103 s
+
   Scenario Outline: A slow takeover does not lose the release of its predecessor
     Guards against long-running tasks that wait by the bounds without a release:
     the new owner raised the generation more than once, as it <failure>, and the
