--- a/features/batch_candidate_pools.feature
+++ b/features/batch_candidate_pools.feature
@@ -40,6 +40,7 @@
       | 1        | it requires a label that no worker has  |
       | 1        | its job was cancelled                   |
       | 1        | a move of its job is in flight          |
+      | 1        | it is opportunistic                     |
 
   Scenario: Capacity is left free for several waiting tasks
     Guards against one worker whose capacity is meant for two tasks that do not
--- a/features/batch_published_capacity.feature
+++ b/features/batch_published_capacity.feature
@@ -39,3 +39,15 @@
     summaries about once a second.
     Given a partition of 32 workers with the labels of 4 racks
     Then its stored summary takes at most 1200 bytes
+
+  Scenario Outline: Room is published before a suspension ends
+    Guards against a long-running task that waits for up to 1.2 s more than the
+    5 s for which a worker with room for it is suspended.
+    Given a task whose worker has crashed, beside a worker suspended for <time> s
+    Then the task runs 0.4 s after that
+
+    Examples:
+      | time |
+      | 7.1  |
+      | 7.4  |
+      | 7.7  |
--- a/features/steps/batch_candidate_pools_steps.py
+++ b/features/steps/batch_candidate_pools_steps.py
@@ -138,13 +138,22 @@
     pass
 
 
-@behave.given("it requires a label that no worker has")
-def step(context):
+def replace_waiting_job(context, **fields):
     del context.partition.jobs[context.waiting_job.record.job_id]
-    add_waiting_job(context, 1, required_label="unknown")
+    add_waiting_job(context, 1, **fields)
     run_pass(context, builders.NOW + 1.0)
 
 
+@behave.given("it requires a label that no worker has")
+def step(context):
+    replace_waiting_job(context, required_label="unknown")
+
+
+@behave.given("it is opportunistic")
+def step(context):
+    replace_waiting_job(context, fills=True, image="image")
+
+
 @behave.given("its job was cancelled")
 def step(context):
     context.waiting_job.final_state = model.JobState.CANCELLED
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -21,11 +21,8 @@
 TASK = model.Step(1, AMOUNT, long_running=True)
 
 
-@behave.given(
-    "a worker with {tasks:d} long-running tasks beside {workers:d} workers with"
-    " room for one"
-)
-def step(context, tasks, workers):
+def build_world(context, tasks):
+    """Starts a worker that long-running tasks fill."""
     world = context.world = batch_world.BatchWorld(1)
     context.faults = batch_faults.BatchFaults(world)
     context.check = batch_restarts.RestartCheck(world, context.faults)
@@ -35,10 +32,43 @@
         world.add_node(f"e-{number}", "north")
     world.run(4)
     world.submit(world.nodes[0], JOB, attrs.evolve(TASK, count=tasks))
-    context.check.run(4)
-    for number in range(workers):
+    world.run(4)
+
+
+def add_workers(world, count):
+    """Starts workers of another partition with room for one task each."""
+    for number in range(count):
         world.add_worker(f"o-{number}", "north", 7000, "r1-2")
-    context.check.run(4)
+    world.run(4)
+
+
+@behave.given(
+    "a worker with {tasks:d} long-running tasks beside {workers:d} workers with"
+    " room for one"
+)
+def step(context, tasks, workers):
+    build_world(context, tasks)
+    add_workers(context.world, workers)
+
+
+@behave.given(
+    "a task whose worker has crashed, beside a worker suspended for {time:g} s"
+)
+def step(context, time):
+    build_world(context, 1)
+    world = context.world
+    add_workers(world, 1)
+    name = world.find_partition("o-0")
+    partition = world.find_owner(name).batch.partitions[name]
+    context.resumed_at = world.now + time
+    partition.workers["o-0"].failing_until = context.resumed_at
+    context.faults.crash_worker("w-0")
+
+
+@behave.then("the task runs {seconds:g} s after that")
+def step(context, seconds):
+    context.world.run(context.resumed_at + seconds - context.world.now)
+    assert [name for name, _, _ in context.world.list_runs()] == ["o-0"]
 
 
 @behave.when("the worker with the long-running tasks crashes")
