Publish workers shortly before their suspension ends

Cause: a worker that is suspended for 5 s after failed runs was published once the suspension had ended, so that tasks of other partitions came up to 1.24 s later. Nominations counted processors for opportunistic long-running tasks, which reserve none, so that finite tasks left them free.

Change: a summary ignores the last second of a suspension, in which others read it and send tasks. Nominations count what a task reserves. The three capacity reports of a partition share the list of its usable workers.

--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -7,6 +7,7 @@
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import interference
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import reservation_reports
@@ -64,10 +65,17 @@
         builders.add_run(context.worker, run_step, percent)
 
 
+def list_usable(context):
+    return placement.list_startable_workers(context.partition, builders.NOW)
+
+
 @behave.then("{idle:d} processors are reported as idle and {amount:d} as {use}")
 def step(context, idle, amount, use):
     report = capacity_reports.make_report(
-        context.partition, context.batch.interference, builders.NOW
+        context.partition,
+        list_usable(context),
+        context.batch.interference,
+        builders.NOW,
     )
     assert report.idle == idle * builders.CORE_MILLIS, report
     assert getattr(report, use) == amount * builders.CORE_MILLIS, report
@@ -102,7 +110,9 @@
     "{cores:d} processors are reported as reserved by long-running tasks"
 )
 def step(context, cores):
-    report = reservation_reports.make_report(context.partition, builders.NOW)
+    report = reservation_reports.make_report(
+        context.partition, list_usable(context), builders.NOW
+    )
     assert report.long_running == cores * builders.CORE_MILLIS, report
 
 
@@ -111,7 +121,9 @@
     " memory"
 )
 def step(context, cores, field, lacking):
-    report = reservation_reports.make_report(context.partition, builders.NOW)
+    report = reservation_reports.make_report(
+        context.partition, list_usable(context), builders.NOW
+    )
     assert getattr(report, field) == cores * builders.CORE_MILLIS, report
     assert report.lacking_memory == lacking * builders.CORE_MILLIS, report
 
@@ -155,7 +167,7 @@
 
 def read_wait(context):
     (log,) = wait_reports.log_waits(
-        context.batch, context.partition, builders.NOW
+        context.batch, context.partition, list_usable(context), builders.NOW
     )
     return log.fields
 
--- a/packages/core/src/sapphirestall_core/batch/capacity_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/capacity_reports.py
@@ -64,18 +64,22 @@
     if now - partition.capacity_logged_at < REPORT_INTERVAL_S:
         return []
     partition.capacity_logged_at = now
+    usable = placement.list_startable_workers(partition, now)
     return [
-        *_log_idle(batch, partition, now),
-        *reservation_reports.log_reservations(partition, now),
-        *wait_reports.log_waits(batch, partition, now),
+        *_log_idle(batch, partition, usable, now),
+        *reservation_reports.log_reservations(partition, usable, now),
+        *wait_reports.log_waits(batch, partition, usable, now),
     ]
 
 
 def _log_idle(
-    batch: state.Batch, partition: state.Partition, now: float
+    batch: state.Batch,
+    partition: state.Partition,
+    usable: list[state.Worker],
+    now: float,
 ) -> dispatch.Effects:
     """Logs the use of idle processors if there is opportunistic work."""
-    report = make_report(partition, batch.interference, now)
+    report = make_report(partition, usable, batch.interference, now)
     if not report.used and not report.waiting and not report.paced_down:
         return []
     fields = {"partition": partition.name, **attrs.asdict(report)}
@@ -84,17 +88,13 @@
 
 def make_report(
     partition: state.Partition,
+    usable: list[state.Worker],
     interference: interference_module.InterferenceModel,
     now: float,
 ) -> CapacityReport:
-    """Returns the report of a partition."""
+    """Returns the report of a partition and its usable workers."""
     waiting = _list_waiting_steps(partition)
     images = {step.image for step in waiting}
-    usable = [
-        worker
-        for worker in partition.workers.values()
-        if placement.is_usable(worker, now)
-    ]
     idle = used = unused_total = startable = paced_down = 0
     for worker in usable:
         worker_idle = max(0, placement.estimate_idle_cpu(worker))
--- a/packages/core/src/sapphirestall_core/batch/nominations.py
+++ b/packages/core/src/sapphirestall_core/batch/nominations.py
@@ -170,8 +170,8 @@
         return math.inf
     free = candidate.get_free_capacity()
     for other in candidate.nominated_tasks:
-        free = free.minus(other.step.amount)
-    amount = task.step.amount
+        free = free.minus(placement.find_reserved_amount(other.step))
+    amount = placement.find_reserved_amount(task.step)
     if amount.fits(free):
         return 0.0
     ending = [
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -26,13 +26,20 @@
     return worker.entry.service == service and is_usable(worker, now)
 
 
-def is_usable(worker: state.Worker, now: float) -> bool:
+def is_usable(
+    worker: state.Worker, now: float, *, suspension_left_s: float = 0.0
+) -> bool:
     """Returns whether new runs may start on a worker.
 
     The worker must be registered with the platform and must not be draining,
     suspended, unresponsive or newly restarted. It must have sent a listing and
     have answered recently. It must have no orphans: runs that belong to no task
     of this owner and are still to be stopped.
+
+    Args:
+        worker: The worker.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension that is ignored, in seconds.
     """
     return (
         worker.listing_received
@@ -43,24 +50,29 @@
         and now - worker.last_answer_at <= MAX_CONTACT_AGE_S
         and not worker.unresponsive
         and worker.restarted_at is None
-        and worker.suspended_until <= now
-        and worker.failing_until <= now
+        and worker.suspended_until <= now + suspension_left_s
+        and worker.failing_until <= now + suspension_left_s
     )
 
 
 def list_startable_workers(
-    partition: state.Partition, now: float
+    partition: state.Partition, now: float, *, suspension_left_s: float = 0.0
 ) -> list[state.Worker]:
     """Returns the workers of a partition on which a pass may start tasks.
 
     They are in the roster, and the owner may extend leases there.
+
+    Args:
+        partition: The owned partition.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension that is ignored, in seconds.
     """
     return [
         worker
         for name, worker in partition.workers.items()
         if name in partition.roster
         and not partition.withholds_leases(name)
-        and is_usable(worker, now)
+        and is_usable(worker, now, suspension_left_s=suspension_left_s)
     ]
 
 
@@ -198,7 +210,7 @@
         amount = find_reserved_amount(task.step)
         for nominated in self.nominated_tasks:
             if nominated.job.queue.priority <= task.job.queue.priority:
-                amount = amount.plus(nominated.step.amount)
+                amount = amount.plus(find_reserved_amount(nominated.step))
         if task.step.fills:
             amount = attrs.evolve(amount, cpu_millis=0)
         return amount.fits(self.get_free_capacity().maximum(resources.Vector()))
--- a/packages/core/src/sapphirestall_core/batch/reservation_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/reservation_reports.py
@@ -48,10 +48,10 @@
 
 
 def log_reservations(
-    partition: state.Partition, now: float
+    partition: state.Partition, usable: list[state.Worker], now: float
 ) -> dispatch.Effects:
     """Logs a report of a partition in which reserving tasks wait."""
-    report = make_report(partition, now)
+    report = make_report(partition, usable, now)
     if not (
         report.waiting_long_running
         or report.waiting_finite
@@ -62,13 +62,10 @@
     return [messages.Log(PART, "reserved", fields)]
 
 
-def make_report(partition: state.Partition, now: float) -> ReservationReport:
-    """Returns the report of a partition."""
-    usable = [
-        worker
-        for worker in partition.workers.values()
-        if placement.is_usable(worker, now)
-    ]
+def make_report(
+    partition: state.Partition, usable: list[state.Worker], now: float
+) -> ReservationReport:
+    """Returns the report of a partition and its usable workers."""
     report = ReservationReport()
     for worker in usable:
         _add_worker(report, worker)
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -28,6 +28,9 @@
 # here, as the new owner may become unreachable before its own summary shows the
 # job.
 MOVED_JOB_PENDING_S = 7.0
+# Longest time until others have read a change and sent tasks, in seconds. A
+# worker that will accept new runs by then is published already.
+PUBLISHING_S = 1.0
 # Number of workers whose free capacity is published for owners of the version
 # before, which do not read the groups of workers.
 MAX_PUBLISHED_WORKERS = 8
@@ -105,7 +108,9 @@
             del partition.moved_jobs[job_id]
         else:
             pending.setdefault(queue, []).append(job_id)
-    usable = placement.list_startable_workers(partition, now)
+    usable = placement.list_startable_workers(
+        partition, now, suspension_left_s=PUBLISHING_S
+    )
     idle_cpu = sum(placement.estimate_idle_cpu(worker) for worker in usable)
     min_load = 0.0 if idle_cpu > 0 else SATURATED_LOAD
     return records.SummaryRecord(
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -85,13 +85,16 @@
 
 
 def log_waits(
-    batch: state.Batch, partition: state.Partition, now: float
+    batch: state.Batch,
+    partition: state.Partition,
+    usable: list[state.Worker],
+    now: float,
 ) -> dispatch.Effects:
     """Logs a report of a partition in which long-running tasks wait."""
     waiting = _list_waiting(partition)
     if not waiting:
         return []
-    report = make_report(batch, partition, waiting, now)
+    report = make_report(batch, partition, waiting, usable, now)
     fields = {"partition": partition.name, **attrs.asdict(report)}
     return [messages.Log(PART, "waits", fields)]
 
@@ -111,6 +114,7 @@
     batch: state.Batch,
     partition: state.Partition,
     waiting: list[state.Task],
+    usable: list[state.Worker],
     now: float,
 ) -> WaitReport:
     """Returns the report of a partition.
@@ -119,6 +123,7 @@
         batch: State of this instance.
         partition: The owned partition.
         waiting: Its long-running tasks that have no run; at least one.
+        usable: Its workers on which new runs may start.
         now: Monotonic time, in seconds.
     """
     progress = former_runs.check_progress(partition, now)
@@ -130,7 +135,6 @@
         for task in waiting
         if task.unplaced_since is not None
     ]
-    usable = placement.list_startable_workers(partition, now)
     obstacles = _count_obstacles(allowed, usable)
     smallest = min(waiting, key=lambda task: task.step.amount.cpu_millis)
     elsewhere = _count_fitting_elsewhere(batch, partition, smallest, now)
