Draw late polls, reused addresses and several revoked leases in random cuts

Random cuts had neither a listing that is made after its owner was replaced, nor a worker whose address another one takes over, and revoked one lease at a time.

--- a/standins/batch_cuts.py
+++ b/standins/batch_cuts.py
@@ -138,7 +138,9 @@
             kind = rng.choice((self._split, self._split, self._cut_at_random))
             world.schedule(rng.uniform(0, 6), kind)
         if rng.random() < 0.2:
-            world.schedule(rng.uniform(0, 10), self._revoke_store_lease)
+            world.schedule(rng.uniform(0, 10), self._revoke_store_leases)
+        if rng.random() < 0.5:
+            world.schedule(rng.uniform(0, 6), self._answer_polls_late)
         if rng.random() < 0.3:
             world.schedule(rng.uniform(0, 6), self._write_late)
         if self.mixed:
@@ -238,10 +240,18 @@
             functools.partial(self.faults.cut_paths, nodes, workers, cut_s),
         )
 
-    def _revoke_store_lease(self) -> None:
+    def _revoke_store_leases(self) -> None:
+        """Ends the store leases of one instance or of several."""
+        rng = self.world.rng
         nodes = self.faults.list_sound_nodes()
-        if nodes:
-            self.faults.revoke_store_lease(self.world.rng.choice(nodes))
+        for node in rng.sample(nodes, min(len(nodes), rng.randint(1, 2))):
+            self.faults.revoke_store_lease(node)
+
+    def _answer_polls_late(self) -> None:
+        rng = self.world.rng
+        if not self.world.late_poll_fraction:
+            fraction = rng.choice((0.2, 0.5, 1.0))
+            self.faults.answer_polls_late(fraction, rng.uniform(3, 12))
 
     def _write_late(self) -> None:
         rng = self.world.rng
@@ -257,7 +267,11 @@
             names = faults.list_sound_workers()
             if names:
                 name = rng.choice(names)
-                faults.replace_worker(name, self._make_worker_id())
+                faults.replace_worker(
+                    name,
+                    self._make_worker_id(),
+                    address_reused=rng.random() < 0.5,
+                )
             return
         nodes = faults.list_sound_nodes()
         if len(nodes) < 2:
--- a/standins/batch_faults.py
+++ b/standins/batch_faults.py
@@ -123,6 +123,18 @@
 
         world.schedule(seconds, end)
 
+    def answer_polls_late(self, fraction: float, seconds: float) -> None:
+        """Lets workers overlook ends in a fraction of the long polls."""
+        world = self.world
+        self._begin(f"answer {fraction} of the polls late for {seconds:.2f} s")
+        world.late_poll_fraction = fraction
+
+        def end() -> None:
+            world.late_poll_fraction = 0.0
+            self._end()
+
+        world.schedule(seconds, end)
+
     def revoke_store_lease(self, node: batch_world.Node) -> None:
         """Ends the store lease of an instance without a sign.
 
@@ -271,7 +283,12 @@
         self._start_again(node)
 
     def replace_worker(
-        self, name: str, successor: str, drain_s: float | None = None
+        self,
+        name: str,
+        successor: str,
+        drain_s: float | None = None,
+        *,
+        address_reused: bool = False,
     ) -> None:
         """Drains a worker, which then exits, and starts another in its rack.
 
@@ -280,6 +297,7 @@
             successor: Id of the new worker.
             drain_s: Time until the worker exits, in seconds; None for a random
                 time.
+            address_reused: Whether another worker then answers at its address.
         """
         world = self.world
         delay_s = world.rng.uniform(*DRAIN_S) if drain_s is None else drain_s
@@ -287,17 +305,20 @@
             (world.now, f"replace {name} by {successor} in {delay_s:.2f} s")
         )
         entry = world.listed_workers[name]
-        self.retire_worker(name, delay_s)
+        self.retire_worker(name, delay_s, address_reused=address_reused)
         world.add_worker(
             successor, entry.data_centre, entry.capacity.cpu_millis, entry.rack
         )
 
-    def retire_worker(self, name: str, drain_s: float) -> None:
+    def retire_worker(
+        self, name: str, drain_s: float, *, address_reused: bool = False
+    ) -> None:
         """Drains a worker, which then exits.
 
         Args:
             name: Id of the worker.
             drain_s: Time until the worker exits, in seconds.
+            address_reused: Whether another worker then answers at its address.
         """
         world = self.world
         self.events.append((world.now, f"retire {name} in {drain_s:.2f} s"))
@@ -306,6 +327,8 @@
 
         def exit_worker() -> None:
             world.workers.pop(name, None)
+            if address_reused:
+                world.call_faults.replaced_workers.add(name)
             world.schedule(
                 world.rng.uniform(*DEREGISTRATION_S),
                 lambda: self._deregister(name),
