Move a task seldom to partitions that found no worker for it

A move was deducted from the worker with most free processors, even if it had no memory for the task, so that the room of other workers was counted again for each task. It is now deducted from a worker that the task fits. Of 5 tasks 5 moved to room for 2 before.

--- a/features/batch_load.feature
+++ b/features/batch_load.feature
@@ -43,6 +43,13 @@
     When 24 long-running tasks are moved by owners that know only the summaries
     Then no partition gets more than 8 of the tasks
 
+  Scenario: Tasks are deducted from workers that have memory for them
+    Guards against many more moves to a partition than it has room for: they
+    were deducted from the workers with most processors, which had no memory.
+    Given a summary of one worker without memory and one with room for 2 tasks
+    When 5 long-running tasks are moved by one owner
+    Then 2 of the tasks are moved
+
   Scenario: Jobs go to another data centre when the own one is full
     Guards against jobs that wait while another data centre has free capacity.
     Given summaries of a full own and an empty other data centre
--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -36,6 +36,14 @@
     And 3 s pass in all partitions
     Then 13 tasks run
 
+  Scenario: Tasks that no worker with room may run move seldom
+    Guards against writes of moves without end: summaries show free capacity on
+    workers that lack the label of the tasks, and all with the label are full.
+    Given 4 partitions with one worker with a label and one without each
+    When 20 tasks that need a label more than all workers can run are submitted
+    And 8 s pass in all partitions
+    Then at most 150 tasks are moved in the next 10 s
+
   Scenario: A started job moves to where its next step can run
     Guards against an accepted job that never goes on: no partition has the
     workers for all of its steps together any more, and steps that were done
--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -230,6 +230,36 @@
         context.chosen.append(chosen)
 
 
+@behave.given(
+    "a summary of one worker without memory and one with room for {count:d} "
+    "tasks"
+)
+def step(context, count):
+    builders.make_partition(context)
+    without_memory = records.FreeCapacity(100 * builders.CORE_MILLIS, 0)
+    with_room = records.FreeCapacity(count * builders.CORE_MILLIS, 8000)
+    context.batch.summaries = {
+        builders.OTHER: records.SummaryRecord(rooms=(without_memory, with_room))
+    }
+
+
+@behave.when("{count:d} long-running tasks are moved by one owner")
+def step(context, count):
+    moved = builders.make_step(1, long_running=True)
+    context.chosen = [
+        routing.choose_for_task(
+            context.batch, context.batch.summaries, moved, f"{number}.0.0"
+        )
+        for number in range(count)
+    ]
+
+
+@behave.then("{count:d} of the tasks are moved")
+def step(context, count):
+    moved = [chosen for chosen in context.chosen if chosen is not None]
+    assert len(moved) == count, context.chosen
+
+
 @behave.then("no partition gets more than {limit:d} of the tasks")
 def step(context, limit):
     counts = {name: context.chosen.count(name) for name in context.chosen}
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -88,6 +88,41 @@
     assert not moves, f"{moves} moves"
 
 
+@behave.given(
+    "{count:d} partitions with one worker with a label and one without each"
+)
+def step(context, count):
+    context.world = world = batch_world.BatchWorld(1)
+    for number in range(count):
+        add_labelled_worker(world, f"w-a-{number}", "a", number)
+        add_labelled_worker(world, f"w-b-{number}", "b", number)
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+
+
+@behave.when(
+    "{count:d} tasks that need a label more than all workers can run are "
+    "submitted"
+)
+def step(context, count):
+    world = context.world
+    step = model.Step(
+        1, resources.Vector(4000, 100, 0), long_running=True, required_label="b"
+    )
+    # Each worker can run two of them.
+    for number in range(len(world.workers) + count):
+        world.submit(world.nodes[0], f"{number:016x}", step)
+        world.run(0.05)
+
+
+@behave.then("at most {count:d} tasks are moved in the next {seconds:g} s")
+def step(context, count, seconds):
+    before = len(list_moves(context.world))
+    context.world.run(seconds)
+    moves = len(list_moves(context.world)) - before
+    assert moves <= count, f"{moves} moves"
+
+
 @behave.then("no task runs")
 def step(context):
     assert not context.world.list_runs()
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -35,6 +35,10 @@
 RECENT_LOSS_S = 12.0
 # A job that has started may move after this longer time, in seconds.
 STARTED_MOVE_DELAY_S = 1.2
+# A long-running task for which only partitions have room that found no worker
+# for it may move after this longer time, in seconds. Constraints may exclude
+# it from that room, and it would move from one to another without end.
+RETRIED_MOVE_DELAY_S = 1.5
 # Summaries that were read longer ago than this, in seconds, are read again
 # before a move.
 MAX_SUMMARY_AGE_S = 0.9
@@ -373,7 +377,7 @@
             ):
                 continue
             planned = attrs.evolve(job.record, moved=moved)
-            move = _plan_task_move(batch, partition, planned, task, others)
+            move = _plan_task_move(batch, partition, planned, task, others, now)
             if move is not None:
                 moved[records.make_task_key(number, index)] = move
     if moved == job.record.moved:
@@ -387,20 +391,22 @@
     record: records.JobRecord,
     task: state.Task,
     others: dict[str, records.SummaryRecord],
+    now: float,
 ) -> records.MovedTask | None:
     """Chooses a partition for a waiting long-running task.
 
-    Prefers partitions that have not tried to run the task since its last run.
-    A summary shows free capacity, but not whether the constraints of the step
-    allow a worker to run the task, so that the task could otherwise move
-    between partitions that cannot run it.
+    Prefers partitions that have not tried to run the task since its last run,
+    then the one that tried it first. A summary shows free capacity, but not
+    whether the constraints of the step allow a worker to run the task, so that
+    the task could otherwise move between partitions that cannot run it.
 
     Args:
         batch: State of this instance.
         partition: Partition that has the task.
         record: Record of the job with the moves that are planned already.
-        task: The task.
+        task: The task; it has waited long enough to move.
         others: Summaries of the other partitions that can run the job.
+        now: Monotonic time, in seconds.
 
     Returns:
         The move; None if no other partition has enough free capacity.
@@ -423,16 +429,22 @@
             summary, service, task.step, placed.get(name, 0)
         )
     ]
-    tried = (*_list_tried_partitions(record, task, partition), partition.name)
-    untried = [name for name in names if name not in tried]
+    tried = _list_tried_partitions(record, task, partition)
+    choices = [[name for name in names if name not in tried]]
+    assert task.unplaced_since is not None
+    if now - task.unplaced_since >= RETRIED_MOVE_DELAY_S:
+        choices += [[name] for name in tried if name in names]
     subject = f"{record.job_id}.{key}"
-    name = routing.choose_for_task(batch, untried, task.step, subject, placed)
-    if name is None:
-        tried = (partition.name,)
-        name = routing.choose_for_task(batch, names, task.step, subject, placed)
-    if name is None:
-        return None
-    return records.MovedTask(name, task.next_run_number, tried)
+    for choice in choices:
+        chosen = routing.choose_for_task(
+            batch, choice, task.step, subject, placed
+        )
+        if chosen is not None:
+            others_tried = [name for name in tried if name != partition.name]
+            return records.MovedTask(
+                chosen, task.next_run_number, (*others_tried, partition.name)
+            )
+    return None
 
 
 def _list_tried_partitions(
@@ -441,7 +453,8 @@
     """Returns the partitions that found no worker for a task before this one.
 
     Returns:
-        None of them if the task has run in this partition.
+        The partitions, in the order in which they last did; none of them if
+        the task has run in this partition.
     """
     number, index = task.name.step, task.name.index
     move = record.moved.get(records.make_task_key(number, index))
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from sapphirestall_core import resources
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
@@ -399,18 +400,29 @@
         return
     capacities = list(summary.rooms)
     for _ in range(first.count):
-        largest = max(
+        chosen = max(
             capacities,
-            key=lambda capacity: capacity.cpu_millis,
+            key=lambda capacity: (
+                _fits(first.amount, capacity),
+                capacity.cpu_millis,
+            ),
             default=None,
         )
-        if largest is None:
+        if chosen is None:
             break
-        capacities.remove(largest)
+        capacities.remove(chosen)
         capacities.append(
             records.FreeCapacity(
-                largest.cpu_millis - first.amount.cpu_millis,
-                largest.memory_mb - first.amount.memory_mb,
+                chosen.cpu_millis - first.amount.cpu_millis,
+                chosen.memory_mb - first.amount.memory_mb,
             )
         )
     batch.summaries[name] = attrs.evolve(summary, rooms=tuple(capacities))
+
+
+def _fits(amount: resources.Vector, capacity: records.FreeCapacity) -> bool:
+    """Returns whether a worker has free capacity for an amount."""
+    return (
+        amount.cpu_millis <= capacity.cpu_millis
+        and amount.memory_mb <= capacity.memory_mb
+    )
