Keep a move in flight when an earlier move is answered late

The record of a job may show a move before the store's answer to the move arrives, and the job may move again in between. The answer to the first move, or the read after its conflict, then ended the wait for the second one, so that the owner could start a task that the second one gave to another partition. An outcome now counts only for the move that expected the revision that is known. Found by reading; three rows of batch_takeover.feature fail without the change.

--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -108,6 +108,21 @@
     And a read of all job records shows the job unchanged
     Then the job starts nothing
 
+  Scenario Outline: The late outcome of a move does not tell that of the next
+    Guards against a task that two owners run: the record showed that a move had
+    taken effect, the job moved again, and then the answer to the first move
+    allowed the owner to start a task that the second one moves.
+    Given an active owner that has just called a worker
+    When the record shows that tasks of a waiting job have moved
+    And the job moves again before the first move <answer>
+    Then the job starts nothing
+
+    Examples:
+      | answer                                        |
+      | is confirmed                                  |
+      | conflicts                                     |
+      | is not answered and conflicts when sent again |
+
   Scenario: A replaced owner reads a job newer than its successor
     Guards against a task that two owners run: the successor assumes that
     former owners do not know a job that is newer than the successor's
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -432,6 +432,39 @@
     assert context.partition.jobs[JOB].move_in_flight
 
 
+@behave.when("the record shows that tasks of a waiting job have moved")
+def step(context):
+    job = context.partition.jobs[JOB]
+    job.move_in_flight = True
+    loaded = state.LoadedJob(job.record, job.revision, job.create_revision)
+    context.move = balance.MoveWrite(PARTITION, TOKEN, loaded)
+    moved = attrs.evolve(make_found(TOKEN - 10), revision=TOKEN + 20)
+    deliver_changes(context, moved)
+    assert job.revision == TOKEN + 20 and not job.move_in_flight
+
+
+ANSWERS = {
+    "is confirmed": store_messages.Committed(TOKEN + 20),
+    "conflicts": store_messages.Conflict({}),
+    "is not answered and conflicts when sent again": (
+        store_messages.Unavailable(True, "lost")
+    ),
+}
+
+
+@behave.when("the job moves again before the first move {answer}")
+def step(context, answer):
+    context.partition.jobs[JOB].move_in_flight = True
+    reply(context, context.move, ANSWERS[answer])
+    timer = messages.TimerFired(balance.MoveRetryDue(context.move))
+    instance.handle(timer, context.batch, NOW + 0.2)
+    reply(context, context.move, store_messages.Conflict({}), NOW + 0.2)
+    expected = context.move.loaded.revision
+    read = commits.JobReread(PARTITION, TOKEN, JOB, expected, True)
+    current = attrs.evolve(make_found(TOKEN - 10), revision=TOKEN + 20)
+    reply(context, read, current, NOW + 0.2)
+
+
 NEW_JOB = "00000000000000bb"
 
 
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -590,13 +590,20 @@
     No tasks of the job are started here until the outcome is known.
     """
     partition = batch.find_owned(timer.purpose.partition, timer.purpose.token)
-    if partition is None:
-        return []
-    if timer.purpose.loaded.record.job_id not in partition.jobs:
+    if partition is None or not _is_awaited(partition, timer.purpose):
         return []
     return [_make_move_write(partition, timer.purpose)]
 
 
+def _is_awaited(partition: state.Partition, purpose: MoveWrite) -> bool:
+    """Returns whether the outcome of a move is not known yet.
+
+    A newer record tells it, and the job may be moving again by then.
+    """
+    job = partition.jobs.get(purpose.loaded.record.job_id)
+    return job is not None and job.revision == purpose.loaded.revision
+
+
 @dispatch.handle_store_reply.register(MoveWrite)
 def handle_move_write(
     purpose: MoveWrite,
@@ -615,6 +622,8 @@
     outcome = reply.outcome
     if isinstance(outcome, store_messages.Committed):
         return _apply_move(batch, partition, purpose, outcome, now)
+    if not _is_awaited(partition, purpose):
+        return []
     if isinstance(outcome, store_messages.Conflict):
         return _handle_move_conflict(partition, purpose, outcome)
     return [messages.StartTimer(MoveRetryDue(purpose), MOVE_RETRY_S, 0.3)]
@@ -661,7 +670,7 @@
     record = loaded.record
     if partition.name in records.list_partitions(record):
         event = commits.RecordObserved(
-            partition.name, loaded, move_outcome_known=True
+            partition.name, loaded, purpose.loaded.revision
         )
         return dispatch.handle(event, batch, now)
     partition.record_removal(
--- a/packages/core/src/sapphirestall_core/batch/commits.py
+++ b/packages/core/src/sapphirestall_core/batch/commits.py
@@ -378,13 +378,13 @@
     Attributes:
         partition: Name of the partition.
         observed: The record, or its removal.
-        move_outcome_known: Whether a move of the job that was in flight is
-            known to have taken effect or to have failed.
+        settled_move: Store revision of the record that a move expected which
+            is known to have taken effect or to have failed; 0 if there is none.
     """
 
     partition: str
     observed: state.LoadedJob | state.RemovedJob
-    move_outcome_known: bool = False
+    settled_move: int = 0
 
 
 @attrs.frozen
@@ -419,9 +419,8 @@
         loaded = state.LoadedJob(
             outcome.value, outcome.revision, outcome.create_revision
         )
-        event = RecordObserved(
-            partition.name, loaded, purpose.move_outcome_known
-        )
+        expected = purpose.revision if purpose.move_outcome_known else 0
+        event = RecordObserved(partition.name, loaded, expected)
         return dispatch.handle(event, batch, now)
     if isinstance(outcome, store_messages.Absent):
         return dispatch.handle(
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -169,7 +169,7 @@
         partition,
         event.observed,
         now,
-        move_outcome_known=event.move_outcome_known,
+        settled_move=event.settled_move,
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/job_changes.py
+++ b/packages/core/src/sapphirestall_core/batch/job_changes.py
@@ -50,7 +50,7 @@
     loaded: state.LoadedJob,
     now: float,
     *,
-    move_outcome_known: bool = False,
+    settled_move: int = 0,
     progress: state.LoadedProgress | None = None,
 ) -> dispatch.Effects:
     """Applies a job record that is new or has changed.
@@ -60,8 +60,8 @@
         partition: The partition.
         loaded: The record.
         now: Monotonic time, in seconds.
-        move_outcome_known: Whether a move of the job that was in flight is
-            known to have taken effect or to have failed.
+        settled_move: Store revision of the record that a move expected which
+            is known to have taken effect or to have failed; 0 if there is none.
         progress: Progress of the job, if it is new to this owner and the
             progress was read.
     """
@@ -80,7 +80,7 @@
             or not was_moved_back
             or current.final_state is not None
         ):
-            return _update_job(partition, current, loaded, move_outcome_known)
+            return _update_job(partition, current, loaded, settled_move)
         # The job was moved away and back. Another owner has run it in the
         # meantime, so the state kept here is out of date.
         effects = remove_job(partition, current, removed, now)
@@ -183,15 +183,16 @@
     partition: state.Partition,
     current: state.Job,
     loaded: state.LoadedJob,
-    move_outcome_known: bool,
+    settled_move: int,
 ) -> dispatch.Effects:
     effects: dispatch.Effects = []
     if current.reread_in_flight:
         current.reread_in_flight = False
         effects = commits.request_commit(partition)
     # While the record is unchanged, a move without an answer may still take
-    # effect.
-    if move_outcome_known or loaded.revision > current.revision:
+    # effect. The move in flight expects the revision that is known here; one
+    # that expected an earlier revision does not tell its outcome.
+    if settled_move == current.revision or loaded.revision > current.revision:
         current.move_in_flight = False
     if loaded.revision <= current.revision:
         return effects + passes.request_pass(partition)
