Do not publish workers that refuse calls

A summary ignores the last second of a suspension, so that others send tasks in time for its end. That also covered the pause of 0.5 s after a refusal, which a worker that refuses all polls begins anew with each: it was published for as long as it refused. The pause counts in full now.

--- a/features/batch_published_capacity.feature
+++ b/features/batch_published_capacity.feature
@@ -26,6 +26,7 @@
       | worker                |
       | not in the roster     |
       | withheld by its owner |
+      | refusing calls        |
 
   Scenario: Versions that differ read each other's summaries
     Guards against an upgrade in which owners of one version see no room in the
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -6,6 +6,7 @@
 
 from features import builders
 from sapphirestall_core import resources
+from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
@@ -126,8 +127,12 @@
     builders.make_partition(context, builders.make_worker("w-0", 8))
     if state == "not in the roster":
         context.partition.roster = frozenset()
-    else:
+    elif state == "withheld by its owner":
         context.partition.withheld_ms["w-0"] = 1000
+    else:
+        refused_at = builders.NOW - 0.1
+        worker = context.partition.workers["w-0"]
+        worker.suspended_until = refused_at + contact.REFUSAL_PAUSE_S
     publish(context)
 
 
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -39,7 +39,9 @@
     Args:
         worker: The worker.
         now: Monotonic time, in seconds.
-        suspension_left_s: Rest of a suspension that is ignored, in seconds.
+        suspension_left_s: Rest of a suspension after failed runs that is
+            ignored, in seconds. The shorter pause after a refusal counts in
+            full: a worker that refuses all polls begins it anew with each.
     """
     return (
         worker.listing_received
@@ -50,7 +52,7 @@
         and now - worker.last_answer_at <= MAX_CONTACT_AGE_S
         and not worker.unresponsive
         and worker.restarted_at is None
-        and worker.suspended_until <= now + suspension_left_s
+        and worker.suspended_until <= now
         and worker.failing_until <= now + suspension_left_s
     )
 
