--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -11,6 +11,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import summaries
+from sapphirestall_core.batch import summary_capacity
 from sapphirestall_platform import store
 from standins import batch_faults
 from standins import batch_restarts
@@ -185,7 +186,10 @@
     summary = context.converter.structure(context.stored, records.SummaryRecord)
     large = attrs.evolve(TASK, amount=resources.Vector(15_000, 100, 0))
     assert routing.can_run(summary, "service", (large,))
-    assert routing.count_fitting_tasks(summary, "service", large, 99) == count
+    assert (
+        summary_capacity.count_fitting_tasks(summary, "service", large, 99)
+        == count
+    )
 
 
 @behave.then("its stored summary takes at most {limit:d} bytes")
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -24,6 +24,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summary_capacity
 from sapphirestall_core.batch import summary_reads
 
 PART = "balance"
@@ -453,11 +454,11 @@
     else:
         target = max(
             others,
-            key=lambda name: routing.count_fitting_tasks(
+            key=lambda name: summary_capacity.count_fitting_tasks(
                 others[name], service, step, step.count
             ),
         )
-        if not routing.count_fitting_tasks(
+        if not summary_capacity.count_fitting_tasks(
             others[target], service, step, step.count
         ):
             return None
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -282,43 +282,6 @@
     workers: dict[str, int] = attrs.field(factory=dict)
     groups: dict[str, tuple[published_capacity.WorkerGroup, ...]] | None = None
 
-    def list_free(
-        self, service: str, step: model.Step
-    ) -> list[published_capacity.FreeCapacity]:
-        """Returns the free capacity of workers that can run a step.
-
-        Args:
-            service: Service of the workers; empty for all of them.
-            step: The step, which may require a label.
-        """
-        if self.groups is None:
-            return list(self.rooms)
-        return [
-            free
-            for name, groups in self.groups.items()
-            if service in ("", name)
-            for group in groups
-            if group.accepts(step)
-            for free in group.list_free()
-        ]
-
-    def deduct(
-        self, service: str, step: model.Step, count: int
-    ) -> "SummaryRecord":
-        """Returns the summary after tasks of a step were sent here."""
-        if self.groups is None:
-            rooms = published_capacity.deduct_tasks(
-                list(self.rooms), step, count
-            )
-            return attrs.evolve(self, rooms=tuple(rooms))
-        groups = {
-            name: published_capacity.deduct_from_groups(groups, step, count)
-            if service in ("", name)
-            else groups
-            for name, groups in self.groups.items()
-        }
-        return attrs.evolve(self, groups=groups)
-
 
 @store_messages.check_key.register
 def _(document: JobRecord, key: str) -> None:
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -14,9 +14,9 @@
 import attrs
 
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summary_capacity
 
 # Owners write their summaries at least this often, in seconds. An owner whose
 # summary is older is assumed to be unable to reach the store.
@@ -39,24 +39,6 @@
 MIN_ALLOWED_CPU_MILLIS = 500
 
 
-def count_fitting_tasks(
-    summary: records.SummaryRecord,
-    service: str,
-    step: model.Step,
-    limit: int,
-) -> int:
-    """Counts the tasks of a step for which a partition has free capacity.
-
-    Args:
-        summary: Summary of the partition.
-        service: Service of the step; empty for any.
-        step: Step of the tasks.
-        limit: Highest number to return.
-    """
-    capacities = summary.list_free(service, step)
-    return published_capacity.count_fitting_tasks(step, capacities, limit)
-
-
 def list_fresh_summaries(
     batch: state.Batch, now: float
 ) -> dict[str, records.SummaryRecord]:
@@ -101,20 +83,10 @@
     """
     if not step.max_per_worker:
         return True
-    workers = _count_workers(summary, service, step)
+    workers = summary_capacity.count_workers(summary, service, step)
     return workers is None or placed < workers * step.max_per_worker
 
 
-def _count_workers(
-    summary: records.SummaryRecord, service: str, step: model.Step
-) -> int | None:
-    """Returns the number of workers for a step; None if it is not known."""
-    if summary.groups is None:
-        return summary.workers.get(service)
-    groups = summary.groups.get(service, ())
-    return sum(group.workers for group in groups if group.accepts(step))
-
-
 def choose_partition(
     batch: state.Batch,
     job_id: str,
@@ -292,7 +264,9 @@
     some of these finds a partition where it disturbs none.
     """
     fitting = {
-        name: count_fitting_tasks(summary, service, step, step.count)
+        name: summary_capacity.count_fitting_tasks(
+            summary, service, step, step.count
+        )
         for name, summary in summaries.items()
     }
     return max(
@@ -325,8 +299,10 @@
     def score(name: str) -> tuple[bool, int, bool, int]:
         """Returns a sort key of a partition; the highest is preferred."""
         summary = summaries[name]
-        fitting = count_fitting_tasks(summary, service, step, step.count)
-        free = summary.list_free(service, step)
+        fitting = summary_capacity.count_fitting_tasks(
+            summary, service, step, step.count
+        )
+        free = summary_capacity.list_free(summary, service, step)
         free_cpu = sum(capacity.cpu_millis for capacity in free)
         has_data = not step.data_rack or (
             batch.division.contains_rack(name, step.data_rack)
@@ -370,7 +346,7 @@
     fitting = {}
     for name in names:
         used = (placed or {}).get(name, 0) if step.max_per_worker else 0
-        count = count_fitting_tasks(
+        count = summary_capacity.count_fitting_tasks(
             batch.summaries[name], service, step, MAX_COUNTED_TASKS + used
         )
         if count:
@@ -412,4 +388,4 @@
             summary, fill_load=load, fill_rooms=fill_rooms
         )
         return
-    batch.summaries[name] = summary.deduct(service, first, first.count)
+    batch.summaries[name] = summary_capacity.deduct(summary, service, first)
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summary_capacity
 
 PART = "capacity"
 # Highest number of tasks that are counted to fit in one other partition.
@@ -217,7 +218,7 @@
     """Returns for how many tasks of a kind each other partition has room."""
     summaries = routing.list_fresh_summaries(batch, now)
     return [
-        routing.count_fitting_tasks(
+        summary_capacity.count_fitting_tasks(
             summary, task.job.queue.service, task.step, MAX_COUNTED_TASKS
         )
         for name, summary in summaries.items()
@@ -238,7 +239,9 @@
             room.cpu_millis
             for name, summary in summaries.items()
             if name != partition.name
-            for room in summary.list_free(task.job.queue.service, task.step)
+            for room in summary_capacity.list_free(
+                summary, task.job.queue.service, task.step
+            )
         ),
         default=0,
     )
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -68,9 +68,9 @@
     """Lets tasks start on workers that have not listed their runs."""
     is_usable = placement.is_usable
 
-    def mutated(worker: state.Worker, now: float) -> bool:
+    def mutated(worker: state.Worker, now: float, **options: float) -> bool:
         worker.listing_received = True
-        return is_usable(worker, now)
+        return is_usable(worker, now, **options)
 
     placement.is_usable = mutated
 
