Count published capacity without an object for each worker

Choosing a partition counts the workers of all partitions for each job, and for each task that moves.

--- a/packages/core/src/sapphirestall_core/batch/published_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/published_capacity.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-import itertools
 from typing import Any
 
 import attrs
@@ -26,23 +25,6 @@
     cpu_millis: int
     memory_mb: int
 
-    def count_fitting(self, step: model.Step) -> int:
-        """Counts the tasks of a step that fit, whatever its constraints."""
-        return max(
-            0,
-            min(
-                self.cpu_millis // max(1, step.amount.cpu_millis),
-                self.memory_mb // max(1, step.amount.memory_mb),
-            ),
-        )
-
-    def deduct(self, step: model.Step) -> "FreeCapacity":
-        """Returns what a task of a step leaves free."""
-        return FreeCapacity(
-            self.cpu_millis - step.amount.cpu_millis,
-            self.memory_mb - step.amount.memory_mb,
-        )
-
 
 def _check_lengths(
     group: "WorkerGroup",
@@ -76,75 +58,102 @@
         """Returns whether the workers have the label that a step requires."""
         return not step.required_label or step.required_label in self.labels
 
-    def list_free(self) -> list[FreeCapacity]:
-        """Returns the free capacity of each worker that has any."""
-        pairs = zip(self.cpu_millis, self.memory_mb, strict=True)
-        return [FreeCapacity(cpu, memory) for cpu, memory in pairs]
-
-    def replace_free(self, capacities: list[FreeCapacity]) -> "WorkerGroup":
-        """Returns the group with other free capacities of its workers."""
-        return attrs.evolve(
-            self,
-            cpu_millis=tuple(free.cpu_millis for free in capacities),
-            memory_mb=tuple(free.memory_mb for free in capacities),
-        )
+    def count_fitting(self, step: model.Step, limit: int) -> int:
+        """Counts the tasks of a step that fit, at most `limit`."""
+        cpu_millis = max(1, step.amount.cpu_millis)
+        memory_mb = max(1, step.amount.memory_mb)
+        per_worker = step.max_per_worker or limit
+        count = 0
+        for cpu, memory in zip(self.cpu_millis, self.memory_mb, strict=True):
+            if cpu >= cpu_millis and memory >= memory_mb:
+                fitting = min(cpu // cpu_millis, memory // memory_mb)
+                count += min(fitting, per_worker)
+                if count >= limit:
+                    return limit
+        return count
+
+
+def make_group(
+    labels: tuple[str, ...], workers: int, capacities: Iterable[FreeCapacity]
+) -> WorkerGroup:
+    """Returns a group of workers of which some have free capacity."""
+    listed = list(capacities)
+    return WorkerGroup(
+        labels,
+        workers,
+        tuple(free.cpu_millis for free in listed),
+        tuple(free.memory_mb for free in listed),
+    )
 
 
-def count_fitting_tasks(
-    step: model.Step, capacities: Iterable[FreeCapacity], limit: int
-) -> int:
-    """Counts the tasks of a step for which workers have free capacity.
+@attrs.define(slots=True)
+class _Worker:
+    """A worker of a group while tasks are deducted from it.
 
-    Args:
-        step: Step of the tasks.
-        capacities: Free capacities of workers that have the required label.
-        limit: Highest number to return.
+    Attributes:
+        cpu_millis: Its free processors, in thousandths.
+        memory_mb: Its free memory, in megabytes.
+        accepts: Whether it has the label that the step requires.
+        tasks: Number of tasks that were deducted.
     """
-    per_worker = step.max_per_worker or limit
-    count = 0
-    for free in capacities:
-        count += min(free.count_fitting(step), per_worker)
-        if count >= limit:
-            return limit
-    return count
+
+    cpu_millis: int
+    memory_mb: int
+    accepts: bool
+    tasks: int = 0
 
 
 def deduct_tasks(
-    capacities: list[FreeCapacity], step: model.Step, count: int
-) -> list[FreeCapacity]:
-    """Returns the free capacities of workers after tasks were sent to them.
+    groups: tuple[WorkerGroup, ...], step: model.Step
+) -> tuple[WorkerGroup, ...]:
+    """Returns groups of workers after the tasks of a step were sent to them.
 
     Each task is deducted from the worker with most processors of those that can
-    run it, or of all if there is none: it will use what becomes free first.
+    run it, or else of those with its label: it will use what becomes free
+    first.
     """
-    remaining = list(capacities)
-    sent = [0] * len(remaining)
-
-    def rank(index: int) -> tuple[bool, int]:
-        free = remaining[index]
-        allowed = not step.max_per_worker or sent[index] < step.max_per_worker
-        fits = allowed and free.count_fitting(step) > 0
-        return fits, free.cpu_millis
-
-    for _ in range(count if remaining else 0):
-        chosen = max(range(len(remaining)), key=rank)
-        remaining[chosen] = remaining[chosen].deduct(step)
-        sent[chosen] += 1
-    return remaining
-
-
-def deduct_from_groups(
-    groups: tuple[WorkerGroup, ...], step: model.Step, count: int
-) -> tuple[WorkerGroup, ...]:
-    """Returns groups of workers after tasks of a step were sent to them."""
-    accepting = [group for group in groups if group.accepts(step)]
-    capacities = [free for group in accepting for free in group.list_free()]
-    remaining = iter(deduct_tasks(capacities, step, count))
+    by_group = [
+        [
+            _Worker(cpu, memory, group.accepts(step))
+            for cpu, memory in zip(
+                group.cpu_millis, group.memory_mb, strict=True
+            )
+        ]
+        for group in groups
+    ]
+    accepting = [
+        worker for workers in by_group for worker in workers if worker.accepts
+    ]
+    for _ in range(step.count if accepting else 0):
+        chosen = _choose_worker(accepting, step)
+        chosen.cpu_millis -= step.amount.cpu_millis
+        chosen.memory_mb -= step.amount.memory_mb
+        chosen.tasks += 1
     return tuple(
-        group.replace_free(
-            list(itertools.islice(remaining, len(group.cpu_millis)))
+        attrs.evolve(
+            group,
+            cpu_millis=tuple(worker.cpu_millis for worker in workers),
+            memory_mb=tuple(worker.memory_mb for worker in workers),
         )
-        if group.accepts(step)
-        else group
-        for group in groups
+        for group, workers in zip(groups, by_group, strict=True)
     )
+
+
+def _choose_worker(workers: list[_Worker], step: model.Step) -> _Worker:
+    """Returns the worker from which the next task of a step is deducted."""
+    amount = step.amount
+    per_worker = step.max_per_worker or step.count
+    largest = fitting = None
+    for worker in workers:
+        if largest is None or worker.cpu_millis > largest.cpu_millis:
+            largest = worker
+        if (
+            worker.cpu_millis >= amount.cpu_millis
+            and worker.memory_mb >= amount.memory_mb
+            and worker.tasks < per_worker
+            and (fitting is None or worker.cpu_millis > fitting.cpu_millis)
+        ):
+            fitting = worker
+    chosen = fitting or largest
+    assert chosen is not None
+    return chosen
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -302,8 +302,7 @@
         fitting = summary_capacity.count_fitting_tasks(
             summary, service, step, step.count
         )
-        free = summary_capacity.list_free(summary, service, step)
-        free_cpu = sum(capacity.cpu_millis for capacity in free)
+        free_cpu = summary_capacity.sum_free_cpu(summary, service, step)
         has_data = not step.data_rack or (
             batch.division.contains_rack(name, step.data_rack)
         )
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -182,8 +182,7 @@
     free = [_find_free(worker) for worker in workers]
     some = [each for each in free if each.cpu_millis > 0 and each.memory_mb > 0]
     some.sort(key=lambda each: -each.cpu_millis)
-    group = published_capacity.WorkerGroup(labels, len(workers))
-    return group.replace_free(some)
+    return published_capacity.make_group(labels, len(workers), some)
 
 
 def _list_labels(
--- a/packages/core/src/sapphirestall_core/batch/summary_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/summary_capacity.py
@@ -11,10 +11,10 @@
 from sapphirestall_core.batch import records
 
 
-def list_free(
+def list_groups(
     summary: records.SummaryRecord, service: str, step: model.Step
-) -> list[published_capacity.FreeCapacity]:
-    """Returns the free capacity of each worker that can run a step.
+) -> list[published_capacity.WorkerGroup]:
+    """Returns the workers that can run a step.
 
     Args:
         summary: Summary of the partition.
@@ -22,17 +22,28 @@
         step: The step, which may require a label.
     """
     if summary.groups is None:
-        return list(summary.rooms)
+        return [_make_former_group(summary, step)]
     return [
-        free
+        group
         for name, groups in summary.groups.items()
         if service in ("", name)
         for group in groups
         if group.accepts(step)
-        for free in group.list_free()
     ]
 
 
+def _make_former_group(
+    summary: records.SummaryRecord, step: model.Step
+) -> published_capacity.WorkerGroup:
+    """Returns what an owner of the version before shows of its workers.
+
+    They are assumed to have the label that a step requires.
+    """
+    rooms = summary.rooms
+    labels = (step.required_label,)
+    return published_capacity.make_group(labels, len(rooms), rooms)
+
+
 def count_fitting_tasks(
     summary: records.SummaryRecord,
     service: str,
@@ -47,8 +58,30 @@
         step: Step of the tasks.
         limit: Highest number to return.
     """
-    capacities = list_free(summary, service, step)
-    return published_capacity.count_fitting_tasks(step, capacities, limit)
+    count = 0
+    for group in list_groups(summary, service, step):
+        count += group.count_fitting(step, limit - count)
+        if count >= limit:
+            break
+    return count
+
+
+def sum_free_cpu(
+    summary: records.SummaryRecord, service: str, step: model.Step
+) -> int:
+    """Returns the free processors of all workers that can run a step."""
+    groups = list_groups(summary, service, step)
+    return sum(sum(group.cpu_millis) for group in groups)
+
+
+def find_largest_free_cpu(
+    summary: records.SummaryRecord, service: str, step: model.Step
+) -> int:
+    """Returns the most free processors of a worker that can run a step."""
+    groups = list_groups(summary, service, step)
+    return max(
+        (max(group.cpu_millis, default=0) for group in groups), default=0
+    )
 
 
 def count_workers(
@@ -57,8 +90,7 @@
     """Returns the number of workers for a step; None if it is not known."""
     if summary.groups is None:
         return summary.workers.get(service)
-    groups = summary.groups.get(service, ())
-    return sum(group.workers for group in groups if group.accepts(step))
+    return sum(group.workers for group in list_groups(summary, service, step))
 
 
 def deduct(
@@ -72,12 +104,13 @@
         step: The step.
     """
     if summary.groups is None:
-        rooms = published_capacity.deduct_tasks(
-            list(summary.rooms), step, step.count
-        )
+        former = _make_former_group(summary, step)
+        (group,) = published_capacity.deduct_tasks((former,), step)
+        pairs = zip(group.cpu_millis, group.memory_mb, strict=True)
+        rooms = (published_capacity.FreeCapacity(*pair) for pair in pairs)
         return attrs.evolve(summary, rooms=tuple(rooms))
     groups = {
-        name: published_capacity.deduct_from_groups(groups, step, step.count)
+        name: published_capacity.deduct_tasks(groups, step)
         if service in ("", name)
         else groups
         for name, groups in summary.groups.items()
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -236,12 +236,11 @@
     summaries = routing.list_fresh_summaries(batch, now)
     return max(
         (
-            room.cpu_millis
-            for name, summary in summaries.items()
-            if name != partition.name
-            for room in summary_capacity.list_free(
+            summary_capacity.find_largest_free_cpu(
                 summary, task.job.queue.service, task.step
             )
+            for name, summary in summaries.items()
+            if name != partition.name
         ),
         default=0,
     )
