--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -32,8 +32,9 @@
 # worker that will accept new runs by then is published already.
 PUBLISHING_S = 1.0
 # Number of workers whose free capacity is published for owners of the version
-# before, which do not read the groups of workers.
-MAX_PUBLISHED_WORKERS = 8
+# before, which do not read the groups of workers. It is low as the summary is
+# read about once a second by all instances, and versions mix for a short time.
+MAX_PUBLISHED_WORKERS = 4
 # Number of these that are chosen by memory as well as by processors.
 BALANCED_WORKERS = 2
 # Lowest load of a partition that has no idle processors.
@@ -182,8 +183,7 @@
     free = [_find_free(worker) for worker in workers]
     some = [each for each in free if each.cpu_millis > 0 and each.memory_mb > 0]
     some.sort(key=lambda each: -each.cpu_millis)
-    group = published_capacity.WorkerGroup(labels, len(workers))
-    return group.replace_free(some)
+    return published_capacity.make_group(labels, len(workers), some)
 
 
 def _list_labels(
