Check that records of the versions before and after are decoded

During a rolling upgrade an owner reads what instances of the version before have written, which lacks withheld_ms, workers, tried and the like, and these read fields that they do not know.

--- a/features/batch_successions.feature
+++ b/features/batch_successions.feature
@@ -78,6 +78,23 @@
       | 619  |
       | 752  |
 
+  Scenario Outline: Owners go by records of the version before
+    Guards against tasks that run twice, or never again, during a rolling upgrade:
+    rosters, summaries and job records lack what was added to them since.
+    Given a random sequence of ends of owners, by seed <seed>
+    And stored records lack the fields of the newest version
+    When the sequence is played
+    Then every long-running task runs
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 3    |
+      | 43   |
+      | 198  |
+      | 63   |
+      | 251  |
+
   Scenario: A worker gets leases again only after its roster says so
     Guards against tasks that run twice: a worker was silent, the roster named the
     end of the leases there, the worker answered again and its leases were
--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -465,6 +465,39 @@
       | StateRecord        | "queue": "q", "partition": "p", "state": ["accepted"] |
       | StateRecord        | "queue": "q", "partition": "p", "state": "gone" |
 
+  Scenario Outline: A <record> of the version before is decoded
+    Guards against an owner that skips what instances of the version before
+    have written during a rolling upgrade, as it lacks the fields added since.
+    Given a stored <record> with <fields>
+    Then the record is decoded, and <field> is <value>
+
+    Examples:
+      | record        | fields                                                   | field       | value |
+      | RosterRecord  | "generation": 3, "workers": ["w-1"]                      | withheld_ms | {}    |
+      | RosterRecord  | "generation": 3, "workers": ["w-1"]                      | settled     | false |
+      | RosterRecord  | "generation": 3, "workers": ["w-1"]                      | witnesses   | []    |
+      | RosterRecord  | "generation": 3, "workers": ["w-1"]                      | entries     | []    |
+      | ReleaseRecord | "released_generation": 2, "lease_ms": {"w-1": 900}       | lease_ms    | {"w-1": 900} |
+      | SummaryRecord | "pending": {"q": ["a"]}, "offers": {"s": ["r1"]}         | workers     | {}    |
+      | SummaryRecord | "pending": {"q": ["a"]}                                  | offers      | null  |
+      | MovedTask     | "partition": "p", "first_number": 20001                  | tried       | []    |
+      | StateRecord   | "queue": "q", "partition": "p", "state": "accepted"      | submitted   | true  |
+      | StateRecord   | "queue": "q", "partition": "p", "state": "accepted"      | copies      | []    |
+      | ProgressRecord | "steps": [{"done": [1]}]                                | steps       | [{"done": [1], "failed": {}, "checkpoints": {}}] |
+
+  Scenario Outline: A <record> of the version after is decoded
+    Guards against the same at the instances of the version before: they do not
+    know a field that a later version has added.
+    Given a stored <record> with <fields>, "added_later": {"w-1": [1]}
+    Then the record is decoded, and <field> is <value>
+
+    Examples:
+      | record        | fields                                                   | field       | value |
+      | RosterRecord  | "generation": 3, "withheld_ms": {"w-1": 900}             | withheld_ms | {"w-1": 900} |
+      | ReleaseRecord | "released_generation": 2, "lease_ms": {"w-1": 900}       | lease_ms    | {"w-1": 900} |
+      | SummaryRecord | "pending": {"q": ["a"]}, "workers": {"s": 2}             | workers     | {"s": 2} |
+      | MovedTask     | "partition": "p", "first_number": 20001, "tried": ["p2"] | tried       | ["p2"] |
+
   Scenario: The state of a job is decoded as one of the known states
     Guards against a text in its place, which is identical to no state, so that
     a cancellation is answered without being stored.
--- a/features/steps/batch_successions_steps.py
+++ b/features/steps/batch_successions_steps.py
@@ -3,13 +3,16 @@
 import math
 import random
 
+import attrs
 import behave
 
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import records
 from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from standins import batch_call_faults
+from standins import batch_store
 from standins import batch_successions
 
 SEED = 2
@@ -63,6 +66,41 @@
     context.restarts.play()
 
 
+def strip_record(record):
+    """Returns a record without the fields of the newest version."""
+    match record:
+        case records.RosterRecord():
+            return attrs.evolve(record, withheld_ms={})
+        case records.SummaryRecord():
+            return attrs.evolve(record, workers={})
+        case records.JobRecord():
+            moved = {
+                key: attrs.evolve(task, tried=())
+                for key, task in record.moved.items()
+            }
+            return attrs.evolve(record, moved=moved)
+    return record
+
+
+@behave.given("stored records lack the fields of the newest version")
+def step(context):
+    store_put = batch_store.BatchStore.put
+
+    def put(store, written):
+        value = strip_record(written.value)
+        store_put(store, attrs.evolve(written, value=value))
+
+    context.add_cleanup(setattr, batch_store.BatchStore, "put", store_put)
+    batch_store.BatchStore.put = put
+
+
+@behave.then("every long-running task runs")
+def step(context):
+    running = {task for _, task, _ in context.world.list_runs()}
+    missing = set(context.restarts.check.list_tasks()) - running
+    assert not missing, missing
+
+
 def start(context):
     """Starts the jobs and finds the owner of a worker with tasks."""
     sequence = batch_successions.Sequence(batch_successions.Loss.CRASH, 0.0, ())
--- a/features/steps/platform_documents_steps.py
+++ b/features/steps/platform_documents_steps.py
@@ -680,6 +680,15 @@
     assert len(context.reports) == 1, context.reports
 
 
+@behave.then("the record is decoded, and {field:w} is {value}")
+def step(context, field, value):
+    assert not context.reports, context.reports
+    (found,) = context.found
+    # Tuples become lists.
+    plain = json.loads(json.dumps(attrs.asdict(found.value)))
+    assert plain[field] == json.loads(value), plain
+
+
 @behave.given("a stored state of a job that is accepted")
 def step(context):
     value = {"queue": "q", "partition": "sefrou/r1", "state": "accepted"}
