Do not count the leases that refused calls requested

An owner recorded the end of the lease that a poll requests when it sent the poll. A worker that refuses calls with 429 or 503 has done nothing, so that its runs lapse after 6 s; but each refused poll seemed to extend their leases, and the tasks were started elsewhere only once the worker answered again. The ends that calls in flight request are kept by call now, and dropped if the worker has refused the call or it was never sent.

--- a/features/batch_waits.feature
+++ b/features/batch_waits.feature
@@ -103,3 +103,20 @@
       | 2.0    | 1    |
       | 7.0    | 1    |
       | 9.0    | 2    |
+
+  Scenario Outline: A worker that refuses all calls does not keep its tasks
+    Guards against a long-running task that waits until its worker answers polls
+    again: they are refused, so that its run has lapsed, but its owner counts
+    each of them as an extension of the lease.
+    Given four long-running tasks on eight workers, by seed <seed>
+    When a worker refuses <share> of the calls in each 0.1 s, for <refusal_s> s
+    Then no long-running task was without a run for more than 1 s
+    And no invariant was violated
+
+    Examples:
+      | seed | share | refusal_s |
+      | 1    | 1.0   | 15        |
+      | 1    | 1.0   | 30        |
+      | 2    | 0.95  | 30        |
+      | 3    | 0.8   | 30        |
+      | 4    | 0.5   | 30        |
--- a/features/platform_documents.feature
+++ b/features/platform_documents.feature
@@ -363,6 +363,12 @@
       | 409    | "reason": "replaced" |
       | 409    | "reason": "reborn"   |
       | 409    | "reason": 7          |
+
+    Examples: statuses that do not say whether the call was carried out
+      | status | fields         |
+      | 500    | "clock_ms": 5  |
+      | 502    | "clock_ms": 5  |
+      | 504    | "clock_ms": 5  |
       | 409    | "reason": null       |
 
   Scenario Outline: A run with <part> <value> is listed without it
--- a/features/steps/batch_waits_steps.py
+++ b/features/steps/batch_waits_steps.py
@@ -365,3 +365,40 @@
         seconds, lambda: context.world.restart_worker(name, entry)
     )
     context.check.run(20)
+
+
+@behave.given("four long-running tasks on eight workers, by seed {seed:d}")
+def step(context, seed):
+    world = build_world(context, seed)
+    world.store_division(2)
+    for number in range(8):
+        rack = f"r1-{number // 2 + 1}"
+        world.add_worker(f"w-{number}", "north", 8000, rack)
+    start_nodes(world)
+    amount = resources.Vector(1500, 100, 0)
+    world.submit(world.nodes[0], JOB, model.Step(4, amount, long_running=True))
+    world.run(4)
+
+
+@behave.when(
+    "a worker refuses {share:g} of the calls in each 0.1 s, for {seconds:g} s"
+)
+def step(context, share, seconds):
+    world = context.world
+    worker = world.workers[min(name for name, _, _ in world.list_runs())]
+    context.longest_s = 0.0
+    for _ in range(round((seconds + 5) / 0.1)):
+        seconds -= 0.1
+        refuses = seconds > 0 and world.rng.random() < share
+        worker.unhealthy_until = world.now + 0.1 if refuses else 0.0
+        context.check.run(0.1)
+        waited = [world.now - at for at in context.check.last_run_at.values()]
+        context.longest_s = max(context.longest_s, *waited)
+
+
+@behave.then(
+    "no long-running task was without a run for more than {seconds:g} s"
+)
+def step(context, seconds):
+    assert context.check.last_run_at
+    assert context.longest_s <= seconds, context.longest_s
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -140,8 +140,12 @@
     if found is None:
         return []
     partition, worker = found
-    run = worker.runs.get((call.task, call.number))
+    run_key = (call.task, call.number)
+    run = worker.runs.get(run_key)
     reply = event.reply
+    leases.record_outcome(
+        worker, run_key, is_refused=contact.did_nothing(reply)
+    )
     if isinstance(reply, worker_messages.Done):
         contact.record_answer(
             worker, reply.clock_ms, now, carried_out_at=event.sent_at
@@ -221,7 +225,9 @@
     platform's list shows that incarnation. Until then the run may last as long
     as the longest lease.
     """
-    leases.extend(worker, batch.identity.limits.worker_lease_s, now)
+    run_key = (run.task.name, run.number)
+    leases.extend(worker, run_key, batch.identity.limits.worker_lease_s, now)
+    leases.record_outcome(worker, run_key, is_refused=False)
     retry = messages.CountRetry(PART, "start_reborn")
     return [retry, *stop(partition, worker, run, now)]
 
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -41,6 +41,8 @@
 DEREGISTERED = "deregistered"
 # Reasons for which no start can be carried out late.
 FINAL_REASONS = (REPLACED, DEPARTED, DEREGISTERED)
+# Refusal reason: the worker is overloaded, and has done nothing.
+UNHEALTHY = "unhealthy"
 # Refusal reason: a newer incarnation of the worker answers than the call named.
 # It may have carried out the call.
 RESTARTED = "reborn"
@@ -121,6 +123,16 @@
         worker.unresponsive = True
 
 
+def did_nothing(reply: worker_messages.Reply) -> bool:
+    """Returns whether a reply proves that a call has extended no lease.
+
+    Other refusals may follow after an extension.
+    """
+    if isinstance(reply, worker_messages.Rejected):
+        return reply.reason == UNHEALTHY
+    return isinstance(reply, worker_messages.NotSent)
+
+
 def has_local_cause(reply: worker_messages.Reply) -> bool:
     """Returns whether a call got no answer for a cause in this process."""
     return isinstance(reply, worker_messages.NoAnswer) and reply.local
@@ -189,7 +201,7 @@
         runs=",".join(format_run(run.task.name, run.number) for run in lost),
         clock_age_s=round(now - worker.clock_read_at, 3),
         clock_ms=worker.clock_ms,
-        lease_end_ms=worker.lease_end_ms,
+        lease_end_ms=leases.find_latest_end(worker),
     )
     return [log, *passes.request_pass(partition)]
 
@@ -293,6 +305,7 @@
         wait_s: How long the worker may wait for the end of a run, in seconds.
     """
     lease_end_ms = None
+    partition.poll_number += 1
     # The lease of an unresponsive worker is not extended. Otherwise each poll
     # would postpone the time at which its runs may be started elsewhere.
     is_responsive = worker.restarted_at is None and not worker.unresponsive
@@ -306,9 +319,10 @@
             partition, worker.entry.worker_id, lease_s, now
         )
     if lease_s is not None and is_active and is_responsive:
-        lease_end_ms = leases.extend(worker, lease_s, now)
+        lease_end_ms = leases.extend(
+            worker, partition.poll_number, lease_s, now
+        )
     worker.polled_at = now
-    partition.poll_number += 1
     return worker_messages.HoldLease(
         worker.target,
         partition.name,
--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -78,11 +78,17 @@
     worker.lease_end_ms = max(worker.lease_end_ms, lease_end_ms)
 
 
-def extend(worker: state.Worker, lease_s: float, now: float) -> int | None:
+def extend(
+    worker: state.Worker,
+    call: state.LeaseCall,
+    lease_s: float,
+    now: float,
+) -> int | None:
     """Computes the end of a lease that starts now, and records it.
 
     Args:
         worker: The worker whose lease is requested.
+        call: The call that requests it.
         lease_s: Duration of the lease, in seconds.
         now: Monotonic time, in seconds.
 
@@ -94,10 +100,34 @@
     if clock_ms is None:
         return None
     lease_end_ms = clock_ms + int(lease_s * 1000)
-    worker.lease_end_ms = max(worker.lease_end_ms, lease_end_ms)
+    worker.requested_lease_ends[call] = lease_end_ms
     return lease_end_ms
 
 
+def record_outcome(
+    worker: state.Worker, call: state.LeaseCall, *, is_refused: bool
+) -> None:
+    """Records whether a call that requested a lease may have extended it.
+
+    Args:
+        worker: The worker that was called.
+        call: The call; it may have requested no lease.
+        is_refused: Whether the worker has done nothing, or was not called.
+    """
+    lease_end_ms = worker.requested_lease_ends.pop(call, None)
+    if lease_end_ms is not None and not is_refused:
+        worker.lease_end_ms = max(worker.lease_end_ms, lease_end_ms)
+
+
+def find_latest_end(worker: state.Worker) -> int:
+    """Returns the latest end of a lease that a call may have requested.
+
+    Returns:
+        Time on the worker's clock, in milliseconds.
+    """
+    return max(worker.lease_end_ms, *worker.requested_lease_ends.values(), 0)
+
+
 def compute_remaining(
     worker: state.Worker, lease_s: float, now: float
 ) -> float | None:
@@ -117,7 +147,8 @@
     clock_ms = estimate_clock(worker, now)
     if clock_ms is None:
         return None
-    remaining_ms = max(0, worker.lease_end_ms + EXPIRY_MARGIN_MS - clock_ms)
+    lease_end_ms = find_latest_end(worker)
+    remaining_ms = max(0, lease_end_ms + EXPIRY_MARGIN_MS - clock_ms)
     return remaining_ms / 1000 / (1 - MAX_CLOCK_DRIFT)
 
 
@@ -139,5 +170,5 @@
     clock_ms = estimate_clock(worker, now)
     return (
         clock_ms is not None
-        and clock_ms > worker.lease_end_ms + EXPIRY_MARGIN_MS
+        and clock_ms > find_latest_end(worker) + EXPIRY_MARGIN_MS
     )
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -324,7 +324,8 @@
     Creates the run, reserves its resources and sends the start. Does nothing if
     the worker's clock, by which the lease of the start ends, is unknown.
     """
-    lease_end_ms = leases.extend(worker, leases.START_LEASE_S, now)
+    run_key = (task.name, task.next_run_number)
+    lease_end_ms = leases.extend(worker, run_key, leases.START_LEASE_S, now)
     if lease_end_ms is None:
         return []
     job = task.job
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -46,9 +46,12 @@
     if found is None:
         return []
     partition, worker = found
+    reply = event.reply
+    leases.record_outcome(
+        worker, call.number, is_refused=contact.did_nothing(reply)
+    )
     if not contact.finish_poll(worker, call.number):
         return []
-    reply = event.reply
     if isinstance(reply, worker_messages.Rejected):
         return contact.handle_refusal(batch, partition, worker, reply, now)
     if not isinstance(reply, worker_messages.Listing):
@@ -283,7 +286,7 @@
         listed_run.number,
         state.RunPhase.RUNNING,
         now,
-        worker.lease_end_ms,
+        leases.find_latest_end(worker),
     )
     task.run = run
     task.next_run_number = max(task.next_run_number, listed_run.number + 1)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -293,6 +293,8 @@
     absence: Absence | None = None
 
 
+# Number of a poll, or task and number of the run that a start requests.
+LeaseCall = int | tuple[model.TaskName, int]
 # Starts by task and number of the run, each with a monotonic time, in seconds.
 AbandonedStarts = dict[tuple[model.TaskName, int], float]
 
@@ -310,8 +312,9 @@
         clock_read_at: Monotonic time at which that reading arrived, in seconds.
         listed_clock_ms: Worker's clock in the newest listing that was applied,
             in milliseconds. An older listing that arrives later is ignored.
-        lease_end_ms: Latest end of a lease that any call requested, on the
-            worker's clock, in milliseconds.
+        lease_end_ms: Latest end of a lease that any call requested which may
+            have been carried out, on the worker's clock, in milliseconds.
+        requested_lease_ends: The same for each call without a reply yet.
         last_answer_at: Monotonic time of the worker's last answer, in seconds;
             None before the first.
         answered_call_sent_at: Monotonic time at which the newest call was sent
@@ -377,6 +380,7 @@
     clock_read_at: float = 0.0
     listed_clock_ms: int = 0
     lease_end_ms: int = 0
+    requested_lease_ends: dict[LeaseCall, int] = attrs.field(factory=dict)
     last_answer_at: float | None = None
     answered_call_sent_at: float = -math.inf
     acknowledged_position: int = 0
