--- a/features/batch_waits.feature
+++ b/features/batch_waits.feature
@@ -27,6 +27,20 @@
       | seed |
       | 1    |
 
+  Scenario Outline: Runs outlast a short outage just after a takeover
+    Guards against the same for any outage: the leases that the killed owner had
+    extended end 2.5 s after the takeover.
+    Given workers that answer within 0.2 s, with long-running tasks
+    When an owner is killed, and the store fails for <outage> s once it has a successor
+    Then every run that existed before still exists, by seed <seed>
+
+    Examples:
+      | outage | seed |
+      | 2.5    | 1    |
+      | 3.5    | 1    |
+      | 3.5    | 2    |
+      | 3.5    | 3    |
+
   Scenario: A task moves to workers with memory
     Guards against a long-running task that waits for good: a summary names the
     eight workers with most free processors, and these have no memory left.
@@ -90,3 +104,20 @@
       | 2.0    | 1    |
       | 7.0    | 1    |
       | 9.0    | 2    |
+
+  Scenario Outline: A worker that refuses all calls does not keep its tasks
+    Guards against a long-running task that waits until its worker answers polls
+    again: they are refused, so that its run has lapsed, but its owner counts
+    each of them as an extension of the lease.
+    Given four long-running tasks on eight workers, by seed <seed>
+    When a worker refuses <share> of the calls in each 0.1 s, for <refusal_s> s
+    Then no long-running task was without a run for more than 1 s
+    And no invariant was violated
+
+    Examples:
+      | seed | share | refusal_s |
+      | 1    | 1.0   | 15        |
+      | 1    | 1.0   | 30        |
+      | 2    | 0.95  | 30        |
+      | 3    | 0.8   | 30        |
+      | 4    | 0.5   | 30        |
