Move tasks that lost their runs without waiting for the periodic checks

The end of a run is known in a periodic check, the pass after it finds no worker, and the task moved with the next check, 0.25 s later, or later still as the summaries had to be read first. A timer now looks at such tasks after 0.12 s, and summaries are kept recent also while tasks wait for the runs of former owners.

The shorter delay of moves after a loss, which no test noticed, has a guard: tasks move within 0.15 s of the end of their runs.

--- a/features/steps/batch_room_elsewhere_steps.py
+++ b/features/steps/batch_room_elsewhere_steps.py
@@ -35,3 +35,22 @@
     scenario.play()
     failure = scenario.find_failures()
     assert not failure, failure
+
+
+@behave.then("the tasks move within {seconds:g} s of the end of their runs")
+def step(context, seconds):
+    scenario = batch_room_elsewhere.build(1, context.sequence)
+    scenario.play()
+    logs = [log for node in scenario.nodes for log in node.logs]
+    lost_at = {
+        run.partition(".")[0]: at
+        for at, log in logs
+        if log.text == "runs_lost"
+        for run in log.fields["runs"].split(",")
+    }
+    waits = [
+        at - lost_at[log.fields["job"]]
+        for at, log in logs
+        if log.part == "balance" and log.fields["job"] in lost_at
+    ]
+    assert len(waits) > 5 and max(waits) <= seconds, waits
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -32,6 +32,9 @@
 # The same for a long-running task that may have lost its run within this time:
 # it has waited for the end of leases, and other partitions have had room.
 LOST_RUN_MOVE_DELAY_S = 0.1
+# Time after which waits of such tasks are checked, in seconds; the periodic
+# checks alone would add up to a quarter of a second.
+LOST_RUN_CHECK_S = 0.12
 RECENT_LOSS_S = 12.0
 # A job that has started may move after this longer time, in seconds.
 STARTED_MOVE_DELAY_S = 1.2
@@ -76,6 +79,19 @@
     loaded: state.LoadedJob
 
 
+@attrs.frozen
+class MovesDue(messages.Timer):
+    """Timer to move tasks that have lost their runs.
+
+    Attributes:
+        partition: Name of the partition.
+        token: Fencing token of its owner.
+    """
+
+    partition: str
+    token: int
+
+
 @attrs.define
 class Budget:
     """What an event may still spend on moves.
@@ -122,10 +138,11 @@
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
     effects: dispatch.Effects = []
-    if _has_unplaced_long_running_task(partition):
+    if _list_waiting_tasks(partition):
         effects = summary_reads.keep_recent(
             batch, MAX_SUMMARY_AGE_FOR_TASKS_S, now
         )
+        effects += _schedule_moves(partition, now)
     unplaced = [
         job
         for job in partition.jobs.values()
@@ -173,16 +190,45 @@
     return effects
 
 
-def _has_unplaced_long_running_task(partition: state.Partition) -> bool:
-    """Returns whether no worker was found for a task that moves alone."""
-    return any(
-        task.unplaced_since is not None
+def _list_waiting_tasks(partition: state.Partition) -> list[state.Task]:
+    """Returns the tasks without a run that move alone."""
+    return [
+        task
         for job in partition.jobs.values()
         if job.final_state is None
         for step in job.steps
         if step.step.long_running
         for task in step.runnable.values()
-    )
+    ]
+
+
+def _schedule_moves(partition: state.Partition, now: float) -> dispatch.Effects:
+    """Starts a timer for moves if tasks that lost their runs soon may move."""
+    if now < partition.moves_due_at:
+        return []
+    progress = former_runs.check_progress(partition, now)
+    if not any(
+        task.unplaced_since is None
+        or now - task.unplaced_since <= LOST_RUN_MOVE_DELAY_S
+        for task in _list_waiting_tasks(partition)
+        if progress.allows(task.job)
+        and _may_have_lost_run(partition, task.job, now)
+    ):
+        return []
+    partition.moves_due_at = now + LOST_RUN_CHECK_S
+    timer = MovesDue(partition.name, partition.token)
+    return [messages.StartTimer(timer, LOST_RUN_CHECK_S)]
+
+
+@dispatch.handle_timer.register(MovesDue)
+def move_after_loss(
+    timer: MovesDue, batch: state.Batch, now: float
+) -> dispatch.Effects:
+    """Moves tasks that lost their runs, for which no worker was found."""
+    partition = batch.find_owned(timer.partition, timer.token)
+    if partition is None:
+        return []
+    return move_unplaced_jobs(batch, partition, now)
 
 
 def _has_unplaced_task(
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -509,6 +509,8 @@
         commit_sent_at: Monotonic time at which it was sent, in seconds.
         commit_scheduled: Whether a timer will start a commit.
         pass_scheduled: Whether a timer will start a scheduling pass.
+        moves_due_at: Monotonic time of the last timer that was set for moves,
+            in seconds.
         moved_jobs: Jobs that were moved to other partitions a short time ago,
             each with its queue and the monotonic time of the move, in seconds.
         summary: The summary as last published.
@@ -570,6 +572,7 @@
     commit_sent_at: float = -math.inf
     commit_scheduled: bool = False
     pass_scheduled: bool = False
+    moves_due_at: float = -math.inf
     moved_jobs: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     summary: records.SummaryRecord | None = None
     summary_written_at: float = -1e9
--- a/standins/batch_room_elsewhere.py
+++ b/standins/batch_room_elsewhere.py
@@ -94,6 +94,11 @@
         assert isinstance(check, batch_full_fleet.CapacityCheck)
         return check
 
+    @property
+    def nodes(self) -> list[batch_world.Node]:
+        """All instances."""
+        return self.succession.world.nodes
+
     def play(self) -> None:
         """Plays the sequence until all tasks should run again."""
         world = self.succession.world
