--- a/features/batch_published_capacity.feature
+++ b/features/batch_published_capacity.feature
@@ -52,3 +52,33 @@
       | 7.1  |
       | 7.4  |
       | 7.7  |
+
+  Scenario Outline: Moves of many tasks are planned at little cost
+    Guards against an owner that renews its leases late: several times a second
+    it plans for all waiting tasks, with the free capacity of all workers of all
+    partitions, and handles nothing else meanwhile.
+    Given 70 jobs of <width> waiting long-running tasks with <limit> on a worker
+    And 25 other partitions of 32 workers with <cores> processors free
+    When their owner plans moves
+    Then <tasks> tasks move at the cost of at most <calls> calls of functions
+
+    Examples:
+      | width | limit | cores | tasks | calls  |
+      | 1     | 0     | 1     | 0     | 100000 |
+      | 14    | 0     | 1     | 0     | 100000 |
+      | 14    | 1     | 1     | 0     | 100000 |
+      | 1     | 0     | 9     | 32    | 60000  |
+      | 14    | 0     | 9     | 98    | 250000 |
+
+  Scenario Outline: The partition of a wide job is chosen at little cost
+    Guards against an instance that answers callers late, as it compares the
+    partitions for each job that it accepts.
+    Given 25 other partitions of 32 workers with 9 processors free
+    When an instance chooses a partition for a job of <width> tasks
+    Then this takes at most <calls> calls of functions
+
+    Examples:
+      | width | calls |
+      | 1     | 2000  |
+      | 40    | 7000  |
+      | 160   | 11000 |
