Look for room once for the tasks of a step that does not fit anywhere

An owner planned a move for each waiting task in each event, also if no partition had room for one of its step.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -422,6 +422,9 @@
                 < _choose_move_delay(task, lost_run)
             ):
                 continue
+            if not routing.has_room(batch, others, step.step.amount):
+                # The other tasks of the step request as much.
+                break
             planned = attrs.evolve(job.record, moved=moved)
             move = _plan_task_move(batch, partition, planned, task, others, now)
             if move is not None:
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -374,6 +374,17 @@
     return chosen
 
 
+def has_room(
+    batch: state.Batch, names: Iterable[str], amount: resources.Vector
+) -> bool:
+    """Returns whether a worker of some partitions has free capacity."""
+    return any(
+        _fits(amount, capacity)
+        for name in names
+        for capacity in batch.summaries[name].rooms
+    )
+
+
 def deduct_job(
     batch: state.Batch, name: str, steps: tuple[model.Step, ...]
 ) -> None:
