Split the moves between partitions by job

It now decides which jobs and tasks move and when; task_moves.py and job_moves.py choose partitions, move_delays.py says how long tasks wait, and move_writes.py writes the moves.

--- a/features/steps/batch_load_steps.py
+++ b/features/steps/batch_load_steps.py
@@ -6,9 +6,9 @@
 from features import builders
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
-from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import instance
+from sapphirestall_core.batch import move_writes
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
@@ -114,7 +114,7 @@
     record = attrs.evolve(job.record, partition=builders.OTHER)
     loaded = state.LoadedJob(record, job.revision, job.create_revision)
     reply = store_messages.StoreReply(
-        balance.MoveWrite(builders.OWN, context.partition.token, loaded),
+        move_writes.MoveWrite(builders.OWN, context.partition.token, loaded),
         store_messages.Committed(99),
         builders.NOW,
     )
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -4,9 +4,9 @@
 import behave
 
 from sapphirestall_core import resources
-from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import move_writes
 from sapphirestall_core.batch import summary_reads
 from standins import batch_call_faults
 from standins import batch_moves
@@ -246,7 +246,7 @@
 
 
 PURPOSES = {
-    "move": balance.MoveWrite,
+    "move": move_writes.MoveWrite,
     "read of summaries": summary_reads.SummaryRead,
 }
 
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import jobs
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import move_writes
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
@@ -359,7 +360,7 @@
     key = records.make_job_key(PARTITION, JOB)
     conflict = store_messages.Conflict({key: job.revision})
     effects = reply(
-        context, balance.MoveWrite(PARTITION, TOKEN, loaded), conflict
+        context, move_writes.MoveWrite(PARTITION, TOKEN, loaded), conflict
     )
     context.purpose = effects[0].purpose
 
@@ -414,7 +415,7 @@
     job.move_in_flight = True
     loaded = state.LoadedJob(job.record, job.revision, job.create_revision)
     no_answer = store_messages.Unavailable(True, "lost")
-    reply(context, balance.MoveWrite(PARTITION, TOKEN, loaded), no_answer)
+    reply(context, move_writes.MoveWrite(PARTITION, TOKEN, loaded), no_answer)
 
 
 @behave.when("a read of all job records shows the job unchanged")
@@ -437,7 +438,7 @@
     job = context.partition.jobs[JOB]
     job.move_in_flight = True
     loaded = state.LoadedJob(job.record, job.revision, job.create_revision)
-    context.move = balance.MoveWrite(PARTITION, TOKEN, loaded)
+    context.move = move_writes.MoveWrite(PARTITION, TOKEN, loaded)
     moved = attrs.evolve(make_found(TOKEN - 10), revision=TOKEN + 20)
     deliver_changes(context, moved)
     assert job.revision == TOKEN + 20 and not job.move_in_flight
@@ -456,7 +457,7 @@
 def step(context, answer):
     context.partition.jobs[JOB].move_in_flight = True
     reply(context, context.move, ANSWERS[answer])
-    timer = messages.TimerFired(balance.MoveRetryDue(context.move))
+    timer = messages.TimerFired(move_writes.MoveRetryDue(context.move))
     instance.handle(timer, context.batch, NOW + 0.2)
     reply(context, context.move, store_messages.Conflict({}), NOW + 0.2)
     expected = context.move.loaded.revision
@@ -595,7 +596,7 @@
     job.move_in_flight = True
     record = attrs.evolve(job.record, partition="south")
     loaded = state.LoadedJob(record, job.revision, job.create_revision)
-    move = balance.MoveWrite(PARTITION, TOKEN, loaded)
+    move = move_writes.MoveWrite(PARTITION, TOKEN, loaded)
     reply(context, move, store_messages.Committed(TOKEN + 20))
     assert JOB not in context.partition.jobs
 
@@ -939,7 +940,7 @@
     job.move_in_flight = True
     record = attrs.evolve(job.record, partition="south")
     loaded = state.LoadedJob(record, job.revision, job.create_revision)
-    context.move = balance.MoveWrite(PARTITION, TOKEN, loaded)
+    context.move = move_writes.MoveWrite(PARTITION, TOKEN, loaded)
     key = records.make_job_key(PARTITION, JOB)
     removed = store_messages.Removed(key, TOKEN + 20)
     context.effects = deliver_changes(context, removed, make_moved_job())
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -4,44 +4,25 @@
 with its progress, once no run of it can exist. Of a job with long-running tasks
 it moves single tasks, and each partition that runs some of them has a copy of
 the job's record.
-
-A move is one store transaction that writes all copies of the record. It has an
-effect only if this instance still owns the partition and the record has not
-changed since it was read.
 """
 
-import collections
-
 import attrs
 
 from sapphirestall_core import messages
-from sapphirestall_core import store_messages
-from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
-from sapphirestall_core.batch import jobs
-from sapphirestall_core.batch import model
+from sapphirestall_core.batch import job_moves
+from sapphirestall_core.batch import move_delays
+from sapphirestall_core.batch import move_writes
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
+from sapphirestall_core.batch import task_moves
 
-PART = "balance"
-# A task may move when no worker was found for it for this time, in seconds.
-MOVE_DELAY_S = 0.4
-# The same for a long-running task that may have lost its run within this time:
-# it has waited for the end of leases, and other partitions have had room.
-LOST_RUN_MOVE_DELAY_S = 0.1
-# Time after which waits of such tasks are checked, in seconds; the periodic
-# checks alone would add up to a quarter of a second.
+# Time after which tasks that have lost their runs are looked at again, in
+# seconds; the periodic checks alone would add up to a quarter of a second.
 LOST_RUN_CHECK_S = 0.12
-RECENT_LOSS_S = 12.0
-# A job that has started may move after this longer time, in seconds.
-STARTED_MOVE_DELAY_S = 1.2
-# A long-running task for which only partitions have room that found no worker
-# for it may move after this longer time, in seconds. Constraints may exclude
-# it from that room, and it would move from one to another without end.
-RETRIED_MOVE_DELAY_S = 1.5
 # Summaries that were read longer ago than this, in seconds, are read again
 # before a move.
 MAX_SUMMARY_AGE_S = 0.9
@@ -49,12 +30,6 @@
 # waits, which has to run within 3 s where there is room. With the interval of
 # the periodic checks, which read them, they are read every 0.5 s.
 MAX_SUMMARY_AGE_FOR_TASKS_S = 0.4
-# Mean time until a write with unknown outcome is repeated, in seconds.
-MOVE_RETRY_S = 0.2
-# Highest number of partitions that may run tasks of one job. A transaction has
-# at most 32 entries; the one that stores the end of a job needs one for each of
-# them and six others.
-MAX_COPIES = 26
 # Highest number of jobs that an owner moves as a whole at a time. It is low
 # because the summaries by which their partitions are chosen lag.
 MAX_JOB_MOVES = 3
@@ -63,22 +38,6 @@
 MAX_MOVE_WRITES = 32
 
 
-@attrs.frozen
-class MoveWrite(store_messages.Purpose):
-    """Purpose of the write of a job's record that moves the job or its tasks.
-
-    Attributes:
-        partition: Partition whose owner makes the move.
-        token: Fencing token of the owner.
-        loaded: The changed record, with the revisions of the record that it
-            replaces.
-    """
-
-    partition: str
-    token: int
-    loaded: state.LoadedJob
-
-
 @attrs.frozen
 class MovesDue(messages.Timer):
     """Timer to move tasks that have lost their runs.
@@ -115,17 +74,6 @@
             self.jobs -= 1
 
 
-@attrs.frozen
-class MoveRetryDue(messages.Timer):
-    """Timer to repeat the write of a move whose outcome is unknown.
-
-    Attributes:
-        purpose: The write that is repeated.
-    """
-
-    purpose: MoveWrite
-
-
 def move_unplaced_jobs(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> dispatch.Effects:
@@ -186,7 +134,9 @@
         record = _plan_move(batch, partition, job, now)
         if record is not None:
             budget.spend(job)
-            effects += _start_move(batch, partition, job, record, now)
+            effects += move_writes.start_move(
+                batch, partition, job, record, now
+            )
     return effects
 
 
@@ -208,11 +158,10 @@
         return []
     progress = former_runs.check_progress(partition, now)
     if not any(
-        task.unplaced_since is None
-        or now - task.unplaced_since <= LOST_RUN_MOVE_DELAY_S
+        not move_delays.has_waited(task, True, now)
         for task in _list_waiting_tasks(partition)
         if progress.allows(task.job)
-        and _may_have_lost_run(partition, task.job, now)
+        and move_delays.may_have_lost_run(partition, task.job, now)
     ):
         return []
     partition.moves_due_at = now + LOST_RUN_CHECK_S
@@ -237,48 +186,14 @@
     """Returns whether a task of a job has waited so long that it may move."""
     if job.move_in_flight or job.final_state is not None:
         return False
-    lost_run = _may_have_lost_run(partition, job, now)
+    lost_run = move_delays.may_have_lost_run(partition, job, now)
     return any(
-        task.unplaced_since is not None
-        and now - task.unplaced_since > _choose_move_delay(task, lost_run)
+        move_delays.has_waited(task, lost_run, now)
         for step in job.steps
         for task in step.runnable.values()
     )
 
 
-def _may_have_lost_run(
-    partition: state.Partition, job: state.Job, now: float
-) -> bool:
-    """Returns whether tasks of a job may have lost their runs recently.
-
-    The owner gave up their worker, or it took them over without their runs.
-    """
-    if now - job.runs_lost_at < RECENT_LOSS_S:
-        return True
-    was_taken_over = job.create_revision < partition.token
-    return was_taken_over and now - partition.acquired_at < RECENT_LOSS_S
-
-
-def _choose_move_delay(task: state.Task, lost_run: bool) -> float:
-    """Returns how long a task waits for a worker before it may move.
-
-    A long-running task moves alone and should run again soon. Other tasks move
-    with their whole job, which has to be worth it once the job has started.
-
-    Args:
-        task: The task.
-        lost_run: Whether tasks of its job may have lost their runs recently.
-
-    Returns:
-        Time in seconds.
-    """
-    if task.step.long_running and lost_run:
-        return LOST_RUN_MOVE_DELAY_S
-    if task.step.long_running or not task.job.start_sent:
-        return MOVE_DELAY_S
-    return STARTED_MOVE_DELAY_S
-
-
 def _moves_tasks(job: state.Job) -> bool:
     """Returns whether tasks of a job move, and not the job as a whole."""
     return any(step.step.long_running for step in job.steps)
@@ -294,60 +209,12 @@
     """
     others = _list_others(batch, partition, job, now)
     if _moves_tasks(job):
-        return _plan_task_moves(batch, partition, job, others, now)
-    if is_idle(partition, job):
-        return _plan_job_move(batch, partition, job, others)
+        return task_moves.plan_moves(batch, partition, job, others, now)
+    if job_moves.is_idle(partition, job):
+        return job_moves.plan_move(batch, partition, job, others)
     return None
 
 
-def _start_move(
-    batch: state.Batch,
-    partition: state.Partition,
-    job: state.Job,
-    record: records.JobRecord,
-    now: float,
-) -> dispatch.Effects:
-    """Starts the write of a planned move."""
-    job.move_in_flight = True
-    loaded = state.LoadedJob(record, job.revision, job.create_revision)
-    return [
-        _make_log(batch, partition, job, record, now),
-        _make_move_write(
-            partition, MoveWrite(partition.name, partition.token, loaded)
-        ),
-    ]
-
-
-def _make_log(
-    batch: state.Batch,
-    partition: state.Partition,
-    job: state.Job,
-    record: records.JobRecord,
-    now: float,
-) -> messages.Log:
-    """Returns the log line of a move.
-
-    For each partition that tasks move to it has their number, and of all these
-    tasks the number of those that were tried elsewhere since their last run.
-    """
-    moved = [
-        move
-        for key, move in record.moved.items()
-        if move != job.record.moved.get(key)
-    ]
-    counts = collections.Counter(move.partition for move in moved)
-    targets = ",".join(f"{name}:{counts[name]}" for name in sorted(counts))
-    fields = {
-        "job": record.job_id,
-        "from": partition.name,
-        "to": targets or record.partition,
-        "tasks": len(moved),
-        "moved_again": sum(len(move.tried) > 1 for move in moved),
-        "summary_age_s": round(now - batch.summaries_read_at, 3),
-    }
-    return messages.Log(PART, "move", fields)
-
-
 def _list_others(
     batch: state.Batch, partition: state.Partition, job: state.Job, now: float
 ) -> dict[str, records.SummaryRecord]:
@@ -362,7 +229,7 @@
         if name != partition.name
     }
     unfinished = tuple(step.step for step in job.steps if step.unfinished)
-    for steps in (unfinished, _list_waiting_steps(job)):
+    for steps in (unfinished, job_moves.list_waiting_steps(job)):
         found = {
             name: summary
             for name, summary in others.items()
@@ -371,365 +238,3 @@
         if found:
             return found
     return {}
-
-
-def _list_waiting_steps(job: state.Job) -> tuple[model.Step, ...]:
-    """Returns the steps of a job that have tasks which wait for a worker."""
-    return tuple(step.step for step in job.steps if step.runnable)
-
-
-def is_idle(partition: state.Partition, job: state.Job) -> bool:
-    """Returns whether a job has no runs and all its progress is stored."""
-    if not job.start_sent:
-        return True
-    if job.record.job_id in partition.dirty_jobs or partition.commit_in_flight:
-        return False
-    return not any(
-        task.run is not None
-        for step in job.steps
-        for task in step.unfinished.values()
-    )
-
-
-def _plan_task_moves(
-    batch: state.Batch,
-    partition: state.Partition,
-    job: state.Job,
-    others: dict[str, records.SummaryRecord],
-    now: float,
-) -> records.JobRecord | None:
-    """Chooses partitions for the waiting long-running tasks of a job.
-
-    Args:
-        batch: State of this instance.
-        partition: Partition that has the tasks.
-        job: The job.
-        others: Summaries of the other partitions that can run the job.
-        now: Monotonic time, in seconds.
-
-    Returns:
-        The changed record; None if no task can be moved.
-    """
-    moved = dict(job.record.moved)
-    lost_run = _may_have_lost_run(partition, job, now)
-    for number, step in enumerate(job.steps):
-        if not step.step.long_running:
-            continue
-        for index, task in step.runnable.items():
-            if (
-                task.unplaced_since is None
-                or now - task.unplaced_since
-                < _choose_move_delay(task, lost_run)
-            ):
-                continue
-            if not routing.has_room(batch, others, step.step.amount):
-                # The other tasks of the step request as much.
-                break
-            planned = attrs.evolve(job.record, moved=moved)
-            move = _plan_task_move(batch, partition, planned, task, others, now)
-            if move is not None:
-                moved[records.make_task_key(number, index)] = move
-    if moved == job.record.moved:
-        return None
-    return attrs.evolve(job.record, moved=moved)
-
-
-def _plan_task_move(
-    batch: state.Batch,
-    partition: state.Partition,
-    record: records.JobRecord,
-    task: state.Task,
-    others: dict[str, records.SummaryRecord],
-    now: float,
-) -> records.MovedTask | None:
-    """Chooses a partition for a waiting long-running task.
-
-    Prefers partitions that have not tried to run the task since its last run,
-    then the one that tried it first. A summary shows free capacity, but not
-    whether the constraints of the step allow a worker to run the task, so that
-    the task could otherwise move between partitions that cannot run it.
-
-    Args:
-        batch: State of this instance.
-        partition: Partition that has the task.
-        record: Record of the job with the moves that are planned already.
-        task: The task; it has waited long enough to move.
-        others: Summaries of the other partitions that can run the job.
-        now: Monotonic time, in seconds.
-
-    Returns:
-        The move; None if no other partition has enough free capacity.
-    """
-    number, index = task.name.step, task.name.index
-    key = records.make_task_key(number, index)
-    others_moved = {
-        other_key: move
-        for other_key, move in record.moved.items()
-        if other_key != key
-    }
-    copies = records.list_partitions(attrs.evolve(record, moved=others_moved))
-    placed = records.count_step_tasks(record, number)
-    service = record.queue.service
-    names = [
-        name
-        for name, summary in others.items()
-        if (len(copies) < MAX_COPIES or name in copies)
-        and routing.has_worker_left(
-            summary, service, task.step, placed.get(name, 0)
-        )
-    ]
-    tried = _list_tried_partitions(record, task, partition)
-    choices = [[name for name in names if name not in tried]]
-    assert task.unplaced_since is not None
-    if now - task.unplaced_since >= RETRIED_MOVE_DELAY_S:
-        choices += [[name] for name in tried if name in names]
-    subject = f"{record.job_id}.{key}"
-    for choice in choices:
-        chosen = routing.choose_for_task(
-            batch, choice, task.step, subject, placed
-        )
-        if chosen is not None:
-            others_tried = [name for name in tried if name != partition.name]
-            return records.MovedTask(
-                chosen, task.next_run_number, (*others_tried, partition.name)
-            )
-    return None
-
-
-def _list_tried_partitions(
-    record: records.JobRecord, task: state.Task, partition: state.Partition
-) -> tuple[str, ...]:
-    """Returns the partitions that found no worker for a task before this one.
-
-    Returns:
-        The partitions, in the order in which they last did; none of them if
-        the task has run in this partition.
-    """
-    number, index = task.name.step, task.name.index
-    move = record.moved.get(records.make_task_key(number, index))
-    first_number = jobs.find_first_run_number(record, number, index, partition)
-    if move is None or task.next_run_number != first_number:
-        return ()
-    return move.tried
-
-
-def _plan_job_move(
-    batch: state.Batch,
-    partition: state.Partition,
-    job: state.Job,
-    others: dict[str, records.SummaryRecord],
-) -> records.JobRecord | None:
-    """Chooses another partition for a job as a whole.
-
-    Args:
-        batch: State of this instance.
-        partition: Partition that has the job.
-        job: The job.
-        others: Summaries of the other partitions that can run the job.
-
-    Returns:
-        The changed record; None if no other partition is better.
-    """
-    # A job that has not started has to fit as a whole.
-    candidates = (
-        _list_waiting_steps(job) if job.start_sent else job.record.steps
-    )
-    step = max(candidates, key=lambda step: step.count * step.amount.cpu_millis)
-    own_summary = batch.summaries.get(partition.name)
-    if own_summary is None or not others:
-        return None
-    steps = job.record.steps
-    if step.fills:
-        loads = {
-            name: routing.estimate_load(
-                batch.division, name, others[name], steps
-            )
-            for name in others
-        }
-        target = routing.choose_by_load(loads, job.record.job_id)
-        current_load = routing.estimate_load(
-            batch.division, partition.name, own_summary, steps
-        )
-        can_run_here = routing.can_run(own_summary, job.queue.service, steps)
-        if (
-            can_run_here
-            and current_load - loads[target] <= routing.MIN_LOAD_ADVANTAGE
-        ):
-            return None
-    else:
-        target = max(
-            others,
-            key=lambda name: routing.count_fitting_tasks(
-                step, others[name].rooms, step.count
-            ),
-        )
-        if not routing.count_fitting_tasks(
-            step, others[target].rooms, step.count
-        ):
-            return None
-    routing.deduct_job(batch, target, job.record.steps)
-    # Former owners may have started tasks of an older job without a sign.
-    if not job.start_sent and job.create_revision >= partition.token:
-        return attrs.evolve(job.record, partition=target)
-    # Runs in the new partition get higher numbers than all runs in this one.
-    first_number = max(
-        task.next_run_number
-        for step in job.steps
-        for task in step.unfinished.values()
-    )
-    return attrs.evolve(
-        job.record,
-        partition=target,
-        first_number=first_number,
-        has_progress=job.progress_revision > 0,
-    )
-
-
-def _make_move_write(
-    partition: state.Partition, purpose: MoveWrite
-) -> store_messages.StoreTransaction:
-    """Returns the transaction of a move.
-
-    It writes all copies of the job's record and the job's state. If the whole
-    job moves, it also moves the progress record.
-    """
-    record = purpose.loaded.record
-    job = partition.jobs[record.job_id]
-    expected = [
-        (records.make_owner_key(partition.name), partition.token),
-        (
-            records.make_job_key(partition.name, record.job_id),
-            purpose.loaded.revision,
-        ),
-    ]
-    copies = records.list_partitions(record)
-    puts = [
-        store_messages.Put(records.make_job_key(name, record.job_id), record)
-        for name in copies
-    ]
-    state_key = records.make_state_key(record.job_id)
-    puts.append(
-        store_messages.Put(state_key, records.make_accepted_state(record))
-    )
-    removals = [
-        records.make_job_key(name, record.job_id)
-        for name in records.list_partitions(job.record)
-        if name not in copies
-    ]
-    if record.partition != job.record.partition:
-        old_key = records.make_progress_key(partition.name, record.job_id)
-        # The transaction has no effect if the store has a progress record that
-        # this owner does not know.
-        expected.append((old_key, job.progress_revision))
-        if job.progress_revision:
-            new_key = records.make_progress_key(record.partition, record.job_id)
-            puts.append(store_messages.Put(new_key, jobs.make_progress(job)))
-            removals.append(old_key)
-    return store_messages.StoreTransaction(
-        purpose, tuple(expected), tuple(puts), tuple(removals)
-    )
-
-
-@dispatch.handle_timer.register(MoveRetryDue)
-def retry_move(
-    timer: MoveRetryDue, batch: state.Batch, now: float
-) -> dispatch.Effects:
-    """Repeats the write of a move.
-
-    No tasks of the job are started here until the outcome is known.
-    """
-    partition = batch.find_owned(timer.purpose.partition, timer.purpose.token)
-    if partition is None or not _is_awaited(partition, timer.purpose):
-        return []
-    return [_make_move_write(partition, timer.purpose)]
-
-
-def _is_awaited(partition: state.Partition, purpose: MoveWrite) -> bool:
-    """Returns whether the outcome of a move is not known yet.
-
-    A newer record tells it, and the job may be moving again by then.
-    """
-    job = partition.jobs.get(purpose.loaded.record.job_id)
-    return job is not None and job.revision == purpose.loaded.revision
-
-
-@dispatch.handle_store_reply.register(MoveWrite)
-def handle_move_write(
-    purpose: MoveWrite,
-    reply: store_messages.StoreReply,
-    batch: state.Batch,
-    now: float,
-) -> dispatch.Effects:
-    """Applies a move that was written, or handles a failed write.
-
-    After a conflict the record is read again. If the outcome is unknown, the
-    same write is repeated.
-    """
-    partition = batch.find_owned(purpose.partition, purpose.token)
-    if partition is None:
-        return []
-    outcome = reply.outcome
-    if isinstance(outcome, store_messages.Committed):
-        return _apply_move(batch, partition, purpose, outcome, now)
-    if not _is_awaited(partition, purpose):
-        return []
-    if isinstance(outcome, store_messages.Conflict):
-        return _handle_move_conflict(partition, purpose, outcome)
-    return [messages.StartTimer(MoveRetryDue(purpose), MOVE_RETRY_S, 0.3)]
-
-
-def _handle_move_conflict(
-    partition: state.Partition,
-    purpose: MoveWrite,
-    outcome: store_messages.Conflict,
-) -> dispatch.Effects:
-    """Reads a job's record again after a conflict.
-
-    The record or the owner key has changed, so the write can no longer take
-    effect.
-    """
-    job_id = purpose.loaded.record.job_id
-    job = partition.jobs.get(job_id)
-    if job is not None:
-        key = records.make_progress_key(partition.name, job_id)
-        job.progress_revision = outcome.revisions.get(
-            key, job.progress_revision
-        )
-    return [
-        commits.read_record(
-            partition, job_id, purpose.loaded.revision, move_outcome_known=True
-        )
-    ]
-
-
-def _apply_move(
-    batch: state.Batch,
-    partition: state.Partition,
-    purpose: MoveWrite,
-    outcome: store_messages.Committed,
-    now: float,
-) -> dispatch.Effects:
-    """Applies a move that was written to the job of this partition.
-
-    A job that has no copy of its record left in this partition is removed. It
-    counts as pending in this partition's summary for a while if no start of it
-    was confirmed, until the new owner's summary contains it.
-    """
-    loaded = attrs.evolve(purpose.loaded, revision=outcome.revision)
-    record = loaded.record
-    if partition.name in records.list_partitions(record):
-        event = commits.RecordObserved(
-            partition.name, loaded, purpose.loaded.revision
-        )
-        return dispatch.handle(event, batch, now)
-    partition.record_removal(
-        state.RemovedJob(record.job_id, outcome.revision, now)
-    )
-    job = partition.jobs.get(record.job_id)
-    if job is not None and job.revision > outcome.revision:
-        # The job has been moved back here by a later write.
-        return []
-    partition.jobs.pop(record.job_id, None)
-    if job is not None and not job.start_confirmed:
-        partition.moved_jobs[record.job_id] = (record.queue.name, now)
-    return []
--- a/standins/batch_moves.py
+++ b/standins/batch_moves.py
@@ -13,8 +13,8 @@
 import attrs
 
 from sapphirestall_core import resources
-from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import move_writes
 from standins import batch_call_faults
 from standins import batch_faults
 from standins import batch_restarts
@@ -184,7 +184,7 @@
         owner = world.find_owner(partition)
         assert owner is not None
         world.call_faults.fail_store_calls(
-            owner.name, balance.MoveWrite, fault, 1
+            owner.name, move_writes.MoveWrite, fault, 1
         )
 
 
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -9,12 +9,12 @@
 
 import attrs
 
-from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import division
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import job_changes
+from sapphirestall_core.batch import job_moves
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
@@ -313,7 +313,7 @@
 
 def never_move_started_jobs() -> None:
     """Never moves a job of which a task has started."""
-    balance.is_idle = lambda _, job: not job.start_sent
+    job_moves.is_idle = lambda _, job: not job.start_sent
 
 
 def read_summaries_rarely() -> None:
