Avoid workers that answer polls but no starts

A start without an answer was stopped, and its task went back to the queue; the same worker, empty and answering polls, was then chosen again.

A worker that has not answered its last start is chosen last now, and gets none for 5 s after two starts without an answer that followed each other. Starts in flight at the same time count once, so that a short loss of answers suspends nobody, and a start that a listing shows counts as answered.

--- a/features/batch_waits.feature
+++ b/features/batch_waits.feature
@@ -120,3 +120,19 @@
       | 2    | 0.95  | 30        |
       | 3    | 0.8   | 30        |
       | 4    | 0.5   | 30        |
+
+  Scenario Outline: Workers that answer polls but no starts do not keep a task
+    Guards against a long-running task that is started again and again on an
+    empty worker that never carries out a start, beside sound workers with room.
+    Given four long-running tasks on eight workers, by seed <seed>
+    And <hanging> idle workers of their partition answer no starts
+    When a worker with a long-running task is lost for good
+    Then no long-running task was without a run for more than 9 s
+    And no invariant was violated
+
+    Examples:
+      | hanging | seed |
+      | 1       | 1    |
+      | 1       | 2    |
+      | 2       | 1    |
+      | 4       | 1    |
--- a/features/steps/batch_waits_steps.py
+++ b/features/steps/batch_waits_steps.py
@@ -391,9 +391,39 @@
         seconds -= 0.1
         refuses = seconds > 0 and world.rng.random() < share
         worker.unhealthy_until = world.now + 0.1 if refuses else 0.0
-        context.check.run(0.1)
-        waited = [world.now - at for at in context.check.last_run_at.values()]
-        context.longest_s = max(context.longest_s, *waited)
+        run_shortly(context)
+
+
+def run_shortly(context):
+    """Runs the simulation for 0.1 s; keeps the longest time without a run."""
+    context.check.run(0.1)
+    since = context.check.last_run_at.values()
+    context.longest_s = max(context.longest_s, context.world.now - min(since))
+
+
+@behave.given("{count:d} idle workers of their partition answer no starts")
+def step(context, count):
+    world = context.world
+    used = {name for name, _, _ in world.list_runs()}
+    context.lost = min(used)
+    partition = world.find_partition(context.lost)
+    # Workers that run nothing are chosen first.
+    for number in range(4):
+        rack = context.world.workers[context.lost].entry.rack
+        world.add_worker(f"x-{number}", "north", 8000, rack)
+        assert world.find_partition(f"x-{number}") == partition
+    world.run(2)
+    names = [f"x-{number}" for number in range(count)]
+    world.call_faults.starts_ignored_by.update(names)
+
+
+@behave.when("a worker with a long-running task is lost for good")
+def step(context):
+    context.check.run(0.1)
+    context.faults.crash_worker(context.lost)
+    context.longest_s = 0.0
+    for _ in range(200):
+        run_shortly(context)
 
 
 @behave.then(
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -7,6 +7,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import suspensions
 from sapphirestall_core.batch import worker_messages
 
 PART = "workers"
@@ -152,6 +153,7 @@
         )
         if run is not None:
             run.started_clock_ms = reply.clock_ms
+            worker.unanswered_starts = 0
             run.task.job.start_confirmed = True
             if run.phase is state.RunPhase.STARTING:
                 run.phase = state.RunPhase.RUNNING
@@ -175,6 +177,10 @@
             late_s=round(now - event.sent_at, 3),
         ),
     ]
+    if not contact.has_local_cause(reply):
+        effects += suspensions.record_unanswered_start(
+            partition, worker, event.sent_at, now
+        )
     if run is not None and run.started_clock_ms is None:
         run.start_unanswered_at = now
         effects += contact.short_poll(batch, partition, worker, now)
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -290,7 +290,9 @@
     remote = float(
         bool(step.data_rack) and step.data_rack not in worker.entry.labels
     )
-    unreliable = float(worker.consecutive_failures > 0)
+    unreliable = float(
+        worker.consecutive_failures > 0 or worker.unanswered_starts > 0
+    )
     capacity = max(1, worker.entry.capacity.cpu_millis)
     used = (
         worker.reserved.cpu_millis + worker.opportunistic_cpu_millis
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -221,6 +221,7 @@
         run.phase = state.RunPhase.RUNNING
     if run.started_clock_ms is None:
         run.started_clock_ms = worker.listed_clock_ms
+        worker.unanswered_starts = 0
     stopping = run.phase is state.RunPhase.STOPPING
     if run.task.run is not run or task is None or stopping:
         effects += commands.stop(partition, worker, run, now)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -356,6 +356,11 @@
             shows the new incarnation too.
         suspended_until: Monotonic time before which no starts are sent, in
             seconds.
+        unanswered_starts: Number of starts without an answer since the last one
+            that was carried out. Of those in flight at the same time only one
+            is counted.
+        start_unanswered_at: Monotonic time at which the last of them was
+            counted, in seconds.
         consecutive_failures: Number of failed runs since the last run that was
             done.
         failing_until: Monotonic time before which no starts are sent since too
@@ -402,6 +407,8 @@
     closed_at: float | None = None
     restarted_at: float | None = None
     suspended_until: float = -1e9
+    unanswered_starts: int = 0
+    start_unanswered_at: float = -math.inf
     consecutive_failures: int = 0
     failing_until: float = -1e9
     failed_steps: list[StepState] = attrs.field(factory=list)
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -1,7 +1,8 @@
-"""Suspension of workers on which runs fail.
+"""Suspension of workers on which runs fail, or that do not answer starts.
 
 A worker that fails all that it runs gets no starts for a while. A step whose
-tasks fail everywhere says nothing about the workers on which they failed.
+tasks fail everywhere says nothing about the workers on which they failed. A
+worker may also answer polls, but no starts.
 """
 
 from sapphirestall_core.batch import contact
@@ -13,6 +14,9 @@
 # may be suspended for `SUSPENSION_S`. The next failure is counted as the first.
 FAILURES_TO_SUSPEND = 3
 SUSPENSION_S = 5.0
+# Number of starts without an answer, one after another, after which a worker is
+# suspended as well.
+UNANSWERED_TO_SUSPEND = 2
 # A step whose runs failed on this many workers, and of which no task is done,
 # counts as the cause itself.
 WORKERS_TO_DISCOUNT = 2
@@ -27,6 +31,41 @@
     worker.failed_steps.clear()
 
 
+def record_unanswered_start(
+    partition: state.Partition,
+    worker: state.Worker,
+    sent_at: float,
+    now: float,
+) -> dispatch.Effects:
+    """Records that a start got no answer.
+
+    Suspends the worker if that happens repeatedly.
+
+    Args:
+        partition: Partition of the worker.
+        worker: The worker.
+        sent_at: Monotonic time at which the start was sent, in seconds.
+        now: Monotonic time, in seconds.
+    """
+    if sent_at < worker.start_unanswered_at:
+        # It was in flight together with one that has been counted.
+        return []
+    worker.unanswered_starts += 1
+    worker.start_unanswered_at = now
+    if worker.unanswered_starts < UNANSWERED_TO_SUSPEND:
+        return []
+    worker.failing_until = now + SUSPENSION_S
+    return [
+        contact.make_log(
+            "suspended",
+            partition,
+            worker.entry.worker_id,
+            unanswered=worker.unanswered_starts,
+            for_s=SUSPENSION_S,
+        )
+    ]
+
+
 def record_failure(
     partition: state.Partition,
     worker: state.Worker,
--- a/standins/batch_call_faults.py
+++ b/standins/batch_call_faults.py
@@ -31,12 +31,15 @@
             purpose of the call and by fault.
         refusing_workers: Instances and workers that refuse their calls without
             a check of the fencing token, as a host does under load.
+        starts_ignored_by: Workers that answer all calls but starts, which they
+            never carry out.
     """
 
     store_calls: "collections.Counter[StoreCallKey]" = attrs.field(
         factory=collections.Counter
     )
     refusing_workers: set[tuple[str, str]] = attrs.field(factory=set)
+    starts_ignored_by: set[str] = attrs.field(factory=set)
 
     def fail_store_calls(
         self,
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -9,6 +9,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 
 import attrs
@@ -748,6 +749,8 @@
     """
     if not isinstance(call, worker_messages.StartRun):
         return None
+    if call.target.worker_id in world.call_faults.starts_ignored_by:
+        return math.inf
     if (
         world.unanswered_start_fraction
         and world.rng.random() < world.unanswered_start_fraction
