--- a/packages/core/src/sapphirestall_core/batch/lost_effects.py
+++ b/packages/core/src/sapphirestall_core/batch/lost_effects.py
@@ -134,7 +134,7 @@
         is_open = (
             run.started_clock_ms is None and run.start_unanswered_at is None
         )
-        if is_open and now - run.started_at >= REPEAT_DELAY_S:
+        if is_open and _is_lost(run.started_at, now):
             run.start_unanswered_at = now
         if _is_lost(run.pace_sent_at, now):
             run.pace_in_flight = False
