--- a/standins/batch_call_faults.py
+++ b/standins/batch_call_faults.py
@@ -33,6 +33,8 @@
             a check of the fencing token, as a host does under load.
         replaced_workers: Workers that have ended, and at whose address another
             worker answers.
+        starts_ignored_by: Workers that answer all calls but starts, which they
+            never carry out.
     """
 
     store_calls: "collections.Counter[StoreCallKey]" = attrs.field(
@@ -40,6 +42,7 @@
     )
     refusing_workers: set[tuple[str, str]] = attrs.field(factory=set)
     replaced_workers: set[str] = attrs.field(factory=set)
+    starts_ignored_by: set[str] = attrs.field(factory=set)
 
     def fail_store_calls(
         self,
