Add mutations for the moves of waiting tasks

Three mutations switch off the shorter delay after a loss, the bound by free capacity and the delay of repeated moves.

--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import division
@@ -18,6 +19,7 @@
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import move_delays
 from sapphirestall_core.batch import nominations
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
@@ -29,6 +31,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
 from sapphirestall_core.batch import suspensions
+from sapphirestall_core.batch import task_moves
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import workers
@@ -47,6 +50,7 @@
 HANDOVER = "batch_handover.feature"
 SUCCESSIONS = "batch_successions.feature"
 MOVES = "batch_moves.feature"
+ROOM_ELSEWHERE = "batch_room_elsewhere.feature"
 
 
 def assume_no_former_lease() -> None:
@@ -321,6 +325,22 @@
     summary_reads.keep_recent = lambda *_: []
 
 
+def delay_moves_after_losses() -> None:
+    """Lets tasks that lost their runs wait as long as others before a move."""
+    move_delays.LOST_RUN_DELAY_S = move_delays.DELAY_S
+
+
+def move_three_jobs_at_a_time() -> None:
+    """Starts three writes of moves in an event."""
+    make_budget = balance.Budget
+    balance.Budget = lambda: make_budget(writes=3)
+
+
+def retry_partitions_at_once() -> None:
+    """Moves a task at once to partitions that found no worker for it."""
+    task_moves.RETRIED_DELAY_S = 0.0
+
+
 def ignore_worker_counts() -> None:
     """Moves tasks to partitions whose workers all have a task of the step."""
     routing.has_worker_left = lambda *_: True
@@ -519,6 +539,21 @@
         f"{MOVES}: A waiting task starts in time although a store call is",
         read_summaries_rarely,
     ),
+    (
+        "delay of moves after losses",
+        f"{ROOM_ELSEWHERE}: Tasks of lost workers move without a further",
+        delay_moves_after_losses,
+    ),
+    (
+        "moves by free capacity",
+        f"{ROOM_ELSEWHERE}: All tasks of several lost workers run again",
+        move_three_jobs_at_a_time,
+    ),
+    (
+        "delay of repeated moves",
+        f"{MOVES}: Tasks that no worker with room may run move seldom",
+        retry_partitions_at_once,
+    ),
     (
         "numbers of workers",
         f"{MOVES}: A task that no worker may run is not moved",
