Forget starts of lost workers that have no effect any more

An owner kept the unanswered starts of each worker that left until the worker joined again, so for its whole ownership if it never did. The new scenario fails without the change.

--- a/features/steps/batch_waits_steps.py
+++ b/features/steps/batch_waits_steps.py
@@ -368,3 +368,14 @@
         seconds, lambda: context.world.restart_worker(name, entry)
     )
     context.check.run(20)
+
+
+@behave.then("no owner keeps starts of workers that have left")
+def step(context):
+    kept = [
+        partition.departed_starts
+        for node in context.world.nodes
+        for partition in node.batch.partitions.values()
+    ]
+    assert kept, "there is no owner"
+    assert not any(kept), kept
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -174,6 +174,7 @@
         effects += confirmation_reports.log_confirmation(batch, partition, now)
         effects += former_runs.settle_workers(partition, now)
         effects += _schedule_pass(partition, now)
+        _forget_departed_starts(partition, now)
         for worker in list(partition.workers.values()):
             effects += _check_worker(batch, partition, worker, now)
         # The roster says which workers are silent.
@@ -202,6 +203,16 @@
     return [messages.StartTimer(due, delay_s)]
 
 
+def _forget_departed_starts(partition: state.Partition, now: float) -> None:
+    """Forgets workers that have left and whose starts have no effect any more.
+
+    Most workers that leave never return under their id.
+    """
+    for name, starts in list(partition.departed_starts.items()):
+        if all(until < now for until in starts.values()):
+            del partition.departed_starts[name]
+
+
 def _poll_if_idle(
     batch: state.Batch,
     partition: state.Partition,
