--- a/features/batch_waits.feature
+++ b/features/batch_waits.feature
@@ -138,12 +138,6 @@
       | 2       | 1    |
       | 4       | 1    |
 
-  Scenario: Starts without an answer are forgotten with their workers
-    Guards against memory that grows with each worker that is lost for good.
-    Given long-running tasks whose starts lose their answers
-    When a worker with such a start crashes, by seed 1
-    Then no owner keeps starts of workers that have left
-
   Scenario Outline: A start that reaches a worker as soon as it has returned
     Guards against a task that runs twice: the owner learns that the worker has
     returned, and stops the start there, only with its next read of the list.
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -36,11 +36,8 @@
 REPLACED = "replaced"
 # The worker announced its departure and has exited.
 DEPARTED = "departed"
-# The platform's list lacks the worker, so that it counts as gone, and the
-# leases of its runs have expired.
-DEREGISTERED = "deregistered"
 # Reasons for which no start can be carried out late.
-FINAL_REASONS = (REPLACED, DEPARTED, DEREGISTERED)
+FINAL_REASONS = (REPLACED, DEPARTED)
 # Refusal reason: the worker is overloaded, and has done nothing.
 UNHEALTHY = "unhealthy"
 # Refusal reason: a newer incarnation of the worker answers than the call named.
--- a/packages/core/src/sapphirestall_core/batch/departures.py
+++ b/packages/core/src/sapphirestall_core/batch/departures.py
@@ -73,28 +73,15 @@
         batch.listed_workers.setdefault(name, state.ListedWorker(False))
 
 
-def restart_absences(batch: state.Batch, now: float) -> None:
+def restart_absences(batch: state.Batch) -> None:
     """Lets all absences begin again after a failed read of the list.
 
     Entries may have expired in the outage, and return only after it.
     """
-    batch.list_failed_at = now
     for listed in batch.listed_workers.values():
         listed.absence = None
 
 
-def is_deregistered(batch: state.Batch, name: str) -> bool:
-    """Returns whether the platform's list lacks a worker, so that it has gone.
-
-    Its entry may be missing for a while after an outage of the store.
-    """
-    listed = batch.listed_workers.get(name)
-    if listed is None or listed.absence is None:
-        return False
-    outage_at = max(batch.list_failed_at, batch.started_at)
-    return listed.absence.until - outage_at >= REREGISTRATION_S
-
-
 def _log_deregistered(
     batch: state.Batch, name: str, now: float
 ) -> dispatch.Effects:
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -296,8 +296,6 @@
 
 # Number of a poll, or task and number of the run that a start requests.
 LeaseCall = int | tuple[model.TaskName, int]
-# Starts by task and number of the run, each with a monotonic time, in seconds.
-AbandonedStarts = dict[tuple[model.TaskName, int], float]
 
 
 @attrs.define(slots=True, eq=False)
@@ -396,7 +394,9 @@
     paced_cpu_millis: int = 0
     serving_cpu_millis: int = 0
     serving_load: float = INITIAL_SERVING_LOAD
-    abandoned_starts: AbandonedStarts = attrs.field(factory=dict)
+    abandoned_starts: dict[tuple[model.TaskName, int], float] = attrs.field(
+        factory=dict
+    )
     runs: dict[tuple[model.TaskName, int], Run] = attrs.field(factory=dict)
     orphans: dict[tuple[model.TaskName, int], float] = attrs.field(factory=dict)
     listing_received: bool = False
@@ -519,7 +519,6 @@
         loaded_progress: Progress records read at the takeover; None before.
         unreadable_progress: Jobs whose progress records cannot be used.
         workers: Workers of the partition, by id.
-        departed_starts: By worker that has left, its `abandoned_starts`.
         jobs: Jobs of which the partition runs tasks, by id.
         dirty_jobs: Jobs whose progress or final state is not in the store yet.
         commit_in_flight: Whether a commit is in flight.
@@ -584,7 +583,6 @@
     loaded_progress: "dict[str, LoadedProgress] | None" = None
     unreadable_progress: set[str] = attrs.field(factory=set)
     workers: dict[str, Worker] = attrs.field(factory=dict)
-    departed_starts: dict[str, AbandonedStarts] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     dirty_jobs: dict[str, Job] = attrs.field(factory=dict)
     commit_in_flight: bool = False
@@ -737,8 +735,6 @@
             there is none.
         workers_listed_at: Monotonic time at which the last successful read of
             that list was sent, in seconds; None before the first.
-        list_failed_at: Monotonic time at which a read of that list last failed,
-            in seconds.
         listed_workers: What reads of that list have shown of each worker.
         summaries: Summaries that the owners publish, by partition.
         summary_changes: Store revision of each summary, and the monotonic time
@@ -790,7 +786,6 @@
     store_down_since: float | None = None
     workers_read_sent_at: float | None = None
     workers_listed_at: float | None = None
-    list_failed_at: float = -math.inf
     listed_workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     summaries: dict[str, records.SummaryRecord] = attrs.field(factory=dict)
     summary_changes: dict[str, tuple[int, float]] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -72,7 +72,7 @@
     """Updates the known partitions and the workers of owned ones."""
     worker_list.finish_read(batch, event)
     if event.entries is None:
-        departures.restart_absences(batch, now)
+        departures.restart_absences(batch)
         return []
     if not batch.division_adopted:
         # The list is read again as soon as the division is known.
@@ -114,13 +114,10 @@
         return effects
     new_worker = contact.make_worker(entry)
     partition.workers[entry.worker_id] = new_worker
-    new_worker.abandoned_starts = partition.departed_starts.pop(
-        entry.worker_id, {}
-    )
     if worker is not None:
         _transfer_runs(worker, new_worker)
         new_worker.abandoned_starts = worker.abandoned_starts
-    effects = contact.stop_abandoned_starts(partition, new_worker, now)
+        effects = contact.stop_abandoned_starts(partition, new_worker, now)
     log = contact.make_log(
         "joined",
         partition,
@@ -174,7 +171,6 @@
         effects += confirmation_reports.log_confirmation(batch, partition, now)
         effects += former_runs.settle_workers(partition, now)
         effects += _schedule_pass(partition, now)
-        _forget_departed_starts(partition, now)
         for worker in list(partition.workers.values()):
             effects += _check_worker(batch, partition, worker, now)
         # The roster says which workers are silent.
@@ -203,16 +199,6 @@
     return [messages.StartTimer(due, delay_s)]
 
 
-def _forget_departed_starts(partition: state.Partition, now: float) -> None:
-    """Forgets workers that have left and whose starts have no effect any more.
-
-    Most workers that leave never return under their id.
-    """
-    for name, starts in list(partition.departed_starts.items()):
-        if all(until < now for until in starts.values()):
-            del partition.departed_starts[name]
-
-
 def _poll_if_idle(
     batch: state.Batch,
     partition: state.Partition,
@@ -250,10 +236,8 @@
     if has_left:
         effects += departures.give_up_worker(batch, partition, worker, now)
     elif worker.runs and leases.have_expired(worker, lease_s, now):
-        is_gone = departures.is_deregistered(batch, worker_id)
-        reason = contact.DEREGISTERED if is_gone else "lapsed"
         effects += contact.requeue_lost_runs(
-            batch, partition, worker, reason, now
+            batch, partition, worker, "lapsed", now
         )
     for run in list(worker.runs.values()):
         stopping = run.phase is state.RunPhase.STOPPING
@@ -267,8 +251,6 @@
     # A worker that joins again gets no second poll while one is in flight.
     if worker.is_leaving and not _has_poll_in_flight(worker):
         partition.workers.pop(worker_id, None)
-        if worker.abandoned_starts:
-            partition.departed_starts[worker_id] = worker.abandoned_starts
         effects.append(contact.make_log("left", partition, worker_id))
         # A successor would wait for a worker that the roster names.
         due = contact.RosterDue(partition.name)
