--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -214,3 +214,25 @@
       | 0.1    |
       | 0.2    |
       | 0.4    |
+
+  Scenario Outline: A former owner and the next one see the same runs fail
+    Guards against tasks that run twice: the former owner starts the task of a
+    failed run on a worker that the next owner does not reach, and the next
+    owner, which has listed the same end, starts it elsewhere.
+    Given an owner of three workers with tasks of 200 s
+    When the worker drains
+    And the owner loses the store <lost_s> s later
+    And all other instances reach only the worker
+    And the runs on the worker fail when the next owner has its key
+    And <cut_s> s pass
+    And all other instances reach all workers but that one
+    And 20 s pass
+    Then no invariant was violated
+    And every task runs once
+
+    Examples:
+      | lost_s | cut_s |
+      | 0.0    | 3     |
+      | 0.0    | 12    |
+      | 0.2    | 3     |
+      | 0.2    | 12    |
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from features import batch_owners
+from sapphirestall_core.batch import model
 from sapphirestall_core.batch import records
 from standins import batch_faults
 
@@ -151,13 +152,22 @@
 
 @behave.when("the runs on the worker are done when the next owner has its key")
 def step(context):
+    end_runs_at_takeover(context, model.EndKind.DONE)
+
+
+@behave.when("the runs on the worker fail when the next owner has its key")
+def step(context):
+    end_runs_at_takeover(context, model.EndKind.FAILED)
+
+
+def end_runs_at_takeover(context, kind):
     world = context.world
     key = records.make_owner_key(batch_owners.DATA_CENTRE)
     former = world.store.find(key)
     while world.store.find(key) in (former, None):
         world.run(KEY_CHECK_S)
     for run in world.workers[context.worker_id].running.values():
-        run.done_at = world.now
+        run.done_at, run.end_kind = world.now, kind
 
 
 @behave.when("the owner's store lease is revoked")
