--- a/features/batch_published_capacity.feature
+++ b/features/batch_published_capacity.feature
@@ -51,3 +51,17 @@
       | 7.1  |
       | 7.4  |
       | 7.7  |
+
+  Scenario: A waiting long-running task moves before finite jobs
+    Guards against finite jobs that take the only room elsewhere, as they were
+    accepted earlier, while a long-running task waits.
+    Given a finite job, and a younger long-running one, that wait for a worker
+    When another partition has room for one of them
+    Then the long-running task moves there
+
+  Scenario: Capacity that is left free for a waiting task is not shown to others
+    Guards against finite jobs that move to and fro, as no task of theirs may
+    start where a worker is nominated for a long-running task.
+    Given a worker with 8 processors and 6 runs estimated at 1 s
+    And a long-running task of 5 processors that has waited for 1 s
+    Then the summary shows room for long-running tasks and none for finite ones
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -6,7 +6,10 @@
 
 from features import builders
 from sapphirestall_core import resources
+from sapphirestall_core import store_messages
+from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
@@ -196,3 +199,49 @@
 def step(context, limit):
     size = len(orjson.dumps(context.stored))
     assert size <= limit, size
+
+
+@behave.given(
+    "a finite job, and a younger long-running one, that wait for a worker"
+)
+def step(context):
+    builders.make_partition(context, builders.make_worker("w-0", 1))
+    builders.add_job(context, 1, 2, 1.0, attrs.evolve(TASK, long_running=False))
+    context.job = builders.add_job(context, 2, 2, 0.0, TASK)
+    passes.run_pass(passes.PassDue(builders.OWN), context.batch, builders.NOW)
+
+
+@behave.when("another partition has room for one of them")
+def step(context):
+    room = published_capacity.FreeCapacity(7000, 8000)
+    batch, now = context.batch, builders.NOW + 1.0
+    batch.summaries = {
+        builders.OWN: records.SummaryRecord(),
+        builders.OTHER: records.SummaryRecord(rooms=(room,)),
+    }
+    batch.summary_changes = {name: (5, now) for name in batch.summaries}
+    batch.summaries_read_at = batch.all_summaries_read_at = now
+    context.effects = balance.move_unplaced_jobs(batch, context.partition, now)
+
+
+@behave.then("the long-running task moves there")
+def step(context):
+    moved = [
+        effect.purpose.loaded.record.job_id
+        for effect in context.effects
+        if isinstance(effect, store_messages.StoreTransaction)
+    ]
+    assert moved == [context.job.record.job_id], moved
+
+
+@behave.then(
+    "the summary shows room for long-running tasks and none for finite ones"
+)
+def step(context):
+    publish(context)
+    for long_running in (True, False):
+        small = builders.make_step(1, long_running=long_running)
+        count = summary_capacity.count_fitting_tasks(
+            context.summary, "service", small, 1
+        )
+        assert count == int(long_running), context.summary.groups
