Move long-running tasks first, and show nominated workers to them only

Cause: an owner moves at most three jobs at a time in the order of their arrival, and deducts each from the summary of its target. Older finite jobs took the room elsewhere from long-running tasks that wait. At the target, workers were nominated for other long-running tasks, so that the finite tasks did not start there and moved on.

Change: of the jobs of one priority those with long-running tasks move first. A summary shows what is free on a nominated worker to long-running tasks only.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -126,9 +126,19 @@
     unplaced: list[state.Job],
     now: float,
 ) -> dispatch.Effects:
-    """Moves at most `MAX_MOVES` of the jobs that have waited long enough."""
+    """Moves at most `MAX_MOVES` of the jobs that have waited long enough.
+
+    Of the jobs of one priority those with long-running tasks come first: their
+    tasks have to run again within seconds where there is room.
+    """
     progress = former_runs.check_progress(partition, now)
-    unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
+    unplaced.sort(
+        key=lambda job: (
+            job.queue.priority,
+            not any(step.step.long_running for step in job.steps),
+            job.create_revision,
+        )
+    )
     effects: dispatch.Effects = []
     for job in unplaced:
         # A move has two effects: a log line and a write.
--- a/packages/core/src/sapphirestall_core/batch/published_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/published_capacity.py
@@ -45,6 +45,8 @@
         cpu_millis: Free processors of each that has any, in thousandths.
         memory_mb: Free memory of each of these, in the same order, in
             megabytes.
+        long_running_only: Whether the free capacity is left to long-running
+            tasks, as the workers are nominated for some that wait.
     """
 
     labels: tuple[str, ...]
@@ -53,9 +55,12 @@
     memory_mb: tuple[int, ...] = attrs.field(
         default=(), validator=_check_lengths
     )
+    long_running_only: bool = False
 
     def accepts(self, step: model.Step) -> bool:
-        """Returns whether the workers have the label that a step requires."""
+        """Returns whether tasks of a step may use the workers."""
+        if self.long_running_only and not step.long_running:
+            return False
         return not step.required_label or step.required_label in self.labels
 
     def count_fitting(self, step: model.Step, limit: int) -> int:
@@ -74,7 +79,11 @@
 
 
 def make_group(
-    labels: tuple[str, ...], workers: int, capacities: Iterable[FreeCapacity]
+    labels: tuple[str, ...],
+    workers: int,
+    capacities: Iterable[FreeCapacity],
+    *,
+    long_running_only: bool = False,
 ) -> WorkerGroup:
     """Returns a group of workers of which some have free capacity."""
     listed = list(capacities)
@@ -83,6 +92,7 @@
         workers,
         tuple(free.cpu_millis for free in listed),
         tuple(free.memory_mb for free in listed),
+        long_running_only,
     )
 
 
@@ -93,7 +103,7 @@
     Attributes:
         cpu_millis: Its free processors, in thousandths.
         memory_mb: Its free memory, in megabytes.
-        accepts: Whether it has the label that the step requires.
+        accepts: Whether tasks of the step may use it.
         tasks: Number of tasks that were deducted.
     """
 
@@ -109,7 +119,7 @@
     """Returns groups of workers after the tasks of a step were sent to them.
 
     Each task is deducted from the worker with most processors of those that can
-    run it, or else of those with its label: it will use what becomes free
+    run it, or else of those that they may use: it will use what becomes free
     first.
     """
     by_group = [
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -123,7 +123,7 @@
         _list_rooms(usable),
         _list_labels(usable),
         dict(collections.Counter(worker.entry.service for worker in usable)),
-        _group_workers(usable),
+        _group_workers(usable, _find_nominated(partition)),
     )
 
 
@@ -159,31 +159,53 @@
     return published_capacity.FreeCapacity(free.cpu_millis, free.memory_mb)
 
 
+def _find_nominated(partition: state.Partition) -> set[str]:
+    """Returns the workers that are nominated for long-running tasks."""
+    return {
+        task.nomination.worker_id
+        for job in partition.jobs.values()
+        for step in job.steps
+        if step.step.long_running
+        for task in step.runnable.values()
+        if task.nomination is not None
+    }
+
+
 def _group_workers(
-    usable: list[state.Worker],
+    usable: list[state.Worker], nominated: set[str]
 ) -> dict[str, tuple[published_capacity.WorkerGroup, ...]]:
-    """Returns workers with their free capacity, by service and labels."""
-    groups: dict[str, dict[tuple[str, ...], list[state.Worker]]] = {}
+    """Returns workers with their free capacity, by service and labels.
+
+    Args:
+        usable: The workers that accept new runs.
+        nominated: Ids of those on which finite tasks leave capacity free.
+    """
+    groups: dict[
+        str, dict[tuple[tuple[str, ...], bool], list[state.Worker]]
+    ] = {}
     for worker in usable:
-        by_labels = groups.setdefault(worker.entry.service, {})
-        by_labels.setdefault(worker.entry.labels, []).append(worker)
+        by_kind = groups.setdefault(worker.entry.service, {})
+        kind = (worker.entry.labels, worker.entry.worker_id in nominated)
+        by_kind.setdefault(kind, []).append(worker)
     return {
         service: tuple(
-            _make_group(labels, by_labels[labels])
-            for labels in sorted(by_labels)
+            _make_group(labels, by_kind[labels, is_nominated], is_nominated)
+            for labels, is_nominated in sorted(by_kind)
         )
-        for service, by_labels in groups.items()
+        for service, by_kind in groups.items()
     }
 
 
 def _make_group(
-    labels: tuple[str, ...], workers: list[state.Worker]
+    labels: tuple[str, ...], workers: list[state.Worker], is_nominated: bool
 ) -> published_capacity.WorkerGroup:
     """Returns the workers with the same labels, those with most free first."""
     free = [_find_free(worker) for worker in workers]
     some = [each for each in free if each.cpu_millis > 0 and each.memory_mb > 0]
     some.sort(key=lambda each: -each.cpu_millis)
-    return published_capacity.make_group(labels, len(workers), some)
+    return published_capacity.make_group(
+        labels, len(workers), some, long_running_only=is_nominated
+    )
 
 
 def _list_labels(
