--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -130,10 +130,18 @@
 ) -> dispatch.Effects:
     """Moves the jobs that have waited long enough, or some of their tasks.
 
-    Single tasks move as long as other partitions publish free capacity.
+    Single tasks move as long as other partitions publish free capacity. Of the
+    jobs of one priority those with long-running tasks come first: their tasks
+    have to run again within seconds where there is room.
     """
     progress = former_runs.check_progress(partition, now)
-    unplaced.sort(key=lambda job: (job.queue.priority, job.create_revision))
+    unplaced.sort(
+        key=lambda job: (
+            job.queue.priority,
+            not _moves_tasks(job),
+            job.create_revision,
+        )
+    )
     budget = Budget()
     effects: dispatch.Effects = []
     for job in unplaced:
