Add mutations for unanswered starts, refused leases and first rosters

Two rows were not noticed on either: the random ends of owners draw other numbers since and pass without withheld leases, so the scenario about one worker is named now; and a lease on an unresponsive worker is withheld by the roster as well, so that mutation disables both.

--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -12,6 +12,7 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import division
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import job_changes
@@ -47,6 +48,7 @@
 HANDOVER = "batch_handover.feature"
 SUCCESSIONS = "batch_successions.feature"
 MOVES = "batch_moves.feature"
+WAITS = "batch_waits.feature"
 
 
 def assume_no_former_lease() -> None:
@@ -92,8 +94,12 @@
 
 
 def extend_unresponsive_workers() -> None:
-    """Extends the lease with each attempt to reach an unresponsive worker."""
+    """Extends the lease with each attempt to reach an unresponsive worker.
+
+    The roster withholds it as well after a while of silence.
+    """
     override_in_polls("unresponsive", value=False)
+    grant_withheld_leases()
 
 
 def act_without_confirmation() -> None:
@@ -341,6 +347,31 @@
     contact.requeue_lost_runs = lambda *_: []
 
 
+def keep_starts_of_lost_workers() -> None:
+    """Keeps unanswered starts although the list lacks the worker."""
+    departures.is_deregistered = lambda *_: False
+
+
+def start_at_periodic_checks() -> None:
+    """Ends the wait for former runs only with the periodic checks."""
+    workers._schedule_pass = lambda *_: []
+
+
+def count_refused_leases() -> None:
+    """Counts the leases that refused calls requested."""
+    contact.did_nothing = lambda _: False
+
+
+def trust_workers_without_answers() -> None:
+    """Starts tasks again and again on workers that answer no start."""
+    suspensions.record_unanswered_start = lambda *_: []
+
+
+def grant_nothing_before_answers() -> None:
+    """Grants no lease on workers that the first roster names."""
+    withheld_leases.update_grants = lambda *_: None
+
+
 # Name of the mechanism, start of the title of the scenario that must fail
 # without it, and the function that disables it.
 ROWS: tuple[tuple[str, str, Callable[[], None]], ...] = (
@@ -456,7 +487,7 @@
     ),
     (
         "withheld leases",
-        f"{SUCCESSIONS}: Random ends of owners around the loss of a worker",
+        f"{SUCCESSIONS}: A worker gets leases again only after its roster",
         grant_withheld_leases,
     ),
     (
@@ -534,4 +565,29 @@
         f"{DIVISION}: Most jobs have their data on one rack",
         ignore_data_racks,
     ),
+    (
+        "starts of lost workers",
+        f"{WAITS}: A start without an answer does not outlast its worker",
+        keep_starts_of_lost_workers,
+    ),
+    (
+        "passes at the end of leases",
+        f"{SUCCESSIONS}: Tasks start as soon as the leases of former owners",
+        start_at_periodic_checks,
+    ),
+    (
+        "refused leases",
+        f"{WAITS}: A worker that refuses all calls does not keep its tasks",
+        count_refused_leases,
+    ),
+    (
+        "workers without answers",
+        f"{WAITS}: Workers that answer polls but no starts do not keep a task",
+        trust_workers_without_answers,
+    ),
+    (
+        "leases before the first answer",
+        f"{WAITS}: Runs outlast a short outage just after a takeover",
+        grant_nothing_before_answers,
+    ),
 )
