--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -12,7 +12,6 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
-from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import division
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import job_changes
@@ -367,11 +366,6 @@
     contact.requeue_lost_runs = lambda *_: []
 
 
-def keep_starts_of_lost_workers() -> None:
-    """Keeps unanswered starts although the list lacks the worker."""
-    departures.is_deregistered = lambda *_: False
-
-
 def start_at_periodic_checks() -> None:
     """Ends the wait for former runs only with the periodic checks."""
     workers._schedule_pass = lambda *_: []
@@ -600,11 +594,6 @@
         f"{DIVISION}: Most jobs have their data on one rack",
         ignore_data_racks,
     ),
-    (
-        "starts of lost workers",
-        f"{WAITS}: A start without an answer does not outlast its worker",
-        keep_starts_of_lost_workers,
-    ),
     (
         "passes at the end of leases",
         f"{SUCCESSIONS}: Tasks start as soon as the leases of former owners",
