Draw workers that hang in random sequences of a full fleet

They look sound in the platform's list, and refuse all calls or ignore starts for 5 to 25 s, beside crashes of other workers; they do not count as disturbances.

--- a/features/batch_full_fleet.feature
+++ b/features/batch_full_fleet.feature
@@ -15,6 +15,19 @@
       | 3    |
       | 21   |
 
+  Scenario Outline: Long-running tasks run again although workers hang
+    Guards against the same beside workers that look sound, and refuse all calls
+    or ignore starts for up to 25 s.
+    Given a random fleet that long-running tasks nearly fill, by seed <seed>
+    When events of all kinds follow each other in 2 rounds
+    Then every long-running task was restarted in time
+    And no invariant was violated
+
+    Examples:
+      | seed  |
+      | 45002 |
+      | 45021 |
+
   Scenario Outline: Failures of a step that cannot be done suspend no worker
     Guards against sound workers that get no starts, so that long-running tasks
     wait although there is capacity, because tasks failed there that fail on all
--- a/features/steps/batch_full_fleet_steps.py
+++ b/features/steps/batch_full_fleet_steps.py
@@ -21,6 +21,12 @@
     context.restarts.run(rounds)
 
 
+@behave.when("events of all kinds follow each other in {rounds:d} rounds")
+def step(context, rounds):
+    context.restarts.mixed = True
+    context.restarts.run(rounds)
+
+
 @behave.given(
     "two workers and two steps, the first with {done:d} of 5 tasks done"
 )
--- a/standins/batch_faults.py
+++ b/standins/batch_faults.py
@@ -32,6 +32,8 @@
 UP_S = (0.5, 6.0)
 # Range of the time for which a worker fails, stalls or refuses, in seconds.
 TROUBLE_S = (1.0, 7.0)
+# The same for a worker that looks sound but hangs.
+HANG_S = (5.0, 25.0)
 # Range of the pauses of an instance that is slow, in seconds.
 SLOW_S = (0.05, 0.4)
 
@@ -45,6 +47,7 @@
         active: Number of disturbances that have not ended.
         disturbed_at: When the last disturbance ended, in seconds.
         draining: Ids of workers that will exit.
+        hanging: Ids of workers that look sound but hang.
         restarting: Names of instances that shut down or have not started again.
         events: Descriptions of all faults, each with its time.
     """
@@ -53,6 +56,7 @@
     active: int = 0
     disturbed_at: float = 0.0
     draining: set[str] = attrs.field(factory=set)
+    hanging: set[str] = attrs.field(factory=set)
     restarting: set[str] = attrs.field(factory=set)
     events: list[tuple[float, str]] = attrs.field(factory=list)
 
@@ -240,6 +244,29 @@
         worker, seconds = self._begin_trouble("refuse calls at", name)
         worker.unhealthy_until = self.world.now + seconds
 
+    def hang_worker(self, name: str) -> None:
+        """Lets a worker refuse all calls, or ignore starts, for a long time.
+
+        The platform's list shows it as before. This is no disturbance for the
+        tasks that wait, since other workers can run them.
+        """
+        world = self.world
+        seconds = world.rng.uniform(*HANG_S)
+        refuses = world.rng.random() < 0.5
+        what = "refuses all calls" if refuses else "ignores starts"
+        self.events.append((world.now, f"{name} {what} for {seconds:.2f} s"))
+        self.hanging.add(name)
+        if refuses:
+            world.workers[name].unhealthy_until = world.now + seconds
+        else:
+            world.call_faults.starts_ignored_by.add(name)
+
+        def end() -> None:
+            self.hanging.discard(name)
+            world.call_faults.starts_ignored_by.discard(name)
+
+        world.schedule(seconds, end)
+
     def slow_node(self, node: batch_world.Node, seconds: float) -> None:
         """Lets an instance handle events only at intervals for some time."""
         world = self.world
@@ -314,11 +341,12 @@
         world.schedule(drain_s, exit_worker)
 
     def list_sound_workers(self) -> list[str]:
-        """Returns the workers that are listed and will not exit, by id."""
+        """Returns the workers that are listed, work and will not exit."""
+        excluded = self.draining | self.hanging
         return sorted(
             name
             for name in self.world.workers
-            if name not in self.draining and name in self.world.listed_workers
+            if name not in excluded and name in self.world.listed_workers
         )
 
     def list_sound_nodes(self) -> list[batch_world.Node]:
--- a/standins/batch_full_fleet.py
+++ b/standins/batch_full_fleet.py
@@ -113,7 +113,7 @@
         share: Share of the processors that long-running jobs request.
         interval_s: Time between finite jobs, in seconds.
         mixed: Whether to draw also cuts, outages of the store, restarts of
-            instances and starts without an answer.
+            instances, starts without an answer and workers that hang.
         requested: Processors that each long-running job requests, in
             thousandths.
         numbers: Source of the numbers of jobs, workers and instances.
@@ -229,6 +229,10 @@
                 partial(faults.lose_start_answers, rng.random(), seconds),
                 partial(self._restart_node, node),
             ]
+            # Tasks that a crash leaves without a run meet workers that hang.
+            hang = partial(self._for_each, names, faults.hang_worker)
+            crash = partial(self._for_each, names, faults.crash_worker)
+            events += 4 * [hang, crash]
         return rng.choice(events)
 
     def _for_each(
