Cancel long-running jobs without an answer at the end of a soak

The soak reported "3 tasks run after the end of the job" for: a long-running job whose submission got no answer (504), and whose repetitions were refused while the store was away, had been stored late and ran, as it may. The soak cancelled only jobs that were accepted at its end, and then expected that nothing runs. It now cancels those without a definite answer too, and expects the same.

--- a/soak/run.py
+++ b/soak/run.py
@@ -266,8 +266,21 @@
             job_history.job.job_id,
             "a task has no run",
         )
+    # A submission without a definite answer may have been stored, and its job
+    # then runs until somebody cancels it.
+    undecided = [
+        job_history
+        for job_history in deployment.history.jobs.values()
+        if job_history.job.is_long_running
+        and job_history.accepted_at is None
+        and job_history.open_attempts
+        and not job_history.cancel_sent_at
+    ]
     await asyncio.gather(
-        *(caller.cancel(job_history) for job_history in long_running)
+        *(
+            caller.cancel(job_history)
+            for job_history in (*long_running, *undecided)
+        )
     )
     await asyncio.sleep(
         guarantees.CANCEL_LIMIT_S
