List the waiting tasks of a partition once for a check of moves

The check that runs several times a second listed them for the reads of summaries and again for the timer after a loss. No change of behaviour; the features of moves, room elsewhere and published capacity pass, 50 scenarios.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -94,11 +94,12 @@
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
     effects: dispatch.Effects = []
-    if _list_waiting_tasks(partition):
+    waiting = _list_waiting_tasks(partition)
+    if waiting:
         effects = summary_reads.keep_recent(
             batch, MAX_SUMMARY_AGE_FOR_TASKS_S, now
         )
-        effects += _schedule_moves(partition, now)
+        effects += _schedule_moves(partition, waiting, now)
     unplaced = [
         job
         for job in partition.jobs.values()
@@ -168,14 +169,16 @@
     ]
 
 
-def _schedule_moves(partition: state.Partition, now: float) -> dispatch.Effects:
+def _schedule_moves(
+    partition: state.Partition, waiting: list[state.Task], now: float
+) -> dispatch.Effects:
     """Starts a timer for moves if tasks that lost their runs soon may move."""
     if now < partition.moves_due_at:
         return []
     progress = former_runs.check_progress(partition, now)
     if not any(
         not move_delays.has_waited(task, True, now)
-        for task in _list_waiting_tasks(partition)
+        for task in waiting
         if progress.allows(task.job)
         and move_delays.may_have_lost_run(partition, task.job, now)
     ):
