Report capacity on unusable workers beside waiting tasks

A long-running task waits while a worker of its partition has the capacity for it and no pass may use it: the worker is suspended, refuses calls, has restarted or is silent, or its leases are withheld.

The line now has the unusable workers by reason, with the number of waiting tasks that would fit there. The reasons move from placement into a module of their own; which workers are usable stays as it is. The new scenario failed before, for want of the field.

--- a/bench/full_fleet.py
+++ b/bench/full_fleet.py
@@ -22,6 +22,7 @@
 from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import usability
 
 # Share of all processors that long-running jobs request at the start.
 SERVING_SHARE = 0.88
@@ -169,7 +170,7 @@
         amount = step.amount
         total = 0
         for worker in partition.workers.values():
-            if placement.is_usable(worker, self.world.now):
+            if usability.is_usable(worker, self.world.now):
                 free = placement.find_free_capacity(worker, step)
                 total += max(
                     0,
--- a/features/batch_capacity.feature
+++ b/features/batch_capacity.feature
@@ -57,6 +57,24 @@
       | its worker is suspended                  | 0    | 0      |
       | its owner awaits the runs of former ones | 24   | 1      |
 
+  Scenario Outline: Capacity on unusable workers is reported with the reason
+    Guards against long-running tasks without a run while no log line tells that
+    a worker has the capacity for them, and why the owner does not use it.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And a long-running task of <cores> processors that has waited for 2 s
+    And its worker is unusable as it is <reason>
+    Then the unusable workers are reported as "<report>"
+
+    Examples:
+      | cores | reason        | report            |
+      | 10    | suspended     | suspended:1:1     |
+      | 30    | suspended     | suspended:1:0     |
+      | 10    | refusing      | refusing:1:1      |
+      | 10    | restarted     | restarted:1:1     |
+      | 10    | silent        | silent:1:1        |
+      | 10    | withheld      | withheld:1:1      |
+      | 10    | not_in_roster | not_in_roster:1:1 |
+
   Scenario Outline: A waiting long-running task is reported with its obstacle
     Guards against a task without a run while no log line tells why the free
     workers of its own partition are not used, or for how many tasks there is
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -7,10 +7,10 @@
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import interference
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import reservation_reports
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import wait_reports
 
 IMAGE, OTHER_IMAGE = "loud", "calm"
@@ -66,7 +66,7 @@
 
 
 def list_usable(context):
-    return placement.list_startable_workers(context.partition, builders.NOW)
+    return usability.list_startable_workers(context.partition, builders.NOW)
 
 
 @behave.then("{idle:d} processors are reported as idle and {amount:d} as {use}")
@@ -159,6 +159,30 @@
     context.worker.suspended_until = builders.NOW + 1.0
 
 
+@behave.given("its worker is unusable as it is {reason}")
+def step(context, reason):
+    worker, partition = context.worker, context.partition
+    later = builders.NOW + 1.0
+    match usability.Obstacle(reason):
+        case usability.Obstacle.SUSPENDED:
+            worker.failing_until = later
+        case usability.Obstacle.REFUSING:
+            worker.suspended_until = later
+        case usability.Obstacle.RESTARTED:
+            worker.restarted_at = builders.NOW
+        case usability.Obstacle.SILENT:
+            worker.unresponsive = True
+        case usability.Obstacle.WITHHELD:
+            partition.withheld_ms[worker.entry.worker_id] = 1
+        case usability.Obstacle.NOT_IN_ROSTER:
+            partition.roster = frozenset()
+
+
+@behave.then('the unusable workers are reported as "{report}"')
+def step(context, report):
+    assert read_wait(context)["unusable"] == report, read_wait(context)
+
+
 @behave.given("its owner awaits the runs of former ones")
 def step(context):
     context.partition.token = 1000
--- a/features/steps/batch_full_fleet_steps.py
+++ b/features/steps/batch_full_fleet_steps.py
@@ -3,8 +3,8 @@
 import behave
 
 from features import builders
-from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import suspensions
+from sapphirestall_core.batch import usability
 from standins import batch_full_fleet
 
 
@@ -65,9 +65,9 @@
 
 @behave.then("the first worker is suspended")
 def step(context):
-    assert not placement.is_usable(context.workers[0], context.now)
+    assert not usability.is_usable(context.workers[0], context.now)
 
 
 @behave.then("the first worker is not suspended")
 def step(context):
-    assert placement.is_usable(context.workers[0], context.now)
+    assert usability.is_usable(context.workers[0], context.now)
--- a/features/steps/batch_passes_steps.py
+++ b/features/steps/batch_passes_steps.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import objectives
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import worker_messages
 
 ROUNDS = 12
@@ -85,7 +86,7 @@
         worker
         for name, worker in partition.workers.items()
         if name in partition.roster
-        and placement.accepts_service(worker, task.job.queue.service, now)
+        and usability.accepts_service(worker, task.job.queue.service, now)
         and may_use(worker, task.step)
     ]
     image = task.step.image
@@ -140,7 +141,7 @@
         step = task.step
         if worker.entry.worker_id not in partition.roster:
             continue
-        if not placement.accepts_service(worker, task.job.queue.service, now):
+        if not usability.accepts_service(worker, task.job.queue.service, now):
             continue
         if not step.amount.fits(find_free(worker, task, nominated)):
             continue
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -18,7 +18,6 @@
 from sapphirestall_core.batch import move_writes
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
-from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
@@ -26,6 +25,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
@@ -402,7 +402,7 @@
 @behave.then("no task may start on the worker")
 def step(context):
     worker = context.partition.workers[ENTRY.worker_id]
-    assert not placement.accepts_service(worker, QUEUE.service, NOW)
+    assert not usability.accepts_service(worker, QUEUE.service, NOW)
 
 
 @behave.then("the job may start")
@@ -708,7 +708,7 @@
 def step(context):
     worker = context.partition.workers[ENTRY.worker_id]
     later = NOW + 2 * contact.REFUSAL_PAUSE_S
-    assert not placement.accepts_service(worker, QUEUE.service, later)
+    assert not usability.accepts_service(worker, QUEUE.service, later)
 
 
 @behave.then("the next poll acknowledges no ends")
--- a/packages/core/src/sapphirestall_core/batch/capacity_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/capacity_reports.py
@@ -15,6 +15,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import reservation_reports
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import wait_reports
 
 PART = "capacity"
@@ -64,7 +65,7 @@
     if now - partition.capacity_logged_at < REPORT_INTERVAL_S:
         return []
     partition.capacity_logged_at = now
-    usable = placement.list_startable_workers(partition, now)
+    usable = usability.list_startable_workers(partition, now)
     return [
         *_log_idle(batch, partition, usable, now),
         *reservation_reports.log_reservations(partition, usable, now),
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import tenure
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 
@@ -134,7 +135,7 @@
         """Returns the candidate workers of a service."""
         pool = self.pools.get(service)
         if pool is None:
-            workers = placement.list_startable_workers(self.partition, self.now)
+            workers = usability.list_startable_workers(self.partition, self.now)
             pool = candidate_pools.CandidatePool(
                 placement.list_candidates(workers, service, self.now)
             )
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -14,70 +14,12 @@
 from sapphirestall_core.batch import interference as interference_module
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import usability
 
-# A worker whose last answer is older than this, in seconds, gets no new runs.
-MAX_CONTACT_AGE_S = 3.0
 # Bounds between negligible, moderate and strong interference, in headroom.
 INTERFERENCE_BOUNDS = (interference_module.NEGLIGIBLE_INTERFERENCE, 6.0)
 
 
-def accepts_service(worker: state.Worker, service: str, now: float) -> bool:
-    """Returns whether new runs of a service may start on a worker."""
-    return worker.entry.service == service and is_usable(worker, now)
-
-
-def is_usable(
-    worker: state.Worker, now: float, *, suspension_left_s: float = 0.0
-) -> bool:
-    """Returns whether new runs may start on a worker.
-
-    The worker must be registered with the platform and must not be draining,
-    suspended, unresponsive or newly restarted. It must have sent a listing and
-    have answered recently. It must have no orphans: runs that belong to no task
-    of this owner and are still to be stopped.
-
-    Args:
-        worker: The worker.
-        now: Monotonic time, in seconds.
-        suspension_left_s: Rest of a suspension after failed runs that is
-            ignored, in seconds. The shorter pause after a refusal counts in
-            full: a worker that refuses all polls begins it anew with each.
-    """
-    return (
-        worker.listing_received
-        and not worker.entry.draining
-        and worker.is_registered
-        and not worker.orphans
-        and worker.last_answer_at is not None
-        and now - worker.last_answer_at <= MAX_CONTACT_AGE_S
-        and not worker.unresponsive
-        and worker.restarted_at is None
-        and worker.suspended_until <= now
-        and worker.failing_until <= now + suspension_left_s
-    )
-
-
-def list_startable_workers(
-    partition: state.Partition, now: float, *, suspension_left_s: float = 0.0
-) -> list[state.Worker]:
-    """Returns the workers of a partition on which a pass may start tasks.
-
-    They are in the roster, and the owner may extend leases there.
-
-    Args:
-        partition: The owned partition.
-        now: Monotonic time, in seconds.
-        suspension_left_s: Rest of a suspension that is ignored, in seconds.
-    """
-    return [
-        worker
-        for name, worker in partition.workers.items()
-        if name in partition.roster
-        and not partition.withholds_leases(name)
-        and is_usable(worker, now, suspension_left_s=suspension_left_s)
-    ]
-
-
 def estimate_idle_cpu(worker: state.Worker) -> int:
     """Estimates the processors that reserving tasks leave unused on a worker.
 
@@ -263,7 +205,7 @@
     candidates = [
         Candidate(worker)
         for worker in workers
-        if accepts_service(worker, service, now)
+        if usability.accepts_service(worker, service, now)
     ]
     for candidate in candidates:
         candidate.refresh()
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import usability
 
 # Shortest time between two writes of a summary, in seconds.
 SUMMARY_INTERVAL_S = 0.7
@@ -109,7 +110,7 @@
             del partition.moved_jobs[job_id]
         else:
             pending.setdefault(queue, []).append(job_id)
-    usable = placement.list_startable_workers(
+    usable = usability.list_startable_workers(
         partition, now, suspension_left_s=PUBLISHING_S
     )
     idle_cpu = sum(placement.estimate_idle_cpu(worker) for worker in usable)
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -0,0 +1,128 @@
+"""Workers on which a scheduling pass may start tasks, and why not on others."""
+
+import enum
+
+from sapphirestall_core.batch import state
+
+# A worker whose last answer is older than this, in seconds, gets no new runs.
+MAX_CONTACT_AGE_S = 3.0
+
+
+class Obstacle(enum.Enum):
+    """What keeps new runs off a worker."""
+
+    # The roster of the partition in the store does not name the worker yet.
+    NOT_IN_ROSTER = "not_in_roster"
+    # The owner may extend no lease there.
+    WITHHELD = "withheld"
+    # No listing of the worker has been applied.
+    UNLISTED = "unlisted"
+    DRAINING = "draining"
+    # The platform's list of workers lacks it.
+    UNREGISTERED = "unregistered"
+    # Runs there belong to no task of this owner and are still to be stopped.
+    ORPHANS = "orphans"
+    # Its last answer is too old, or the last call got none.
+    SILENT = "silent"
+    # It has restarted, and the platform's list does not show that yet.
+    RESTARTED = "restarted"
+    # It has refused a call a short time ago, or a call could not be sent.
+    REFUSING = "refusing"
+    # It is suspended since runs failed there or starts got no answer.
+    SUSPENDED = "suspended"
+
+
+def find_obstacle(
+    worker: state.Worker, now: float, *, suspension_left_s: float = 0.0
+) -> Obstacle | None:
+    """Returns what keeps new runs off a worker; None if they may start.
+
+    Args:
+        worker: The worker.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension after failed runs that is
+            ignored, in seconds. The shorter pause after a refusal counts in
+            full: a worker that refuses all polls begins it anew with each.
+    """
+    if not worker.listing_received:
+        return Obstacle.UNLISTED
+    if worker.entry.draining:
+        return Obstacle.DRAINING
+    if not worker.is_registered:
+        return Obstacle.UNREGISTERED
+    if _is_silent(worker, now):
+        return Obstacle.SILENT
+    if worker.restarted_at is not None:
+        return Obstacle.RESTARTED
+    if worker.orphans:
+        return Obstacle.ORPHANS
+    if worker.suspended_until > now:
+        return Obstacle.REFUSING
+    if worker.failing_until > now + suspension_left_s:
+        return Obstacle.SUSPENDED
+    return None
+
+
+def _is_silent(worker: state.Worker, now: float) -> bool:
+    answered_at = worker.last_answer_at
+    return (
+        worker.unresponsive
+        or answered_at is None
+        or now - answered_at > MAX_CONTACT_AGE_S
+    )
+
+
+def is_usable(
+    worker: state.Worker, now: float, *, suspension_left_s: float = 0.0
+) -> bool:
+    """Returns whether new runs may start on a worker.
+
+    Args:
+        worker: The worker.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension that is ignored, in seconds.
+    """
+    obstacle = find_obstacle(worker, now, suspension_left_s=suspension_left_s)
+    return obstacle is None
+
+
+def accepts_service(worker: state.Worker, service: str, now: float) -> bool:
+    """Returns whether new runs of a service may start on a worker."""
+    return worker.entry.service == service and is_usable(worker, now)
+
+
+def list_startable_workers(
+    partition: state.Partition, now: float, *, suspension_left_s: float = 0.0
+) -> list[state.Worker]:
+    """Returns the workers of a partition on which a pass may start tasks.
+
+    They are in the roster, and the owner may extend leases there.
+
+    Args:
+        partition: The owned partition.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension that is ignored, in seconds.
+    """
+    return [
+        worker
+        for name, worker in partition.workers.items()
+        if name in partition.roster
+        and not partition.withholds_leases(name)
+        and is_usable(worker, now, suspension_left_s=suspension_left_s)
+    ]
+
+
+def list_unusable_workers(
+    partition: state.Partition, now: float
+) -> list[tuple[state.Worker, Obstacle]]:
+    """Returns the workers on which no pass may start tasks, with the reason."""
+    unusable = []
+    for name, worker in partition.workers.items():
+        obstacle = find_obstacle(worker, now)
+        if obstacle is None and name not in partition.roster:
+            obstacle = Obstacle.NOT_IN_ROSTER
+        if obstacle is None and partition.withholds_leases(name):
+            obstacle = Obstacle.WITHHELD
+        if obstacle is not None:
+            unusable.append((worker, obstacle))
+    return unusable
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -2,8 +2,9 @@
 
 A long-running task should run again within seconds. It waits because runs of
 former owners may still exist, because it is being moved, or because no usable
-worker of its partition can take it. The report also tells why not, and how much
-capacity other partitions have according to their summaries.
+worker of its partition can take it. The report also tells why not, whether
+workers that no pass may use could take it, and how much capacity other
+partitions have according to their summaries.
 """
 
 import collections
@@ -19,6 +20,7 @@
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_capacity
+from sapphirestall_core.batch import usability
 
 PART = "capacity"
 # Highest number of tasks that are counted to fit in one other partition.
@@ -38,6 +40,26 @@
     CONSTRAINTS = "constraints"
 
 
+@attrs.frozen
+class UnusableWorkers:
+    """Workers of a partition that no pass may use, for one reason.
+
+    Attributes:
+        obstacle: The reason.
+        workers: Number of workers.
+        tasks: Number of waiting tasks that may start and would fit on one of
+            these workers.
+    """
+
+    obstacle: usability.Obstacle
+    workers: int
+    tasks: int
+
+    def __str__(self) -> str:
+        """Returns the text for a log line."""
+        return f"{self.obstacle.value}:{self.workers}:{self.tasks}"
+
+
 @attrs.define
 class WaitReport:
     """Long-running tasks of a partition that have no run.
@@ -59,6 +81,7 @@
         largest_free: Most unreserved processors on one usable worker.
         usable_workers: Number of workers on which new runs may start.
         workers: Number of workers.
+        unusable: Workers that no pass may use, by reason.
         elsewhere_free: Most unreserved processors on one worker of another
             partition, by the summaries.
         elsewhere_tasks: Number of tasks with the lowest request for which other
@@ -79,6 +102,7 @@
     largest_free: int = 0
     usable_workers: int = 0
     workers: int = 0
+    unusable: tuple[UnusableWorkers, ...] = ()
     elsewhere_free: int = 0
     elsewhere_tasks: int = 0
     elsewhere_partitions: int = 0
@@ -96,7 +120,11 @@
     if not waiting:
         return []
     report = make_report(batch, partition, waiting, usable, now)
-    fields = {"partition": partition.name, **attrs.asdict(report)}
+    fields = {
+        "partition": partition.name,
+        **attrs.asdict(report, recurse=False),
+    }
+    fields["unusable"] = ",".join(str(group) for group in report.unusable)
     return [messages.Log(PART, "waits", fields)]
 
 
@@ -158,6 +186,7 @@
         ),
         usable_workers=len(usable),
         workers=len(partition.workers),
+        unusable=_group_unusable_workers(partition, allowed, now),
         elsewhere_free=_find_free_elsewhere(batch, partition, smallest, now),
         elsewhere_tasks=sum(elsewhere),
         elsewhere_partitions=sum(count > 0 for count in elsewhere),
@@ -172,23 +201,68 @@
 
     The tasks of a step have the same obstacle, which is found once.
     """
-    by_step: dict[tuple[str, int], list[state.Task]] = {}
-    for task in tasks:
-        key = (task.name.job_id, task.name.step)
-        by_step.setdefault(key, []).append(task)
     candidates: dict[str, list[placement.Candidate]] = {}
     for worker in workers:
-        candidate = placement.Candidate(worker)
-        candidate.refresh()
+        candidate = _make_candidate(worker)
         candidates.setdefault(worker.entry.service, []).append(candidate)
     counts: collections.Counter[Obstacle] = collections.Counter()
-    for same_step in by_step.values():
+    for same_step in _group_by_step(tasks):
         task = same_step[0]
         available = candidates.get(task.job.queue.service, [])
         counts[_find_obstacle(task, available)] += len(same_step)
     return counts
 
 
+def _group_by_step(tasks: list[state.Task]) -> list[list[state.Task]]:
+    """Returns the tasks of each step."""
+    by_step: dict[tuple[str, int], list[state.Task]] = {}
+    for task in tasks:
+        key = (task.name.job_id, task.name.step)
+        by_step.setdefault(key, []).append(task)
+    return list(by_step.values())
+
+
+def _make_candidate(worker: state.Worker) -> placement.Candidate:
+    candidate = placement.Candidate(worker)
+    candidate.refresh()
+    return candidate
+
+
+def _group_unusable_workers(
+    partition: state.Partition, tasks: list[state.Task], now: float
+) -> tuple[UnusableWorkers, ...]:
+    """Groups the workers that no pass may use by the reason.
+
+    Args:
+        partition: The owned partition.
+        tasks: Its waiting tasks that may start.
+        now: Monotonic time, in seconds.
+    """
+    candidates: dict[usability.Obstacle, list[placement.Candidate]] = {}
+    for worker, obstacle in usability.list_unusable_workers(partition, now):
+        group = candidates.setdefault(obstacle, [])
+        group.append(_make_candidate(worker))
+    steps = _group_by_step(tasks)
+    return tuple(
+        UnusableWorkers(
+            obstacle,
+            len(group),
+            sum(len(same) for same in steps if _fits_any(same[0], group)),
+        )
+        for obstacle, group in candidates.items()
+    )
+
+
+def _fits_any(task: state.Task, candidates: list[placement.Candidate]) -> bool:
+    """Returns whether a task could run on one of some workers."""
+    return any(
+        candidate.worker.entry.service == task.job.queue.service
+        and candidate.fits(task.step)
+        and placement.meets_constraints(candidate, task, ())
+        for candidate in candidates
+    )
+
+
 def _find_obstacle(
     task: state.Task, candidates: list[placement.Candidate]
 ) -> Obstacle:
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -23,7 +23,6 @@
 from sapphirestall_core.batch import nominations
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
-from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import rosters
@@ -33,6 +32,7 @@
 from sapphirestall_core.batch import suspensions
 from sapphirestall_core.batch import task_moves
 from sapphirestall_core.batch import tenure
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import workers
 
@@ -71,13 +71,13 @@
 
 def use_unlisted_workers() -> None:
     """Lets tasks start on workers that have not listed their runs."""
-    is_usable = placement.is_usable
+    is_usable = usability.is_usable
 
     def mutated(worker: state.Worker, now: float, **options: float) -> bool:
         worker.listing_received = True
         return is_usable(worker, now, **options)
 
-    placement.is_usable = mutated
+    usability.is_usable = mutated
 
 
 def override_in_polls(name: str, value: object) -> None:
