Add failing tests of workers that are suspended by chance

Four workers run long-running tasks beside finite runs of which a twentieth fails. A worker is lost; three or six runs fail one after another on another worker that then has the only room. Its suspension of 5 s keeps the waiting task from it.

--- /dev/null
+++ b/features/steps/batch_suspensions_steps.py
@@ -0,0 +1,101 @@
+"""Steps for batch_suspensions.feature."""
+
+import behave
+
+from sapphirestall_core import resources
+from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import model
+from standins import batch_world
+
+LARGE = resources.Vector(5000, 100, 0)
+SMALL = resources.Vector(500, 100, 0)
+WORKERS = 4
+FAILING_SHARE = 0.05
+# Time in which the owner learns how many runs fail, in seconds.
+HISTORY_S = 30.0
+FINITE_INTERVAL_S = 0.2
+# Time until the owner knows that the runs on a lost worker have ended, in
+# seconds.
+LOSS_KNOWN_S = 7.0
+
+
+def name_long_running_job(number):
+    return f"{number:016x}"
+
+
+def submit_finite(world, number):
+    if number > 0:
+        step = model.Step(4, SMALL, estimate_s=1.0)
+        world.submit(world.nodes[number % 3], f"f{number:015x}", step)
+    world.schedule(FINITE_INTERVAL_S, lambda: submit_finite(world, number + 1))
+
+
+def find_run(world, job_id):
+    """Returns the worker that runs a job's only task, or None."""
+    for name, task, _ in world.list_runs():
+        if task.job_id == job_id:
+            return name
+    return None
+
+
+@behave.given(
+    "four workers with long-running tasks beside finite runs of which a"
+    " twentieth fails, by seed {seed:d}"
+)
+def step(context, seed):
+    world = context.world = batch_world.BatchWorld(seed)
+    world.store_division(2)
+    world.failure_fraction = FAILING_SHARE
+    for number in range(WORKERS):
+        rack = f"r1-{number // 2 + 1}"
+        world.add_worker(f"w-{number}", "north", 8000, rack)
+    for number in range(3):
+        world.add_node(f"e-{number}", "north")
+    world.run(4)
+    step = model.Step(1, LARGE, long_running=True)
+    for number in range(WORKERS):
+        world.submit(world.nodes[0], name_long_running_job(number), step)
+    world.run(4)
+    submit_finite(world, 1)
+    world.run(HISTORY_S)
+
+
+@behave.when("a worker is lost for good")
+def step(context):
+    world = context.world
+    context.waiting = name_long_running_job(0)
+    world.isolated_workers.add(find_run(world, context.waiting))
+    del world.listed_workers[find_run(world, context.waiting)]
+    world.run(LOSS_KNOWN_S)
+
+
+@behave.when(
+    "{count:d} finite runs fail on another one, whose long-running task is"
+    " cancelled"
+)
+def step(context, count):
+    world = context.world
+    cancelled = name_long_running_job(1)
+    context.name = find_run(world, cancelled)
+    worker = world.workers[context.name]
+    failed = 0
+    while failed < count:
+        # No run that is done comes between the failures.
+        for run in worker.running.values():
+            if run.done_at is None:
+                continue
+            run.end_kind = model.EndKind.FAILED
+            if failed < count:
+                run.done_at = world.now
+                failed += 1
+        world.run(0.05)
+    for run in worker.running.values():
+        run.end_kind = model.EndKind.DONE
+    kind, path = caller_messages.CancelCalled, f"/jobs/{cancelled}"
+    world.call(world.nodes[0], kind, path)
+
+
+@behave.then("the task of the lost worker runs on it {seconds:g} s later")
+def step(context, seconds):
+    context.world.run(seconds)
+    assert find_run(context.world, context.waiting) == context.name
