Weigh failures on a worker against the share that fails elsewhere

A worker is now suspended if its failures are 50,000 times as likely with a fault as without one. The usual share is learned from the workers that turn out to be sound: a failure counts in it once a run that was started later is done on the same worker. The same holds for starts without an answer. A success ends the suspension if it was started after the failures. While a worker is suspended for failed runs, one long-running task that finds no other worker may run there on trial each 2 s; if it lasts, the worker resumes.

--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -12,6 +12,7 @@
 from sapphirestall_core.batch import reservation_reports
 from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import wait_reports
+from sapphirestall_core.batch import worker_faults
 
 IMAGE, OTHER_IMAGE = "loud", "calm"
 KNOWN_VARIANCE = 0.1
@@ -156,7 +157,7 @@
 
 @behave.given("its worker is suspended")
 def step(context):
-    context.worker.suspended_until = builders.NOW + 1.0
+    context.worker.paused_until = builders.NOW + 1.0
 
 
 @behave.given("its worker is unusable as it is {reason}")
@@ -165,9 +166,11 @@
     later = builders.NOW + 1.0
     match usability.Obstacle(reason):
         case usability.Obstacle.SUSPENDED:
-            worker.failing_until = later
+            worker.suspension = worker_faults.Suspension(
+                worker_faults.SuspensionCause.FAILED_RUNS, builders.NOW, later
+            )
         case usability.Obstacle.REFUSING:
-            worker.suspended_until = later
+            worker.paused_until = later
         case usability.Obstacle.RESTARTED:
             worker.restarted_at = builders.NOW
         case usability.Obstacle.SILENT:
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -20,6 +20,7 @@
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import summary_capacity
+from sapphirestall_core.batch import worker_faults
 from sapphirestall_platform import store
 from standins import batch_faults
 from standins import batch_restarts
@@ -73,7 +74,11 @@
     name = world.find_partition("o-0")
     partition = world.find_owner(name).batch.partitions[name]
     context.resumed_at = world.now + time
-    partition.workers["o-0"].failing_until = context.resumed_at
+    partition.workers["o-0"].suspension = worker_faults.Suspension(
+        worker_faults.SuspensionCause.UNANSWERED_STARTS,
+        world.now,
+        context.resumed_at,
+    )
     context.faults.crash_worker("w-0")
 
 
@@ -143,7 +148,7 @@
     else:
         refused_at = builders.NOW - 0.1
         worker = context.partition.workers["w-0"]
-        worker.suspended_until = refused_at + contact.REFUSAL_PAUSE_S
+        worker.paused_until = refused_at + contact.REFUSAL_PAUSE_S
     publish(context)
 
 
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -2,9 +2,14 @@
 
 import behave
 
+from features import builders
 from sapphirestall_core import resources
 from sapphirestall_core.batch import caller_messages
+from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import state
+from sapphirestall_core.batch import suspensions
 from standins import batch_world
 
 LARGE = resources.Vector(5000, 100, 0)
@@ -99,3 +104,99 @@
 def step(context, seconds):
     context.world.run(seconds)
     assert find_run(context.world, context.waiting) == context.name
+
+
+@behave.given(
+    "two workers, and {count:d} of {total:d} runs on the second one have failed"
+)
+def step(context, count, total):
+    context.now = builders.NOW
+    context.workers = [builders.make_worker(f"w-{i}", 8) for i in range(2)]
+    builders.make_partition(context, *context.workers)
+    context.steps = [
+        builders.add_job(context, i, 2, 0.0, builders.make_step(5)).steps[0]
+        for i in range(3)
+    ]
+    # All of these steps have shown that they can run.
+    for each in context.steps:
+        each.done.add(0)
+    second = context.workers[1]
+    for number in range(total):
+        started_at = builders.NOW - total + number
+        if number < count:
+            fail(context, second, number, builders.NOW - started_at)
+        else:
+            suspensions.record_done(context.partition, second, started_at)
+
+
+def fail(context, worker, number, ran_s):
+    suspensions.record_failure(
+        context.partition,
+        worker,
+        context.steps[number % len(context.steps)],
+        ran_s,
+        context.now,
+    )
+
+
+@behave.given("the second worker is full")
+def step(context):
+    worker = context.workers[1]
+    worker.reserved = worker.entry.capacity
+
+
+@behave.given("{count:d} {kind} tasks that have waited for {seconds:g} s")
+def step(context, count, kind, seconds):
+    waiting = builders.make_step(count, long_running=kind == "long-running")
+    job = builders.add_job(context, 9, 0, seconds, waiting)
+    for task in job.steps[0].runnable.values():
+        task.unplaced_since = builders.NOW - seconds
+    context.waiting = job.steps[0]
+
+
+@behave.when("{count:d} runs of several jobs fail on the first worker")
+def step(context, count):
+    for number in range(count):
+        fail(context, context.workers[0], number, 1.0)
+
+
+@behave.when("a run that started {when} them is done there")
+def step(context, when):
+    ran_s = 0.5 if when == "after" else 1.5
+    suspensions.record_done(
+        context.partition, context.workers[0], context.now - ran_s
+    )
+
+
+@behave.when("{count:d} starts get no answer on the first worker")
+def step(context, count):
+    task = context.steps[0].unfinished[1]
+    for number in range(count):
+        run = state.Run(
+            task,
+            "w-0",
+            number + 1,
+            state.RunPhase.STARTING,
+            context.now + 0.1 * number,
+            0,
+        )
+        suspensions.record_unanswered_start(
+            context.partition, context.workers[0], run, run.started_at + 0.05
+        )
+
+
+@behave.then("{count:d} tasks have started there {seconds:g} s later")
+def step(context, count, seconds):
+    for now in (builders.NOW + 0.1, builders.NOW + seconds):
+        for worker in context.workers:
+            worker.last_answer_at = now
+        due = passes.PassDue(context.partition.name)
+        dispatch.handle_timer(due, context.batch, now)
+    started = {
+        run.worker_id
+        for task in context.waiting.unfinished.values()
+        if (run := task.run) is not None
+    }
+    runs = [task.run for task in context.waiting.unfinished.values()]
+    assert sum(run is not None for run in runs) == count, runs
+    assert started <= {"w-0"}, started
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -152,15 +152,7 @@
             worker, reply.clock_ms, now, carried_out_at=event.sent_at
         )
         if run is not None:
-            run.started_clock_ms = reply.clock_ms
-            worker.unanswered_starts = 0
-            run.task.job.start_confirmed = True
-            if run.phase is state.RunPhase.STARTING:
-                run.phase = state.RunPhase.RUNNING
-            if run.task.step.fills:
-                # A run starts at full pace, which may be too high here.
-                due = passes.PaceDue(partition.name, worker.entry.worker_id)
-                return dispatch.handle(due, batch, now)
+            return _confirm_start(batch, partition, worker, run, reply, now)
         return []
     if isinstance(reply, worker_messages.Rejected):
         return _handle_refused_start(batch, partition, worker, call, event, now)
@@ -177,9 +169,9 @@
             late_s=round(now - event.sent_at, 3),
         ),
     ]
-    if not contact.has_local_cause(reply):
+    if run is not None and not contact.has_local_cause(reply):
         effects += suspensions.record_unanswered_start(
-            partition, worker, event.sent_at, now
+            partition, worker, run, now
         )
     if run is not None and run.started_clock_ms is None:
         run.start_unanswered_at = now
@@ -187,6 +179,29 @@
     return effects
 
 
+def _confirm_start(
+    batch: state.Batch,
+    partition: state.Partition,
+    worker: state.Worker,
+    run: state.Run,
+    reply: worker_messages.Done,
+    now: float,
+) -> dispatch.Effects:
+    """Records that a worker has carried out the start of a run."""
+    run.started_clock_ms = reply.clock_ms
+    run.task.job.start_confirmed = True
+    if run.phase is state.RunPhase.STARTING:
+        run.phase = state.RunPhase.RUNNING
+    effects = suspensions.record_answered_start(
+        partition, worker, run.started_at
+    )
+    if run.task.step.fills:
+        # A run starts at full pace, which may be too high here.
+        due = passes.PaceDue(partition.name, worker.entry.worker_id)
+        effects += dispatch.handle(due, batch, now)
+    return effects
+
+
 def _handle_refused_start(
     batch: state.Batch,
     partition: state.Partition,
@@ -248,8 +263,8 @@
 
     The worker gets no starts for a short time.
     """
-    worker.suspended_until = max(
-        worker.suspended_until, now + contact.REFUSAL_PAUSE_S
+    worker.paused_until = max(
+        worker.paused_until, now + contact.REFUSAL_PAUSE_S
     )
     retry = messages.CountRetry(PART, "start_not_sent")
     if run is None:
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -159,7 +159,7 @@
         worker.restarted_at = now
         stops = stop_abandoned_starts(partition, worker, now)
     record_answer(worker, reply.clock_ms, now)
-    worker.suspended_until = now + REFUSAL_PAUSE_S
+    worker.paused_until = now + REFUSAL_PAUSE_S
     return [
         messages.CountRefusal(PART, reply.reason),
         make_log(
--- a/packages/core/src/sapphirestall_core/batch/passes.py
+++ b/packages/core/src/sapphirestall_core/batch/passes.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import tenure
+from sapphirestall_core.batch import trials
 from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
@@ -102,6 +103,7 @@
         for step in job.steps:
             if step.runnable and scheduling_pass.starts_left:
                 effects += _start_step(job, step, scheduling_pass)
+    effects += _start_trials(startable, scheduling_pass)
     if not scheduling_pass.starts_left:
         effects += request_pass(partition)
     for name in sorted(scheduling_pass.opportunistic_workers):
@@ -219,6 +221,27 @@
     return effects
 
 
+def _start_trials(
+    startable: list[state.Job], scheduling_pass: SchedulingPass
+) -> dispatch.Effects:
+    """Starts long-running tasks on trial on suspended workers."""
+    effects: dispatch.Effects = []
+    batch, partition, now = (
+        scheduling_pass.batch,
+        scheduling_pass.partition,
+        scheduling_pass.now,
+    )
+    for trial in trials.choose_trials(partition, startable, now):
+        if not scheduling_pass.starts_left:
+            break
+        suspension = trial.worker.suspension
+        assert suspension is not None
+        suspension.tried_at = now
+        effects += start(batch, partition, trial.worker, trial.task, now)
+        scheduling_pass.starts_left -= 1
+    return effects
+
+
 def _mark_unplaced(step: state.StepState, now: float) -> None:
     """Records since when no worker was found for the waiting tasks of a step.
 
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -263,7 +263,8 @@
         bool(step.data_rack) and step.data_rack not in worker.entry.labels
     )
     unreliable = float(
-        worker.consecutive_failures > 0 or worker.unanswered_starts > 0
+        bool(worker.failed_runs.unexplained)
+        or bool(worker.unanswered_starts.unexplained)
     )
     capacity = max(1, worker.entry.capacity.cpu_millis)
     used = (
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -5,6 +5,8 @@
 only after the effect of the end was committed to the store.
 """
 
+import math
+
 from sapphirestall_core import messages
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import commits
@@ -171,6 +173,7 @@
             effects += contact.remove_unlisted_run(batch, worker, run, now)
     if listing.lists_all_ends():
         partition.unlisted_workers.discard(worker.entry.worker_id)
+    effects += suspensions.record_working_runs(partition, worker, now)
     batch.interference.update(worker, now)
     effects += pacing.adjust_paces(partition, worker, batch.interference, now)
     if len(worker.runs) < run_count or listing.ended:
@@ -221,7 +224,9 @@
         run.phase = state.RunPhase.RUNNING
     if run.started_clock_ms is None:
         run.started_clock_ms = worker.listed_clock_ms
-        worker.unanswered_starts = 0
+        effects += suspensions.record_answered_start(
+            partition, worker, run.started_at
+        )
     stopping = run.phase is state.RunPhase.STOPPING
     if run.task.run is not run or task is None or stopping:
         effects += commands.stop(partition, worker, run, now)
@@ -330,7 +335,9 @@
     effects: dispatch.Effects = [log]
     job_ended = False
     if end.kind is model.EndKind.DONE and not task.step.long_running:
-        suspensions.record_done(worker)
+        # The start of a run of a former owner is not known.
+        started_at = run.started_at if run else -math.inf
+        effects += suspensions.record_done(partition, worker, started_at)
         job_ended = jobs.finish_task(task)
         if task.run is not None and task.run is not run:
             effects += _stop_other_run(partition, task.run, now)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -11,6 +11,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import trends
+from sapphirestall_core.batch import worker_faults
 from sapphirestall_core.batch import worker_messages
 
 FULL_PACE_PERCENT = 100
@@ -353,19 +354,16 @@
         restarted_at: Monotonic time at which an answer first showed that the
             worker has restarted, in seconds; None once the platform's list
             shows the new incarnation too.
-        suspended_until: Monotonic time before which no starts are sent, in
-            seconds.
-        unanswered_starts: Number of starts without an answer since the last one
-            that was carried out. Of those in flight at the same time only one
-            is counted.
+        paused_until: Monotonic time before which no starts are sent, since the
+            worker has refused a call, in seconds.
+        failed_runs: Failed runs that may show a fault of the worker, but for
+            those of steps that are the cause themselves.
+        unanswered_starts: Starts without an answer that may show such a fault.
+            Of those in flight at the same time only one is counted.
         start_unanswered_at: Monotonic time at which the last of them was
             counted, in seconds.
-        consecutive_failures: Number of failed runs since the last run that was
-            done.
-        failing_until: Monotonic time before which no starts are sent since too
-            many runs failed, in seconds.
-        failed_steps: The steps of these runs, but for steps that are the cause
-            themselves.
+        suspension: Time in which the worker gets no starts, as it seems to
+            have a fault; None if there is none.
         measurements_learned_at: Monotonic time at which the interference model
             last used the measurements of the worker, in seconds.
         trust: Trust in the interference model for this worker, 0 to 1. It
@@ -407,12 +405,15 @@
     unresponsive: bool = False
     closed_at: float | None = None
     restarted_at: float | None = None
-    suspended_until: float = -1e9
-    unanswered_starts: int = 0
+    paused_until: float = -1e9
+    failed_runs: worker_faults.Failures = attrs.field(
+        factory=worker_faults.Failures
+    )
+    unanswered_starts: worker_faults.Failures = attrs.field(
+        factory=worker_faults.Failures
+    )
     start_unanswered_at: float = -math.inf
-    consecutive_failures: int = 0
-    failing_until: float = -1e9
-    failed_steps: list[StepState] = attrs.field(factory=list)
+    suspension: worker_faults.Suspension | None = None
     measurements_learned_at: float = -1e9
     trust: float = 1.0
     trust_changed_at: float = -1e9
@@ -518,6 +519,8 @@
             loading.
         loaded_progress: Progress records read at the takeover; None before.
         unreadable_progress: Jobs whose progress records cannot be used.
+        failed_runs_share: Share of runs that fail on its sound workers.
+        unanswered_starts_share: Share of starts that get no answer there.
         workers: Workers of the partition, by id.
         jobs: Jobs of which the partition runs tasks, by id.
         dirty_jobs: Jobs whose progress or final state is not in the store yet.
@@ -582,6 +585,12 @@
     loading_changes: "list[LoadedJob | RemovedJob]" = attrs.field(factory=list)
     loaded_progress: "dict[str, LoadedProgress] | None" = None
     unreadable_progress: set[str] = attrs.field(factory=set)
+    failed_runs_share: worker_faults.FailureShare = attrs.field(
+        factory=worker_faults.assume_failed_runs
+    )
+    unanswered_starts_share: worker_faults.FailureShare = attrs.field(
+        factory=worker_faults.assume_unanswered_starts
+    )
     workers: dict[str, Worker] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     dirty_jobs: dict[str, Job] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -1,40 +1,91 @@
 """Suspension of workers on which runs fail, or that do not answer starts.
 
-A worker that fails all that it runs gets no starts for a while. A step whose
-tasks fail everywhere says nothing about the workers on which they failed. A
-worker may also answer polls, but no starts.
+A worker that fails all that it runs gets no starts for a while, nor does one
+that answers polls but no starts. A step whose tasks fail everywhere says
+nothing about the workers on which they failed.
+
+A long-running task that finds no other worker may run on trial on a worker that
+is suspended since runs failed there: it would have no run otherwise.
 """
 
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import worker_faults
 
-# Number of failed runs, since the last one that was done, after which a worker
-# may be suspended for `SUSPENSION_S`. The next failure is counted as the first.
-FAILURES_TO_SUSPEND = 3
 SUSPENSION_S = 5.0
-# Number of starts without an answer, one after another, after which a worker is
-# suspended as well.
-UNANSWERED_TO_SUSPEND = 2
+# Lowest numbers of failures, one after another, that may suspend a worker.
+FEWEST_FAILURES = {
+    worker_faults.SuspensionCause.FAILED_RUNS: 3,
+    worker_faults.SuspensionCause.UNANSWERED_STARTS: 2,
+}
 # A step whose runs failed on this many workers, and of which no task is done,
 # counts as the cause itself.
 WORKERS_TO_DISCOUNT = 2
 # No task of a long-running step is ever done. A run that lasts for this time,
-# in seconds, shows as well that the step can run.
+# in seconds, shows as well that step and worker can run it.
 WORKING_RUN_S = 2.0
 
 
-def record_done(worker: state.Worker) -> None:
-    """Records that a run on a worker was done."""
-    worker.consecutive_failures = 0
-    worker.failed_steps.clear()
+def record_done(
+    partition: state.Partition, worker: state.Worker, started_at: float
+) -> dispatch.Effects:
+    """Records that a run on a worker was done.
+
+    Args:
+        partition: Partition of the worker.
+        worker: The worker.
+        started_at: Monotonic time at which its start was sent, in seconds.
+    """
+    share = partition.failed_runs_share
+    worker.failed_runs.record_success(started_at, share)
+    return _resume(partition, worker)
+
+
+def record_working_runs(
+    partition: state.Partition, worker: state.Worker, now: float
+) -> dispatch.Effects:
+    """Records the long-running runs of a worker that have lasted long enough.
+
+    Does nothing if no run has failed there.
+    """
+    if not worker.failed_runs.unexplained:
+        return []
+    started_at = max(
+        (
+            run.started_at
+            for run in worker.runs.values()
+            if run.task.step.long_running
+            and run.phase is state.RunPhase.RUNNING
+            and now - run.started_at >= WORKING_RUN_S
+        ),
+        default=worker.failed_runs.succeeded_start_at,
+    )
+    if started_at <= worker.failed_runs.succeeded_start_at:
+        return []
+    return record_done(partition, worker, started_at)
+
+
+def record_answered_start(
+    partition: state.Partition, worker: state.Worker, sent_at: float
+) -> dispatch.Effects:
+    """Records that a worker has carried out a start.
+
+    Args:
+        partition: Partition of the worker.
+        worker: The worker.
+        sent_at: Monotonic time at which the start was sent, in seconds.
+    """
+    share = partition.unanswered_starts_share
+    worker.unanswered_starts.record_success(sent_at, share)
+    return _resume(partition, worker)
 
 
 def record_unanswered_start(
     partition: state.Partition,
     worker: state.Worker,
-    sent_at: float,
+    run: state.Run,
     now: float,
 ) -> dispatch.Effects:
     """Records that a start got no answer.
@@ -44,31 +95,21 @@
     Args:
         partition: Partition of the worker.
         worker: The worker.
-        sent_at: Monotonic time at which the start was sent, in seconds.
+        run: Run that the start requested.
         now: Monotonic time, in seconds.
     """
-    if sent_at < worker.start_unanswered_at:
+    if run.started_at < worker.start_unanswered_at:
         # It was in flight together with one that has been counted.
         return []
-    worker.unanswered_starts += 1
     worker.start_unanswered_at = now
-    if worker.unanswered_starts < UNANSWERED_TO_SUSPEND:
-        return []
-    count = worker.unanswered_starts
-    return _suspend(partition, worker, now, unanswered=count)
-
-
-def _suspend(
-    partition: state.Partition,
-    worker: state.Worker,
-    now: float,
-    **reason: int,
-) -> dispatch.Effects:
-    """Suspends a worker and logs the reason."""
-    worker.failing_until = now + SUSPENSION_S
-    worker_id = worker.entry.worker_id
-    fields = {**reason, "for_s": SUSPENSION_S}
-    return [contact.make_log("suspended", partition, worker_id, **fields)]
+    cause = worker_faults.SuspensionCause.UNANSWERED_STARTS
+    _discard_weighed_failures(partition, worker, cause, now)
+    step = run.task.job.steps[run.task.name.step]
+    worker.unanswered_starts.record(
+        worker_faults.Failure(run.started_at, step),
+        partition.unanswered_starts_share,
+    )
+    return _suspend_if_faulty(partition, worker, cause, now)
 
 
 def record_failure(
@@ -92,32 +133,108 @@
     """
     if step.step.long_running and ran_s >= WORKING_RUN_S:
         step.has_worked = True
-    worker.consecutive_failures += 1
     step.failed_worker_ids.add(worker.entry.worker_id)
     if _is_cause(step):
-        return _discount_failures(partition, step, now)
+        return _discount_failures(partition, step)
+    cause = worker_faults.SuspensionCause.FAILED_RUNS
+    _discard_weighed_failures(partition, worker, cause, now)
+    worker.failed_runs.record(
+        worker_faults.Failure(now - ran_s, step), partition.failed_runs_share
+    )
+    return _suspend_if_faulty(partition, worker, cause, now)
+
+
+def _discard_weighed_failures(
+    partition: state.Partition,
+    worker: state.Worker,
+    cause: worker_faults.SuspensionCause,
+    now: float,
+) -> None:
+    """Discards failures that have led to their result, before the next one.
+
+    That is a suspension that is over, or none as they are those of one step: a
+    single failure after them is not enough for another suspension.
+    """
+    suspension = worker.suspension
+    if suspension is not None and suspension.until > now:
+        return
+    failures, share = _find_failures(partition, worker, cause)
     if (
-        len(worker.failed_steps) >= FAILURES_TO_SUSPEND
-        and worker.failing_until <= now
+        suspension is not None
+        and suspension.cause is cause
+        or _are_enough(failures, share, cause)
     ):
-        # A single failure after a suspension, or after failures of one step
-        # that caused none, is not enough.
-        worker.failed_steps.clear()
-    worker.failed_steps.append(step)
-    if not _seems_to_fail(worker):
+        failures.unexplained.clear()
+    worker.suspension = None
+
+
+def _suspend_if_faulty(
+    partition: state.Partition,
+    worker: state.Worker,
+    cause: worker_faults.SuspensionCause,
+    now: float,
+) -> dispatch.Effects:
+    """Suspends a worker that seems faulty, or extends its suspension."""
+    if not _seems_faulty(partition, worker, cause):
         return []
-    return _suspend(partition, worker, now, failures=len(worker.failed_steps))
+    until = now + SUSPENSION_S
+    if worker.suspension is None or worker.suspension.cause is not cause:
+        worker.suspension = worker_faults.Suspension(cause, now, until)
+    worker.suspension.until = until
+    worker_id = worker.entry.worker_id
+    failures, share = _find_failures(partition, worker, cause)
+    log = contact.make_log(
+        "suspended",
+        partition,
+        worker_id,
+        cause=cause.value,
+        failures=len(failures.unexplained),
+        usual_share=round(share.estimate(), 3),
+        for_s=SUSPENSION_S,
+    )
+    return [log]
+
+
+def _find_failures(
+    partition: state.Partition,
+    worker: state.Worker,
+    cause: worker_faults.SuspensionCause,
+) -> tuple[worker_faults.Failures, worker_faults.FailureShare]:
+    """Returns the failures of a kind on a worker and their usual share."""
+    match cause:
+        case worker_faults.SuspensionCause.FAILED_RUNS:
+            return worker.failed_runs, partition.failed_runs_share
+        case worker_faults.SuspensionCause.UNANSWERED_STARTS:
+            return worker.unanswered_starts, partition.unanswered_starts_share
+
+
+def _are_enough(
+    failures: worker_faults.Failures,
+    share: worker_faults.FailureShare,
+    cause: worker_faults.SuspensionCause,
+) -> bool:
+    """Returns whether failures are too many to be chance."""
+    count = len(failures.unexplained)
+    return count >= FEWEST_FAILURES[cause] and failures.show_fault(share)
 
 
-def _seems_to_fail(worker: state.Worker) -> bool:
+def _seems_faulty(
+    partition: state.Partition,
+    worker: state.Worker,
+    cause: worker_faults.SuspensionCause,
+) -> bool:
     """Returns whether failures seem to have their cause in a worker.
 
-    Those of a single step tell this only if the step can run elsewhere.
+    Failed runs of a single step tell this only if the step can run elsewhere.
     """
-    steps = worker.failed_steps
-    return len(steps) >= FAILURES_TO_SUSPEND and (
-        any(_can_run(step) for step in steps)
-        or any(step is not steps[0] for step in steps)
+    failures, share = _find_failures(partition, worker, cause)
+    if not _are_enough(failures, share, cause):
+        return False
+    if cause is worker_faults.SuspensionCause.UNANSWERED_STARTS:
+        return True
+    steps = [failure.step for failure in failures.unexplained]
+    return any(_can_run(step) for step in steps) or any(
+        step is not steps[0] for step in steps
     )
 
 
@@ -133,19 +250,33 @@
 
 
 def _discount_failures(
-    partition: state.Partition, step: state.StepState, now: float
+    partition: state.Partition, step: state.StepState
 ) -> dispatch.Effects:
     """Takes the failures of a step back, with suspensions that they caused."""
     effects: dispatch.Effects = []
     for name in step.failed_worker_ids:
         worker = partition.workers.get(name)
-        if worker is None or step not in worker.failed_steps:
+        if worker is None:
             continue
-        worker.failed_steps = [
-            other for other in worker.failed_steps if other is not step
+        worker.failed_runs.unexplained = [
+            failure
+            for failure in worker.failed_runs.unexplained
+            if failure.step is not step
         ]
-        if worker.failing_until > now and not _seems_to_fail(worker):
-            worker.failing_until = now
-            effects.append(contact.make_log("resumed", partition, name))
-            effects += passes.request_pass(partition)
+        effects += _resume(partition, worker)
     return effects
+
+
+def _resume(
+    partition: state.Partition, worker: state.Worker
+) -> dispatch.Effects:
+    """Ends the suspension of a worker that does not seem faulty any more."""
+    suspension = worker.suspension
+    if suspension is None:
+        return []
+    if _seems_faulty(partition, worker, suspension.cause):
+        return []
+    worker.suspension = None
+    worker_id = worker.entry.worker_id
+    log = contact.make_log("resumed", partition, worker_id)
+    return [log, *passes.request_pass(partition)]
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -56,9 +56,10 @@
         return Obstacle.RESTARTED
     if worker.orphans:
         return Obstacle.ORPHANS
-    if worker.suspended_until > now:
+    if worker.paused_until > now:
         return Obstacle.REFUSING
-    if worker.failing_until > now + suspension_left_s:
+    suspension = worker.suspension
+    if suspension is not None and suspension.until > now + suspension_left_s:
         return Obstacle.SUSPENDED
     return None
 
--- /dev/null
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -0,0 +1,163 @@
+"""Evidence that a worker causes the failures that are seen there.
+
+Some runs fail by themselves, on sound workers too. Several failures in a row
+are therefore weighed against the share of failures on workers that turn out to
+be sound: where many runs fail, a row of them proves little. Failures are
+compared with successes in the order of their starts, since a worker that begins
+to fail may still complete what it started before.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from sapphirestall_core.batch import state
+
+# Share of runs that fail, or of starts that get no answer, on a faulty worker.
+FAULTY_SHARE = 0.9
+# A worker seems faulty if its failures are this many times as likely with a
+# fault as without one. At a few hundred, sound workers seemed faulty several
+# times a day in a fleet that completes fifteen thousand runs.
+FAULTY_ODDS = 50_000
+# Shares of failures on sound workers that are assumed before the first
+# outcomes, and the number of outcomes that they count as much as.
+ASSUMED_FAILED_RUNS = 0.02
+ASSUMED_UNANSWERED_STARTS = 0.002
+ASSUMED_OUTCOMES = 50.0
+# Beyond this number of outcomes older ones count less.
+MAX_OUTCOMES = 400.0
+
+
+@attrs.define(slots=True, eq=False)
+class FailureShare:
+    """Share of failures on workers that have turned out to be sound.
+
+    Attributes:
+        outcomes: Number of outcomes.
+        failures: Number of failures among them.
+    """
+
+    outcomes: float
+    failures: float
+
+    def record(self, successes: int, failures: int) -> None:
+        """Adds outcomes."""
+        self.outcomes += successes + failures
+        self.failures += failures
+        if self.outcomes > MAX_OUTCOMES:
+            self.failures *= MAX_OUTCOMES / self.outcomes
+            self.outcomes = MAX_OUTCOMES
+
+    def estimate(self) -> float:
+        """Returns the estimated share."""
+        return min(self.failures / self.outcomes, FAULTY_SHARE)
+
+
+def assume_failed_runs() -> FailureShare:
+    """Returns the share of failed runs before the first outcomes."""
+    return FailureShare(
+        ASSUMED_OUTCOMES, ASSUMED_OUTCOMES * ASSUMED_FAILED_RUNS
+    )
+
+
+def assume_unanswered_starts() -> FailureShare:
+    """Returns the share of unanswered starts before the first outcomes."""
+    return FailureShare(
+        ASSUMED_OUTCOMES, ASSUMED_OUTCOMES * ASSUMED_UNANSWERED_STARTS
+    )
+
+
+@attrs.frozen(slots=True, eq=False)
+class Failure:
+    """A run that failed, or a start that got no answer.
+
+    Attributes:
+        started_at: Monotonic time at which the start was sent, in seconds.
+        step: Step of the task.
+    """
+
+    started_at: float
+    step: state.StepState
+
+
+@attrs.define(slots=True, eq=False)
+class Failures:
+    """Failures on a worker that may have their cause in the worker.
+
+    Attributes:
+        unexplained: Failures of what was started after all that has succeeded.
+        succeeded_start_at: Monotonic time of the latest start that has
+            succeeded, in seconds.
+    """
+
+    unexplained: list[Failure] = attrs.field(factory=list)
+    succeeded_start_at: float = -math.inf
+
+    def record(self, failure: Failure, share: FailureShare) -> None:
+        """Records a failure.
+
+        It has another cause than the worker if a later start has succeeded.
+
+        Args:
+            failure: The failure.
+            share: Share of such failures on sound workers.
+        """
+        if failure.started_at < self.succeeded_start_at:
+            share.record(0, 1)
+        else:
+            self.unexplained.append(failure)
+
+    def record_success(self, started_at: float, share: FailureShare) -> None:
+        """Records that something started at a time has succeeded.
+
+        Args:
+            started_at: Monotonic time at which the start was sent, in seconds.
+            share: Share of failures on sound workers.
+        """
+        self.succeeded_start_at = max(self.succeeded_start_at, started_at)
+        count = len(self.unexplained)
+        self.unexplained = [
+            failure
+            for failure in self.unexplained
+            if failure.started_at > started_at
+        ]
+        share.record(1, count - len(self.unexplained))
+
+    def show_fault(self, share: FailureShare) -> bool:
+        """Returns whether the failures are too many to be chance.
+
+        Args:
+            share: Share of such failures on sound workers.
+        """
+        weight = math.log(FAULTY_SHARE / share.estimate())
+        return len(self.unexplained) * weight >= math.log(FAULTY_ODDS)
+
+
+class SuspensionCause(enum.Enum):
+    """What seems to show that a worker has a fault."""
+
+    FAILED_RUNS = "failed_runs"
+    UNANSWERED_STARTS = "unanswered_starts"
+
+
+@attrs.define(slots=True, eq=False)
+class Suspension:
+    """Time in which a worker gets no starts, but for trials.
+
+    Attributes:
+        cause: What seems to show that the worker has a fault.
+        since: Monotonic time of its beginning, in seconds.
+        until: Monotonic time of its end, in seconds.
+        tried_at: Monotonic time at which a run was last started on trial, in
+            seconds.
+    """
+
+    cause: SuspensionCause
+    since: float
+    until: float
+    tried_at: float = -math.inf
