--- a/packages/core/src/sapphirestall_core/batch/trials.py
+++ b/packages/core/src/sapphirestall_core/batch/trials.py
@@ -47,9 +47,8 @@
     """
     workers = [
         worker
-        for worker, obstacle in usability.list_unusable_workers(partition, now)
-        if obstacle is usability.Obstacle.SUSPENDED
-        and _may_be_tried(worker, now)
+        for worker in partition.workers.values()
+        if _may_be_tried(partition, worker, now)
     ]
     if not workers:
         return []
@@ -66,13 +65,17 @@
     return trials
 
 
-def _may_be_tried(worker: state.Worker, now: float) -> bool:
-    """Returns whether a trial on a suspended worker is due."""
+def _may_be_tried(
+    partition: state.Partition, worker: state.Worker, now: float
+) -> bool:
+    """Returns whether a trial on a suspended worker is due and allowed."""
     suspension = worker.suspension
     return (
         suspension is not None
         and suspension.cause is worker_faults.SuspensionCause.FAILED_RUNS
         and now - suspension.tried_at >= TRIAL_INTERVAL_S
+        and usability.find_obstacle_in_partition(partition, worker, now)
+        is usability.Obstacle.SUSPENDED
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -92,13 +92,36 @@
     return worker.entry.service == service and is_usable(worker, now)
 
 
+def find_obstacle_in_partition(
+    partition: state.Partition,
+    worker: state.Worker,
+    now: float,
+    *,
+    suspension_left_s: float = 0.0,
+) -> Obstacle | None:
+    """Returns what keeps an owner from starting runs on a worker, or None.
+
+    The worker must be in the roster, and the owner may extend leases there.
+
+    Args:
+        partition: The owned partition.
+        worker: One of its workers.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension that is ignored, in seconds.
+    """
+    name = worker.entry.worker_id
+    if name not in partition.roster:
+        return Obstacle.NOT_IN_ROSTER
+    if partition.withholds_leases(name):
+        return Obstacle.WITHHELD
+    return find_obstacle(worker, now, suspension_left_s=suspension_left_s)
+
+
 def list_startable_workers(
     partition: state.Partition, now: float, *, suspension_left_s: float = 0.0
 ) -> list[state.Worker]:
     """Returns the workers of a partition on which a pass may start tasks.
 
-    They are in the roster, and the owner may extend leases there.
-
     Args:
         partition: The owned partition.
         now: Monotonic time, in seconds.
@@ -106,10 +129,11 @@
     """
     return [
         worker
-        for name, worker in partition.workers.items()
-        if name in partition.roster
-        and not partition.withholds_leases(name)
-        and is_usable(worker, now, suspension_left_s=suspension_left_s)
+        for worker in partition.workers.values()
+        if find_obstacle_in_partition(
+            partition, worker, now, suspension_left_s=suspension_left_s
+        )
+        is None
     ]
 
 
@@ -117,13 +141,9 @@
     partition: state.Partition, now: float
 ) -> list[tuple[state.Worker, Obstacle]]:
     """Returns the workers on which no pass may start tasks, with the reason."""
-    unusable = []
-    for name, worker in partition.workers.items():
-        obstacle = find_obstacle(worker, now)
-        if obstacle is None and name not in partition.roster:
-            obstacle = Obstacle.NOT_IN_ROSTER
-        if obstacle is None and partition.withholds_leases(name):
-            obstacle = Obstacle.WITHHELD
-        if obstacle is not None:
-            unusable.append((worker, obstacle))
-    return unusable
+    return [
+        (worker, obstacle)
+        for worker in partition.workers.values()
+        if (obstacle := find_obstacle_in_partition(partition, worker, now))
+        is not None
+    ]
