Run tasks on trial only where the owner may start tasks

A worker that is suspended as runs failed there may also have its leases withheld, or be missing from the stored roster. The report of unusable workers names the suspension alone then, and trials relied on the report: a long-running task started there and extended a lease that the owner may not extend, so that a successor could start the task again beside it.

Trials now choose among the workers on which a pass may start tasks but for the suspension.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -74,3 +74,23 @@
     And 3 long-running tasks that have waited for 1 s
     When 3 starts get no answer on the first worker
     Then 0 tasks have started there 1.8 s later
+
+  Scenario Outline: A task runs on trial only where a task may start
+    Guards against a run on a worker on which the owner may extend no lease, so
+    that a successor may start the task again beside it. Also guards against one
+    on a worker that is about to leave or does not answer.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    And the second worker is full
+    And 3 long-running tasks that have waited for 1 s
+    And its worker is unusable as it is <reason>
+    When 4 runs of several jobs fail on the first worker
+    Then 0 tasks have started there 0.5 s later
+
+    Examples:
+      | reason        |
+      | withheld      |
+      | not_in_roster |
+      | draining      |
+      | restarted     |
+      | refusing      |
+      | silent        |
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -1,5 +1,6 @@
 """Steps for batch_capacity.feature."""
 
+import attrs
 import behave
 
 from features import builders
@@ -175,6 +176,8 @@
             worker.restarted_at = builders.NOW
         case usability.Obstacle.SILENT:
             worker.unresponsive = True
+        case usability.Obstacle.DRAINING:
+            worker.entry = attrs.evolve(worker.entry, draining=True)
         case usability.Obstacle.WITHHELD:
             partition.withheld_ms[worker.entry.worker_id] = 1
         case usability.Obstacle.NOT_IN_ROSTER:
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -112,6 +112,7 @@
 def step(context, count, total):
     context.now = builders.NOW
     context.workers = [builders.make_worker(f"w-{i}", 8) for i in range(2)]
+    context.worker = context.workers[0]
     builders.make_partition(context, *context.workers)
     context.steps = [
         builders.add_job(context, i, 2, 0.0, builders.make_step(5)).steps[0]
--- a/packages/core/src/sapphirestall_core/batch/trials.py
+++ b/packages/core/src/sapphirestall_core/batch/trials.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import math
 
 import attrs
 
@@ -45,12 +46,11 @@
         jobs: Its jobs with tasks that may start, those to start first first.
         now: Monotonic time, in seconds.
     """
-    workers = [
-        worker
-        for worker, obstacle in usability.list_unusable_workers(partition, now)
-        if obstacle is usability.Obstacle.SUSPENDED
-        and _may_be_tried(worker, now)
-    ]
+    # All but the suspension has to allow a start there.
+    startable = usability.list_startable_workers(
+        partition, now, suspension_left_s=math.inf
+    )
+    workers = [worker for worker in startable if _may_be_tried(worker, now)]
     if not workers:
         return []
     waiting = _list_waiting_tasks(jobs, now)
@@ -67,10 +67,11 @@
 
 
 def _may_be_tried(worker: state.Worker, now: float) -> bool:
-    """Returns whether a trial on a suspended worker is due."""
+    """Returns whether a worker is suspended and a trial there is due."""
     suspension = worker.suspension
     return (
         suspension is not None
+        and suspension.until > now
         and suspension.cause is worker_faults.SuspensionCause.FAILED_RUNS
         and now - suspension.tried_at >= TRIAL_INTERVAL_S
     )
