Let each run that is done end a row of failures that proves nothing

A success now ends a row whichever started first; only a row that shows a fault takes a success that was started later. The row 'before' of the new scenarios failed before, and 'after 9 s' too.

Failures of the usual share are spread evenly in the test's step: in one row they show a fault, which no longer counts as usual.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -37,6 +37,32 @@
       | 80    | 6        | not suspended |
       | 80    | 8        | suspended     |
 
+  Scenario Outline: A run that is done ends a row of failures
+    Guards against sound workers that are suspended as runs that fail are shorter
+    than others: of runs that start together, those that fail end first.
+    Given two workers, and 20 of 400 runs on the second one have failed
+    When 3 runs of several jobs fail on the first worker
+    And a run that started <when> them is done there
+    And 3 runs of several jobs fail on the first worker
+    Then the first worker is not suspended
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
+
+  Scenario Outline: Long-running tasks that fail after some work suspend nothing
+    Guards against a worker that is suspended since several long-running tasks,
+    which may fail at any time, have failed there one after another.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 5 long-running runs fail on the first worker after <seconds> s
+    Then the first worker is <state>
+
+    Examples:
+      | seconds | state         |
+      | 0.2     | suspended     |
+      | 9       | not suspended |
+
   Scenario Outline: A run that was started later and is done ends a suspension
     Guards against a worker that stays closed although runs are done there. Also
     guards against one that begins to fail, completes a run that it had started
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -124,7 +124,8 @@
     second = context.workers[1]
     for number in range(total):
         started_at = builders.NOW - total + number
-        if number < count:
+        # The failures are spread evenly.
+        if (number + 1) * count // total > number * count // total:
             fail(context, second, number, builders.NOW - started_at)
         else:
             suspensions.record_done(context.partition, second, started_at)
@@ -161,6 +162,25 @@
         fail(context, context.workers[0], number, 1.0)
 
 
+@behave.when(
+    "{count:d} long-running runs fail on the first worker after {seconds:g} s"
+)
+def step(context, count, seconds):
+    lasting = builders.make_step(count, long_running=True)
+    steps = [
+        builders.add_job(context, 20 + number, 0, 0.0, lasting).steps[0]
+        for number in range(2)
+    ]
+    for number in range(count):
+        suspensions.record_failure(
+            context.partition,
+            context.workers[0],
+            steps[number % 2],
+            seconds,
+            context.now,
+        )
+
+
 @behave.when("a run that started {when} them is done there")
 def step(context, when):
     ran_s = 0.5 if when == "after" else 1.5
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -263,8 +263,7 @@
         bool(step.data_rack) and step.data_rack not in worker.entry.labels
     )
     unreliable = float(
-        bool(worker.failed_runs.unexplained)
-        or bool(worker.unanswered_starts.unexplained)
+        bool(worker.failed_runs.row) or bool(worker.unanswered_starts.row)
     )
     capacity = max(1, worker.entry.capacity.cpu_millis)
     used = (
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -50,7 +50,7 @@
 
     Does nothing if no run has failed there.
     """
-    if not worker.failed_runs.unexplained:
+    if not worker.failed_runs.row:
         return []
     started_at = max(
         (
@@ -64,7 +64,9 @@
     )
     if started_at <= worker.failed_runs.succeeded_start_at:
         return []
-    return record_done(partition, worker, started_at)
+    # Working runs are counted in no share, as each would count once a listing.
+    worker.failed_runs.explain(started_at, partition.failed_runs_share)
+    return _resume(partition, worker)
 
 
 def record_answered_start(
@@ -131,9 +133,11 @@
         ran_s: Time for which the run is known to have lasted, in seconds.
         now: Monotonic time, in seconds.
     """
+    step.failed_worker_ids.add(worker.entry.worker_id)
     if step.step.long_running and ran_s >= WORKING_RUN_S:
+        # Such a run may fail at any time: the worker could run it.
         step.has_worked = True
-    step.failed_worker_ids.add(worker.entry.worker_id)
+        return []
     if _is_cause(step):
         return _discount_failures(partition, step)
     cause = worker_faults.SuspensionCause.FAILED_RUNS
@@ -164,7 +168,7 @@
         and suspension.cause is cause
         or _are_enough(failures, share, cause)
     ):
-        failures.unexplained.clear()
+        failures.row.clear()
     worker.suspension = None
 
 
@@ -188,7 +192,7 @@
         partition,
         worker_id,
         cause=cause.value,
-        failures=len(failures.unexplained),
+        failures=len(failures.row),
         usual_share=round(share.estimate(), 3),
         for_s=SUSPENSION_S,
     )
@@ -214,7 +218,7 @@
     cause: worker_faults.SuspensionCause,
 ) -> bool:
     """Returns whether failures are too many to be chance."""
-    count = len(failures.unexplained)
+    count = len(failures.row)
     return count >= FEWEST_FAILURES[cause] and failures.show_fault(share)
 
 
@@ -232,7 +236,7 @@
         return False
     if cause is worker_faults.SuspensionCause.UNANSWERED_STARTS:
         return True
-    steps = [failure.step for failure in failures.unexplained]
+    steps = [failure.step for failure in failures.row]
     return any(_can_run(step) for step in steps) or any(
         step is not steps[0] for step in steps
     )
@@ -258,9 +262,9 @@
         worker = partition.workers.get(name)
         if worker is None:
             continue
-        worker.failed_runs.unexplained = [
+        worker.failed_runs.row = [
             failure
-            for failure in worker.failed_runs.unexplained
+            for failure in worker.failed_runs.row
             if failure.step is not step
         ]
         effects += _resume(partition, worker)
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -2,9 +2,10 @@
 
 Some runs fail by themselves, on sound workers too. Several failures in a row
 are therefore weighed against the share of failures on workers that turn out to
-be sound: where many runs fail, a row of them proves little. Failures are
-compared with successes in the order of their starts, since a worker that begins
-to fail may still complete what it started before.
+be sound: where many runs fail, a row of them proves little. A success ends the
+row, whichever started first: failed runs are shorter than others. Only once a
+row shows a fault does it take a success that started later, since a worker that
+begins to fail may still complete what it started before.
 """
 
 from __future__ import annotations
@@ -31,6 +32,11 @@
 ASSUMED_OUTCOMES = 50.0
 # Beyond this number of outcomes older ones count less.
 MAX_OUTCOMES = 400.0
+# Lowest share that is estimated. Without it the share becomes zero after some
+# hundred thousand outcomes without a failure.
+LOWEST_SHARE = 0.001
+# Number of failures in a row that are kept.
+LONGEST_ROW = 100
 
 
 @attrs.define(slots=True, eq=False)
@@ -55,7 +61,8 @@
 
     def estimate(self) -> float:
         """Returns the estimated share."""
-        return min(self.failures / self.outcomes, FAULTY_SHARE)
+        share = self.failures / self.outcomes
+        return min(max(share, LOWEST_SHARE), FAULTY_SHARE)
 
 
 def assume_failed_runs() -> FailureShare:
@@ -90,12 +97,12 @@
     """Failures on a worker that may have their cause in the worker.
 
     Attributes:
-        unexplained: Failures of what was started after all that has succeeded.
+        row: Failures that no success has explained.
         succeeded_start_at: Monotonic time of the latest start that has
             succeeded, in seconds.
     """
 
-    unexplained: list[Failure] = attrs.field(factory=list)
+    row: list[Failure] = attrs.field(factory=list)
     succeeded_start_at: float = -math.inf
 
     def record(self, failure: Failure, share: FailureShare) -> None:
@@ -109,24 +116,39 @@
         """
         if failure.started_at < self.succeeded_start_at:
             share.record(0, 1)
-        else:
-            self.unexplained.append(failure)
+            return
+        self.row.append(failure)
+        del self.row[:-LONGEST_ROW]
 
     def record_success(self, started_at: float, share: FailureShare) -> None:
         """Records that something started at a time has succeeded.
 
+        A row that shows a fault tells nothing about sound workers, and does not
+        count in the share.
+
         Args:
             started_at: Monotonic time at which the start was sent, in seconds.
             share: Share of failures on sound workers.
         """
+        shows_fault = self.show_fault(share)
+        share.record(1, 0 if shows_fault else len(self.row))
+        self.explain(started_at, share)
+
+    def explain(self, started_at: float, share: FailureShare) -> None:
+        """Removes the failures that a success explains.
+
+        Args:
+            started_at: Monotonic time at which the start of what succeeded was
+                sent, in seconds.
+            share: Share of failures on sound workers.
+        """
         self.succeeded_start_at = max(self.succeeded_start_at, started_at)
-        count = len(self.unexplained)
-        self.unexplained = [
-            failure
-            for failure in self.unexplained
-            if failure.started_at > started_at
+        if not self.show_fault(share):
+            self.row.clear()
+            return
+        self.row = [
+            failure for failure in self.row if failure.started_at > started_at
         ]
-        share.record(1, count - len(self.unexplained))
 
     def show_fault(self, share: FailureShare) -> bool:
         """Returns whether the failures are too many to be chance.
@@ -135,7 +157,7 @@
             share: Share of such failures on sound workers.
         """
         weight = math.log(FAULTY_SHARE / share.estimate())
-        return len(self.unexplained) * weight >= math.log(FAULTY_ODDS)
+        return len(self.row) * weight >= math.log(FAULTY_ODDS)
 
 
 class SuspensionCause(enum.Enum):
