Weigh the ends of a former owner's runs in their order

The first listing after a takeover may hold ends of runs that the new owner does not know. Those that were done counted as started before all others, and so ended no row of failures; those that failed counted as started at the listing. With 4 failures spread over 40 ends the worker was suspended for 5 s, just after the takeover, when tasks wait for room; it was not on.

Both now count as started at the listing, so that the order of the ends decides, as it did before. The row 'not suspended' of the new scenario failed before.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -37,6 +37,18 @@
       | 80    | 6        | not suspended |
       | 80    | 8        | suspended     |
 
+  Scenario Outline: Ends of runs of a former owner are weighed in their order
+    Guards against sound workers that are suspended by the first listing after a
+    takeover. Also guards against a faulty worker that it does not suspend.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When the first worker lists that 40 runs of a former owner ended "<ends>"
+    Then the first worker is <state>
+
+    Examples:
+      | ends                                     | state         |
+      | ....f.........f.........f.........f..... | not suspended |
+      | ....................................ffff | suspended     |
+
   Scenario Outline: A run that was started later and is done ends a suspension
     Guards against a worker that stays closed although runs are done there. Also
     guards against one that begins to fail, completes a run that it had started
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -8,8 +8,10 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import polls
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import suspensions
+from sapphirestall_core.batch import worker_messages
 from standins import batch_world
 
 LARGE = resources.Vector(5000, 100, 0)
@@ -161,6 +163,27 @@
         fail(context, context.workers[0], number, 1.0)
 
 
+@behave.when(
+    "the first worker lists that {count:d} runs of a former owner ended"
+    ' "{ends}"'
+)
+def step(context, count, ends):
+    job = builders.add_job(context, 8, 2, 0.0, builders.make_step(count))
+    kinds = {".": model.EndKind.DONE, "f": model.EndKind.FAILED}
+    listed = []
+    for index, end in enumerate(ends):
+        name = job.steps[0].unfinished[index].name
+        listed.append(model.EndedRun(index + 1, name, 1, kinds[end], ""))
+    polls.apply_listing(
+        context.batch,
+        context.partition,
+        context.workers[0],
+        None,
+        worker_messages.Listing(1000, (), tuple(listed)),
+        context.now,
+    )
+
+
 @behave.when("a run that started {when} them is done there")
 def step(context, when):
     ran_s = 0.5 if when == "after" else 1.5
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -5,8 +5,6 @@
 only after the effect of the end was committed to the store.
 """
 
-import math
-
 from sapphirestall_core import messages
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import commits
@@ -335,8 +333,9 @@
     effects: dispatch.Effects = [log]
     job_ended = False
     if end.kind is model.EndKind.DONE and not task.step.long_running:
-        # The start of a run of a former owner is not known.
-        started_at = run.started_at if run else -math.inf
+        # The start of a run of a former owner is not known. As with its failed
+        # runs, the order of the ends takes the place of that of the starts.
+        started_at = run.started_at if run else now
         effects += suspensions.record_done(partition, worker, started_at)
         job_ended = jobs.finish_task(task)
         if task.run is not None and task.run is not run:
