Learn no usual share from workers that recover

Runs that failed on a faulty worker counted in the usual share as soon as one that was started later was done. In a unit run 300 trials failed on one worker before it recovered: the share rose from 0.002 to 0.43, and the next faulty worker was suspended after 15 failures in place of 3. Failures that show a fault are now left out, and 100 of them are kept for a worker.

The share also became zero after some 300,000 successes without a failure, so that the next failures raised ZeroDivisionError. It now has a lowest value, at which as many failures are needed as before.

The step that has 20 or 80 of 400 runs fail let them fail in a row, which shows a fault now. They are spread evenly; the rows stay as they are.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -37,6 +37,22 @@
       | 80    | 6        | not suspended |
       | 80    | 8        | suspended     |
 
+  Scenario: Failures suspend a worker after hundreds of thousands of successes
+    Guards against a usual share of zero, for which no weight can be computed.
+    Given two workers, and 0 of 400000 runs on the second one have failed
+    When 3 runs of several jobs fail on the first worker
+    Then the first worker is suspended
+
+  Scenario: The failures of a worker that recovers do not count as usual
+    Guards against workers that fail all their runs and are not suspended, since
+    the runs that failed on another such worker raised the usual share.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 60 runs of several jobs fail on the first worker
+    And a run that started after them is done there
+    And 6 s pass after the failures
+    And 3 runs of several jobs fail on the first worker
+    Then the first worker is suspended
+
   Scenario Outline: Ends of runs of a former owner are weighed in their order
     Guards against sound workers that are suspended by the first listing after a
     takeover. Also guards against a faulty worker that it does not suspend.
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -126,7 +126,8 @@
     second = context.workers[1]
     for number in range(total):
         started_at = builders.NOW - total + number
-        if number < count:
+        # The failures are spread evenly. In a row they would show a fault.
+        if number * count // total < (number + 1) * count // total:
             fail(context, second, number, builders.NOW - started_at)
         else:
             suspensions.record_done(context.partition, second, started_at)
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -31,6 +31,12 @@
 ASSUMED_OUTCOMES = 50.0
 # Beyond this number of outcomes older ones count less.
 MAX_OUTCOMES = 400.0
+# Lowest share that is estimated. Without it the share becomes zero after some
+# hundred thousand outcomes without a failure.
+LOWEST_SHARE = 0.001
+# Number of failures on a worker that are kept. While a faulty worker is tried
+# again and again, their number grows.
+MAX_UNEXPLAINED = 100
 
 
 @attrs.define(slots=True, eq=False)
@@ -55,7 +61,8 @@
 
     def estimate(self) -> float:
         """Returns the estimated share."""
-        return min(self.failures / self.outcomes, FAULTY_SHARE)
+        share = self.failures / self.outcomes
+        return min(max(share, LOWEST_SHARE), FAULTY_SHARE)
 
 
 def assume_failed_runs() -> FailureShare:
@@ -111,22 +118,28 @@
             share.record(0, 1)
         else:
             self.unexplained.append(failure)
+            del self.unexplained[:-MAX_UNEXPLAINED]
 
     def record_success(self, started_at: float, share: FailureShare) -> None:
         """Records that something started at a time has succeeded.
 
+        The failures before it count in the share, unless they show a fault: the
+        worker has recovered then, and they tell nothing about sound workers.
+
         Args:
             started_at: Monotonic time at which the start was sent, in seconds.
             share: Share of failures on sound workers.
         """
         self.succeeded_start_at = max(self.succeeded_start_at, started_at)
+        showed_fault = self.show_fault(share)
         count = len(self.unexplained)
         self.unexplained = [
             failure
             for failure in self.unexplained
             if failure.started_at > started_at
         ]
-        share.record(1, count - len(self.unexplained))
+        explained = count - len(self.unexplained)
+        share.record(1, 0 if showed_fault else explained)
 
     def show_fault(self, share: FailureShare) -> bool:
         """Returns whether the failures are too many to be chance.
