Add mutations of the weighing of failures and of trials

Eight rows: the usual share, the order of starts, the failures of recovered workers, the end of a suspension by a later success, trials, the time between them, no trials on workers that ignore starts, and none where leases are withheld.

--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 import attrs
@@ -32,8 +33,10 @@
 from sapphirestall_core.batch import suspensions
 from sapphirestall_core.batch import task_moves
 from sapphirestall_core.batch import tenure
+from sapphirestall_core.batch import trials
 from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import withheld_leases
+from sapphirestall_core.batch import worker_faults
 from sapphirestall_core.batch import workers
 
 TAKEOVER = "batch_takeover.feature"
@@ -52,6 +55,7 @@
 MOVES = "batch_moves.feature"
 ROOM_ELSEWHERE = "batch_room_elsewhere.feature"
 WAITS = "batch_waits.feature"
+SUSPENSIONS = "batch_suspensions.feature"
 
 
 def assume_no_former_lease() -> None:
@@ -386,6 +390,73 @@
     withheld_leases.update_grants = lambda *_: None
 
 
+def ignore_usual_share() -> None:
+    """Weighs failures as if no outcome on sound workers were known."""
+    worker_faults.FailureShare.estimate = lambda _: (
+        worker_faults.ASSUMED_FAILED_RUNS
+    )
+
+
+def ignore_order_of_starts() -> None:
+    """Lets each success explain all failures before it."""
+    record_success = worker_faults.Failures.record_success
+
+    def mutated(
+        failures: worker_faults.Failures,
+        _: float,
+        share: worker_faults.FailureShare,
+    ) -> None:
+        record_success(failures, math.inf, share)
+
+    worker_faults.Failures.record_success = mutated
+
+
+def learn_from_recovered_workers() -> None:
+    """Counts the failures of a worker that has recovered as usual."""
+    record_success = worker_faults.Failures.record_success
+
+    def mutated(
+        failures: worker_faults.Failures,
+        started_at: float,
+        share: worker_faults.FailureShare,
+    ) -> None:
+        before = len(failures.unexplained)
+        record_success(failures, started_at, share)
+        share.record(0, before - len(failures.unexplained))
+
+    worker_faults.Failures.record_success = mutated
+
+
+def keep_suspensions() -> None:
+    """Ends no suspension before its time."""
+    suspensions._resume = lambda *_: []
+
+
+def run_nothing_on_trial() -> None:
+    """Starts nothing on suspended workers."""
+    trials.choose_trials = lambda *_: []
+
+
+def run_trials_without_pause() -> None:
+    """Starts a trial on a suspended worker with each pass."""
+    trials.TRIAL_INTERVAL_S = 0.0
+
+
+def run_trials_on_hanging_workers() -> None:
+    """Starts trials also on workers that are suspended for another cause."""
+    suspend = suspensions._suspend_if_faulty
+
+    def mutated(
+        partition: state.Partition, worker: state.Worker, *rest: Any
+    ) -> Any:
+        effects = suspend(partition, worker, *rest)
+        if worker.suspension is not None:
+            worker.suspension.cause = worker_faults.SuspensionCause.FAILED_RUNS
+        return effects
+
+    suspensions._suspend_if_faulty = mutated
+
+
 # Name of the mechanism, start of the title of the scenario that must fail
 # without it, and the function that disables it.
 ROWS: tuple[tuple[str, str, Callable[[], None]], ...] = (
@@ -614,4 +685,44 @@
         f"{WAITS}: Runs outlast a short outage just after a takeover",
         grant_nothing_before_answers,
     ),
+    (
+        "usual share of failures",
+        f"{SUSPENSIONS}: Failures on a worker are weighed",
+        ignore_usual_share,
+    ),
+    (
+        "order of starts",
+        f"{SUSPENSIONS}: A run that was started later and is done ends",
+        ignore_order_of_starts,
+    ),
+    (
+        "failures of recovered workers",
+        f"{SUSPENSIONS}: The failures of a worker that recovers",
+        learn_from_recovered_workers,
+    ),
+    (
+        "end of a suspension by a later success",
+        f"{SUSPENSIONS}: A run that was started later and is done ends",
+        keep_suspensions,
+    ),
+    (
+        "trials on suspended workers",
+        f"{SUSPENSIONS}: Failures by chance close no worker",
+        run_nothing_on_trial,
+    ),
+    (
+        "time between trials",
+        f"{SUSPENSIONS}: A suspended worker runs one task on trial",
+        run_trials_without_pause,
+    ),
+    (
+        "no trials on workers that ignore starts",
+        f"{SUSPENSIONS}: A suspended worker that ignores starts",
+        run_trials_on_hanging_workers,
+    ),
+    (
+        "trials where leases are withheld",
+        f"{SUSPENSIONS}: A task runs on trial only where",
+        grant_withheld_leases,
+    ),
 )
