--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -63,6 +63,34 @@
       | 0.2     | suspended     |
       | 9       | not suspended |
 
+  Scenario: Failures suspend a worker after hundreds of thousands of successes
+    Guards against a usual share of zero, for which no weight can be computed.
+    Given two workers, and 0 of 400000 runs on the second one have failed
+    When 3 runs of several jobs fail on the first worker
+    Then the first worker is suspended
+
+  Scenario: The failures of a worker that recovers do not count as usual
+    Guards against workers that fail all their runs and are not suspended, since
+    the runs that failed on another such worker raised the usual share.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 60 runs of several jobs fail on the first worker
+    And a run that started after them is done there
+    And 6 s pass after the failures
+    And 3 runs of several jobs fail on the first worker
+    Then the first worker is suspended
+
+  Scenario Outline: Ends of runs of a former owner are weighed in their order
+    Guards against sound workers that are suspended by the first listing after a
+    takeover. Also guards against a faulty worker that it does not suspend.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When the first worker lists that 40 runs of a former owner ended "<ends>"
+    Then the first worker is <state>
+
+    Examples:
+      | ends                                     | state         |
+      | ....f.........f.........f.........f..... | not suspended |
+      | ....................................ffff | suspended     |
+
   Scenario Outline: A run that was started later and is done ends a suspension
     Guards against a worker that stays closed although runs are done there. Also
     guards against one that begins to fail, completes a run that it had started
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -35,7 +35,8 @@
 # Lowest share that is estimated. Without it the share becomes zero after some
 # hundred thousand outcomes without a failure.
 LOWEST_SHARE = 0.001
-# Number of failures in a row that are kept.
+# Number of failures in a row that are kept. While a faulty worker is tried
+# again and again, their number grows.
 LONGEST_ROW = 100
 
 
