Move long-running tasks to what finite tasks would leave elsewhere

Within a partition finite tasks yield: a worker is nominated for a task that waits. Summaries showed free capacity alone, so that no task elsewhere knew that they would.

A summary now shows what finite tasks that soon end would leave on a few workers, where no task of the partition itself could use it. A task of the highest priority that has waited for 1 s moves there if nothing is free anywhere, one task of an owner at a time, as all full partitions read the same summaries, and gets its worker nominated when it arrives. The bound of 1,000 bytes for a summary holds.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -154,7 +154,46 @@
             effects += move_writes.start_move(
                 batch, partition, job, record, now
             )
-    return effects
+    if not budget.writes:
+        return effects
+    return effects + _move_to_yielding(batch, partition, unplaced, now)
+
+
+def _move_to_yielding(
+    batch: state.Batch,
+    partition: state.Partition,
+    unplaced: list[state.Job],
+    now: float,
+) -> dispatch.Effects:
+    """Moves one long-running task to capacity that finite tasks use elsewhere.
+
+    Owners of all full partitions read the same summaries, so that more tasks
+    would meet in the partition and move on. Finite tasks yield only to those
+    that no finite task precedes.
+    """
+    progress = former_runs.check_progress(partition, now)
+    for job in unplaced:
+        if (
+            not _moves_tasks(job)
+            or job.move_in_flight
+            or not progress.allows(job)
+            or not _has_highest_priority(batch, job)
+        ):
+            continue
+        others = _list_others(batch, partition, job, now)
+        record = task_moves.plan_move_to_yielding(
+            batch, partition, job, others, now
+        )
+        if record is not None:
+            return move_writes.start_move(batch, partition, job, record, now)
+    return []
+
+
+def _has_highest_priority(batch: state.Batch, job: state.Job) -> bool:
+    if batch.configuration is None:
+        return False
+    queues = batch.configuration.queues
+    return all(job.queue.priority <= queue.priority for queue in queues)
 
 
 def _list_waiting_tasks(partition: state.Partition) -> list[state.Task]:
--- a/packages/core/src/sapphirestall_core/batch/nominations.py
+++ b/packages/core/src/sapphirestall_core/batch/nominations.py
@@ -14,6 +14,7 @@
 from sapphirestall_core import messages
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import placement
+from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 
 PART = "starts"
@@ -99,11 +100,16 @@
 
 
 def _has_waited(task: state.Task, now: float) -> bool:
-    """Returns whether a task has waited so long that it gets a worker."""
-    return (
-        task.unplaced_since is not None
-        and now - task.unplaced_since >= NOMINATION_DELAY_S
-    )
+    """Returns whether a task has waited so long that it gets a worker.
+
+    A task that was moved here has waited in another partition.
+    """
+    if task.unplaced_since is None:
+        return False
+    key = records.make_task_key(task.name.step, task.name.index)
+    if key in task.job.record.moved:
+        return True
+    return now - task.unplaced_since >= NOMINATION_DELAY_S
 
 
 def _renew_nomination(
@@ -175,7 +181,7 @@
     if amount.fits(free):
         return 0.0
     ending = [
-        (_estimate_remaining(run, now), run.task.step)
+        (estimate_remaining(run, now), run.task.step)
         for run in candidate.worker.runs.values()
         if not run.task.step.long_running
         or run.phase is state.RunPhase.STOPPING
@@ -188,7 +194,7 @@
     return math.inf
 
 
-def _estimate_remaining(run: state.Run, now: float) -> float:
+def estimate_remaining(run: state.Run, now: float) -> float:
     """Estimates how long a run that will end still lasts, in seconds."""
     if run.phase is state.RunPhase.STOPPING:
         return 0.0
--- a/packages/core/src/sapphirestall_core/batch/published_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/published_capacity.py
@@ -47,6 +47,9 @@
             megabytes.
         long_running_only: Whether the free capacity is left to long-running
             tasks, as the workers are nominated for some that wait.
+        yielding: Processors and memory that a worker would have free, without
+            the finite tasks that leave them to long-running ones, for some
+            workers with most of them.
     """
 
     labels: tuple[str, ...]
@@ -56,6 +59,7 @@
         default=(), validator=_check_lengths
     )
     long_running_only: bool = False
+    yielding: tuple[FreeCapacity, ...] = ()
 
     def accepts(self, step: model.Step) -> bool:
         """Returns whether tasks of a step may use the workers."""
@@ -84,6 +88,7 @@
     capacities: Iterable[FreeCapacity],
     *,
     long_running_only: bool = False,
+    yielding: Iterable[FreeCapacity] = (),
 ) -> WorkerGroup:
     """Returns a group of workers of which some have free capacity."""
     listed = list(capacities)
@@ -93,9 +98,31 @@
         tuple(free.cpu_millis for free in listed),
         tuple(free.memory_mb for free in listed),
         long_running_only,
+        tuple(yielding),
     )
 
 
+def show_yielding(group: WorkerGroup) -> WorkerGroup:
+    """Returns a group with what finite tasks leave as its free capacity."""
+    return make_group(group.labels, 0, group.yielding, long_running_only=True)
+
+
+def deduct_yielding(
+    groups: tuple[WorkerGroup, ...], step: model.Step
+) -> tuple[WorkerGroup, ...]:
+    """Returns groups after tasks were sent to what finite tasks leave."""
+    shown = tuple(show_yielding(group) for group in groups)
+    return tuple(
+        attrs.evolve(group, yielding=tuple(_list_capacities(left)))
+        for group, left in zip(groups, deduct_tasks(shown, step), strict=True)
+    )
+
+
+def _list_capacities(group: WorkerGroup) -> Iterable[FreeCapacity]:
+    pairs = zip(group.cpu_millis, group.memory_mb, strict=True)
+    return (FreeCapacity(*pair) for pair in pairs)
+
+
 @attrs.define(slots=True)
 class _Worker:
     """A worker of a group while tasks are deducted from it.
--- a/packages/core/src/sapphirestall_core/batch/routing.py
+++ b/packages/core/src/sapphirestall_core/batch/routing.py
@@ -322,8 +322,10 @@
     subject: str,
     placed: dict[str, int] | None = None,
     service: str = "",
+    *,
+    yielding: bool = False,
 ) -> str | None:
-    """Chooses a partition with free capacity for a single task.
+    """Chooses a partition with capacity for a single task.
 
     Partitions that could run a second such task are preferred, since summaries
     lag and another owner may use the free capacity first. If only some tasks of
@@ -338,15 +340,21 @@
             differs.
         placed: Number of tasks of the step that each partition has already.
         service: Service of the step; empty for any.
+        yielding: Whether the task gets, in place of free capacity, what finite
+            tasks leave to long-running ones.
 
     Returns:
-        Name of the partition; None if no partition has enough free capacity.
+        Name of the partition; None if no partition has enough capacity.
     """
     fitting = {}
     for name in names:
         used = (placed or {}).get(name, 0) if step.max_per_worker else 0
         count = summary_capacity.count_fitting_tasks(
-            batch.summaries[name], service, step, MAX_COUNTED_TASKS + used
+            batch.summaries[name],
+            service,
+            step,
+            MAX_COUNTED_TASKS + used,
+            yielding=yielding,
         )
         if count:
             fitting[name] = max(0, count - used)
@@ -355,8 +363,15 @@
         key=lambda name: (fitting[name], _hash_pair(subject, name)),
         default=None,
     )
-    if chosen is not None:
-        deduct_job(batch, chosen, (attrs.evolve(step, count=1),), service)
+    if chosen is None:
+        return None
+    single = attrs.evolve(step, count=1)
+    if yielding:
+        batch.summaries[chosen] = summary_capacity.deduct(
+            batch.summaries[chosen], service, single, yielding=True
+        )
+    else:
+        deduct_job(batch, chosen, (single,), service)
     return chosen
 
 
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -18,6 +18,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import usability
+from sapphirestall_core.batch import yielding_capacity
 
 # Shortest time between two writes of a summary, in seconds.
 SUMMARY_INTERVAL_S = 0.7
@@ -113,6 +114,8 @@
     usable = usability.list_startable_workers(
         partition, now, suspension_left_s=PUBLISHING_S
     )
+    nominated = _find_nominated(partition)
+    yielding = yielding_capacity.find_most(partition, usable, nominated, now)
     idle_cpu = sum(placement.estimate_idle_cpu(worker) for worker in usable)
     min_load = 0.0 if idle_cpu > 0 else SATURATED_LOAD
     return records.SummaryRecord(
@@ -124,7 +127,7 @@
         _list_rooms(usable),
         _list_labels(usable),
         dict(collections.Counter(worker.entry.service for worker in usable)),
-        _group_workers(usable, _find_nominated(partition)),
+        _group_workers(usable, nominated, yielding),
     )
 
 
@@ -173,13 +176,16 @@
 
 
 def _group_workers(
-    usable: list[state.Worker], nominated: set[str]
+    usable: list[state.Worker],
+    nominated: set[str],
+    yielding: dict[str, published_capacity.FreeCapacity],
 ) -> dict[str, tuple[published_capacity.WorkerGroup, ...]]:
     """Returns workers with their free capacity, by service and labels.
 
     Args:
         usable: The workers that accept new runs.
         nominated: Ids of those on which finite tasks leave capacity free.
+        yielding: What finite tasks would leave free, by worker.
     """
     groups: dict[
         str, dict[tuple[tuple[str, ...], bool], list[state.Worker]]
@@ -190,7 +196,9 @@
         by_kind.setdefault(kind, []).append(worker)
     return {
         service: tuple(
-            _make_group(labels, by_kind[labels, is_nominated], is_nominated)
+            _make_group(
+                labels, by_kind[labels, is_nominated], is_nominated, yielding
+            )
             for labels, is_nominated in sorted(by_kind)
         )
         for service, by_kind in groups.items()
@@ -198,14 +206,22 @@
 
 
 def _make_group(
-    labels: tuple[str, ...], workers: list[state.Worker], is_nominated: bool
+    labels: tuple[str, ...],
+    workers: list[state.Worker],
+    is_nominated: bool,
+    yielding: dict[str, published_capacity.FreeCapacity],
 ) -> published_capacity.WorkerGroup:
     """Returns the workers with the same labels, those with most free first."""
     free = [_find_free(worker) for worker in workers]
     some = [each for each in free if each.cpu_millis > 0 and each.memory_mb > 0]
     some.sort(key=lambda each: -each.cpu_millis)
+    ids = [worker.entry.worker_id for worker in workers]
     return published_capacity.make_group(
-        labels, len(workers), some, long_running_only=is_nominated
+        labels,
+        len(workers),
+        some,
+        long_running_only=is_nominated,
+        yielding=[yielding[name] for name in ids if name in yielding],
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/summary_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/summary_capacity.py
@@ -12,7 +12,11 @@
 
 
 def list_groups(
-    summary: records.SummaryRecord, service: str, step: model.Step
+    summary: records.SummaryRecord,
+    service: str,
+    step: model.Step,
+    *,
+    yielding: bool = False,
 ) -> list[published_capacity.WorkerGroup]:
     """Returns the workers that can run a step.
 
@@ -20,16 +24,18 @@
         summary: Summary of the partition.
         service: Service of the step; empty for any.
         step: The step, which may require a label.
+        yielding: Whether to return, in place of the free capacity, what finite
+            tasks leave to long-running ones.
     """
     if summary.groups is None:
-        return [_make_former_group(summary, step)]
-    return [
-        group
+        return [] if yielding else [_make_former_group(summary, step)]
+    listed = [
+        published_capacity.show_yielding(group) if yielding else group
         for name, groups in summary.groups.items()
         if service in ("", name)
         for group in groups
-        if group.accepts(step)
     ]
+    return [group for group in listed if group.accepts(step)]
 
 
 def _make_former_group(
@@ -49,17 +55,21 @@
     service: str,
     step: model.Step,
     limit: int,
+    *,
+    yielding: bool = False,
 ) -> int:
-    """Counts the tasks of a step for which a partition has free capacity.
+    """Counts the tasks of a step for which a partition has capacity.
 
     Args:
         summary: Summary of the partition.
         service: Service of the step; empty for any.
         step: Step of the tasks.
         limit: Highest number to return.
+        yielding: Whether to count, in place of the free capacity, what finite
+            tasks leave to long-running ones.
     """
     count = 0
-    for group in list_groups(summary, service, step):
+    for group in list_groups(summary, service, step, yielding=yielding):
         count += group.count_fitting(step, limit - count)
         if count >= limit:
             break
@@ -94,7 +104,11 @@
 
 
 def deduct(
-    summary: records.SummaryRecord, service: str, step: model.Step
+    summary: records.SummaryRecord,
+    service: str,
+    step: model.Step,
+    *,
+    yielding: bool = False,
 ) -> records.SummaryRecord:
     """Returns a summary after the tasks of a step were sent to its partition.
 
@@ -102,6 +116,7 @@
         summary: Summary of the partition.
         service: Service of the step; empty for any.
         step: The step.
+        yielding: Whether its tasks get what finite tasks leave to them.
     """
     if summary.groups is None:
         former = _make_former_group(summary, step)
@@ -109,10 +124,13 @@
         pairs = zip(group.cpu_millis, group.memory_mb, strict=True)
         rooms = (published_capacity.FreeCapacity(*pair) for pair in pairs)
         return attrs.evolve(summary, rooms=tuple(rooms))
+    deduct_from = (
+        published_capacity.deduct_yielding
+        if yielding
+        else published_capacity.deduct_tasks
+    )
     groups = {
-        name: published_capacity.deduct_tasks(groups, step)
-        if service in ("", name)
-        else groups
+        name: deduct_from(groups, step) if service in ("", name) else groups
         for name, groups in summary.groups.items()
     }
     return attrs.evolve(summary, groups=groups)
--- a/packages/core/src/sapphirestall_core/batch/task_moves.py
+++ b/packages/core/src/sapphirestall_core/batch/task_moves.py
@@ -23,6 +23,10 @@
 # for it may move after this longer time, in seconds. Constraints may exclude
 # it from that room, and it would move from one to another without end.
 RETRIED_DELAY_S = 1.5
+# A long-running task without a nominated worker moves to capacity that finite
+# tasks use elsewhere after this time, in seconds. Before, one may be nominated
+# for it here, and free capacity elsewhere is used first.
+YIELDING_DELAY_S = 1.0
 
 
 def plan_moves(
@@ -63,6 +67,53 @@
     return attrs.evolve(job.record, moved=moved)
 
 
+def plan_move_to_yielding(
+    batch: state.Batch,
+    partition: state.Partition,
+    job: state.Job,
+    others: dict[str, records.SummaryRecord],
+    now: float,
+) -> records.JobRecord | None:
+    """Chooses capacity that finite tasks use elsewhere for a task of a job.
+
+    Args:
+        batch: State of this instance.
+        partition: Partition that has the task.
+        job: The job.
+        others: Summaries of the other partitions that can run the job.
+        now: Monotonic time, in seconds.
+
+    Returns:
+        The changed record; None if no task can be moved.
+    """
+    for number, step in enumerate(job.steps):
+        if not step.step.long_running or step.step.fills:
+            continue
+        for index, task in step.runnable.items():
+            if not _may_claim(task, now):
+                continue
+            move = _plan_task_move(
+                batch, partition, job.record, task, others, now, yielding=True
+            )
+            if move is None:
+                break
+            key = records.make_task_key(number, index)
+            return attrs.evolve(
+                job.record, moved={**job.record.moved, key: move}
+            )
+    return None
+
+
+def _may_claim(task: state.Task, now: float) -> bool:
+    """Returns whether a task has waited and has no worker nominated."""
+    if task.nomination is not None and task.nomination.worker_id:
+        return False
+    return (
+        task.unplaced_since is not None
+        and now - task.unplaced_since >= YIELDING_DELAY_S
+    )
+
+
 def list_moves(
     job: state.Job, record: records.JobRecord
 ) -> list[records.MovedTask]:
@@ -100,6 +151,8 @@
     task: state.Task,
     others: dict[str, records.SummaryRecord],
     now: float,
+    *,
+    yielding: bool = False,
 ) -> records.MovedTask | None:
     """Chooses a partition for a waiting long-running task.
 
@@ -115,9 +168,11 @@
         task: The task; it has waited long enough to move.
         others: Summaries of the other partitions that can run the job.
         now: Monotonic time, in seconds.
+        yielding: Whether the task gets, in place of free capacity, what finite
+            tasks leave to it.
 
     Returns:
-        The move; None if no other partition has enough free capacity.
+        The move; None if no other partition has enough capacity.
     """
     number, index = task.name.step, task.name.index
     key = records.make_task_key(number, index)
@@ -131,7 +186,13 @@
     subject = f"{record.job_id}.{key}"
     for choice in choices:
         chosen = routing.choose_for_task(
-            batch, choice, task.step, subject, placed, record.queue.service
+            batch,
+            choice,
+            task.step,
+            subject,
+            placed,
+            record.queue.service,
+            yielding=yielding,
         )
         if chosen is not None:
             others_tried = [name for name in tried if name != partition.name]
