Extend a suspension only by failures that count against the worker

A run that was started before one that is done does not count against its worker when it fails, but its failure extended the suspension of the worker by up to 5 s. The new scenario failed before: the worker was suspended 5.1 s after the last failure that counts. Both kinds of failures are now weighed in one function.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -79,6 +79,17 @@
       | before | suspended     |
       | after  | not suspended |
 
+  Scenario: A run that had failed anyway does not extend a suspension
+    Guards against a worker that stays closed since runs fail there that were
+    started before one that is done, so that they tell nothing about it.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When a run that started before them is done there
+    And 4 runs of several jobs fail on the first worker
+    And 3 s pass after the failures
+    And a run that started 13 s ago fails there
+    And 2.1 s pass after the failures
+    Then the first worker is not suspended
+
   Scenario Outline: A suspended worker runs one task on trial at a time
     Guards against long-running tasks that wait for the end of a suspension.
     Also guards against many tasks that fail on a worker that fails all its runs.
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -193,6 +193,11 @@
     )
 
 
+@behave.when("a run that started {seconds:g} s ago fails there")
+def step(context, seconds):
+    fail(context, context.workers[0], 0, seconds)
+
+
 @behave.when("{count:d} starts get no answer on the first worker")
 def step(context, count):
     task = context.steps[0].unfinished[1]
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -102,14 +102,10 @@
         # It was in flight together with one that has been counted.
         return []
     worker.start_unanswered_at = now
-    cause = worker_faults.SuspensionCause.UNANSWERED_STARTS
-    _discard_weighed_failures(partition, worker, cause, now)
     step = run.task.job.steps[run.task.name.step]
-    worker.unanswered_starts.record(
-        worker_faults.Failure(run.started_at, step),
-        partition.unanswered_starts_share,
-    )
-    return _suspend_if_faulty(partition, worker, cause, now)
+    failure = worker_faults.Failure(run.started_at, step)
+    cause = worker_faults.SuspensionCause.UNANSWERED_STARTS
+    return _weigh_failure(partition, worker, cause, failure, now)
 
 
 def record_failure(
@@ -136,11 +132,23 @@
     step.failed_worker_ids.add(worker.entry.worker_id)
     if _is_cause(step):
         return _discount_failures(partition, step)
+    failure = worker_faults.Failure(now - ran_s, step)
     cause = worker_faults.SuspensionCause.FAILED_RUNS
+    return _weigh_failure(partition, worker, cause, failure, now)
+
+
+def _weigh_failure(
+    partition: state.Partition,
+    worker: state.Worker,
+    cause: worker_faults.SuspensionCause,
+    failure: worker_faults.Failure,
+    now: float,
+) -> dispatch.Effects:
+    """Records a failure and suspends its worker if that seems faulty."""
     _discard_weighed_failures(partition, worker, cause, now)
-    worker.failed_runs.record(
-        worker_faults.Failure(now - ran_s, step), partition.failed_runs_share
-    )
+    failures, share = _find_failures(partition, worker, cause)
+    if not failures.record(failure, share):
+        return []
     return _suspend_if_faulty(partition, worker, cause, now)
 
 
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -105,7 +105,7 @@
     unexplained: list[Failure] = attrs.field(factory=list)
     succeeded_start_at: float = -math.inf
 
-    def record(self, failure: Failure, share: FailureShare) -> None:
+    def record(self, failure: Failure, share: FailureShare) -> bool:
         """Records a failure.
 
         It has another cause than the worker if a later start has succeeded.
@@ -113,12 +113,16 @@
         Args:
             failure: The failure.
             share: Share of such failures on sound workers.
+
+        Returns:
+            Whether the failure may have its cause in the worker.
         """
         if failure.started_at < self.succeeded_start_at:
             share.record(0, 1)
-        else:
-            self.unexplained.append(failure)
-            del self.unexplained[:-MAX_UNEXPLAINED]
+            return False
+        self.unexplained.append(failure)
+        del self.unexplained[:-MAX_UNEXPLAINED]
+        return True
 
     def record_success(self, started_at: float, share: FailureShare) -> None:
         """Records that something started at a time has succeeded.
