--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -106,7 +106,7 @@
     row: list[Failure] = attrs.field(factory=list)
     succeeded_start_at: float = -math.inf
 
-    def record(self, failure: Failure, share: FailureShare) -> None:
+    def record(self, failure: Failure, share: FailureShare) -> bool:
         """Records a failure.
 
         It has another cause than the worker if a later start has succeeded.
@@ -114,12 +114,16 @@
         Args:
             failure: The failure.
             share: Share of such failures on sound workers.
+
+        Returns:
+            Whether the failure may have its cause in the worker.
         """
         if failure.started_at < self.succeeded_start_at:
             share.record(0, 1)
-            return
+            return False
         self.row.append(failure)
         del self.row[:-LONGEST_ROW]
+        return True
 
     def record_success(self, started_at: float, share: FailureShare) -> None:
         """Records that something started at a time has succeeded.
