Count runs that outlast failed ones against a fault of the worker

Failures are compared with successes in the order of their starts. Where runs fail soon and others take longer, all failures of the last seconds seem to be in a row, as nothing started after them can be done yet.

Each run that was started after the first of the failures, is still at work and has lasted twice as long as failed runs now counts as a part of a success. Whether runs fail sooner than others are done on the platform was not looked at.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -20,6 +20,21 @@
       | 2    | 6        | 2.5   |
       | 3    | 6        | 2.5   |
 
+  Scenario Outline: Runs that fail sooner than others are done close no worker
+    Guards against sound workers that are suspended since all runs that fail
+    have ended there, and none of those that were started with them yet. Also
+    guards against a worker that fails all it starts and is not suspended.
+    Given four workers with finite runs of which a tenth fails soon, by seed <seed>
+    When <count> of them fails all that it starts for 10 s
+    Then as many workers were suspended
+
+    Examples:
+      | count | seed |
+      | 0     | 1    |
+      | 0     | 2    |
+      | 1     | 1    |
+      | 1     | 2    |
+
   Scenario Outline: Failures on a worker are weighed against the usual share
     Guards against sound workers that are suspended several times a day in a
     fleet in which many runs fail. Also guards against a worker that fails all
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -21,6 +21,11 @@
 # Time in which the owner learns how many runs fail, in seconds.
 HISTORY_S = 30.0
 FINITE_INTERVAL_S = 0.2
+# Durations of runs and of those that fail, and time between their jobs, where
+# runs fail soon, in seconds.
+LONGER_RUN_S = (5.0, 7.0)
+SOON_S = 0.2
+LONGER_RUN_INTERVAL_S = 0.5
 # Time until the owner knows that the runs on a lost worker have ended, in
 # seconds.
 LOSS_KNOWN_S = 7.0
@@ -30,11 +35,23 @@
     return f"{number:016x}"
 
 
-def submit_finite(world, number):
+def submit_finite(world, number, interval_s=FINITE_INTERVAL_S):
     if number > 0:
         step = model.Step(4, SMALL, estimate_s=1.0)
         world.submit(world.nodes[number % 3], f"f{number:015x}", step)
-    world.schedule(FINITE_INTERVAL_S, lambda: submit_finite(world, number + 1))
+    world.schedule(
+        interval_s, lambda: submit_finite(world, number + 1, interval_s)
+    )
+
+
+def start_workers(world):
+    world.store_division(2)
+    for number in range(WORKERS):
+        rack = f"r1-{number // 2 + 1}"
+        world.add_worker(f"w-{number}", "north", 8000, rack)
+    for number in range(3):
+        world.add_node(f"e-{number}", "north")
+    world.run(4)
 
 
 def find_run(world, job_id):
@@ -51,14 +68,8 @@
 )
 def step(context, seed):
     world = context.world = batch_world.BatchWorld(seed)
-    world.store_division(2)
     world.failure_fraction = FAILING_SHARE
-    for number in range(WORKERS):
-        rack = f"r1-{number // 2 + 1}"
-        world.add_worker(f"w-{number}", "north", 8000, rack)
-    for number in range(3):
-        world.add_node(f"e-{number}", "north")
-    world.run(4)
+    start_workers(world)
     step = model.Step(1, LARGE, long_running=True)
     for number in range(WORKERS):
         world.submit(world.nodes[0], name_long_running_job(number), step)
@@ -108,6 +119,40 @@
     assert find_run(context.world, context.waiting) == context.name
 
 
+@behave.given(
+    "four workers with finite runs of which a tenth fails soon, by seed"
+    " {seed:d}"
+)
+def step(context, seed):
+    world = context.world = batch_world.BatchWorld(seed)
+    world.failure_fraction = 2 * FAILING_SHARE
+    world.failure_delay_s = SOON_S
+    world.run_duration_s = LONGER_RUN_S
+    start_workers(world)
+    submit_finite(world, 1, LONGER_RUN_INTERVAL_S)
+    world.run(HISTORY_S)
+
+
+@behave.when("{count:d} of them fails all that it starts for {seconds:g} s")
+def step(context, count, seconds):
+    world = context.world
+    context.faulty = {f"w-{number}" for number in range(count)}
+    for name in context.faulty:
+        world.workers[name].fails_until = world.now + seconds
+    world.run(seconds)
+
+
+@behave.then("as many workers were suspended")
+def step(context):
+    suspended = {
+        log.fields["worker"]
+        for node in context.world.nodes
+        for _, log in node.logs
+        if log.text == "suspended"
+    }
+    assert suspended == context.faulty, suspended
+
+
 @behave.given(
     "two workers, and {count:d} of {total:d} runs on the second one have failed"
 )
@@ -130,7 +175,9 @@
         if number * count // total < (number + 1) * count // total:
             fail(context, second, number, builders.NOW - started_at)
         else:
-            suspensions.record_done(context.partition, second, started_at)
+            suspensions.record_done(
+                context.partition, second, started_at, context.now
+            )
 
 
 def fail(context, worker, number, ran_s):
@@ -189,7 +236,10 @@
 def step(context, when):
     ran_s = 0.5 if when == "after" else 1.5
     suspensions.record_done(
-        context.partition, context.workers[0], context.now - ran_s
+        context.partition,
+        context.workers[0],
+        context.now - ran_s,
+        context.now,
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/commands.py
+++ b/packages/core/src/sapphirestall_core/batch/commands.py
@@ -193,7 +193,7 @@
     if run.phase is state.RunPhase.STARTING:
         run.phase = state.RunPhase.RUNNING
     effects = suspensions.record_answered_start(
-        partition, worker, run.started_at
+        partition, worker, run.started_at, now
     )
     if run.task.step.fills:
         # A run starts at full pace, which may be too high here.
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -223,7 +223,7 @@
     if run.started_clock_ms is None:
         run.started_clock_ms = worker.listed_clock_ms
         effects += suspensions.record_answered_start(
-            partition, worker, run.started_at
+            partition, worker, run.started_at, now
         )
     stopping = run.phase is state.RunPhase.STOPPING
     if run.task.run is not run or task is None or stopping:
@@ -336,7 +336,7 @@
         # The start of a run of a former owner is not known. As with its failed
         # runs, the order of the ends takes the place of that of the starts.
         started_at = run.started_at if run else now
-        effects += suspensions.record_done(partition, worker, started_at)
+        effects += suspensions.record_done(partition, worker, started_at, now)
         job_ended = jobs.finish_task(task)
         if task.run is not None and task.run is not run:
             effects += _stop_other_run(partition, task.run, now)
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -29,7 +29,10 @@
 
 
 def record_done(
-    partition: state.Partition, worker: state.Worker, started_at: float
+    partition: state.Partition,
+    worker: state.Worker,
+    started_at: float,
+    now: float,
 ) -> dispatch.Effects:
     """Records that a run on a worker was done.
 
@@ -37,18 +40,32 @@
         partition: Partition of the worker.
         worker: The worker.
         started_at: Monotonic time at which its start was sent, in seconds.
+        now: Monotonic time, in seconds.
     """
-    share = partition.failed_runs_share
-    worker.failed_runs.record_success(started_at, share)
-    return _resume(partition, worker)
+    cause = worker_faults.SuspensionCause.FAILED_RUNS
+    return _record_success(partition, worker, cause, started_at, now)
+
+
+def _record_success(
+    partition: state.Partition,
+    worker: state.Worker,
+    cause: worker_faults.SuspensionCause,
+    started_at: float,
+    now: float,
+) -> dispatch.Effects:
+    """Records a success, which may end the suspension of the worker."""
+    failures, share = _find_failures(partition, worker, cause)
+    showed_fault = _are_enough(partition, worker, cause, now)
+    failures.record_success(started_at, share, showed_fault=showed_fault)
+    return _resume(partition, worker, now)
 
 
 def record_working_runs(
     partition: state.Partition, worker: state.Worker, now: float
 ) -> dispatch.Effects:
-    """Records the long-running runs of a worker that have lasted long enough.
+    """Records the runs of a worker that go on after others have failed.
 
-    Does nothing if no run has failed there.
+    Long-running ones count as a success once they have lasted long enough.
     """
     if not worker.failed_runs.unexplained:
         return []
@@ -63,12 +80,15 @@
         default=worker.failed_runs.succeeded_start_at,
     )
     if started_at <= worker.failed_runs.succeeded_start_at:
-        return []
-    return record_done(partition, worker, started_at)
+        return _resume(partition, worker, now)
+    return record_done(partition, worker, started_at, now)
 
 
 def record_answered_start(
-    partition: state.Partition, worker: state.Worker, sent_at: float
+    partition: state.Partition,
+    worker: state.Worker,
+    sent_at: float,
+    now: float,
 ) -> dispatch.Effects:
     """Records that a worker has carried out a start.
 
@@ -76,10 +96,10 @@
         partition: Partition of the worker.
         worker: The worker.
         sent_at: Monotonic time at which the start was sent, in seconds.
+        now: Monotonic time, in seconds.
     """
-    share = partition.unanswered_starts_share
-    worker.unanswered_starts.record_success(sent_at, share)
-    return _resume(partition, worker)
+    cause = worker_faults.SuspensionCause.UNANSWERED_STARTS
+    return _record_success(partition, worker, cause, sent_at, now)
 
 
 def record_unanswered_start(
@@ -131,8 +151,8 @@
         step.has_worked = True
     step.failed_worker_ids.add(worker.entry.worker_id)
     if _is_cause(step):
-        return _discount_failures(partition, step)
-    failure = worker_faults.Failure(now - ran_s, step)
+        return _discount_failures(partition, step, now)
+    failure = worker_faults.Failure(now - ran_s, step, ran_s)
     cause = worker_faults.SuspensionCause.FAILED_RUNS
     return _weigh_failure(partition, worker, cause, failure, now)
 
@@ -166,12 +186,12 @@
     suspension = worker.suspension
     if suspension is not None and suspension.until > now:
         return
-    failures, share = _find_failures(partition, worker, cause)
     if (
         suspension is not None
         and suspension.cause is cause
-        or _are_enough(failures, share, cause)
+        or _are_enough(partition, worker, cause, now)
     ):
+        failures, _ = _find_failures(partition, worker, cause)
         failures.unexplained.clear()
     worker.suspension = None
 
@@ -183,7 +203,7 @@
     now: float,
 ) -> dispatch.Effects:
     """Suspends a worker that seems faulty, or extends its suspension."""
-    if not _seems_faulty(partition, worker, cause):
+    if not _seems_faulty(partition, worker, cause, now):
         return []
     until = now + SUSPENSION_S
     if worker.suspension is None or worker.suspension.cause is not cause:
@@ -217,29 +237,51 @@
 
 
 def _are_enough(
-    failures: worker_faults.Failures,
-    share: worker_faults.FailureShare,
+    partition: state.Partition,
+    worker: state.Worker,
     cause: worker_faults.SuspensionCause,
+    now: float,
 ) -> bool:
-    """Returns whether failures are too many to be chance."""
-    count = len(failures.unexplained)
-    return count >= FEWEST_FAILURES[cause] and failures.show_fault(share)
+    """Returns whether failures on a worker are too many to be chance."""
+    failures, share = _find_failures(partition, worker, cause)
+    if len(failures.unexplained) < FEWEST_FAILURES[cause]:
+        return False
+    if cause is worker_faults.SuspensionCause.UNANSWERED_STARTS:
+        return failures.show_fault(share)
+    return failures.show_fault(share, _list_running_times(worker, now))
+
+
+def _list_running_times(worker: state.Worker, now: float) -> list[float]:
+    """Returns for how long the runs have lasted that were started after others.
+
+    These are the runs that were started after the first of the failed runs, and
+    that the worker still listed last. The times are in seconds.
+    """
+    first_at = min(
+        failure.started_at for failure in worker.failed_runs.unexplained
+    )
+    return [
+        now - run.started_at
+        for run in worker.runs.values()
+        if run.phase is state.RunPhase.RUNNING and run.started_at > first_at
+    ]
 
 
 def _seems_faulty(
     partition: state.Partition,
     worker: state.Worker,
     cause: worker_faults.SuspensionCause,
+    now: float,
 ) -> bool:
     """Returns whether failures seem to have their cause in a worker.
 
     Failed runs of a single step tell this only if the step can run elsewhere.
     """
-    failures, share = _find_failures(partition, worker, cause)
-    if not _are_enough(failures, share, cause):
+    if not _are_enough(partition, worker, cause, now):
         return False
     if cause is worker_faults.SuspensionCause.UNANSWERED_STARTS:
         return True
+    failures = worker.failed_runs
     steps = [failure.step for failure in failures.unexplained]
     return any(_can_run(step) for step in steps) or any(
         step is not steps[0] for step in steps
@@ -258,7 +300,7 @@
 
 
 def _discount_failures(
-    partition: state.Partition, step: state.StepState
+    partition: state.Partition, step: state.StepState, now: float
 ) -> dispatch.Effects:
     """Takes the failures of a step back, with suspensions that they caused."""
     effects: dispatch.Effects = []
@@ -271,18 +313,18 @@
             for failure in worker.failed_runs.unexplained
             if failure.step is not step
         ]
-        effects += _resume(partition, worker)
+        effects += _resume(partition, worker, now)
     return effects
 
 
 def _resume(
-    partition: state.Partition, worker: state.Worker
+    partition: state.Partition, worker: state.Worker, now: float
 ) -> dispatch.Effects:
     """Ends the suspension of a worker that does not seem faulty any more."""
     suspension = worker.suspension
     if suspension is None:
         return []
-    if _seems_faulty(partition, worker, suspension.cause):
+    if _seems_faulty(partition, worker, suspension.cause, now):
         return []
     worker.suspension = None
     worker_id = worker.entry.worker_id
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -5,10 +5,15 @@
 be sound: where many runs fail, a row of them proves little. Failures are
 compared with successes in the order of their starts, since a worker that begins
 to fail may still complete what it started before.
+
+Runs may fail long before others are done. A run that was started after a
+failure, and has lasted for longer than failed runs do, counts as a part of a
+success.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import enum
 import math
 from typing import TYPE_CHECKING
@@ -24,6 +29,9 @@
 # fault as without one. At a few hundred, sound workers seemed faulty several
 # times a day in a fleet that completes fifteen thousand runs.
 FAULTY_ODDS = 50_000
+# A run has outlasted a failed run once it has lasted this many times as long.
+# Runs that a worker fails alike are listed at slightly different times.
+OUTLASTING_FACTOR = 2.0
 # Shares of failures on sound workers that are assumed before the first
 # outcomes, and the number of outcomes that they count as much as.
 ASSUMED_FAILED_RUNS = 0.02
@@ -86,10 +94,12 @@
     Attributes:
         started_at: Monotonic time at which the start was sent, in seconds.
         step: Step of the task.
+        ran_s: Time for which the run is known to have lasted, in seconds.
     """
 
     started_at: float
     step: state.StepState
+    ran_s: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -124,7 +134,9 @@
         del self.unexplained[:-MAX_UNEXPLAINED]
         return True
 
-    def record_success(self, started_at: float, share: FailureShare) -> None:
+    def record_success(
+        self, started_at: float, share: FailureShare, *, showed_fault: bool
+    ) -> None:
         """Records that something started at a time has succeeded.
 
         The failures before it count in the share, unless they show a fault: the
@@ -133,9 +145,9 @@
         Args:
             started_at: Monotonic time at which the start was sent, in seconds.
             share: Share of failures on sound workers.
+            showed_fault: Whether the failures until now show a fault.
         """
         self.succeeded_start_at = max(self.succeeded_start_at, started_at)
-        showed_fault = self.show_fault(share)
         count = len(self.unexplained)
         self.unexplained = [
             failure
@@ -145,14 +157,32 @@
         explained = count - len(self.unexplained)
         share.record(1, 0 if showed_fault else explained)
 
-    def show_fault(self, share: FailureShare) -> bool:
+    def show_fault(
+        self, share: FailureShare, running_s: Iterable[float] = ()
+    ) -> bool:
         """Returns whether the failures are too many to be chance.
 
         Args:
             share: Share of such failures on sound workers.
+            running_s: Times for which runs have lasted that were started after
+                the first of the failures and have not ended, in seconds.
         """
-        weight = math.log(FAULTY_SHARE / share.estimate())
-        return len(self.unexplained) * weight >= math.log(FAULTY_ODDS)
+        weight = len(self.unexplained) * math.log(
+            FAULTY_SHARE / share.estimate()
+        )
+        weight += sum(
+            math.log(1 - FAULTY_SHARE * self._find_outlasted_share(lasted_s))
+            for lasted_s in running_s
+        )
+        return weight >= math.log(FAULTY_ODDS)
+
+    def _find_outlasted_share(self, lasted_s: float) -> float:
+        """Returns the share of the failed runs that a run has outlasted."""
+        count = sum(
+            OUTLASTING_FACTOR * failure.ran_s <= lasted_s
+            for failure in self.unexplained
+        )
+        return count / len(self.unexplained)
 
 
 class SuspensionCause(enum.Enum):
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -119,6 +119,8 @@
         lost_history_fraction: Fraction of watches for which the store has no
             history.
         failure_fraction: Fraction of runs that fail.
+        failure_delay_s: Time after which these runs fail, in seconds; None if
+            they last as long as others.
         hopeless_jobs: Jobs of which all runs fail.
         unanswered_start_fraction: Fraction of starts that are carried out at
             once but get no answer.
@@ -169,6 +171,7 @@
     worker_list_delay_s: float = STORE_DELAY_S
     lost_history_fraction: float = 0.0
     failure_fraction: float = 0.0
+    failure_delay_s: float | None = None
     hopeless_jobs: set[str] = attrs.field(factory=set)
     unanswered_start_fraction: float = 0.0
     late_poll_fraction: float = 0.0
@@ -426,6 +429,8 @@
             or call.task.job_id in self.hopeless_jobs
         ):
             kind = model.EndKind.FAILED
+            if ends_at is not None and self.failure_delay_s is not None:
+                ends_at = self.now + self.failure_delay_s
         if self.now < worker.fails_until:
             kind = model.EndKind.FAILED
             ends_at = self.now + batch_worker.FAILURE_DELAY_S
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -405,8 +405,9 @@
         failures: worker_faults.Failures,
         _: float,
         share: worker_faults.FailureShare,
+        **options: bool,
     ) -> None:
-        record_success(failures, math.inf, share)
+        record_success(failures, math.inf, share, **options)
 
     worker_faults.Failures.record_success = mutated
 
@@ -419,14 +420,18 @@
         failures: worker_faults.Failures,
         started_at: float,
         share: worker_faults.FailureShare,
+        **_: bool,
     ) -> None:
-        before = len(failures.unexplained)
-        record_success(failures, started_at, share)
-        share.record(0, before - len(failures.unexplained))
+        record_success(failures, started_at, share, showed_fault=False)
 
     worker_faults.Failures.record_success = mutated
 
 
+def ignore_running_runs() -> None:
+    """Weighs failures without the runs that have not ended."""
+    suspensions._list_running_times = lambda *_: []
+
+
 def keep_suspensions() -> None:
     """Ends no suspension before its time."""
     suspensions._resume = lambda *_: []
@@ -700,6 +705,11 @@
         f"{SUSPENSIONS}: The failures of a worker that recovers",
         learn_from_recovered_workers,
     ),
+    (
+        "runs that outlast failed ones",
+        f"{SUSPENSIONS}: Runs that fail sooner than others are done",
+        ignore_running_runs,
+    ),
     (
         "end of a suspension by a later success",
         f"{SUSPENSIONS}: A run that was started later and is done ends",
