Start no run on trial where the roster allows none

A caller's long-running task could run twice: a suspended worker that was also named in the roster as one without leases, or that the roster did not name yet, could get a run on trial. A successor that reads this roster takes all runs there as ended, and starts the task elsewhere.

The cause: trials go by the reason for which a worker is unusable, and the suspension was found before the roster was looked at. The roster now comes before the suspension; all other reasons stay before both.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -74,3 +74,19 @@
     And 3 long-running tasks that have waited for 1 s
     When 3 starts get no answer on the first worker
     Then 0 tasks have started there 1.8 s later
+
+  Scenario Outline: No run starts on trial where the roster allows none
+    Guards against a task that runs twice: a suspended worker was silent, so
+    that the roster names it, and a successor takes the runs there as ended.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    And the second worker is full
+    And 3 long-running tasks that have waited for 1 s
+    When 4 runs of several jobs fail on the first worker
+    And the roster <says> the first worker
+    Then 0 tasks have started there 1.8 s later
+
+    Examples:
+      | says                   |
+      | withholds leases on    |
+      | will withhold those on |
+      | lacks                  |
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -185,6 +185,18 @@
         )
 
 
+@behave.when("the roster {says} the first worker")
+def step(context, says):
+    partition, name = context.partition, context.workers[0].entry.worker_id
+    match says:
+        case "withholds leases on":
+            partition.withheld_ms = {name: 6000}
+        case "will withhold those on":
+            partition.withheld_in_flight = frozenset({name})
+        case "lacks":
+            partition.roster -= {name}
+
+
 @behave.then("{count:d} tasks have started there {seconds:g} s later")
 def step(context, count, seconds):
     for now in (builders.NOW + 0.1, builders.NOW + seconds):
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -107,8 +107,7 @@
     return [
         worker
         for name, worker in partition.workers.items()
-        if name in partition.roster
-        and not partition.withholds_leases(name)
+        if _find_roster_obstacle(partition, name) is None
         and is_usable(worker, now, suspension_left_s=suspension_left_s)
     ]
 
@@ -116,14 +115,26 @@
 def list_unusable_workers(
     partition: state.Partition, now: float
 ) -> list[tuple[state.Worker, Obstacle]]:
-    """Returns the workers on which no pass may start tasks, with the reason."""
+    """Returns the workers on which no pass may start tasks, with the reason.
+
+    The roster comes before a suspension, in which a task may run on trial.
+    """
     unusable = []
     for name, worker in partition.workers.items():
         obstacle = find_obstacle(worker, now)
-        if obstacle is None and name not in partition.roster:
-            obstacle = Obstacle.NOT_IN_ROSTER
-        if obstacle is None and partition.withholds_leases(name):
-            obstacle = Obstacle.WITHHELD
+        if obstacle in (None, Obstacle.SUSPENDED):
+            obstacle = _find_roster_obstacle(partition, name) or obstacle
         if obstacle is not None:
             unusable.append((worker, obstacle))
     return unusable
+
+
+def _find_roster_obstacle(
+    partition: state.Partition, name: str
+) -> Obstacle | None:
+    """Returns why the roster allows no runs on a worker; None if it does."""
+    if name not in partition.roster:
+        return Obstacle.NOT_IN_ROSTER
+    if partition.withholds_leases(name):
+        return Obstacle.WITHHELD
+    return None
