Use a worker as soon as it may be used again

Long-running tasks waited up to 0.25 s beside a worker with room that could be used again: the end of a pause after a refusal, of a suspension, of a silence, of orphans and of the wait for a first listing was noticed only by the next periodic checks. In random sequences of a full fleet such workers were left unused for 0.1 to 0.25 s after the end.

A listing that makes a worker usable now requests a pass, and the periodic checks schedule one for the next end of a pause or suspension. What makes a worker usable is unchanged.

--- a/features/batch_contact.feature
+++ b/features/batch_contact.feature
@@ -104,3 +104,18 @@
     When jobs are submitted and the workers restart before the starts arrive
     Then every job is stored as completed without duplicate runs
     And no abandoned start is recorded any more
+
+  Scenario Outline: A worker that may be used again is used at once
+    Guards against long-running tasks that wait until the next periodic checks
+    although a worker may be used before.
+    Given an idle worker that is unusable as it is <reason>
+    When 0.1 s later it <event>
+    Then a scheduling pass is due within 0.01 s of that
+
+    Examples:
+      | reason    | event                |
+      | refusing  | may be used again    |
+      | suspended | may be used again    |
+      | silent    | answers without runs |
+      | unlisted  | answers without runs |
+      | orphans   | answers without runs |
--- a/features/steps/batch_contact_steps.py
+++ b/features/steps/batch_contact_steps.py
@@ -13,6 +13,8 @@
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import tenure
+from sapphirestall_core.batch import usability
+from sapphirestall_core.batch import worker_faults
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
@@ -21,6 +23,8 @@
 # After this time all long polls have just been sent, so none returns a listing
 # before calls time out.
 LONG_POLLS_SENT_S = 3.2
+# Time from a check until a worker may be used again, in seconds.
+REUSE_S = 0.1
 
 
 def make_id(number):
@@ -425,3 +429,61 @@
         worker.abandoned_starts for worker in partition.workers.values()
     ]
     assert not any(abandoned), abandoned
+
+
+def make_unusable(worker, obstacle):
+    until = builders.NOW + REUSE_S
+    match obstacle:
+        case usability.Obstacle.REFUSING:
+            worker.paused_until = until
+        case usability.Obstacle.SUSPENDED:
+            worker.suspension = worker_faults.Suspension(
+                worker_faults.SuspensionCause.FAILED_RUNS, builders.NOW, until
+            )
+        case usability.Obstacle.SILENT:
+            worker.unresponsive = True
+        case usability.Obstacle.UNLISTED:
+            worker.listing_received = False
+        case usability.Obstacle.ORPHANS:
+            name = model.TaskName(make_id(99), 0, 0, 0)
+            worker.orphans[(name, 1)] = builders.NOW
+    assert usability.find_obstacle(worker, builders.NOW) is obstacle
+
+
+@behave.given("an idle worker that is unusable as it is {reason}")
+def step(context, reason):
+    worker = builders.make_worker("w-1", 8)
+    builders.make_partition(context, worker)
+    make_unusable(worker, usability.Obstacle(reason))
+    checks_due = messages.TimerFired(workers.PeriodicChecksDue())
+    context.effects = instance.handle(checks_due, context.batch, builders.NOW)
+    (context.poll,) = list_polls(context.effects)
+    # The pass that these checks request has run.
+    context.partition.pass_scheduled = False
+    context.checked_at = builders.NOW
+
+
+@behave.when("{seconds:g} s later it may be used again")
+def step(context, seconds):
+    assert seconds == REUSE_S
+    (worker,) = context.partition.workers.values()
+    assert usability.is_usable(worker, builders.NOW + seconds)
+
+
+@behave.when("{seconds:g} s later it answers without runs")
+def step(context, seconds):
+    context.checked_at = builders.NOW + seconds
+    context.effects = answer(
+        context, context.poll, EMPTY_LISTING, context.checked_at
+    )
+
+
+@behave.then("a scheduling pass is due within {seconds:g} s of that")
+def step(context, seconds):
+    due_at = [
+        context.checked_at + timer.delay_s
+        for timer in list_calls(context.effects, messages.StartTimer)
+        if timer.timer == passes.PassDue(builders.OWN)
+    ]
+    again_at = builders.NOW + REUSE_S
+    assert any(again_at <= at <= again_at + seconds for at in due_at), due_at
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -20,6 +20,7 @@
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import suspensions
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import worker_messages
 
 PART = "workers"
@@ -58,22 +59,43 @@
         return contact.handle_refusal(batch, partition, worker, reply, now)
     if not isinstance(reply, worker_messages.Listing):
         return _handle_failed_poll(batch, partition, worker, reply, now)
-    stale = reply.clock_ms < max(worker.clock_ms or 0, worker.listed_clock_ms)
+    was_usable = usability.is_usable(worker, now)
+    effects = _handle_listing(batch, partition, worker, call, event, now)
+    if not was_usable and usability.is_usable(worker, now):
+        effects += passes.request_pass(partition)
+    return effects
+
+
+def _handle_listing(
+    batch: state.Batch,
+    partition: state.Partition,
+    worker: state.Worker,
+    call: worker_messages.HoldLease,
+    event: worker_messages.WorkerReplied,
+    now: float,
+) -> dispatch.Effects:
+    """Handles a listing, and sends the next poll unless ends are uncommitted.
+
+    Applies it unless its clock is below a reading that is already known.
+    """
+    listing = event.reply
+    assert isinstance(listing, worker_messages.Listing)
+    stale = listing.clock_ms < max(worker.clock_ms or 0, worker.listed_clock_ms)
     contact.record_answer(
-        worker, reply.clock_ms, now, carried_out_at=event.sent_at
+        worker, listing.clock_ms, now, carried_out_at=event.sent_at
     )
     lease_s = leases.choose_run_lease(batch.identity.limits)
     worker_id = worker.entry.worker_id
     former_runs.record_contact(partition, worker_id, lease_s, now)
     if not worker.listing_received:
-        leases.assume_longest_lease(worker, lease_s, reply.clock_ms)
+        leases.assume_longest_lease(worker, lease_s, listing.clock_ms)
     if partition.phase is not state.Phase.ACTIVE:
         return []
     effects = _request_roster(batch, partition, worker, now)
     if not stale:
         worker.listing_received = True
-        worker.listed_clock_ms = reply.clock_ms
-        effects += apply_listing(batch, partition, worker, call, reply, now)
+        worker.listed_clock_ms = listing.clock_ms
+        effects += apply_listing(batch, partition, worker, call, listing, now)
     if worker.short_poll_again:
         effects += contact.short_poll(batch, partition, worker, now)
     if worker.processed_position > worker.acknowledged_position:
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -1,6 +1,7 @@
 """Workers on which a scheduling pass may start tasks, and why not on others."""
 
 import enum
+import math
 
 from sapphirestall_core.batch import state
 
@@ -112,6 +113,25 @@
     ]
 
 
+def find_next_end(partition: state.Partition, now: float) -> float:
+    """Returns when the next pause or suspension of a worker ends.
+
+    Args:
+        partition: The owned partition.
+        now: Monotonic time, in seconds.
+
+    Returns:
+        Monotonic time in seconds; infinite if no worker is kept idle by one.
+    """
+    ends = (
+        max(worker.paused_until, worker.suspension.until)
+        if worker.suspension is not None
+        else worker.paused_until
+        for worker in partition.workers.values()
+    )
+    return min((end for end in ends if end > now), default=math.inf)
+
+
 def list_unusable_workers(
     partition: state.Partition, now: float
 ) -> list[tuple[state.Worker, Obstacle]]:
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -23,6 +23,7 @@
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
+from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import worker_list
 
 CHECK_INTERVAL_S = 0.25
@@ -170,7 +171,7 @@
     for partition in list(batch.partitions.values()):
         effects += confirmation_reports.log_confirmation(batch, partition, now)
         effects += former_runs.settle_workers(partition, now)
-        effects += _schedule_pass(partition, now)
+        effects += _schedule_passes(partition, now)
         for worker in list(partition.workers.values()):
             effects += _check_worker(batch, partition, worker, now)
         # The roster says which workers are silent.
@@ -186,17 +187,24 @@
     return effects
 
 
-def _schedule_pass(partition: state.Partition, now: float) -> dispatch.Effects:
-    """Schedules a pass for the moment at which the wait for former runs ends.
+def _schedule_passes(
+    partition: state.Partition, now: float
+) -> dispatch.Effects:
+    """Schedules passes for the moments at which more tasks may start.
 
+    The wait for former runs ends, or a worker is no longer paused or suspended.
     The next periodic checks may come later by almost their interval.
     """
-    remaining_s = former_runs.find_last_end(partition) - now
-    if not 0 < remaining_s < CHECK_INTERVAL_S:
-        return []
     due = passes.PassDue(partition.name)
-    delay_s = remaining_s + ownership.TIMER_TOLERANCE_S
-    return [messages.StartTimer(due, delay_s)]
+    ends = (
+        former_runs.find_last_end(partition),
+        usability.find_next_end(partition, now),
+    )
+    return [
+        messages.StartTimer(due, end - now + ownership.TIMER_TOLERANCE_S)
+        for end in ends
+        if 0 < end - now < CHECK_INTERVAL_S
+    ]
 
 
 def _poll_if_idle(
