Report lost workers as silent

The reason was looked for in the platform's list and in listings first. Now a worker without a recent answer is silent, whatever else is known of it; unlisted, draining and unregistered workers are those that answer. Which workers are usable is unchanged.

--- a/features/batch_capacity.feature
+++ b/features/batch_capacity.feature
@@ -74,6 +74,25 @@
       | 10    | silent        | silent:1:1        |
       | 10    | withheld      | withheld:1:1      |
       | 10    | not_in_roster | not_in_roster:1:1 |
+      | 10    | unregistered  | unregistered:1:1  |
+      | 10    | unlisted      | unlisted:1:1      |
+
+  Scenario Outline: A worker that does not answer is reported as silent
+    Guards against lost workers that look like capacity that an owner does not
+    use, as the platform's list lacks them or they have never answered.
+    Given a worker of 32 processors whose serving tasks use 4 of 8
+    And a long-running task of 10 processors that has waited for 2 s
+    And its worker is unusable as it is <reason>
+    And its worker is unusable as it is silent
+    Then the unusable workers are reported as "silent:1:1"
+
+    Examples:
+      | reason        |
+      | unregistered  |
+      | unlisted      |
+      | restarted     |
+      | withheld      |
+      | not_in_roster |
 
   Scenario Outline: A waiting long-running task is reported with its obstacle
     Guards against a task without a run while no log line tells why the free
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -179,6 +179,10 @@
             partition.withheld_ms[worker.entry.worker_id] = 1
         case usability.Obstacle.NOT_IN_ROSTER:
             partition.roster = frozenset()
+        case usability.Obstacle.UNREGISTERED:
+            worker.is_registered = False
+        case usability.Obstacle.UNLISTED:
+            worker.listing_received = False
 
 
 @behave.then('the unusable workers are reported as "{report}"')
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -16,15 +16,15 @@
     NOT_IN_ROSTER = "not_in_roster"
     # The owner may extend no lease there.
     WITHHELD = "withheld"
-    # No listing of the worker has been applied.
+    # Its last answer is too old, there was none, or the last call got none.
+    SILENT = "silent"
+    # It answers, but no listing of it has been applied.
     UNLISTED = "unlisted"
     DRAINING = "draining"
-    # The platform's list of workers lacks it.
+    # It answers, but the platform's list of workers lacks it.
     UNREGISTERED = "unregistered"
     # Runs there belong to no task of this owner and are still to be stopped.
     ORPHANS = "orphans"
-    # Its last answer is too old, or the last call got none.
-    SILENT = "silent"
     # It has restarted, and the platform's list does not show that yet.
     RESTARTED = "restarted"
     # It has refused a call a short time ago, or a call could not be sent.
@@ -45,14 +45,15 @@
             ignored, in seconds. The shorter pause after a refusal counts in
             full: a worker that refuses all polls begins it anew with each.
     """
+    # A worker that may be lost is no capacity, whatever else is known of it.
+    if _is_silent(worker, now):
+        return Obstacle.SILENT
     if not worker.listing_received:
         return Obstacle.UNLISTED
     if worker.entry.draining:
         return Obstacle.DRAINING
     if not worker.is_registered:
         return Obstacle.UNREGISTERED
-    if _is_silent(worker, now):
-        return Obstacle.SILENT
     if worker.restarted_at is not None:
         return Obstacle.RESTARTED
     if worker.orphans:
