--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -1,6 +1,7 @@
 """Workers on which a scheduling pass may start tasks, and why not on others."""
 
 import enum
+import math
 
 from sapphirestall_core.batch import state
 
@@ -15,15 +16,15 @@
     NOT_IN_ROSTER = "not_in_roster"
     # The owner may extend no lease there.
     WITHHELD = "withheld"
-    # No listing of the worker has been applied.
+    # Its last answer is too old, there was none, or the last call got none.
+    SILENT = "silent"
+    # It answers, but no listing of it has been applied.
     UNLISTED = "unlisted"
     DRAINING = "draining"
-    # The platform's list of workers lacks it.
+    # It answers, but the platform's list of workers lacks it.
     UNREGISTERED = "unregistered"
     # Runs there belong to no task of this owner and are still to be stopped.
     ORPHANS = "orphans"
-    # Its last answer is too old, or the last call got none.
-    SILENT = "silent"
     # It has restarted, and the platform's list does not show that yet.
     RESTARTED = "restarted"
     # It has refused a call a short time ago, or a call could not be sent.
@@ -44,14 +45,15 @@
             ignored, in seconds. The shorter pause after a refusal counts in
             full: a worker that refuses all polls begins it anew with each.
     """
+    # A worker that may be lost is no capacity, whatever else is known of it.
+    if _is_silent(worker, now):
+        return Obstacle.SILENT
     if not worker.listing_received:
         return Obstacle.UNLISTED
     if worker.entry.draining:
         return Obstacle.DRAINING
     if not worker.is_registered:
         return Obstacle.UNREGISTERED
-    if _is_silent(worker, now):
-        return Obstacle.SILENT
     if worker.restarted_at is not None:
         return Obstacle.RESTARTED
     if worker.orphans:
@@ -137,6 +139,25 @@
     ]
 
 
+def find_next_end(partition: state.Partition, now: float) -> float:
+    """Returns when the next pause or suspension of a worker ends.
+
+    Args:
+        partition: The owned partition.
+        now: Monotonic time, in seconds.
+
+    Returns:
+        Monotonic time in seconds; infinite if no worker is kept idle by one.
+    """
+    ends = (
+        max(worker.paused_until, worker.suspension.until)
+        if worker.suspension is not None
+        else worker.paused_until
+        for worker in partition.workers.values()
+    )
+    return min((end for end in ends if end > now), default=math.inf)
+
+
 def list_unusable_workers(
     partition: state.Partition, now: float
 ) -> list[tuple[state.Worker, Obstacle]]:
