Weigh failures before a probation against the usual share

Three failures since the last success were enough, whatever share of tasks fails on sound workers.

The share is learned from failures that a success on the same worker follows, and probation begins at failures that are 50,000 times as likely with a fault, as the suspensions of `batch` do; at the latest at the eight tasks at risk, beyond which the worker would get no starts at all. Before any outcome it begins at three failures as before.

Two rows of the new scenario in probation.feature failed before. Probation, policy hooks, worker calls, replay, recovery and jobs features pass.

--- a/features/probation.feature
+++ b/features/probation.feature
@@ -27,3 +27,21 @@
     When it gets as many tasks as allowed and each fails after 0.0 s
     And the job of these tasks is found to fail on all workers
     Then the worker is not on probation
+
+  Scenario Outline: Failures are weighed against the usual share
+    Guards against sound workers that get no tasks for 30 s as some failed there
+    by chance, where many tasks fail by themselves. Also guards against a faulty
+    worker that is not put on probation.
+    Given a worker with 400 ended tasks, of which <usual> failed
+    When <failures> more tasks fail on it
+    Then the worker is <state> probation
+
+    Examples:
+      | usual | failures | state  |
+      | 0     | 2        | not on |
+      | 0     | 3        | on     |
+      | 20    | 3        | not on |
+      | 20    | 4        | on     |
+      | 80    | 6        | not on |
+      | 80    | 8        | on     |
+      | 160   | 8        | on     |
--- a/features/steps/probation_steps.py
+++ b/features/steps/probation_steps.py
@@ -23,11 +23,15 @@
         context.probation.record_success(WORKER, name)
 
 
-@behave.given("a worker with {count:d} finished tasks")
-def step(context, count):
+def reset(context):
     context.probation = probation.Probation()
     context.now = 1000.0
     context.attempts = 0
+
+
+@behave.given("a worker with {count:d} finished tasks")
+def step(context, count):
+    reset(context)
     for _ in range(count):
         context.now += STEP_S
         run_task(context, fails=False)
@@ -89,3 +93,24 @@
 @behave.then("the worker is not on probation")
 def step(context):
     assert not context.probation.is_on_probation(WORKER)
+
+
+@behave.given("a worker with {count:d} ended tasks, of which {failed:d} failed")
+def step(context, count, failed):
+    reset(context)
+    # Every failure is followed by a success, so that none counts later.
+    for number in range(count):
+        context.now += STEP_S
+        run_task(context, fails=number < 2 * failed and number % 2 == 0)
+
+
+@behave.when("{count:d} more tasks fail on it")
+def step(context, count):
+    for _ in range(count):
+        context.now += STEP_S
+        run_task(context, fails=True)
+
+
+@behave.then("the worker is on probation")
+def step(context):
+    assert context.probation.is_on_probation(WORKER)
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -57,6 +57,15 @@
         """Returns the estimated share."""
         return min(self.failures / self.outcomes, FAULTY_SHARE)
 
+    def makes_unlikely(self, failures: int) -> bool:
+        """Returns whether failures one after another are too many for chance.
+
+        Args:
+            failures: Number of failures on one worker.
+        """
+        weight = math.log(FAULTY_SHARE / self.estimate())
+        return failures * weight >= math.log(FAULTY_ODDS)
+
 
 def assume_failed_runs() -> FailureShare:
     """Returns the share of failed runs before the first outcomes."""
@@ -134,8 +143,7 @@
         Args:
             share: Share of such failures on sound workers.
         """
-        weight = math.log(FAULTY_SHARE / share.estimate())
-        return len(self.unexplained) * weight >= math.log(FAULTY_ODDS)
+        return share.makes_unlikely(len(self.unexplained))
 
 
 class SuspensionCause(enum.Enum):
--- a/packages/core/src/sapphirestall_core/probation.py
+++ b/packages/core/src/sapphirestall_core/probation.py
@@ -2,7 +2,9 @@
 
 A worker on probation gets one trial task at a time, after growing delays, until
 a trial succeeds. Without it, a faulty worker whose tasks fail at once would
-always look free and attract all waiting tasks.
+always look free and attract all waiting tasks. Failures are weighed against the
+share of tasks that fail on sound workers: three in a row say little where many
+tasks fail by themselves.
 """
 
 import math
@@ -10,9 +12,11 @@
 import attrs
 
 from sapphirestall_core import task_messages
+from sapphirestall_core.batch import worker_faults
 
-# Failures since the last success from which on a worker is on probation.
-FAILURES_FOR_PROBATION = 3
+# Lowest number of failures since the last success that puts a worker on
+# probation. More are needed where many tasks fail on sound workers too.
+FEWEST_FAILURES = 3
 # Limit of a worker's failures and unproven starts, together. It bounds how many
 # tasks a faulty worker fails if they fail only some time after their start.
 MAX_TASKS_AT_RISK = 8
@@ -49,6 +53,7 @@
         unproven_starts: Monotonic time, in seconds, of the start of each task
             that has neither ended nor run long enough to count as started
             without failure.
+        on_probation: Whether the worker gets only trial tasks.
         next_trial_at: Monotonic time in seconds from which on a worker on
             probation may get a trial task.
         failed_trials: Number of trials that failed in a row.
@@ -58,12 +63,29 @@
     unproven_starts: dict[task_messages.AttemptName, float] = attrs.field(
         factory=dict
     )
+    on_probation: bool = False
     next_trial_at: float = -math.inf
     failed_trials: int = 0
 
-    def is_on_probation(self) -> bool:
-        """Returns whether the worker gets only trial tasks."""
-        return len(self.failures) >= FAILURES_FOR_PROBATION
+    def shows_fault(self, share: worker_faults.FailureShare) -> bool:
+        """Returns whether the failures seem to have their cause in the worker.
+
+        They do at `MAX_TASKS_AT_RISK` too, whatever share of tasks fails: the
+        worker would get no starts at all.
+
+        Args:
+            share: Share of tasks that fail on sound workers.
+        """
+        count = len(self.failures)
+        return count >= MAX_TASKS_AT_RISK or (
+            count >= FEWEST_FAILURES and share.makes_unlikely(count)
+        )
+
+    def end_probation(self) -> None:
+        """Forgets the failures, after a success."""
+        self.failures.clear()
+        self.on_probation = False
+        self.failed_trials = 0
 
 
 @attrs.define
@@ -72,9 +94,13 @@
 
     Attributes:
         records: Records by worker id.
+        failed_share: Share of tasks that fail on sound workers.
     """
 
     records: dict[str, WorkerRecord] = attrs.field(factory=dict)
+    failed_share: worker_faults.FailureShare = attrs.field(
+        factory=worker_faults.assume_failed_runs
+    )
 
     def count_allowed_starts(self, worker_id: str, now: float) -> int:
         """Returns how many tasks may be started on a worker now."""
@@ -82,7 +108,7 @@
         if record is None:
             return MAX_TASKS_AT_RISK
         _accept_long_runs(record, now)
-        if record.is_on_probation():
+        if record.on_probation:
             idle = not record.unproven_starts
             return 1 if idle and now >= record.next_trial_at else 0
         at_risk = len(record.failures) + len(record.unproven_starts)
@@ -91,7 +117,7 @@
     def is_on_probation(self, worker_id: str) -> bool:
         """Returns whether a worker gets only trial tasks."""
         record = self.records.get(worker_id)
-        return record is not None and record.is_on_probation()
+        return record is not None and record.on_probation
 
     def record_start(
         self, worker_id: str, name: task_messages.AttemptName, now: float
@@ -108,8 +134,8 @@
         if record is None:
             return
         record.unproven_starts.pop(name, None)
-        record.failures.clear()
-        record.failed_trials = 0
+        self.failed_share.record(1, len(record.failures))
+        record.end_probation()
 
     def record_withdrawal(
         self, worker_id: str, name: task_messages.AttemptName
@@ -128,19 +154,20 @@
             Whether the worker is now on probation.
         """
         record = self.records.setdefault(worker_id, WorkerRecord())
-        on_trial = record.is_on_probation()
+        on_trial = record.on_probation
         record.unproven_starts.pop(name, None)
         record.failures.append(Failure(name.job_id, now))
         del record.failures[:-MAX_TASKS_AT_RISK]
         if on_trial and now >= record.next_trial_at:
             record.failed_trials += 1
-        if record.is_on_probation():
+        record.on_probation = on_trial or record.shows_fault(self.failed_share)
+        if record.on_probation:
             delay_s = min(
                 MAX_TRIAL_DELAY_S,
                 FIRST_TRIAL_DELAY_S * 2.0**record.failed_trials,
             )
             record.next_trial_at = now + delay_s
-        return record.is_on_probation()
+        return record.on_probation
 
     def drop_job_failures(self, job_id: str) -> None:
         """Drops the failures of a job whose tasks fail on several workers.
@@ -149,6 +176,9 @@
         """
         for record in self.records.values():
             record.failures = [f for f in record.failures if f.job_id != job_id]
+            record.on_probation = record.on_probation and record.shows_fault(
+                self.failed_share
+            )
 
 
 def _accept_long_runs(record: WorkerRecord, now: float) -> None:
@@ -156,7 +186,7 @@
 
     A trial task that has run long enough ends the probation.
     """
-    on_trial = record.is_on_probation()
+    on_trial = record.on_probation
     term_s = TRIAL_PROVEN_AFTER_S if on_trial else PROVEN_AFTER_S
     proven = [
         name
@@ -166,8 +196,7 @@
     for name in proven:
         del record.unproven_starts[name]
     if proven and on_trial:
-        record.failures.clear()
-        record.failed_trials = 0
+        record.end_probation()
     if not on_trial:
         oldest = now - FAILURE_RETENTION_S
         record.failures = [f for f in record.failures if f.at > oldest]
