End the suspension of an executor on an answer, and when it is alone

Callers of a service whose executors were all suspended waited for up to 5 s, or were refused, although an executor was back: each failed connection doubles the time in which it gets no requests, and only a timer ended it. An answer to an earlier request did not end it either.

An answer now ends a suspension, a timer ends only the suspension that started it, and if all executors of a service are suspended, the one that was suspended first gets a request on trial after 0.5 s.

The first new scenario failed before; the second fails if an answer does not end the suspension. Slots, retries, admission, claims, health, fuzz and recovery features pass.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -38,6 +38,23 @@
     When slots: an executor is unreachable for 10 s under 300 requests in a second
     Then slots: all are answered with at most 16 attempts at that executor
 
+  Scenario: A lone executor that returns gets requests soon
+    Guards against requests that wait for seconds for the end of a suspension
+    although no other executor can run them.
+    Given slots: 1 entry instances of one data centre with 1 executors
+    When slots: an executor is unreachable for 10 s under 20 requests in a second
+    And slots: it returns and gets 20 requests in a second for 4 s
+    Then slots: requests sent 0.8 s after its return are answered
+    And slots: at most 24 attempts were made at that executor while it was gone
+
+  Scenario: An answer ends the suspension of an executor
+    Guards against a sound executor that gets no requests after one failed
+    connection although it answers other requests.
+    Given slots: 1 entry instances of one data centre with 1 executors
+    When slots: a connection to the executor fails and an earlier request is answered
+    Then slots: the executor may be chosen
+    And slots: the timer of that suspension does not end a later one
+
   Scenario: A killed entry instance leaves its share to the others
     Guards against slots that nobody may use after an instance was killed.
     Given slots: 3 entry instances of one data centre with 8 executors
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from sapphirestall_core import messages
 from sapphirestall_core import peer_messages
 from sapphirestall_core import requests
 from sapphirestall_core import slots
@@ -137,6 +138,76 @@
     assert 0 < attempts <= most, attempts
 
 
+@behave.when(
+    "slots: it returns and gets {rate:d} requests in a second "
+    "for {duration_s:d} s"
+)
+def step(context, rate, duration_s):
+    world = context.world
+    context.attempts_gone = count_retries(world, "connect_timeout")
+    world.faults.disconnected.clear()
+    context.returned_at = world.now
+    context.traffic.schedule_load("compute", rate, duration_s)
+    world.run(duration_s + 2.0)
+
+
+@behave.then("slots: requests sent {delay_s:g} s after its return are answered")
+def step(context, delay_s):
+    since = context.returned_at + delay_s
+    calls = [c for c in context.traffic.calls.values() if c.sent_at >= since]
+    missed = [call for call in calls if call.code != "answered"]
+    assert calls, "no requests were sent"
+    assert not missed, missed
+
+
+@behave.then(
+    "slots: at most {most:d} attempts were made at that executor "
+    "while it was gone"
+)
+def step(context, most):
+    assert 0 < context.attempts_gone <= most, context.attempts_gone
+
+
+@behave.when(
+    "slots: a connection to the executor fails "
+    "and an earlier request is answered"
+)
+def step(context):
+    (node,) = context.world.nodes.values()
+    (effect,) = (
+        effect
+        for effect in slots.record_connect_failure(
+            "executor-00", node.state, context.world.now
+        )
+        if isinstance(effect, messages.StartTimer)
+    )
+    context.trial_due = effect.timer
+    chosen = slots.choose_executor(
+        traffic.SERVICE, set(), node.state, context.world.now
+    )
+    assert chosen is None, "the executor is not suspended"
+    slots.record_success("executor-00", node.state)
+
+
+@behave.then("slots: the executor may be chosen")
+def step(context):
+    (node,) = context.world.nodes.values()
+    chosen = slots.choose_executor(
+        traffic.SERVICE, set(), node.state, context.world.now
+    )
+    assert chosen is not None
+
+
+@behave.then("slots: the timer of that suspension does not end a later one")
+def step(context):
+    (node,) = context.world.nodes.values()
+    now = context.world.now + 0.1
+    slots.record_connect_failure("executor-00", node.state, now)
+    requests.resume_executor(context.trial_due, node.state, now)
+    chosen = slots.choose_executor(traffic.SERVICE, set(), node.state, now)
+    assert chosen is None
+
+
 @behave.when("slots: one instance is killed and {duration_s:d} s pass")
 def step(context, duration_s):
     context.world.kill("entry-1")
--- a/packages/core/src/sapphirestall_core/requests.py
+++ b/packages/core/src/sapphirestall_core/requests.py
@@ -185,7 +185,9 @@
         return [messages.CountRefusal(PART, "late_failure")]
     effects: dispatch.Effects = []
     if event.stage is request_messages.FailureStage.CONNECT:
-        effects += slots.record_connect_failure(event.executor_id, instance)
+        effects += slots.record_connect_failure(
+            event.executor_id, instance, now
+        )
     return [
         *effects,
         *sending.handle_failure(request, event, instance, now),
@@ -360,7 +362,7 @@
     timer: slots.TrialDue, instance: state.Instance, now: float
 ) -> dispatch.Effects:
     """Ends the suspension of an executor; it gets one request as a trial."""
-    slots.find_executor(timer.executor_id, instance).suspended = False
+    slots.resume(timer, instance)
     return _serve_all_queues(instance, now)
 
 
--- a/packages/core/src/sapphirestall_core/requests_state.py
+++ b/packages/core/src/sapphirestall_core/requests_state.py
@@ -1,6 +1,7 @@
 """State of the requests that this instance has accepted and not yet ended."""
 
 import enum
+import math
 
 import attrs
 
@@ -156,12 +157,15 @@
     Attributes:
         in_use: Number of its slots that this instance occupies.
         connect_failures: Failed connections since the last answer.
-        suspended: Whether it gets no requests until its `TrialDue` timer fires.
+        suspended: Whether it gets no requests until its `TrialDue` timer fires
+            or an answer arrives.
+        suspended_at: Monotonic time of its last suspension, in seconds.
     """
 
     in_use: int = 0
     connect_failures: int = 0
     suspended: bool = False
+    suspended_at: float = -math.inf
 
 
 @attrs.define
--- a/packages/core/src/sapphirestall_core/sending.py
+++ b/packages/core/src/sapphirestall_core/sending.py
@@ -47,6 +47,7 @@
     if service is None or not admission.count_waiting(service):
         return []
     slots.refresh_if_stale(instance, now)
+    slots.resume_lone_executor(name, instance, now)
     capacity = slots.count_capacity(name, instance, now)
     return [
         *_claim_waiting(service, capacity, instance, now),
--- a/packages/core/src/sapphirestall_core/slots.py
+++ b/packages/core/src/sapphirestall_core/slots.py
@@ -45,6 +45,9 @@
 MAX_CONNECT_TIMEOUT_S = 1.0
 SUSPENSION_BASE_S = 0.2
 MAX_SUSPENSION_S = 5.0
+# A suspension ends after this time if all executors of a service are suspended
+# and requests wait: another one could not run them sooner.
+MAX_LONE_SUSPENSION_S = 0.5
 
 
 @attrs.frozen
@@ -54,9 +57,15 @@
 
 @attrs.frozen
 class TrialDue(messages.Timer):
-    """Timer to end the suspension of an executor."""
+    """Timer to end the suspension of an executor.
+
+    Attributes:
+        executor_id: The executor.
+        suspended_at: Monotonic time of the suspension, in seconds.
+    """
 
     executor_id: str
+    suspended_at: float
 
 
 def compute_share(executor_index: int, entry_index: int, entries: int) -> int:
@@ -206,12 +215,46 @@
 
 
 def record_success(executor_id: str, instance: state.Instance) -> None:
-    """Resets the connection failures of an executor that answered."""
-    find_executor(executor_id, instance).connect_failures = 0
+    """Records that an executor answered, which ends a suspension."""
+    executor = find_executor(executor_id, instance)
+    executor.connect_failures = 0
+    executor.suspended = False
+
+
+def resume(timer: TrialDue, instance: state.Instance) -> None:
+    """Ends a suspension whose time has passed, unless a later one has begun."""
+    executor = find_executor(timer.executor_id, instance)
+    if executor.suspended_at == timer.suspended_at:
+        executor.suspended = False
+
+
+def resume_lone_executor(
+    service: str, instance: state.Instance, now: float
+) -> None:
+    """Ends the longest suspension if all executors of a service are suspended.
+
+    The executor gets one request as a trial.
+
+    Args:
+        service: Service for which requests wait.
+        instance: State of this entry instance.
+        now: Monotonic time, in seconds.
+    """
+    pool = instance.requests.slots.pool.get(service, [])
+    executors = [
+        find_executor(listing.instance_id, instance)
+        for listing in pool
+        if not instance.members.is_leaving(listing)
+    ]
+    if not executors or not all(executor.suspended for executor in executors):
+        return
+    longest = min(executors, key=lambda executor: executor.suspended_at)
+    if now - longest.suspended_at >= MAX_LONE_SUSPENSION_S:
+        longest.suspended = False
 
 
 def record_connect_failure(
-    executor_id: str, instance: state.Instance
+    executor_id: str, instance: state.Instance, now: float
 ) -> dispatch.Effects:
     """Suspends an executor after a failed connection.
 
@@ -221,6 +264,7 @@
     if executor.suspended:
         return []
     executor.suspended = True
+    executor.suspended_at = now
     executor.connect_failures += 1
     delay_s = min(
         MAX_SUSPENSION_S,
@@ -228,7 +272,7 @@
     )
     return [
         messages.CountRefusal(PART, "executor_suspended"),
-        messages.StartTimer(TrialDue(executor_id), delay_s, 0.5),
+        messages.StartTimer(TrialDue(executor_id, now), delay_s, 0.5),
     ]
 
 
