Weigh failed store calls before claims are refused

After an outage claims also waited behind changes of their bucket whose failed call is repeated after up to 5 s.

Claims are now refused once the failed calls since the last answer are 50,000 times as likely in an outage as by chance, and then but for one in 0.5 s, as a trial. Any answer of the store opens it and ends the waits of other buckets.

Two new scenarios of claims.feature failed before.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -87,6 +87,20 @@
       | a late write and outage | 45   | 9        | store_unavailable |
       | an outage               | 46   | 9        | store_unavailable |
 
+  Scenario: Single calls that fail do not close the store to claims
+    Guards against claims that are refused for 0.5 s after each failed store
+    call, while the store answers all others.
+    Given claims: a deployment with seed 35
+    When claims: 40 keys in a second are sent for 10 s and the store fails for 5 ms in each
+    Then claims: at least 97% of the keys sent in the last 10 s are answered
+
+  Scenario: A store that returns is used at once
+    Guards against claims that wait for seconds behind the changes of an
+    earlier request, whose call is repeated after a growing delay.
+    Given claims: a deployment with seed 36
+    When claims: 40 keys in a second are sent for 16 s and the store fails from 3 to 11 s
+    Then claims: at least 97% of the keys sent in the last 4.5 s are answered
+
   Scenario: A saturated store is not loaded with conflicting writes
     Guards against writes that wait so long that their version is outdated.
     Given claims: a deployment with seed 34
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -341,3 +341,48 @@
     writes = count_writes(context) - context.writes
     assert answered >= least, answered
     assert writes <= most * answered, (writes, answered)
+
+
+def set_store_down(context, start_s, end_s):
+    faults = context.world.faults
+    for at_s, down in ((start_s, True), (end_s, False)):
+        context.world.schedule(
+            at_s, lambda down=down: setattr(faults, "store_down", down)
+        )
+
+
+@behave.when(
+    "claims: {rate:d} keys in a second are sent for {duration_s:d} s "
+    "and the store fails for 5 ms in each"
+)
+def step(context, rate, duration_s):
+    for number in range(duration_s):
+        set_store_down(context, number + 0.5, number + 0.505)
+    send_keys(context, rate, duration_s)
+
+
+@behave.when(
+    "claims: {rate:d} keys in a second are sent for {duration_s:d} s "
+    "and the store fails from {start_s:d} to {end_s:d} s"
+)
+def step(context, rate, duration_s, start_s, end_s):
+    set_store_down(context, start_s, end_s)
+    send_keys(context, rate, duration_s)
+
+
+def send_keys(context, rate, duration_s):
+    context.traffic.schedule_load("assign", rate, duration_s)
+    context.world.run(duration_s)
+    context.load_ended_at = context.world.now
+    context.world.run(2.0)
+
+
+@behave.then(
+    "claims: at least {share:d}% of the keys sent in the last {last_s:g} s "
+    "are answered"
+)
+def step(context, share, last_s):
+    since = context.load_ended_at - last_s
+    calls = [c for c in context.traffic.calls.values() if c.sent_at >= since]
+    answered = sum(call.code == "answered" for call in calls)
+    assert answered >= share / 100 * len(calls), (answered, len(calls))
--- a/packages/core/src/sapphirestall_core/claims.py
+++ b/packages/core/src/sapphirestall_core/claims.py
@@ -31,8 +31,9 @@
 # failure since the last success, up to the limit.
 RETRY_BASE_DELAY_S = 0.01
 MAX_RETRY_DELAY_S = 5.0
-# Time for which new claims are refused after a failed store call.
-OUTAGE_PAUSE_S = 0.5
+# While the store is unavailable, new claims are refused but for one in this
+# time, which shows whether the store is back.
+OUTAGE_TRIAL_INTERVAL_S = 0.5
 # Upper limit of the window of concurrent store calls. Write conflicts show that
 # the store is saturated: while a write waits in the store's queue, another
 # instance changes the document and the expected version no longer matches.
@@ -121,10 +122,12 @@
 ) -> Transition:
     """Starts to claim the key of a request.
 
-    A `ClaimMade` or `ClaimRefused` result follows, at once or later.
+    A `ClaimMade` or `ClaimRefused` result follows, at once or later. While the
+    store is unavailable, it is refused at once unless a trial is due.
     """
     all_claims = instance.requests.claims
-    if now < all_claims.refused_until:
+    on_trial = all_claims.store.shows_outage()
+    if on_trial and now < all_claims.next_trial_at:
         return Transition(
             results=[buckets.refuse_unavailable(event.request_id)]
         )
@@ -134,7 +137,12 @@
         event.request_id,
         digest_body(event),
     )
-    return _start_call(_add_change(change, instance), instance)
+    number = _add_change(change, instance)
+    if on_trial:
+        all_claims.next_trial_at = now + OUTAGE_TRIAL_INTERVAL_S
+        # The bucket does not wait for the next repetition of a failed call.
+        all_claims.buckets[number].failures = 0
+    return _start_call(number, instance)
 
 
 def abandon(
@@ -282,6 +290,21 @@
     all_claims.window = max(1.0, all_claims.window / 2)
 
 
+def _record_store_success(
+    reply: store_messages.StoreReply, instance: state.Instance
+) -> None:
+    """Records that the store is available.
+
+    Buckets that wait after a failed call need not wait any longer.
+    """
+    all_claims = instance.requests.claims
+    all_claims.store.record_success(reply.sent_at)
+    for number, bucket in all_claims.buckets.items():
+        if bucket.failures and bucket.timer_scheduled:
+            bucket.failures = 0
+            all_claims.waiting_buckets[number] = None
+
+
 def handle_read_reply(
     purpose: ReadBucket,
     reply: store_messages.StoreReply,
@@ -289,6 +312,8 @@
     now: float,
 ) -> Transition:
     """Applies the waiting changes to the document that was read."""
+    if isinstance(reply.outcome, store_messages.Found | store_messages.Absent):
+        _record_store_success(reply, instance)
     match reply.outcome:
         case store_messages.Found(
             value=requests_state.ClaimDocument() as document, version=version
@@ -300,7 +325,7 @@
             document = requests_state.ClaimDocument()
             return _write_changes(purpose.number, document, 0, instance, now)
         case _:
-            return _handle_store_failure(purpose.number, instance, now)
+            return _handle_store_failure(purpose.number, reply, instance)
 
 
 def handle_write_reply(
@@ -319,6 +344,7 @@
     match reply.outcome:
         case store_messages.Written(version=version):
             bucket.failures = 0
+            _record_store_success(reply, instance)
             _widen_window(instance)
             bucket.uncertain_tokens.difference_update(c.token for c in batch)
             results = [r for change in batch for r in buckets.confirm(change)]
@@ -327,6 +353,7 @@
             )
             return Transition(transition.effects, results + transition.results)
         case store_messages.VersionMismatch():
+            _record_store_success(reply, instance)
             bucket.waiting = batch + bucket.waiting
             return _read_again(purpose.number, "claim_conflict", instance)
         case store_messages.Unavailable(ambiguous=True):
@@ -335,7 +362,7 @@
             return _read_again(purpose.number, "claim_answer_lost", instance)
         case _:
             bucket.waiting = batch + bucket.waiting
-            return _handle_store_failure(purpose.number, instance, now)
+            return _handle_store_failure(purpose.number, reply, instance)
 
 
 def _read_again(
@@ -349,15 +376,15 @@
 
 
 def _handle_store_failure(
-    number: int, instance: state.Instance, now: float
+    number: int, reply: store_messages.StoreReply, instance: state.Instance
 ) -> Transition:
-    """Handles an unavailable store.
+    """Handles a failed call to the store.
 
-    Waiting claims are refused, and so are new ones for `OUTAGE_PAUSE_S`. All
-    other changes are tried again after a delay that doubles with each failure.
+    Waiting claims of the bucket are refused. All other changes are tried again
+    after a delay that doubles with each failure.
     """
     all_claims = instance.requests.claims
-    all_claims.refused_until = now + OUTAGE_PAUSE_S
+    all_claims.store.record_failure(reply.sent_at)
     bucket = all_claims.buckets[number]
     bucket.call_in_flight = False
     results: list[buckets.ChangeResult] = []
--- a/packages/core/src/sapphirestall_core/requests_state.py
+++ b/packages/core/src/sapphirestall_core/requests_state.py
@@ -9,6 +9,7 @@
 from sapphirestall_core import outcomes
 from sapphirestall_core import policy
 from sapphirestall_core import request_messages
+from sapphirestall_core import store_health
 
 # Number of store documents over which the claims are spread. 64 documents of at
 # most 900 KB hold the claims of one day: 14,000 with answers of 4 KB, or about
@@ -347,8 +348,9 @@
         by_scope: By scope, the id of the first request in flight here. Later
             requests with the same scope become its duplicates.
         buckets: Buckets with unconfirmed changes, by number.
-        refused_until: Monotonic time in seconds until which new claims are
-            refused because the store failed.
+        store: Outcomes of the store calls.
+        next_trial_at: Monotonic time in seconds from which on one claim may be
+            made while the store is unavailable.
         window: Maximum number of buckets with a store call in flight.
         waiting_buckets: Numbers of the buckets whose call waits because the
             window is full, oldest first.
@@ -357,7 +359,10 @@
     bucket_count: int = CLAIM_BUCKETS
     by_scope: dict[str, str] = attrs.field(factory=dict)
     buckets: dict[int, Bucket] = attrs.field(factory=dict)
-    refused_until: float = 0.0
+    store: store_health.StoreHealth = attrs.field(
+        factory=store_health.StoreHealth
+    )
+    next_trial_at: float = -math.inf
     window: float = INITIAL_CLAIM_WINDOW
     waiting_buckets: dict[int, None] = attrs.field(factory=dict)
 
