Keep the vacancy of a partition until its own write is answered

The vacancy is kept while the own write is in flight. The second row of the new scenario failed before.

--- a/features/batch_tenure.feature
+++ b/features/batch_tenure.feature
@@ -47,3 +47,15 @@
       | order  | seconds |
       | after  | 10      |
       | before | 0       |
+
+  Scenario Outline: The time without an owner counts whatever shows the new key
+    Guards against a successor that waits longer for former runs, as a watch
+    shows its owner key before the write that creates it is answered.
+    Given an instance that acquires a partition which it knew to be vacant for 2 s
+    When <event> the write of its owner key is answered
+    Then it counts 2 s without an owner
+
+    Examples:
+      | event                             |
+      | only                              |
+      | its owner key is read just before |
--- a/features/steps/batch_tenure_steps.py
+++ b/features/steps/batch_tenure_steps.py
@@ -233,3 +233,36 @@
 def step(context, seconds):
     partition = context.batch.partitions[builders.OWN]
     assert NOW - partition.vacancy.since == seconds, partition.vacancy
+
+
+@behave.given(
+    "an instance that acquires a partition which it knew to be vacant for"
+    " {seconds:g} s"
+)
+def step(context, seconds):
+    builders.make_partition(context)
+    batch, name = context.batch, builders.OWN
+    batch.partitions.clear()
+    batch.lease_id = "lease"
+    batch.vacancies[name] = state.Vacancy(NOW - seconds, TOKEN - 1)
+    (context.key_write,) = list_effects(
+        instance.handle(
+            messages.TimerFired(ownership.AcquisitionDue(name)), batch, NOW
+        ),
+        store_messages.StoreTransaction,
+    )
+
+
+@behave.when("{event} the write of its owner key is answered")
+def step(context, event):
+    batch, call = context.batch, context.key_write
+    if event != "only":
+        put = call.puts[0]
+        found = store_messages.Found(put.key, put.value, 1, TOKEN, TOKEN)
+        listed = store_messages.Listed((found,), TOKEN)
+        read = store_messages.StoreReply(ownership.OwnersRead(), listed, NOW)
+        instance.handle(read, batch, NOW)
+    reply = store_messages.StoreReply(
+        call.purpose, store_messages.Committed(TOKEN), NOW
+    )
+    instance.handle(reply, batch, NOW)
--- a/packages/core/src/sapphirestall_core/batch/ownership.py
+++ b/packages/core/src/sapphirestall_core/batch/ownership.py
@@ -343,13 +343,16 @@
 def _apply_owner_record(
     batch: state.Batch, name: str, found: store_messages.Found, now: float
 ) -> dispatch.Effects:
-    batch.vacancies.pop(name, None)
     batch.known_partitions.setdefault(name, model.get_data_centre(name))
     owned = batch.partitions.get(name)
     record = found.value
+    is_own = _is_own_record(batch, record)
+    if not (is_own and name in batch.acquiring):
+        # The reply to an own write, which may come later, needs the vacancy.
+        batch.vacancies.pop(name, None)
     if not isinstance(record, records.OwnerRecord):
         return []
-    if record.instance_id == make_owner_id(batch):
+    if is_own:
         if batch.fenced_tokens.get(name) == found.create_revision:
             return _remove_refused_key(name, found)
         # The answer to the write that created the key may have been lost.
@@ -365,6 +368,12 @@
     return []
 
 
+def _is_own_record(batch: state.Batch, record: object) -> bool:
+    return isinstance(
+        record, records.OwnerRecord
+    ) and record.instance_id == make_owner_id(batch)
+
+
 def _remove_refused_key(
     name: str, found: store_messages.Found
 ) -> dispatch.Effects:
