--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -5,8 +5,8 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import resources
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import state
 from standins import batch_world
 
@@ -265,7 +265,7 @@
         name = f"{DATA_CENTRE}/r{number}"
         context.batch.known_partitions[name] = DATA_CENTRE
         delays_s.append(
-            ownership.compute_acquisition_delay(context.batch, name)
+            acquisition.compute_acquisition_delay(context.batch, name)
         )
     assert max(delays_s) <= seconds, max(delays_s)
 
--- a/features/steps/batch_handover_steps.py
+++ b/features/steps/batch_handover_steps.py
@@ -5,13 +5,16 @@
 from features import batch_owners
 from sapphirestall_core import messages
 from sapphirestall_core import resources
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import owner_keys
+from sapphirestall_core.batch import owner_reads
 from sapphirestall_core.batch import releases
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import store_lease
 from sapphirestall_core.batch import summaries
 from standins import batch_call_faults
 from standins import batch_world
@@ -182,7 +185,7 @@
 def step(context):
     world, batch = context.world, context.owner.batch
     name = ACQUIRED_DATA_CENTRE
-    delay_s = ownership.compute_acquisition_delay(batch, name)
+    delay_s = acquisition.compute_acquisition_delay(batch, name)
     due_at = batch.vacancies[name].since + delay_s
     world.run(due_at - BEFORE_ACQUISITION_S - world.now)
     context.owner.store_unreachable = False
@@ -191,9 +194,9 @@
 @behave.when("its renewals and its calls that show its successor get no answer")
 def step(context):
     for purpose in (
-        ownership.LeaseRenewal,
-        ownership.OwnersRead,
-        ownership.OwnersWatch,
+        store_lease.LeaseRenewal,
+        owner_reads.OwnersRead,
+        owner_keys.OwnersWatch,
         live_records.JobsRead,
         live_records.JobsWatch,
         commits.Commit,
--- a/features/steps/batch_tenure_steps.py
+++ b/features/steps/batch_tenure_steps.py
@@ -6,14 +6,17 @@
 from features import builders
 from sapphirestall_core import messages
 from sapphirestall_core import store_messages
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import leases
+from sapphirestall_core.batch import owner_reads
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import store_lease
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
@@ -195,7 +198,7 @@
 def step(context):
     granted = store_messages.LeaseGranted("lease", tenure.LEASE_TTL_S)
     event = store_messages.StoreReply(
-        ownership.LeaseRenewal(), granted, context.now
+        store_lease.LeaseRenewal(), granted, context.now
     )
     instance.handle(event, context.batch, context.now)
 
@@ -247,7 +250,7 @@
     batch.vacancies[name] = state.Vacancy(NOW - seconds, TOKEN - 1)
     (context.key_write,) = list_effects(
         instance.handle(
-            messages.TimerFired(ownership.AcquisitionDue(name)), batch, NOW
+            messages.TimerFired(acquisition.AcquisitionDue(name)), batch, NOW
         ),
         store_messages.StoreTransaction,
     )
@@ -260,7 +263,7 @@
         put = call.puts[0]
         found = store_messages.Found(put.key, put.value, 1, TOKEN, TOKEN)
         listed = store_messages.Listed((found,), TOKEN)
-        read = store_messages.StoreReply(ownership.OwnersRead(), listed, NOW)
+        read = store_messages.StoreReply(owner_reads.OwnersRead(), listed, NOW)
         instance.handle(read, batch, NOW)
     reply = store_messages.StoreReply(
         call.purpose, store_messages.Committed(TOKEN), NOW
--- a/packages/core/src/sapphirestall_core/batch/contact.py
+++ b/packages/core/src/sapphirestall_core/batch/contact.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import store_lease
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import worker_messages
@@ -218,7 +219,7 @@
     """
     run.task.job.runs_lost_at = now
     passes.remove_run(worker, run)
-    return ownership.request_confirmation(batch, now)
+    return store_lease.request_confirmation(batch, now)
 
 
 def may_start_late(run: state.Run, now: float) -> bool:
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -20,6 +20,7 @@
 from sapphirestall_core.batch import job_changes
 from sapphirestall_core.batch import live_records
 from sapphirestall_core.batch import lost_effects
+from sapphirestall_core.batch import owner_keys
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import passes
@@ -27,6 +28,7 @@
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import store_calls
+from sapphirestall_core.batch import store_lease
 from sapphirestall_core.batch import summaries
 from sapphirestall_core.batch import takeover
 from sapphirestall_core.batch import workers
@@ -110,8 +112,8 @@
     timers = (
         configuration.ConfigurationDue(),
         division.DivisionDue(),
-        ownership.LeaseDue(),
-        ownership.OwnersReadDue(),
+        store_lease.LeaseDue(),
+        owner_keys.OwnersReadDue(),
         workers.EntriesDue(),
         workers.PeriodicChecksDue(),
         interference_exchange.ExchangeDue(),
@@ -307,12 +309,12 @@
         return []
     batch.lease_call_in_flight = True
     batch.lease_call_sent_at = now
-    return [store_messages.StoreEndLease(ownership.LeaseEnd(), lease_id)]
+    return [store_messages.StoreEndLease(store_lease.LeaseEnd(), lease_id)]
 
 
-@dispatch.handle_store_reply.register(ownership.LeaseEnd)
+@dispatch.handle_store_reply.register(store_lease.LeaseEnd)
 def end_lease(
-    purpose: ownership.LeaseEnd,
+    purpose: store_lease.LeaseEnd,
     reply: store_messages.StoreReply,
     batch: state.Batch,
     now: float,
--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -12,6 +12,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import owner_keys
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
@@ -258,7 +259,7 @@
     now: float,
 ) -> dispatch.Effects:
     if change.key == records.make_live_owner_key(partition.name):
-        return ownership.apply_owner_change(batch, partition.name, change, now)
+        return owner_keys.apply_owner_change(batch, partition.name, change, now)
     if isinstance(change, store_messages.Found):
         releases.observe_record(batch, partition, change, now)
     observed = parse_change(partition, change, now)
--- a/packages/core/src/sapphirestall_core/batch/lost_effects.py
+++ b/packages/core/src/sapphirestall_core/batch/lost_effects.py
@@ -11,9 +11,9 @@
 import attrs
 
 from sapphirestall_core import messages
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
@@ -71,8 +71,8 @@
     effects: dispatch.Effects = [messages.Log(PART, "effects repeated", fields)]
     for name in batch.vacancies:
         # It does nothing if another one fires first.
-        acquisition = ownership.AcquisitionDue(name)
-        effects.append(messages.StartTimer(acquisition, 0.0))
+        due = acquisition.AcquisitionDue(name)
+        effects.append(messages.StartTimer(due, 0.0))
     for partition in batch.partitions.values():
         if partition.phase is state.Phase.ACTIVE:
             effects += _repeat_active(batch, partition, now)
--- a/packages/core/src/sapphirestall_core/batch/rosters.py
+++ b/packages/core/src/sapphirestall_core/batch/rosters.py
@@ -19,6 +19,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import process_ids
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import withheld_leases
@@ -149,7 +150,7 @@
     roster = found.value
     assert isinstance(roster, records.RosterRecord)
     is_newer = found.revision > partition.token
-    is_own = roster.owner == ownership.make_process_id(batch)
+    is_own = roster.owner == process_ids.make_process_id(batch)
     if partition.roster_write_sent and is_newer and is_own:
         partition.generation = roster.generation
         partition.generation_raised = True
@@ -164,7 +165,7 @@
             partition.acquired_at, partition.token
         )
     partition.generation = max(partition.generation, roster.generation)
-    if roster.settled and ownership.was_former_process(batch, roster.owner):
+    if roster.settled and process_ids.was_former_process(batch, roster.owner):
         partition.former_owner_ended_at = batch.started_at
     lease_s = leases.choose_run_lease(batch.identity.limits)
     former_runs.update_end(partition, lease_s)
@@ -239,7 +240,7 @@
     roster = records.RosterRecord(
         partition.compute_own_generation(),
         tuple(sorted(names)),
-        ownership.make_process_id(batch),
+        process_ids.make_process_id(batch),
         settled,
         _make_roster_entries(partition),
         () if settled else tuple(sorted(partition.witnesses & names)),
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sapphirestall_core import messages
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import commands
@@ -15,9 +16,9 @@
 from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import known_partitions
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import polls
 from sapphirestall_core.batch import retention
@@ -61,7 +62,7 @@
         messages.StartTimer(EntriesDue(), interval_s, 0.1)
     ]
     if not batch.partitions_loaded:
-        effects += ownership.read_rosters()
+        effects += known_partitions.read_rosters()
     return effects + worker_list.read_entries(batch, now)
 
 
@@ -81,7 +82,7 @@
     for entry in event.entries:
         name = batch.division.find_partition(entry)
         by_partition.setdefault(name, []).append(entry)
-    effects = ownership.add_partitions(batch, by_partition, now)
+    effects = known_partitions.add_partitions(batch, by_partition, now)
     for partition in list(batch.partitions.values()):
         partition.workers_listed = True
         for entry in by_partition.get(partition.name, ()):
@@ -195,7 +196,7 @@
     if not 0 < remaining_s < CHECK_INTERVAL_S:
         return []
     due = passes.PassDue(partition.name)
-    delay_s = remaining_s + ownership.TIMER_TOLERANCE_S
+    delay_s = remaining_s + acquisition.TIMER_TOLERANCE_S
     return [messages.StartTimer(due, delay_s)]
 
 
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
 from sapphirestall_core.batch import contact
@@ -21,7 +22,7 @@
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import move_delays
 from sapphirestall_core.batch import nominations
-from sapphirestall_core.batch import ownership
+from sapphirestall_core.batch import owner_keys
 from sapphirestall_core.batch import pacing
 from sapphirestall_core.batch import retention
 from sapphirestall_core.batch import revisions
@@ -227,7 +228,7 @@
 def ignore_owner_keys() -> None:
     """Applies job records without checking the owner keys before them."""
     live_records._check_owner = lambda *_: []
-    ownership.apply_owner_change = lambda *_: []
+    owner_keys.apply_owner_change = lambda *_: []
 
 
 def resume_moved_jobs_early() -> None:
@@ -308,7 +309,7 @@
 
 def acquire_regardless_of_processors() -> None:
     """Lets small instances acquire as many partitions as large ones."""
-    compute_delay = ownership.compute_acquisition_delay
+    compute_delay = acquisition.compute_acquisition_delay
 
     def mutated(batch: state.Batch, name: str) -> float:
         identity = batch.identity
@@ -317,7 +318,7 @@
         batch.identity = identity
         return delay_s
 
-    ownership.compute_acquisition_delay = mutated
+    acquisition.compute_acquisition_delay = mutated
 
 
 def never_move_started_jobs() -> None:
