List the waiting long-running tasks of a partition in one place

The same list stood in moves, wait reports and trials; that of the reports also counted tasks of jobs that have ended.

--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -19,6 +19,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_reads
 from sapphirestall_core.batch import task_moves
+from sapphirestall_core.batch import waiting_tasks
 
 # Time after which tasks that have lost their runs are looked at again, in
 # seconds; the periodic checks alone would add up to a quarter of a second.
@@ -94,7 +95,7 @@
     if partition.phase is not state.Phase.ACTIVE or batch.shutting_down:
         return []
     effects: dispatch.Effects = []
-    waiting = _list_waiting_tasks(partition)
+    waiting = waiting_tasks.list_long_running(partition.jobs.values())
     if waiting:
         effects = summary_reads.keep_recent(
             batch, MAX_SUMMARY_AGE_FOR_TASKS_S, now
@@ -157,18 +158,6 @@
     return effects
 
 
-def _list_waiting_tasks(partition: state.Partition) -> list[state.Task]:
-    """Returns the tasks without a run that move alone."""
-    return [
-        task
-        for job in partition.jobs.values()
-        if job.final_state is None
-        for step in job.steps
-        if step.step.long_running
-        for task in step.runnable.values()
-    ]
-
-
 def _schedule_moves(
     partition: state.Partition, waiting: list[state.Task], now: float
 ) -> dispatch.Effects:
--- a/packages/core/src/sapphirestall_core/batch/trials.py
+++ b/packages/core/src/sapphirestall_core/batch/trials.py
@@ -12,6 +12,7 @@
 from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import usability
+from sapphirestall_core.batch import waiting_tasks
 from sapphirestall_core.batch import worker_faults
 
 # A task runs on trial once it has been unplaced for this time, in seconds. It
@@ -82,11 +83,9 @@
     """Returns the long-running tasks that have waited for long enough."""
     return [
         task
-        for job in jobs
-        for step in job.steps
-        if step.step.long_running and not step.step.fills
-        for task in step.runnable.values()
-        if task.unplaced_since is not None
+        for task in waiting_tasks.list_long_running(jobs)
+        if not task.step.fills
+        and task.unplaced_since is not None
         and now - task.unplaced_since >= TRIAL_DELAY_S
     ]
 
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -21,6 +21,7 @@
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summary_capacity
 from sapphirestall_core.batch import usability
+from sapphirestall_core.batch import waiting_tasks
 
 PART = "capacity"
 # Highest number of tasks that are counted to fit in one other partition.
@@ -116,7 +117,7 @@
     now: float,
 ) -> dispatch.Effects:
     """Logs a report of a partition in which long-running tasks wait."""
-    waiting = _list_waiting(partition)
+    waiting = waiting_tasks.list_long_running(partition.jobs.values())
     if not waiting:
         return []
     report = make_report(batch, partition, waiting, usable, now)
@@ -128,17 +129,6 @@
     return [messages.Log(PART, "waits", fields)]
 
 
-def _list_waiting(partition: state.Partition) -> list[state.Task]:
-    """Returns the long-running tasks of a partition that have no run."""
-    return [
-        task
-        for job in partition.jobs.values()
-        for step in job.steps
-        if step.step.long_running
-        for task in step.runnable.values()
-    ]
-
-
 def make_report(
     batch: state.Batch,
     partition: state.Partition,
