--- a/features/batch_contact.feature
+++ b/features/batch_contact.feature
@@ -104,3 +104,10 @@
     When jobs are submitted and the workers restart before the starts arrive
     Then every job is stored as completed without duplicate runs
     And no abandoned start is recorded any more
+
+  Scenario: Calls that never get a reply are not kept
+    Guards against memory that grows for as long as a worker is known, by calls
+    whose reply was lost in this process.
+    When one call in 4 to a worker gets no reply at all for 100 s
+    Then leases of at most 4 calls are kept
+    And the latest end of a lease is that of the last call
--- a/features/steps/batch_contact_steps.py
+++ b/features/steps/batch_contact_steps.py
@@ -425,3 +425,28 @@
         worker.abandoned_starts for worker in partition.workers.values()
     ]
     assert not any(abandoned), abandoned
+
+
+@behave.when(
+    "one call in {share:d} to a worker gets no reply at all for {seconds:d} s"
+)
+def step(context, share, seconds):
+    context.worker = builders.make_worker("w-1", 8)
+    for number in range(2 * seconds):
+        now = builders.NOW + number / 2
+        clock_ms = int(now * 1000)
+        leases.record_clock(context.worker, clock_ms, now)
+        context.last_end_ms = leases.extend(context.worker, number, 6.0, now)
+        if number % share:
+            leases.record_outcome(context.worker, number, is_refused=False)
+
+
+@behave.then("leases of at most {count:d} calls are kept")
+def step(context, count):
+    kept = context.worker.requested_lease_ends
+    assert len(kept) <= count, kept
+
+
+@behave.then("the latest end of a lease is that of the last call")
+def step(context):
+    assert leases.find_latest_end(context.worker) == context.last_end_ms
--- a/packages/core/src/sapphirestall_core/batch/leases.py
+++ b/packages/core/src/sapphirestall_core/batch/leases.py
@@ -99,11 +99,22 @@
     clock_ms = estimate_clock(worker, now)
     if clock_ms is None:
         return None
+    _drop_expired_requests(worker, clock_ms)
     lease_end_ms = clock_ms + int(lease_s * 1000)
     worker.requested_lease_ends[call] = lease_end_ms
     return lease_end_ms
 
 
+def _drop_expired_requests(worker: state.Worker, clock_ms: int) -> None:
+    """Drops calls whose leases have expired, as some never get a reply.
+
+    Whether the worker has carried them out does not matter any more.
+    """
+    ends = worker.requested_lease_ends
+    for call in [call for call, end in ends.items() if end < clock_ms]:
+        worker.lease_end_ms = max(worker.lease_end_ms, ends.pop(call))
+
+
 def record_outcome(
     worker: state.Worker, call: state.LeaseCall, *, is_refused: bool
 ) -> None:
