Do not take one late store call for an outage

A single store call without an answer made an instance log the store as lost when its time limit ended, though the store had answered calls that were sent later; until its next answer callers could be refused without trying the store, and rosters named no silent workers.

A failed call counts only if no renewal of the store lease that was sent later has succeeded. The first row of the new scenario failed before. Intake, takeover, handover, tenure, cuts, successions, departure, contact, moves and passes features pass.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -19,6 +19,18 @@
     Then both calls are refused within 10 ms
     And no record of the job exists
 
+  Scenario Outline: One call without an answer does not show an outage
+    Guards against calls that are refused without trying the store, which has
+    answered calls that were sent after the one that got no answer.
+    Given an instance that sent its last answered renewal 0.5 s ago
+    When a store call that was sent <age> s ago gets no answer
+    Then the store counts as <state>
+
+    Examples:
+      | age | state       |
+      | 0.9 | available   |
+      | 0.3 | unavailable |
+
   Scenario: Callers retry during a store outage of some seconds
     Guards against callers that use all of their few attempts within one
     outage.
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -3,10 +3,14 @@
 import attrs
 import behave
 
+from features import builders
 from sapphirestall_core import resources
+from sapphirestall_core import store_messages
 from sapphirestall_core.batch import caller_messages
 from sapphirestall_core.batch import configuration
+from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import owner_reads
 from sapphirestall_core.batch import records
 from standins import batch_callers
 from standins import batch_world
@@ -278,3 +282,25 @@
 @behave.then("all answers are kept")
 def step(context):
     assert not context.problems, "\n".join(context.problems)
+
+
+@behave.given("an instance that sent its last answered renewal {age_s:g} s ago")
+def step(context, age_s):
+    builders.make_partition(context)
+    context.batch.lease_renewed_at = builders.NOW - age_s
+
+
+@behave.when("a store call that was sent {age_s:g} s ago gets no answer")
+def step(context, age_s):
+    reply = store_messages.StoreReply(
+        owner_reads.OwnersRead(),
+        store_messages.Unavailable(True, "no answer"),
+        builders.NOW - age_s,
+    )
+    instance.handle(reply, context.batch, builders.NOW)
+
+
+@behave.then("the store counts as {state}")
+def step(context, state):
+    is_available = context.batch.store_down_since is None
+    assert is_available == (state == "available")
--- a/packages/core/src/sapphirestall_core/batch/dispatch.py
+++ b/packages/core/src/sapphirestall_core/batch/dispatch.py
@@ -99,7 +99,9 @@
                 )
             )
         batch.store_down_since = None
-    elif batch.store_down_since is None:
+    elif batch.store_down_since is None and not _was_answered_since(
+        batch, event.sent_at
+    ):
         batch.store_down_since = now
         effects.append(
             messages.Log("store", "lost", {"detail": event.outcome.detail})
@@ -107,6 +109,19 @@
     return effects + handle_store_reply(event.purpose, event, batch, now)
 
 
+def _was_answered_since(batch: state.Batch, sent_at: float) -> bool:
+    """Returns whether the store has answered a call that was sent later.
+
+    A call without an answer ends only with its time limit. The store lease is
+    renewed more often than that.
+
+    Args:
+        batch: State of this instance.
+        sent_at: Monotonic time at which a call was sent, in seconds.
+    """
+    return sent_at < batch.lease_renewed_at
+
+
 @handle.register(worker_messages.WorkerReplied)
 def _(
     event: worker_messages.WorkerReplied, batch: state.Batch, now: float
