--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -81,6 +81,12 @@
     return read(partition) if partition else []
 
 
+def _retry_read(partition: state.Partition) -> dispatch.Effects:
+    """Reads the records again after a failed read or watch."""
+    timer = JobsReadDue(partition.name, partition.token)
+    return [messages.StartTimer(timer, RETRY_S, 0.3)]
+
+
 @dispatch.handle_store_reply.register(JobsRead)
 def apply_records(
     purpose: JobsRead,
@@ -95,8 +101,7 @@
     partition.job_read_in_flight = False
     outcome = reply.outcome
     if not isinstance(outcome, store_messages.Listed):
-        timer = JobsReadDue(partition.name, partition.token)
-        return [messages.StartTimer(timer, RETRY_S, 0.3)]
+        return _retry_read(partition)
     effects = _check_owner(batch, partition, outcome, now)
     if partition.name not in batch.partitions:
         return effects
@@ -240,8 +245,7 @@
     partition.watching = False
     outcome = reply.outcome
     if not isinstance(outcome, store_messages.Followed):
-        timer = JobsReadDue(partition.name, partition.token)
-        return [messages.StartTimer(timer, RETRY_S, 0.3)]
+        return _retry_read(partition)
     effects: dispatch.Effects = []
     for change in outcome.changes:
         if partition.name not in batch.partitions:
--- a/packages/core/src/sapphirestall_core/store_health.py
+++ b/packages/core/src/sapphirestall_core/store_health.py
@@ -10,6 +10,17 @@
 
 from sapphirestall_core.batch import worker_faults
 
+# Share of calls that fail while the store is available, as assumed before the
+# first outcomes, and the number of outcomes that it counts as much as.
+ASSUMED_FAILED_CALLS = 0.02
+ASSUMED_OUTCOMES = 50.0
+
+
+def _assume_failed_calls() -> worker_faults.FailureShare:
+    return worker_faults.FailureShare(
+        ASSUMED_OUTCOMES, ASSUMED_OUTCOMES * ASSUMED_FAILED_CALLS
+    )
+
 
 @attrs.define
 class StoreHealth:
@@ -25,7 +36,7 @@
     failures: int = 0
     succeeded_sent_at: float = -math.inf
     failed_share: worker_faults.FailureShare = attrs.field(
-        factory=worker_faults.assume_failed_runs
+        factory=_assume_failed_calls
     )
 
     def record_success(self, sent_at: float) -> None:
--- a/tools/load.py
+++ b/tools/load.py
@@ -15,21 +15,12 @@
 import attrs
 import click
 
+from standins import deployment
 from standins import fleet as fleet_module
 
 MAX_RATE = 5000
 MAX_DURATION_S = 120.0
 PERCENTILES = (0.5, 0.9, 0.99, 0.999)
-CONFIGURATION = {
-    "services": {
-        "rota": {
-            "operations": {
-                "compute": {"repeatable": True},
-                "assign": {"repeatable": False},
-            }
-        }
-    }
-}
 
 
 @attrs.define
@@ -158,7 +149,11 @@
 ) -> None:
     entry = next(iter(fleet.entries.values()))
     url = f"http://{entry.operators}/v1/configuration"
-    body = {"patch_id": "load", "base_version": 0, "patch": CONFIGURATION}
+    body = {
+        "patch_id": "load",
+        "base_version": 0,
+        "patch": deployment.CONFIGURATION,
+    }
     async with session.patch(url, json=body) as answer:
         answer.raise_for_status()
     # Waits until the configuration is in force on every entry instance.
