--- a/features/steps/batch_departure_steps.py
+++ b/features/steps/batch_departure_steps.py
@@ -5,8 +5,8 @@
 
 from sapphirestall_core import messages
 from sapphirestall_core import resources
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import state
 from standins import batch_world
 
@@ -159,6 +159,12 @@
     context.world.kill(find_owner(context))
 
 
+@behave.when("its owner is killed {seconds:g} s later")
+def step(context, seconds):
+    context.gaps.run(seconds)
+    context.world.kill(find_owner(context))
+
+
 @behave.when("a worker with long-running tasks crashes")
 def step(context):
     context.world.end_worker(context.worker_id)
@@ -259,7 +265,7 @@
         name = f"{DATA_CENTRE}/r{number}"
         context.batch.known_partitions[name] = DATA_CENTRE
         delays_s.append(
-            ownership.compute_acquisition_delay(context.batch, name)
+            acquisition.compute_acquisition_delay(context.batch, name)
         )
     assert max(delays_s) <= seconds, max(delays_s)
 
--- a/packages/core/src/sapphirestall_core/batch/live_records.py
+++ b/packages/core/src/sapphirestall_core/batch/live_records.py
@@ -12,6 +12,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import owner_keys
 from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
@@ -80,6 +81,12 @@
     return read(partition) if partition else []
 
 
+def _retry_read(partition: state.Partition) -> dispatch.Effects:
+    """Reads the records again after a failed read or watch."""
+    timer = JobsReadDue(partition.name, partition.token)
+    return [messages.StartTimer(timer, RETRY_S, 0.3)]
+
+
 @dispatch.handle_store_reply.register(JobsRead)
 def apply_records(
     purpose: JobsRead,
@@ -94,8 +101,7 @@
     partition.job_read_in_flight = False
     outcome = reply.outcome
     if not isinstance(outcome, store_messages.Listed):
-        timer = JobsReadDue(partition.name, partition.token)
-        return [messages.StartTimer(timer, RETRY_S, 0.3)]
+        return _retry_read(partition)
     effects = _check_owner(batch, partition, outcome, now)
     if partition.name not in batch.partitions:
         return effects
@@ -239,8 +245,7 @@
     partition.watching = False
     outcome = reply.outcome
     if not isinstance(outcome, store_messages.Followed):
-        timer = JobsReadDue(partition.name, partition.token)
-        return [messages.StartTimer(timer, RETRY_S, 0.3)]
+        return _retry_read(partition)
     effects: dispatch.Effects = []
     for change in outcome.changes:
         if partition.name not in batch.partitions:
@@ -258,7 +263,7 @@
     now: float,
 ) -> dispatch.Effects:
     if change.key == records.make_live_owner_key(partition.name):
-        return ownership.apply_owner_change(batch, partition.name, change, now)
+        return owner_keys.apply_owner_change(batch, partition.name, change, now)
     if isinstance(change, store_messages.Found):
         releases.observe_record(batch, partition, change, now)
     observed = parse_change(partition, change, now)
--- a/packages/core/src/sapphirestall_core/batch/workers.py
+++ b/packages/core/src/sapphirestall_core/batch/workers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sapphirestall_core import messages
+from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import capacity_reports
 from sapphirestall_core.batch import commands
@@ -15,9 +16,9 @@
 from sapphirestall_core.batch import departures
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import former_runs
+from sapphirestall_core.batch import known_partitions
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
-from sapphirestall_core.batch import ownership
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import polls
 from sapphirestall_core.batch import retention
@@ -62,7 +63,7 @@
         messages.StartTimer(EntriesDue(), interval_s, 0.1)
     ]
     if not batch.partitions_loaded:
-        effects += ownership.read_rosters()
+        effects += known_partitions.read_rosters()
     return effects + worker_list.read_entries(batch, now)
 
 
@@ -82,7 +83,7 @@
     for entry in event.entries:
         name = batch.division.find_partition(entry)
         by_partition.setdefault(name, []).append(entry)
-    effects = ownership.add_partitions(batch, by_partition, now)
+    effects = known_partitions.add_partitions(batch, by_partition, now)
     for partition in list(batch.partitions.values()):
         partition.workers_listed = True
         for entry in by_partition.get(partition.name, ()):
@@ -201,7 +202,7 @@
         usability.find_next_end(partition, now),
     )
     return [
-        messages.StartTimer(due, end - now + ownership.TIMER_TOLERANCE_S)
+        messages.StartTimer(due, end - now + acquisition.TIMER_TOLERANCE_S)
         for end in ends
         if 0 < end - now < CHECK_INTERVAL_S
     ]
