Spend less on what each pass and each summary looks up

Listing the usable workers called two functions for each worker, trials looked at all workers, and a summary added up the finite runs of workers that are half free.

--- a/packages/core/src/sapphirestall_core/batch/trials.py
+++ b/packages/core/src/sapphirestall_core/batch/trials.py
@@ -49,7 +49,8 @@
     workers = [
         worker
         for worker in partition.workers.values()
-        if _may_be_tried(partition, worker, now)
+        if worker.suspension is not None
+        and _may_be_tried(partition, worker, now)
     ]
     if not workers:
         return []
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -46,7 +46,12 @@
             full: a worker that refuses all polls begins it anew with each.
     """
     # A worker that may be lost is no capacity, whatever else is known of it.
-    if _is_silent(worker, now):
+    answered_at = worker.last_answer_at
+    if (
+        worker.unresponsive
+        or answered_at is None
+        or now - answered_at > MAX_CONTACT_AGE_S
+    ):
         return Obstacle.SILENT
     if not worker.listing_received:
         return Obstacle.UNLISTED
@@ -66,15 +71,6 @@
     return None
 
 
-def _is_silent(worker: state.Worker, now: float) -> bool:
-    answered_at = worker.last_answer_at
-    return (
-        worker.unresponsive
-        or answered_at is None
-        or now - answered_at > MAX_CONTACT_AGE_S
-    )
-
-
 def is_usable(
     worker: state.Worker, now: float, *, suspension_left_s: float = 0.0
 ) -> bool:
@@ -129,12 +125,13 @@
         now: Monotonic time, in seconds.
         suspension_left_s: Rest of a suspension that is ignored, in seconds.
     """
+    # This runs in each pass; the roster is looked up without a call a worker.
     return [
         worker
-        for worker in partition.workers.values()
-        if find_obstacle_in_partition(
-            partition, worker, now, suspension_left_s=suspension_left_s
-        )
+        for name, worker in partition.workers.items()
+        if name in partition.roster
+        and not partition.withholds_leases(name)
+        and find_obstacle(worker, now, suspension_left_s=suspension_left_s)
         is None
     ]
 
@@ -149,13 +146,14 @@
     Returns:
         Monotonic time in seconds; infinite if no worker is kept idle by one.
     """
-    ends = (
-        max(worker.paused_until, worker.suspension.until)
-        if worker.suspension is not None
-        else worker.paused_until
-        for worker in partition.workers.values()
-    )
-    return min((end for end in ends if end > now), default=math.inf)
+    end = math.inf
+    for worker in partition.workers.values():
+        until = worker.paused_until
+        if worker.suspension is not None:
+            until = max(until, worker.suspension.until)
+        if now < until < end:
+            end = until
+    return end
 
 
 def list_unusable_workers(
--- a/packages/core/src/sapphirestall_core/batch/yielding_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/yielding_capacity.py
@@ -11,7 +11,6 @@
 from sapphirestall_core import resources
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import nominations
-from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import state
 
@@ -41,9 +40,12 @@
     for worker in usable:
         if worker.entry.worker_id in nominated:
             continue
-        free = worker.entry.capacity.minus(worker.reserved)
-        capacity = free.plus(_sum_finite(worker, now))
-        if capacity.cpu_millis < MIN_GAIN * max(1, free.cpu_millis):
+        most_cpu = worker.entry.capacity.cpu_millis
+        free_cpu = max(1, most_cpu - worker.reserved.cpu_millis)
+        if most_cpu < MIN_GAIN * free_cpu:
+            continue
+        capacity = _find_capacity(worker, now)
+        if capacity.cpu_millis < MIN_GAIN * free_cpu:
             continue
         if not _is_needed(worker, capacity, waiting):
             found.append((capacity, worker.entry.worker_id))
@@ -68,16 +70,21 @@
     ]
 
 
-def _sum_finite(worker: state.Worker, now: float) -> resources.Vector:
-    """Returns what runs reserve that will end by themselves before long."""
-    total = resources.Vector()
+def _find_capacity(worker: state.Worker, now: float) -> resources.Vector:
+    """Returns what is free on a worker without runs that end before long."""
+    reserved = worker.reserved
+    cpu_millis, memory_mb = reserved.cpu_millis, reserved.memory_mb
+    accelerators = reserved.accelerators
     for run in worker.runs.values():
         step = run.task.step
         if step.long_running or step.fills:
             continue
         if nominations.estimate_remaining(run, now) <= nominations.MAX_WAIT_S:
-            total = total.plus(placement.find_reserved_amount(step))
-    return total
+            cpu_millis -= step.amount.cpu_millis
+            memory_mb -= step.amount.memory_mb
+            accelerators -= step.amount.accelerators
+    left = resources.Vector(cpu_millis, memory_mb, accelerators)
+    return worker.entry.capacity.minus(left)
 
 
 def _is_needed(
