Pause the starts on a worker only after repeated failures

Callers of the older jobs saw their tasks wait for about 2 s more after a single failed task: it closed its worker for 1 s, and the next report that could open it came 2 s later. A single failure happens on sound workers.

The pause, which bounds the starts on a worker that refuses each at once, begins with the second failure since the last success, and a task that finishes ends it. The new scenario failed before. Policy hooks, probation, jobs, replay, inventory, recovery and worker calls features pass.

--- a/features/policy_hooks.feature
+++ b/features/policy_hooks.feature
@@ -17,6 +17,15 @@
     Then the faulty worker was given fewer than 10 tasks within 20 s
     And the journal shows that it is on probation
 
+  Scenario: One failure does not close a worker
+    Guards against a sound worker that gets no starts for a second after each
+    failed task. Also guards against starts without a pause on a worker on which
+    all tasks fail.
+    Given a rack of 1 workers with 8 processors each
+    When one worker fails every task after 0.1 s
+    And a job of one task with 8 processors is submitted
+    Then its second start comes within 2.2 s and its third at least 1 s later
+
   Scenario: Tasks that slow a service are throttled and no more are placed
     Guards against workers' reports that do not reach the controller.
     When every worker runs a service that noisy work slows by 0.2 a processor
--- a/features/steps/policy_hooks_steps.py
+++ b/features/steps/policy_hooks_steps.py
@@ -96,6 +96,28 @@
     assert 0 < started < 10, started
 
 
+@behave.when("a job of one task with {cores:d} processors is submitted")
+def step(context, cores):
+    submit(context, "lone", "compute", 1, cores, 0, 60.0)
+
+
+def wait_for_starts(context, count):
+    """Returns when a worker has been sent a number of starts."""
+    worker = context.world.workers["worker-0"]
+    assert context.world.run_until(lambda: len(worker.started) >= count, 10.0)
+    return context.world.now
+
+
+@behave.then(
+    "its second start comes within {limit_s:g} s and its third at least"
+    " {pause_s:g} s later"
+)
+def step(context, limit_s, pause_s):
+    first, second, third = (wait_for_starts(context, n) for n in (1, 2, 3))
+    assert second - first <= limit_s, second - first
+    assert third - second >= pause_s, third - second
+
+
 @behave.then("the journal shows that it is on probation")
 def step(context):
     journal = context.world.nodes["entry-1"].state.journal
--- a/packages/core/src/sapphirestall_core/failures.py
+++ b/packages/core/src/sapphirestall_core/failures.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sapphirestall_core import job_updates
@@ -20,9 +21,10 @@
 # Minimum numbers of workers and of failures of one task that fail its job.
 WORKERS_PER_FAILED_TASK = 3
 FAILURES_PER_FAILED_TASK = 3
-# Pause after a failure before the worker gets another start. It bounds the rate
-# of starts on a worker that refuses each of them at once.
-PAUSE_AFTER_FAILURE_S = 1.0
+# Pause after repeated failures before the worker gets another start. It bounds
+# the rate of starts on a worker that refuses each of them at once. A single
+# failure happens on sound workers too.
+PAUSE_AFTER_FAILURES_S = 1.0
 
 
 def record_failure(
@@ -46,8 +48,9 @@
         instance: State of this entry instance.
         now: Monotonic time, in seconds.
     """
-    worker.no_starts_until = now + PAUSE_AFTER_FAILURE_S
     effects = policy_hooks.record_task_failed(worker, name, instance, now)
+    if policy_hooks.count_failures(worker, instance) > 1:
+        worker.no_starts_until = now + PAUSE_AFTER_FAILURES_S
     share = partition.shares.get(name.job_id)
     if share is None or not share.is_active:
         return effects
@@ -103,9 +106,10 @@
 ) -> None:
     """Records that a worker finished a task of a job.
 
-    The two jobs that finished last are kept. That suffices to find one that is
-    not the failing job.
+    It may get starts again. The two jobs that finished last are kept. That
+    suffices to find one that is not the failing job.
     """
+    worker.no_starts_until = -math.inf
     worker.finished_at.pop(name.job_id, None)
     worker.finished_at[name.job_id] = now
     if len(worker.finished_at) > 2:
--- a/packages/core/src/sapphirestall_core/policy_hooks.py
+++ b/packages/core/src/sapphirestall_core/policy_hooks.py
@@ -330,3 +330,8 @@
     Failures on such a worker count against the worker and not against the job.
     """
     return instance.scheduling.probation.is_on_probation(worker.worker_id)
+
+
+def count_failures(worker: tasks_state.Worker, instance: state.Instance) -> int:
+    """Returns how many tasks failed on a worker since the last success."""
+    return instance.scheduling.probation.count_failures(worker.worker_id)
--- a/packages/core/src/sapphirestall_core/probation.py
+++ b/packages/core/src/sapphirestall_core/probation.py
@@ -119,6 +119,11 @@
         record = self.records.get(worker_id)
         return record is not None and record.on_probation
 
+    def count_failures(self, worker_id: str) -> int:
+        """Returns the number of failures since the last success."""
+        record = self.records.get(worker_id)
+        return len(record.failures) if record is not None else 0
+
     def record_start(
         self, worker_id: str, name: task_messages.AttemptName, now: float
     ) -> None:
