Keep the usual share of failures above zero

After some 300,000 outcomes without a failure the usual share of failures in a partition underflowed to 0, and the next failed run or unanswered start ended in a division by zero. Long before, from about 2,000 outcomes on, a single failed store call would have closed the store to claims.

An estimated share is 0.001 at least, and an outage of the store needs three failed calls. The new scenario failed before with ZeroDivisionError. Suspensions, probation, claims and full fleet features pass.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -37,6 +37,19 @@
       | 80    | 6        | not suspended |
       | 80    | 8        | suspended     |
 
+  Scenario Outline: Failures after a long time without any are weighed too
+    Guards against an error, or a suspension for a single failure, as the usual
+    share of failures has become 0.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    And 400000 more runs on the second one are done
+    When <failures> runs of several jobs fail on the first worker
+    Then the first worker is <state>
+
+    Examples:
+      | failures | state         |
+      | 2        | not suspended |
+      | 3        | suspended     |
+
   Scenario Outline: A run that was started later and is done ends a suspension
     Guards against a worker that stays closed although runs are done there. Also
     guards against one that begins to fail, completes a run that it had started
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -139,6 +139,12 @@
     )
 
 
+@behave.given("{count:d} more runs on the second one are done")
+def step(context, count):
+    for _ in range(count):
+        context.partition.failed_runs_share.record(1, 0)
+
+
 @behave.given("the second worker is full")
 def step(context):
     worker = context.workers[1]
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -31,6 +31,9 @@
 ASSUMED_OUTCOMES = 50.0
 # Beyond this number of outcomes older ones count less.
 MAX_OUTCOMES = 400.0
+# Lower limit of an estimated share. Without failures for long it would become
+# 0, and a single failure would seem to be no chance.
+LOWEST_SHARE = 0.001
 
 
 @attrs.define(slots=True, eq=False)
@@ -55,7 +58,8 @@
 
     def estimate(self) -> float:
         """Returns the estimated share."""
-        return min(self.failures / self.outcomes, FAULTY_SHARE)
+        share = self.failures / self.outcomes
+        return min(max(share, LOWEST_SHARE), FAULTY_SHARE)
 
     def makes_unlikely(self, failures: int) -> bool:
         """Returns whether failures one after another are too many for chance.
--- a/packages/core/src/sapphirestall_core/store_health.py
+++ b/packages/core/src/sapphirestall_core/store_health.py
@@ -10,6 +10,8 @@
 
 from sapphirestall_core.batch import worker_faults
 
+# Lowest number of failed calls that shows an outage.
+FEWEST_FAILURES = 3
 # Share of calls that fail while the store is available, as assumed before the
 # first outcomes, and the number of outcomes that it counts as much as.
 ASSUMED_FAILED_CALLS = 0.02
@@ -63,4 +65,7 @@
 
     def shows_outage(self) -> bool:
         """Returns whether too many calls have failed for it to be chance."""
-        return self.failed_share.makes_unlikely(self.failures)
+        return (
+            self.failures >= FEWEST_FAILURES
+            and self.failed_share.makes_unlikely(self.failures)
+        )
