--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -63,11 +63,18 @@
       | 0.2     | suspended     |
       | 9       | not suspended |
 
-  Scenario: Failures suspend a worker after hundreds of thousands of successes
-    Guards against a usual share of zero, for which no weight can be computed.
-    Given two workers, and 0 of 400000 runs on the second one have failed
-    When 3 runs of several jobs fail on the first worker
-    Then the first worker is suspended
+  Scenario Outline: Failures after a long time without any are weighed too
+    Guards against an error, or a suspension for a single failure, as the usual
+    share of failures has become 0.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    And 400000 more runs on the second one are done
+    When <failures> runs of several jobs fail on the first worker
+    Then the first worker is <state>
+
+    Examples:
+      | failures | state         |
+      | 2        | not suspended |
+      | 3        | suspended     |
 
   Scenario: The failures of a worker that recovers do not count as usual
     Guards against workers that fail all their runs and are not suspended, since
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -32,8 +32,8 @@
 ASSUMED_OUTCOMES = 50.0
 # Beyond this number of outcomes older ones count less.
 MAX_OUTCOMES = 400.0
-# Lowest share that is estimated. Without it the share becomes zero after some
-# hundred thousand outcomes without a failure.
+# Lower limit of an estimated share. Without failures for long it would become
+# 0, and a single failure would seem to be no chance.
 LOWEST_SHARE = 0.001
 # Number of failures in a row that are kept. While a faulty worker is tried
 # again and again, their number grows.
