--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -37,6 +37,60 @@
       | 80    | 6        | not suspended |
       | 80    | 8        | suspended     |
 
+  Scenario Outline: A run that is done ends a row of failures
+    Guards against sound workers that are suspended as runs that fail are shorter
+    than others: of runs that start together, those that fail end first.
+    Given two workers, and 20 of 400 runs on the second one have failed
+    When 3 runs of several jobs fail on the first worker
+    And a run that started <when> them is done there
+    And 3 runs of several jobs fail on the first worker
+    Then the first worker is not suspended
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
+
+  Scenario Outline: Long-running tasks that fail after some work suspend nothing
+    Guards against a worker that is suspended since several long-running tasks,
+    which may fail at any time, have failed there one after another.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 5 long-running runs fail on the first worker after <seconds> s
+    Then the first worker is <state>
+
+    Examples:
+      | seconds | state         |
+      | 0.2     | suspended     |
+      | 9       | not suspended |
+
+  Scenario: Failures suspend a worker after hundreds of thousands of successes
+    Guards against a usual share of zero, for which no weight can be computed.
+    Given two workers, and 0 of 400000 runs on the second one have failed
+    When 3 runs of several jobs fail on the first worker
+    Then the first worker is suspended
+
+  Scenario: The failures of a worker that recovers do not count as usual
+    Guards against workers that fail all their runs and are not suspended, since
+    the runs that failed on another such worker raised the usual share.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 60 runs of several jobs fail on the first worker
+    And a run that started after them is done there
+    And 6 s pass after the failures
+    And 3 runs of several jobs fail on the first worker
+    Then the first worker is suspended
+
+  Scenario Outline: Ends of runs of a former owner are weighed in their order
+    Guards against sound workers that are suspended by the first listing after a
+    takeover. Also guards against a faulty worker that it does not suspend.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When the first worker lists that 40 runs of a former owner ended "<ends>"
+    Then the first worker is <state>
+
+    Examples:
+      | ends                                     | state         |
+      | ....f.........f.........f.........f..... | not suspended |
+      | ....................................ffff | suspended     |
+
   Scenario Outline: A run that was started later and is done ends a suspension
     Guards against a worker that stays closed although runs are done there. Also
     guards against one that begins to fail, completes a run that it had started
@@ -51,6 +105,17 @@
       | before | suspended     |
       | after  | not suspended |
 
+  Scenario: A run that had failed anyway does not extend a suspension
+    Guards against a worker that stays closed since runs fail there that were
+    started before one that is done, so that they tell nothing about it.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When a run that started before them is done there
+    And 4 runs of several jobs fail on the first worker
+    And 3 s pass after the failures
+    And a run that started 13 s ago fails there
+    And 2.1 s pass after the failures
+    Then the first worker is not suspended
+
   Scenario Outline: A suspended worker runs one task on trial at a time
     Guards against long-running tasks that wait for the end of a suspension.
     Also guards against many tasks that fail on a worker that fails all its runs.
@@ -75,18 +140,33 @@
     When 3 starts get no answer on the first worker
     Then 0 tasks have started there 1.8 s later
 
-  Scenario Outline: No run starts on trial where the roster allows none
-    Guards against a task that runs twice: a suspended worker was silent, so
-    that the roster names it, and a successor takes the runs there as ended.
+  Scenario Outline: A task runs on trial only where a task may start
+    Guards against a run on a worker on which the owner may extend no lease, so
+    that a successor may start the task again beside it. Also guards against one
+    on a worker that is about to leave or does not answer.
     Given two workers, and 0 of 400 runs on the second one have failed
     And the second worker is full
     And 3 long-running tasks that have waited for 1 s
+    And its worker is unusable as it is <reason>
     When 4 runs of several jobs fail on the first worker
-    And the roster <says> the first worker
-    Then 0 tasks have started there 1.8 s later
+    Then 0 tasks have started there 0.5 s later
 
     Examples:
-      | says                   |
-      | withholds leases on    |
-      | will withhold those on |
-      | lacks                  |
+      | reason        |
+      | withheld      |
+      | not_in_roster |
+      | draining      |
+      | restarted     |
+      | refusing      |
+      | silent        |
+
+  Scenario: No run starts on trial on a worker that a roster in flight names
+    Guards against a task that runs twice: a suspended worker was silent, the
+    roster that names it is being written, and a successor that reads it takes
+    the runs there as ended.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    And the second worker is full
+    And 3 long-running tasks that have waited for 1 s
+    When 4 runs of several jobs fail on the first worker
+    And a roster that withholds leases on the first worker is being written
+    Then 0 tasks have started there 1.8 s later
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -8,8 +8,10 @@
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import passes
+from sapphirestall_core.batch import polls
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import suspensions
+from sapphirestall_core.batch import worker_messages
 from standins import batch_world
 
 LARGE = resources.Vector(5000, 100, 0)
@@ -112,6 +114,7 @@
 def step(context, count, total):
     context.now = builders.NOW
     context.workers = [builders.make_worker(f"w-{i}", 8) for i in range(2)]
+    context.worker = context.workers[0]
     builders.make_partition(context, *context.workers)
     context.steps = [
         builders.add_job(context, i, 2, 0.0, builders.make_step(5)).steps[0]
@@ -123,7 +126,8 @@
     second = context.workers[1]
     for number in range(total):
         started_at = builders.NOW - total + number
-        if number < count:
+        # The failures are spread evenly. In a row they would show a fault.
+        if number * count // total < (number + 1) * count // total:
             fail(context, second, number, builders.NOW - started_at)
         else:
             suspensions.record_done(context.partition, second, started_at)
@@ -160,6 +164,46 @@
         fail(context, context.workers[0], number, 1.0)
 
 
+@behave.when(
+    "{count:d} long-running runs fail on the first worker after {seconds:g} s"
+)
+def step(context, count, seconds):
+    lasting = builders.make_step(count, long_running=True)
+    steps = [
+        builders.add_job(context, 20 + number, 0, 0.0, lasting).steps[0]
+        for number in range(2)
+    ]
+    for number in range(count):
+        suspensions.record_failure(
+            context.partition,
+            context.workers[0],
+            steps[number % 2],
+            seconds,
+            context.now,
+        )
+
+
+@behave.when(
+    "the first worker lists that {count:d} runs of a former owner ended"
+    ' "{ends}"'
+)
+def step(context, count, ends):
+    job = builders.add_job(context, 8, 2, 0.0, builders.make_step(count))
+    kinds = {".": model.EndKind.DONE, "f": model.EndKind.FAILED}
+    listed = []
+    for index, end in enumerate(ends):
+        name = job.steps[0].unfinished[index].name
+        listed.append(model.EndedRun(index + 1, name, 1, kinds[end], ""))
+    polls.apply_listing(
+        context.batch,
+        context.partition,
+        context.workers[0],
+        None,
+        worker_messages.Listing(1000, (), tuple(listed)),
+        context.now,
+    )
+
+
 @behave.when("a run that started {when} them is done there")
 def step(context, when):
     ran_s = 0.5 if when == "after" else 1.5
@@ -168,6 +212,11 @@
     )
 
 
+@behave.when("a run that started {seconds:g} s ago fails there")
+def step(context, seconds):
+    fail(context, context.workers[0], 0, seconds)
+
+
 @behave.when("{count:d} starts get no answer on the first worker")
 def step(context, count):
     task = context.steps[0].unfinished[1]
@@ -185,16 +234,12 @@
         )
 
 
-@behave.when("the roster {says} the first worker")
-def step(context, says):
-    partition, name = context.partition, context.workers[0].entry.worker_id
-    match says:
-        case "withholds leases on":
-            partition.withheld_ms = {name: 6000}
-        case "will withhold those on":
-            partition.withheld_in_flight = frozenset({name})
-        case "lacks":
-            partition.roster -= {name}
+@behave.when(
+    "a roster that withholds leases on the first worker is being written"
+)
+def step(context):
+    name = context.workers[0].entry.worker_id
+    context.partition.withheld_in_flight = frozenset({name})
 
 
 @behave.then("{count:d} tasks have started there {seconds:g} s later")
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -94,13 +94,40 @@
     return worker.entry.service == service and is_usable(worker, now)
 
 
+def find_obstacle_in_partition(
+    partition: state.Partition,
+    worker: state.Worker,
+    now: float,
+    *,
+    suspension_left_s: float = 0.0,
+) -> Obstacle | None:
+    """Returns what keeps an owner from starting runs on a worker, or None.
+
+    The worker must be in the roster, and the owner may extend leases there. The
+    roster comes before a suspension, in which a task may run on trial.
+
+    Args:
+        partition: The owned partition.
+        worker: One of its workers.
+        now: Monotonic time, in seconds.
+        suspension_left_s: Rest of a suspension that is ignored, in seconds.
+    """
+    obstacle = find_obstacle(worker, now, suspension_left_s=suspension_left_s)
+    if obstacle not in (None, Obstacle.SUSPENDED):
+        return obstacle
+    name = worker.entry.worker_id
+    if name not in partition.roster:
+        return Obstacle.NOT_IN_ROSTER
+    if partition.withholds_leases(name):
+        return Obstacle.WITHHELD
+    return obstacle
+
+
 def list_startable_workers(
     partition: state.Partition, now: float, *, suspension_left_s: float = 0.0
 ) -> list[state.Worker]:
     """Returns the workers of a partition on which a pass may start tasks.
 
-    They are in the roster, and the owner may extend leases there.
-
     Args:
         partition: The owned partition.
         now: Monotonic time, in seconds.
@@ -108,9 +135,11 @@
     """
     return [
         worker
-        for name, worker in partition.workers.items()
-        if _find_roster_obstacle(partition, name) is None
-        and is_usable(worker, now, suspension_left_s=suspension_left_s)
+        for worker in partition.workers.values()
+        if find_obstacle_in_partition(
+            partition, worker, now, suspension_left_s=suspension_left_s
+        )
+        is None
     ]
 
 
@@ -136,26 +165,10 @@
 def list_unusable_workers(
     partition: state.Partition, now: float
 ) -> list[tuple[state.Worker, Obstacle]]:
-    """Returns the workers on which no pass may start tasks, with the reason.
-
-    The roster comes before a suspension, in which a task may run on trial.
-    """
-    unusable = []
-    for name, worker in partition.workers.items():
-        obstacle = find_obstacle(worker, now)
-        if obstacle in (None, Obstacle.SUSPENDED):
-            obstacle = _find_roster_obstacle(partition, name) or obstacle
-        if obstacle is not None:
-            unusable.append((worker, obstacle))
-    return unusable
-
-
-def _find_roster_obstacle(
-    partition: state.Partition, name: str
-) -> Obstacle | None:
-    """Returns why the roster allows no runs on a worker; None if it does."""
-    if name not in partition.roster:
-        return Obstacle.NOT_IN_ROSTER
-    if partition.withholds_leases(name):
-        return Obstacle.WITHHELD
-    return None
+    """Returns the workers on which no pass may start tasks, with the reason."""
+    return [
+        (worker, obstacle)
+        for worker in partition.workers.values()
+        if (obstacle := find_obstacle_in_partition(partition, worker, now))
+        is not None
+    ]
