Disable the renamed function in a mutation

The mutation 'passes at the end of leases' replaced a function that renamed, and so changed nothing.

--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -372,7 +372,7 @@
 
 def start_at_periodic_checks() -> None:
     """Ends the wait for former runs only with the periodic checks."""
-    workers._schedule_pass = lambda *_: []
+    workers._schedule_passes = lambda *_: []
 
 
 def count_refused_leases() -> None:
