--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -240,16 +240,12 @@
         )
 
 
-@behave.when("the roster {says} the first worker")
-def step(context, says):
-    partition, name = context.partition, context.workers[0].entry.worker_id
-    match says:
-        case "withholds leases on":
-            partition.withheld_ms = {name: 6000}
-        case "will withhold those on":
-            partition.withheld_in_flight = frozenset({name})
-        case "lacks":
-            partition.roster -= {name}
+@behave.when(
+    "a roster that withholds leases on the first worker is being written"
+)
+def step(context):
+    name = context.workers[0].entry.worker_id
+    context.partition.withheld_in_flight = frozenset({name})
 
 
 @behave.then("{count:d} tasks have started there {seconds:g} s later")
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -26,6 +26,11 @@
 # No task of a long-running step is ever done. A run that lasts for this time,
 # in seconds, shows as well that step and worker can run it.
 WORKING_RUN_S = 2.0
+# Where failed runs have lasted long as well, a run has to last this many times
+# as long to show this of the worker, but for no longer than the second value,
+# in seconds.
+OUTLASTING_FACTOR = 2.0
+MAX_WORKING_RUN_S = 10.0
 
 
 def record_done(
@@ -52,13 +57,14 @@
     """
     if not worker.failed_runs.row:
         return []
+    working_s = _find_working_time(worker)
     started_at = max(
         (
             run.started_at
             for run in worker.runs.values()
             if run.task.step.long_running
             and run.phase is state.RunPhase.RUNNING
-            and now - run.started_at >= WORKING_RUN_S
+            and now - run.started_at >= working_s
         ),
         default=worker.failed_runs.succeeded_start_at,
     )
@@ -69,6 +75,13 @@
     return _resume(partition, worker)
 
 
+def _find_working_time(worker: state.Worker) -> float:
+    """Returns how long a long-running run lasts that shows a sound worker."""
+    longest_s = max(failure.ran_s for failure in worker.failed_runs.row)
+    outlasting_s = OUTLASTING_FACTOR * longest_s
+    return max(WORKING_RUN_S, min(outlasting_s, MAX_WORKING_RUN_S))
+
+
 def record_answered_start(
     partition: state.Partition, worker: state.Worker, sent_at: float
 ) -> dispatch.Effects:
@@ -136,7 +149,7 @@
         return []
     if _is_cause(step):
         return _discount_failures(partition, step)
-    failure = worker_faults.Failure(now - ran_s, step)
+    failure = worker_faults.Failure(now - ran_s, step, ran_s)
     cause = worker_faults.SuspensionCause.FAILED_RUNS
     return _weigh_failure(partition, worker, cause, failure, now)
 
--- a/packages/core/src/sapphirestall_core/batch/usability.py
+++ b/packages/core/src/sapphirestall_core/batch/usability.py
@@ -99,7 +99,8 @@
 ) -> Obstacle | None:
     """Returns what keeps an owner from starting runs on a worker, or None.
 
-    The worker must be in the roster, and the owner may extend leases there.
+    The worker must be in the roster, and the owner may extend leases there. The
+    roster comes before a suspension, in which a task may run on trial.
 
     Args:
         partition: The owned partition.
@@ -107,12 +108,15 @@
         now: Monotonic time, in seconds.
         suspension_left_s: Rest of a suspension that is ignored, in seconds.
     """
+    obstacle = find_obstacle(worker, now, suspension_left_s=suspension_left_s)
+    if obstacle not in (None, Obstacle.SUSPENDED):
+        return obstacle
     name = worker.entry.worker_id
     if name not in partition.roster:
         return Obstacle.NOT_IN_ROSTER
     if partition.withholds_leases(name):
         return Obstacle.WITHHELD
-    return find_obstacle(worker, now, suspension_left_s=suspension_left_s)
+    return obstacle
 
 
 def list_startable_workers(
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -96,10 +96,12 @@
     Attributes:
         started_at: Monotonic time at which the start was sent, in seconds.
         step: Step of the task.
+        ran_s: Time for which a run is known to have lasted, in seconds.
     """
 
     started_at: float
     step: state.StepState
+    ran_s: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
