Resume a worker by a long-running run only once it outlasts failed ones

A long-running run that lasted 2 s counted as a success of its worker, also where runs fail later than that: each trial ended the suspension, and its failure came after.

--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -94,6 +94,21 @@
       | before | suspended     |
       | after  | not suspended |
 
+  Scenario Outline: A long-running run ends a suspension once it outlasts others
+    Guards against a worker that fails its runs some seconds after their start,
+    so that each trial there ends the suspension and more runs fail.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 4 runs of several jobs fail on the first worker after <ran> s
+    And a long-running run is started there and still runs <lasted> s later
+    Then the first worker is <state>
+
+    Examples:
+      | ran | lasted | state         |
+      | 0.2 | 1.9    | suspended     |
+      | 0.2 | 2.1    | not suspended |
+      | 2   | 3.9    | suspended     |
+      | 2   | 4.1    | not suspended |
+
   Scenario: A run that had failed anyway does not extend a suspension
     Guards against a worker that stays closed since runs fail there that were
     started before one that is done, so that they tell nothing about it.
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -248,6 +248,25 @@
     fail(context, context.workers[0], 0, seconds)
 
 
+@behave.when(
+    "{count:d} runs of several jobs fail on the first worker after {ran_s:g} s"
+)
+def step(context, count, ran_s):
+    for number in range(count):
+        fail(context, context.workers[0], number, ran_s)
+
+
+@behave.when(
+    "a long-running run is started there and still runs {seconds:g} s later"
+)
+def step(context, seconds):
+    worker = context.workers[0]
+    builders.add_run(worker, builders.make_step(1, long_running=True))
+    context.now += seconds
+    worker.last_answer_at = context.now
+    suspensions.record_working_runs(context.partition, worker, context.now)
+
+
 @behave.when("{count:d} starts get no answer on the first worker")
 def step(context, count):
     task = context.steps[0].unfinished[1]
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -26,6 +26,9 @@
 # No task of a long-running step is ever done. A run that lasts for this time,
 # in seconds, shows as well that step and worker can run it.
 WORKING_RUN_S = 2.0
+# Where failed runs have lasted long as well, a run has to outlast them to show
+# this of the worker, but for no longer than this time, in seconds.
+MAX_WORKING_RUN_S = 10.0
 
 
 def record_done(
@@ -69,13 +72,14 @@
     """
     if not worker.failed_runs.unexplained:
         return []
+    working_s = _find_working_time(worker)
     started_at = max(
         (
             run.started_at
             for run in worker.runs.values()
             if run.task.step.long_running
             and run.phase is state.RunPhase.RUNNING
-            and now - run.started_at >= WORKING_RUN_S
+            and now - run.started_at >= working_s
         ),
         default=worker.failed_runs.succeeded_start_at,
     )
@@ -84,6 +88,13 @@
     return record_done(partition, worker, started_at, now)
 
 
+def _find_working_time(worker: state.Worker) -> float:
+    """Returns how long a long-running run lasts that shows a sound worker."""
+    longest_s = max(failure.ran_s for failure in worker.failed_runs.unexplained)
+    outlasting_s = worker_faults.OUTLASTING_FACTOR * longest_s
+    return max(WORKING_RUN_S, min(outlasting_s, MAX_WORKING_RUN_S))
+
+
 def record_answered_start(
     partition: state.Partition,
     worker: state.Worker,
