--- a/packages/core/src/sapphirestall_core/batch/trials.py
+++ b/packages/core/src/sapphirestall_core/batch/trials.py
@@ -46,11 +46,7 @@
         jobs: Its jobs with tasks that may start, those to start first first.
         now: Monotonic time, in seconds.
     """
-    # All but the suspension has to allow a start there.
-    startable = usability.list_startable_workers(
-        partition, now, suspension_left_s=math.inf
-    )
-    workers = [worker for worker in startable if _may_be_tried(worker, now)]
+    workers = _list_trial_workers(partition, now)
     if not workers:
         return []
     waiting = _list_waiting_tasks(jobs, now)
@@ -66,6 +62,27 @@
     return trials
 
 
+def _list_trial_workers(
+    partition: state.Partition, now: float
+) -> list[state.Worker]:
+    """Returns the suspended workers on which a trial is due.
+
+    All but the suspension has to allow a start there.
+    """
+    due = [
+        worker
+        for worker in partition.workers.values()
+        if _may_be_tried(worker, now)
+    ]
+    if not due:
+        # Most passes end here, without a check of all workers.
+        return []
+    startable = usability.list_startable_workers(
+        partition, now, suspension_left_s=math.inf
+    )
+    return [worker for worker in startable if worker in due]
+
+
 def _may_be_tried(worker: state.Worker, now: float) -> bool:
     """Returns whether a worker is suspended and a trial there is due."""
     suspension = worker.suspension
