--- a/features/batch_interference.feature
+++ b/features/batch_interference.feature
@@ -51,6 +51,37 @@
     When a large job of image "loud" waits for 2 s
     Then one of its tasks has started, and the owner does not stop it
 
+  Scenario Outline: Few measurements of an image show little interference
+    Guards against runs that are paced down for a prediction which rests on few
+    rough measurements: most pairs of images hardly disturb each other, and a
+    moderate result is then more often an error than true.
+    Given image "new" was measured beside "served" as <interference>, variance <variance>
+    And six runs of image "new" beside a serving task with headroom 2.25
+    When the owner adjusts their paces
+    Then the runs of image "new" <have a pace>
+
+    Examples:
+      | interference | variance | have a pace        |
+      | 2.0          | 1.0      | work at full pace  |
+      | 2.0          | 0.05     | are slowed down    |
+      | 6.0          | 1.0      | are slowed down    |
+      | 9.0          | 4.0      | are slowed down    |
+
+  Scenario: Tail latencies lag behind the use of processors
+    Guards against estimates far below the true interference: a tail latency
+    still shows runs that have ended or were paced down before the listing.
+    Given the tail latency of a serving task rises with image "loud" only
+    When the owner has learned from 40 listings whose tail latencies lag
+    Then the interference of "loud" is learned to within 20 percent
+
+  Scenario: Measurements of several runs are more exact than one
+    Guards against estimates that take one run's tail latency for as exact as
+    the mean of many, although single ones scatter by a tenth and more.
+    Given eight serving tasks on one worker and one on another
+    And one run of image "loud" on each of them
+    When the owner has learned from one listing of each worker
+    Then the estimate from eight serving tasks has less than half the variance
+
   Scenario: Paces follow the load of a serving task
     Guards against tail latencies over their target at each peak of the load,
     because measurements lag. Paces that always suit the highest load would
