Weigh measured headrooms by how much they scatter

The error of a measured headroom was taken as 7% of its value, for one serving task as for eight.

The error is now 0.25 of headroom for one run, and falls with the number of runs of the step on the worker.

--- a/packages/core/src/sapphirestall_core/batch/interference.py
+++ b/packages/core/src/sapphirestall_core/batch/interference.py
@@ -60,9 +60,13 @@
 LOAD_ACCELERATION_VARIANCE = 0.4
 # Smallest share of their processors that serving tasks are assumed to use.
 MIN_LOAD_SHARE = 0.1
-# Standard error of a measured headroom, and of a loss computed from the
-# measured use of processors, as shares of their values.
-MEASUREMENT_ERROR_SHARE = 0.07
+# Standard error of the headroom that is measured for a single run, and the part
+# of it that the runs of a step on a worker have in common. It does not fall
+# with the headroom, as tail latencies scatter more under load.
+RUN_ERROR = 0.25
+COMMON_ERROR = 0.05
+# Standard error of a loss computed from the measured use of processors, as a
+# share of its value.
 LOSS_ERROR_SHARE = 0.2
 # Headroom that opportunistic tasks may not use up. It keeps the tail latency at
 # or below five sixths of its target.
@@ -208,10 +212,8 @@
             self.get_interference(serving, image) * share
             for image, share in shares.items()
         )
-        variance = (MEASUREMENT_ERROR_SHARE * observed) ** 2 + (
-            LOSS_ERROR_SHARE * loss
-        ) ** 2
-        variance += load.variance
+        variance = RUN_ERROR**2 / len(runs) + COMMON_ERROR**2
+        variance += (LOSS_ERROR_SHARE * loss) ** 2 + load.variance
         for image, share in shares.items():
             estimate = self.get_estimate(serving, image)
             variance += share * share * estimate.variance
