--- a/packages/core/src/sapphirestall_core/batch/interference.py
+++ b/packages/core/src/sapphirestall_core/batch/interference.py
@@ -34,16 +34,17 @@
 if TYPE_CHECKING:
     from sapphirestall_core.batch import state
 
-# Interference of a pair of images without measurements, and its variance.
+# Interference from which the estimate of a pair of images starts, and its
+# variance, which is so high that a few measurements count for more.
 INITIAL_INTERFERENCE = 4.0
 INITIAL_VARIANCE = 36.0
 MAX_INTERFERENCE = 40.0
 # An estimate with a higher variance says too little about its pair of images.
 MAX_KNOWN_VARIANCE = 8.0
 # From this interference on, an opportunistic image waits for other workers. Its
-# runs would be paced down as soon as the load of the serving image rises. It is
-# that of an unknown pair, so that unknown pairs are tried.
-STRONG_INTERFERENCE = INITIAL_INTERFERENCE
+# runs would be paced down as soon as the load of the serving image rises. Pairs
+# without measurements are expected to lie below it, so that they are tried.
+STRONG_INTERFERENCE = 4.0
 # Below this interference an opportunistic image is not kept away from workers
 # of a serving image.
 NEGLIGIBLE_INTERFERENCE = 1.5
