--- a/packages/core/src/sapphirestall_core/batch/interference.py
+++ b/packages/core/src/sapphirestall_core/batch/interference.py
@@ -15,7 +15,9 @@
 falls together on all workers. Load is therefore estimated for the step as a
 whole, which separates it from interference on single workers. Measurements are
 rough and lag by about half a second. Loads and interference are kept together
-with the variance of their errors, as in a Kalman filter.
+with the variance of their errors, as in a Kalman filter. Decisions use the
+interference that is expected from an estimate and from what is known of pairs
+in general (interference_prior.py).
 """
 
 from __future__ import annotations
@@ -25,21 +27,24 @@
 
 import attrs
 
+from sapphirestall_core.batch import interference_prior
+from sapphirestall_core.batch import processor_use
 from sapphirestall_core.batch import trends
 
 if TYPE_CHECKING:
     from sapphirestall_core.batch import state
 
-# Interference of a pair of images without measurements, and its variance.
+# Interference from which the estimate of a pair of images starts, and its
+# variance, which is so high that a few measurements count for more.
 INITIAL_INTERFERENCE = 4.0
 INITIAL_VARIANCE = 36.0
 MAX_INTERFERENCE = 40.0
 # An estimate with a higher variance says too little about its pair of images.
 MAX_KNOWN_VARIANCE = 8.0
 # From this interference on, an opportunistic image waits for other workers. Its
-# runs would be paced down as soon as the load of the serving image rises. It is
-# that of an unknown pair, so that unknown pairs are tried.
-STRONG_INTERFERENCE = INITIAL_INTERFERENCE
+# runs would be paced down as soon as the load of the serving image rises. Pairs
+# without measurements are expected to lie below it, so that they are tried.
+STRONG_INTERFERENCE = 4.0
 # Below this interference an opportunistic image is not kept away from workers
 # of a serving image.
 NEGLIGIBLE_INTERFERENCE = 1.5
@@ -59,9 +64,13 @@
 LOAD_ACCELERATION_VARIANCE = 0.4
 # Smallest share of their processors that serving tasks are assumed to use.
 MIN_LOAD_SHARE = 0.1
-# Standard error of a measured headroom, and of a loss computed from the
-# measured use of processors, as shares of their values.
-MEASUREMENT_ERROR_SHARE = 0.07
+# Standard error of the headroom that is measured for a single run, and the part
+# of it that the runs of a step on a worker have in common. It does not fall
+# with the headroom, as tail latencies scatter more under load.
+RUN_ERROR = 0.25
+COMMON_ERROR = 0.05
+# Standard error of a loss computed from the measured use of processors, as a
+# share of its value.
 LOSS_ERROR_SHARE = 0.2
 # Headroom that opportunistic tasks may not use up. It keeps the tail latency at
 # or below five sixths of its target.
@@ -79,9 +88,6 @@
 PLACEMENT_HORIZON_S = 1.0
 # Listings that follow sooner, in seconds, show the same measurements.
 MIN_LISTING_INTERVAL_S = 0.25
-# An image that uses a smaller share of the processors has no measurable effect
-# on the headroom.
-MIN_CPU_SHARE = 0.004
 
 
 @attrs.frozen(slots=True)
@@ -124,11 +130,15 @@
     Attributes:
         idle_headrooms: Headroom of each serving image without load.
         estimates: Estimated interference, by serving and by opportunistic
-            image.
+            image. It uses measurements alone, and none of what is known of
+            pairs in general.
+        expected: Expected interference of the pairs with an estimate, by
+            serving and by opportunistic image.
     """
 
     idle_headrooms: dict[str, float] = attrs.field(factory=dict)
     estimates: dict[str, dict[str, Estimate]] = attrs.field(factory=dict)
+    expected: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     def find_estimate(
         self, serving: str, opportunistic: str
@@ -146,11 +156,26 @@
     ) -> None:
         """Replaces the estimate for a pair of images."""
         self.estimates.setdefault(serving, {})[opportunistic] = estimate
+        expected = _find_expected_interference(estimate)
+        self.expected.setdefault(serving, {})[opportunistic] = expected
 
     def get_interference(self, serving: str, opportunistic: str) -> float:
-        """Returns the estimated interference of a pair of images."""
+        """Returns the measured interference of a pair of images."""
         return self.get_estimate(serving, opportunistic).value
 
+    def expect_interference(self, serving: str, opportunistic: str) -> float:
+        """Returns the expected interference of a pair of images.
+
+        This is the measured one, corrected by what is known of pairs in
+        general: the rougher the measurements are, the more.
+        """
+        by_image = self.expected.get(serving)
+        if by_image is None:
+            return interference_prior.UNMEASURED_INTERFERENCE
+        return by_image.get(
+            opportunistic, interference_prior.UNMEASURED_INTERFERENCE
+        )
+
     def get_idle_headroom(self, serving: str) -> float:
         """Returns the headroom of a serving image without load."""
         return self.idle_headrooms.get(serving, INITIAL_IDLE_HEADROOM)
@@ -161,7 +186,7 @@
         """Returns the highest interference of an image with a worker's runs."""
         return max(
             (
-                self.get_interference(run.task.step.image, opportunistic)
+                self.expect_interference(run.task.step.image, opportunistic)
                 for run in list_serving_runs(worker)
             ),
             default=0.0,
@@ -173,7 +198,8 @@
             estimate = self.find_estimate(run.task.step.image, opportunistic)
             if (
                 estimate is not None
-                and estimate.value >= STRONG_INTERFERENCE
+                and self.expect_interference(run.task.step.image, opportunistic)
+                >= STRONG_INTERFERENCE
                 and estimate.variance <= MAX_KNOWN_VARIANCE
             ):
                 return True
@@ -184,7 +210,7 @@
         if now - worker.measurements_learned_at < MIN_LISTING_INTERVAL_S:
             return
         worker.measurements_learned_at = now
-        shares = find_cpu_shares(worker)
+        shares = processor_use.record_shares(worker, now)
         for runs in group_serving_runs(worker):
             accepted = [run for run in runs if _accept_measurement(run)]
             if accepted:
@@ -210,10 +236,8 @@
             self.get_interference(serving, image) * share
             for image, share in shares.items()
         )
-        variance = (MEASUREMENT_ERROR_SHARE * observed) ** 2 + (
-            LOSS_ERROR_SHARE * loss
-        ) ** 2
-        variance += load.variance
+        variance = RUN_ERROR**2 / len(runs) + COMMON_ERROR**2
+        variance += (LOSS_ERROR_SHARE * loss) ** 2 + load.variance
         for image, share in shares.items():
             estimate = self.get_estimate(serving, image)
             variance += share * share * estimate.variance
@@ -306,7 +330,9 @@
         """
         capacity = max(1, worker.entry.capacity.cpu_millis)
         return {
-            image: self.get_interference(serving, image) * cpu_millis / capacity
+            image: self.expect_interference(serving, image)
+            * cpu_millis
+            / capacity
             for image, cpu_millis in sum_opportunistic_cpu(worker).items()
         }
 
@@ -323,7 +349,7 @@
         remaining = []
         for serving, budget in budgets.items():
             losses = [
-                (self.get_interference(serving, image), loss)
+                (self.expect_interference(serving, image), loss)
                 for image, loss in self.predict_losses(worker, serving).items()
             ]
             remaining.append(
@@ -350,7 +376,7 @@
         share = 1.0
         for budget in remaining:
             interference = max(
-                self.get_interference(budget.serving, opportunistic),
+                self.expect_interference(budget.serving, opportunistic),
                 MIN_INTERFERENCE,
             )
             used = sum(
@@ -361,6 +387,24 @@
         return int(share * worker.entry.capacity.cpu_millis)
 
 
+def _find_expected_interference(estimate: Estimate) -> float:
+    """Returns the expected interference of a pair of images.
+
+    Replaces the wide distribution that estimates start from by what is known of
+    pairs in general.
+    """
+    variance = max(PROCESS_VARIANCE, estimate.variance)
+    precision = 1 / variance - 1 / INITIAL_VARIANCE
+    if precision <= 0:
+        return interference_prior.UNMEASURED_INTERFERENCE
+    weighted_value = (
+        estimate.value / variance - INITIAL_INTERFERENCE / INITIAL_VARIANCE
+    )
+    return interference_prior.find_expected_interference(
+        weighted_value / precision, 1 / precision
+    )
+
+
 def _accept_measurement(run: state.Run) -> bool:
     """Returns whether a run's measurement is usable; updates its overload.
 
@@ -429,21 +473,3 @@
             cpu_millis = requested.get(step.image, 0) + step.amount.cpu_millis
             requested[step.image] = cpu_millis
     return requested
-
-
-def find_cpu_shares(worker: state.Worker) -> dict[str, float]:
-    """Returns the share of a worker's processors that opportunistic images use.
-
-    Leaves out images with a share too small to have an effect.
-    """
-    capacity = max(1, worker.entry.capacity.cpu_millis)
-    used: dict[str, float] = {}
-    for run in worker.runs.values():
-        if run.task.step.fills and run.measurement > 0:
-            image = run.task.step.image
-            used[image] = used.get(image, 0.0) + run.measurement
-    return {
-        image: amount / capacity
-        for image, amount in used.items()
-        if amount / capacity >= MIN_CPU_SHARE
-    }
