Let runs of the contention stand-in restore their checkpoints

A run that resumed from a checkpoint worked at once, so that simulated moves of opportunistic runs cost only the stop.

--- a/standins/batch_contention.py
+++ b/standins/batch_contention.py
@@ -39,6 +39,8 @@
         load_period_s: Period of the load, in seconds.
         interference: Share of its capacity that a serving image loses when an
             opportunistic image uses all processors of a worker, by pair.
+        restore_s: Time after its start until a run that resumes from a
+            checkpoint works, in seconds.
         rng: Random numbers of the measurements.
     """
 
@@ -47,6 +49,7 @@
     load_swing: float = 0.5
     load_period_s: float = 10.0
     interference: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    restore_s: float = 0.6
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
 
     def find_load(self, image: str, now: float) -> float:
@@ -65,11 +68,13 @@
         remaining_s: Work that is left, in seconds at full pace; None if the run
             lasts until it is stopped.
         duration_s: Work of the whole task, in seconds.
+        restoring_s: Time until the run works, in seconds.
         percent: Pace, in percent.
     """
 
     remaining_s: float | None = None
     duration_s: float = 1.0
+    restoring_s: float = 0.0
     percent: int = FULL_PERCENT
 
     def find_progress(self) -> int:
@@ -116,6 +121,9 @@
                 self.missed_s += TICK_S * (tail_ms > run.step.tail_target_ms)
             if run.remaining_s is None:
                 continue
+            if run.restoring_s > 0:
+                run.restoring_s -= TICK_S
+                continue
             rate = 1.0
             if run.step.fills:
                 rate = share * run.percent / FULL_PERCENT
@@ -253,5 +261,10 @@
         duration_s = self.durations[call.task.job_id][call.task.step]
         remaining_s = float(call.checkpoint or duration_s)
         return ContendedRun(
-            step, None, kind, remaining_s=remaining_s, duration_s=duration_s
+            step,
+            None,
+            kind,
+            remaining_s=remaining_s,
+            duration_s=duration_s,
+            restoring_s=self.contention.restore_s if call.checkpoint else 0.0,
         )
