--- a/packages/core/src/sapphirestall_core/batch/relocations.py
+++ b/packages/core/src/sapphirestall_core/batch/relocations.py
@@ -45,7 +45,8 @@
     """Stops the run that had a low pace for longest, to move it elsewhere.
 
     The run continues if no other worker can run its task: a stopped task would
-    only wait, and would lose the work since its last checkpoint.
+    only wait. A stop leaves a checkpoint if the step of the task saves any, so
+    that a move costs the stop, the restore and the wait for a start.
     """
     slow_runs = [
         run
