Find the first workers of a data centre as soon as others

The workers were the first of their data centre, and no instance there owned a partition. Such instances read the list of workers each 3 s, as the owners beside them read it each second; here there were none. Instances of other data centres leave new partitions to those near them for 8 s.

An instance now reads the list seldom only if its own data centre has known partitions. Two of the six rows of the new scenario failed before. The features of ownership, division, takeover and architecture pass.

--- a/features/batch_ownership.feature
+++ b/features/batch_ownership.feature
@@ -107,3 +107,20 @@
       | 9      |
       | 12     |
       | 20     |
+
+  Scenario Outline: The first workers of a data centre get an owner soon
+    Guards against long-running tasks that wait beside new workers: instances
+    that own no partition read the list of workers seldom, as owners read it
+    too, but where a data centre had no workers there are no owners.
+    Given two data centres, one of them without workers, by seed <seed>
+    When workers join the other one after <seconds> s
+    Then they have an owner 2 s later
+
+    Examples:
+      | seed | seconds |
+      | 1    | 0.5     |
+      | 1    | 1.5     |
+      | 1    | 2.5     |
+      | 2    | 0.5     |
+      | 2    | 1.5     |
+      | 2    | 2.5     |
--- a/features/steps/batch_ownership_steps.py
+++ b/features/steps/batch_ownership_steps.py
@@ -326,3 +326,30 @@
     for node in context.world.nodes:
         node.store_unreachable = False
         node.unreachable_workers = set()
+
+
+@behave.given("two data centres, one of them without workers, by seed {seed:d}")
+def step(context, seed):
+    make_world(context, DATA_CENTRES[:1], 2, 2, seed=seed)
+    for number in range(2):
+        context.world.add_node(f"e-new-{number}", DATA_CENTRES[1])
+    context.world.run(START_S)
+
+
+@behave.when("workers join the other one after {seconds:g} s")
+def step(context, seconds):
+    context.world.run(seconds)
+    for number in range(2):
+        context.world.add_worker(f"w-new-{number}", DATA_CENTRES[1])
+
+
+@behave.then("they have an owner {seconds:g} s later")
+def step(context, seconds):
+    context.world.run(seconds)
+    owned = {
+        name
+        for node in list_owners(context.world)
+        for partition in node.batch.partitions.values()
+        for name in partition.workers
+    }
+    assert {"w-new-0", "w-new-1"} <= owned, owned
--- a/packages/core/src/sapphirestall_core/batch/worker_list.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_list.py
@@ -25,8 +25,8 @@
 # A read without a result for this long, in seconds, has failed unexpectedly.
 # Without another one, an owner would never start tasks again.
 READ_LOST_S = 6.0
-# Interval of reads of an instance that owns no partition and only has to detect
-# new ones.
+# Interval of reads of an instance that owns no partition, and that only has to
+# detect new ones beside the owners of its data centre.
 IDLE_READ_INTERVAL_S = 3.0
 
 
@@ -65,8 +65,12 @@
 
 
 def choose_interval(batch: state.Batch) -> float:
-    """Returns the time between two reads, in seconds."""
-    if batch.known_partitions and not batch.partitions:
+    """Returns the time between two reads, in seconds.
+
+    Where a data centre has no workers, no owner reads for its other instances.
+    """
+    has_owners = batch.identity.data_centre in batch.known_partitions.values()
+    if has_owners and not batch.partitions:
         return IDLE_READ_INTERVAL_S
     limit_s = batch.identity.limits.drain_s
     return min(MAX_READ_INTERVAL_S, READ_INTERVAL_SHARE * limit_s)
