--- a/features/batch_suspensions.feature
+++ b/features/batch_suspensions.feature
@@ -138,6 +138,15 @@
     And 2.1 s pass after the failures
     Then the first worker is not suspended
 
+  Scenario: An answered start does not end a suspension for failed runs
+    Guards against a worker that fails its runs and is used again, since starts
+    got no answer there as well and one of them is answered.
+    Given two workers, and 0 of 400 runs on the second one have failed
+    When 4 runs of several jobs fail on the first worker
+    And 3 starts get no answer on the first worker
+    And a start is answered on the first worker
+    Then the first worker is suspended
+
   Scenario Outline: A suspended worker runs one task on trial at a time
     Guards against long-running tasks that wait for the end of a suspension.
     Also guards against many tasks that fail on a worker that fails all its runs.
--- a/features/steps/batch_suspensions_steps.py
+++ b/features/steps/batch_suspensions_steps.py
@@ -267,6 +267,13 @@
     context.partition.withheld_in_flight = frozenset({name})
 
 
+@behave.when("a start is answered on the first worker")
+def step(context):
+    suspensions.record_answered_start(
+        context.partition, context.workers[0], context.now + 1.0
+    )
+
+
 @behave.then("{count:d} tasks have started there {seconds:g} s later")
 def step(context, count, seconds):
     for now in (builders.NOW + 0.1, builders.NOW + seconds):
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -295,12 +295,17 @@
 def _resume(
     partition: state.Partition, worker: state.Worker
 ) -> dispatch.Effects:
-    """Ends the suspension of a worker that does not seem faulty any more."""
+    """Ends the suspension of a worker that does not seem faulty any more.
+
+    A worker on which runs fail may leave starts unanswered as well.
+    """
     suspension = worker.suspension
     if suspension is None:
         return []
-    if _seems_faulty(partition, worker, suspension.cause):
-        return []
+    for cause in worker_faults.SuspensionCause:
+        if _seems_faulty(partition, worker, cause):
+            suspension.cause = cause
+            return []
     worker.suspension = None
     worker_id = worker.entry.worker_id
     log = contact.make_log("resumed", partition, worker_id)
