--- a/features/builders.py
+++ b/features/builders.py
@@ -1,5 +1,7 @@
 """Builders of batch core state, for the steps of several features."""
 
+import attrs
+
 from sapphirestall_core import resources
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import job_changes
@@ -7,6 +9,8 @@
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import usability
+from sapphirestall_core.batch import worker_faults
 from sapphirestall_core.batch import worker_messages
 
 OWN, OTHER = "north", "south"
@@ -101,3 +105,38 @@
         for step in job.steps
         for task in step.unfinished.values()
     )
+
+
+def make_unusable(partition, worker, obstacle, until):
+    """Keeps new runs off a worker; a pause or a suspension ends at `until`."""
+    match obstacle:
+        case usability.Obstacle.SUSPENDED:
+            worker.suspension = worker_faults.Suspension(
+                worker_faults.SuspensionCause.FAILED_RUNS, until
+            )
+        case usability.Obstacle.REFUSING:
+            worker.paused_until = until
+        case usability.Obstacle.RESTARTED:
+            worker.restarted_at = NOW
+        case usability.Obstacle.SILENT:
+            worker.unresponsive = True
+        case usability.Obstacle.DRAINING:
+            worker.entry = attrs.evolve(worker.entry, draining=True)
+        case usability.Obstacle.WITHHELD | usability.Obstacle.NOT_IN_ROSTER:
+            exclude_by_roster(partition, worker, obstacle)
+        case usability.Obstacle.UNREGISTERED:
+            worker.is_registered = False
+        case usability.Obstacle.UNLISTED:
+            worker.listing_received = False
+        case usability.Obstacle.ORPHANS:
+            name = model.TaskName(f"{99:016x}", 0, 0, 0)
+            worker.orphans[(name, 1)] = NOW
+
+
+def exclude_by_roster(partition, worker, obstacle):
+    """Keeps new runs off a worker by the roster of its partition."""
+    name = worker.entry.worker_id
+    if obstacle is usability.Obstacle.WITHHELD:
+        partition.withheld_ms[name] = 1
+    else:
+        partition.roster -= {name}
--- a/features/steps/batch_capacity_steps.py
+++ b/features/steps/batch_capacity_steps.py
@@ -1,6 +1,5 @@
 """Steps for batch_capacity.feature."""
 
-import attrs
 import behave
 
 from features import builders
@@ -13,7 +12,6 @@
 from sapphirestall_core.batch import reservation_reports
 from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import wait_reports
-from sapphirestall_core.batch import worker_faults
 
 IMAGE, OTHER_IMAGE = "loud", "calm"
 KNOWN_VARIANCE = 0.1
@@ -163,29 +161,9 @@
 
 @behave.given("its worker is unusable as it is {reason}")
 def step(context, reason):
-    worker, partition = context.worker, context.partition
-    later = builders.NOW + 1.0
-    match usability.Obstacle(reason):
-        case usability.Obstacle.SUSPENDED:
-            worker.suspension = worker_faults.Suspension(
-                worker_faults.SuspensionCause.FAILED_RUNS, builders.NOW, later
-            )
-        case usability.Obstacle.REFUSING:
-            worker.paused_until = later
-        case usability.Obstacle.RESTARTED:
-            worker.restarted_at = builders.NOW
-        case usability.Obstacle.SILENT:
-            worker.unresponsive = True
-        case usability.Obstacle.DRAINING:
-            worker.entry = attrs.evolve(worker.entry, draining=True)
-        case usability.Obstacle.WITHHELD:
-            partition.withheld_ms[worker.entry.worker_id] = 1
-        case usability.Obstacle.NOT_IN_ROSTER:
-            partition.roster = frozenset()
-        case usability.Obstacle.UNREGISTERED:
-            worker.is_registered = False
-        case usability.Obstacle.UNLISTED:
-            worker.listing_received = False
+    obstacle = usability.Obstacle(reason)
+    until = builders.NOW + 1.0
+    builders.make_unusable(context.partition, context.worker, obstacle, until)
 
 
 @behave.then('the unusable workers are reported as "{report}"')
--- a/features/steps/batch_contact_steps.py
+++ b/features/steps/batch_contact_steps.py
@@ -14,7 +14,6 @@
 from sapphirestall_core.batch import passes
 from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import usability
-from sapphirestall_core.batch import worker_faults
 from sapphirestall_core.batch import worker_list
 from sapphirestall_core.batch import worker_messages
 from sapphirestall_core.batch import workers
@@ -431,30 +430,13 @@
     assert not any(abandoned), abandoned
 
 
-def make_unusable(worker, obstacle):
-    until = builders.NOW + REUSE_S
-    match obstacle:
-        case usability.Obstacle.REFUSING:
-            worker.paused_until = until
-        case usability.Obstacle.SUSPENDED:
-            worker.suspension = worker_faults.Suspension(
-                worker_faults.SuspensionCause.FAILED_RUNS, builders.NOW, until
-            )
-        case usability.Obstacle.SILENT:
-            worker.unresponsive = True
-        case usability.Obstacle.UNLISTED:
-            worker.listing_received = False
-        case usability.Obstacle.ORPHANS:
-            name = model.TaskName(make_id(99), 0, 0, 0)
-            worker.orphans[(name, 1)] = builders.NOW
-    assert usability.find_obstacle(worker, builders.NOW) is obstacle
-
-
 @behave.given("an idle worker that is unusable as it is {reason}")
 def step(context, reason):
     worker = builders.make_worker("w-1", 8)
     builders.make_partition(context, worker)
-    make_unusable(worker, usability.Obstacle(reason))
+    obstacle, until = usability.Obstacle(reason), builders.NOW + REUSE_S
+    builders.make_unusable(context.partition, worker, obstacle, until)
+    assert usability.find_obstacle(worker, builders.NOW) is obstacle
     checks_due = messages.TimerFired(workers.PeriodicChecksDue())
     context.effects = instance.handle(checks_due, context.batch, builders.NOW)
     (context.poll,) = list_polls(context.effects)
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -75,9 +75,7 @@
     partition = world.find_owner(name).batch.partitions[name]
     context.resumed_at = world.now + time
     partition.workers["o-0"].suspension = worker_faults.Suspension(
-        worker_faults.SuspensionCause.UNANSWERED_STARTS,
-        world.now,
-        context.resumed_at,
+        worker_faults.SuspensionCause.UNANSWERED_STARTS, context.resumed_at
     )
     context.faults.crash_worker("w-0")
 
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import summary_capacity
 from sapphirestall_core.batch import summary_reads
 from sapphirestall_core.batch import task_moves
 from sapphirestall_core.batch import waiting_tasks
@@ -157,13 +158,14 @@
             )
     if not budget.writes:
         return effects
-    return effects + _move_to_yielding(batch, partition, unplaced, now)
+    allowed = [job for job in unplaced if progress.allows(job)]
+    return effects + _move_to_yielding(batch, partition, allowed, now)
 
 
 def _move_to_yielding(
     batch: state.Batch,
     partition: state.Partition,
-    unplaced: list[state.Job],
+    jobs: list[state.Job],
     now: float,
 ) -> dispatch.Effects:
     """Moves one long-running task to capacity that finite tasks use elsewhere.
@@ -172,12 +174,12 @@
     would meet in the partition and move on. Finite tasks yield only to those
     that no finite task precedes.
     """
-    progress = former_runs.check_progress(partition, now)
-    for job in unplaced:
+    if not any(map(summary_capacity.has_yielding, batch.summaries.values())):
+        return []
+    for job in jobs:
         if (
             not _moves_tasks(job)
             or job.move_in_flight
-            or not progress.allows(job)
             or not _has_highest_priority(batch, job)
         ):
             continue
--- a/packages/core/src/sapphirestall_core/batch/placement.py
+++ b/packages/core/src/sapphirestall_core/batch/placement.py
@@ -198,18 +198,22 @@
         return strong
 
 
+def make_candidate(worker: state.Worker) -> Candidate:
+    """Returns a worker with its free capacity."""
+    candidate = Candidate(worker)
+    candidate.refresh()
+    return candidate
+
+
 def list_candidates(
     workers: Iterable[state.Worker], service: str, now: float
 ) -> list[Candidate]:
     """Returns the workers on which new runs of a service may start."""
-    candidates = [
-        Candidate(worker)
+    return [
+        make_candidate(worker)
         for worker in workers
         if usability.accepts_service(worker, service, now)
     ]
-    for candidate in candidates:
-        candidate.refresh()
-    return candidates
 
 
 def _has_required_label(candidate: Candidate, step: model.Step) -> bool:
@@ -242,6 +246,18 @@
     return count < step.max_per_worker
 
 
+def can_run(candidate: Candidate, task: state.Task) -> bool:
+    """Returns whether a worker has the service and the capacity for a task.
+
+    Placement constraints count as well, the tasks planned there do not.
+    """
+    return (
+        candidate.worker.entry.service == task.job.queue.service
+        and candidate.fits(task.step)
+        and meets_constraints(candidate, task, ())
+    )
+
+
 def rank(
     worker: state.Worker,
     task: state.Task,
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from sapphirestall_core import failure_shares
 from sapphirestall_core import resources
 from sapphirestall_core.batch import interference as interference_module
 from sapphirestall_core.batch import model
@@ -589,10 +590,10 @@
     loading_changes: "list[LoadedJob | RemovedJob]" = attrs.field(factory=list)
     loaded_progress: "dict[str, LoadedProgress] | None" = None
     unreadable_progress: set[str] = attrs.field(factory=set)
-    failed_runs_share: worker_faults.FailureShare = attrs.field(
-        factory=worker_faults.assume_failed_runs
+    failed_runs_share: failure_shares.FailureShare = attrs.field(
+        factory=failure_shares.assume_failed_runs
     )
-    unanswered_starts_share: worker_faults.FailureShare = attrs.field(
+    unanswered_starts_share: failure_shares.FailureShare = attrs.field(
         factory=worker_faults.assume_unanswered_starts
     )
     workers: dict[str, Worker] = attrs.field(factory=dict)
--- a/packages/core/src/sapphirestall_core/batch/summary_capacity.py
+++ b/packages/core/src/sapphirestall_core/batch/summary_capacity.py
@@ -76,6 +76,15 @@
     return count
 
 
+def has_yielding(summary: records.SummaryRecord) -> bool:
+    """Returns whether a summary shows what finite tasks leave to others."""
+    return any(
+        group.yielding
+        for groups in (summary.groups or {}).values()
+        for group in groups
+    )
+
+
 def sum_free_cpu(
     summary: records.SummaryRecord, service: str, step: model.Step
 ) -> int:
--- a/packages/core/src/sapphirestall_core/batch/suspensions.py
+++ b/packages/core/src/sapphirestall_core/batch/suspensions.py
@@ -8,6 +8,7 @@
 is suspended since runs failed there: it would have no run otherwise.
 """
 
+from sapphirestall_core import failure_shares
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
 from sapphirestall_core.batch import passes
@@ -204,7 +205,7 @@
         return []
     until = now + SUSPENSION_S
     if worker.suspension is None or worker.suspension.cause is not cause:
-        worker.suspension = worker_faults.Suspension(cause, now, until)
+        worker.suspension = worker_faults.Suspension(cause, until)
     worker.suspension.until = until
     worker_id = worker.entry.worker_id
     failures, share = _find_failures(partition, worker, cause)
@@ -224,7 +225,7 @@
     partition: state.Partition,
     worker: state.Worker,
     cause: worker_faults.SuspensionCause,
-) -> tuple[worker_faults.Failures, worker_faults.FailureShare]:
+) -> tuple[worker_faults.Failures, failure_shares.FailureShare]:
     """Returns the failures of a kind on a worker and their usual share."""
     match cause:
         case worker_faults.SuspensionCause.FAILED_RUNS:
@@ -235,7 +236,7 @@
 
 def _are_enough(
     failures: worker_faults.Failures,
-    share: worker_faults.FailureShare,
+    share: failure_shares.FailureShare,
     cause: worker_faults.SuspensionCause,
 ) -> bool:
     """Returns whether failures are too many to be chance."""
--- a/packages/core/src/sapphirestall_core/batch/trials.py
+++ b/packages/core/src/sapphirestall_core/batch/trials.py
@@ -18,8 +18,8 @@
 # A task runs on trial once it has been unplaced for this time, in seconds. It
 # moves to another partition before if there is room.
 TRIAL_DELAY_S = 0.5
-# Shortest time between two trials on a worker, in seconds. The result of one is
-# known by then.
+# Shortest time between two trials on a worker, in seconds. Runs have mostly
+# failed by then if the worker fails them.
 TRIAL_INTERVAL_S = 2.0
 
 
@@ -57,10 +57,9 @@
     waiting = _list_waiting_tasks(jobs, now)
     trials = []
     for worker in workers:
-        candidate = placement.Candidate(worker)
-        candidate.refresh()
+        candidate = placement.make_candidate(worker)
         for task in waiting:
-            if _may_run(task, candidate):
+            if placement.can_run(candidate, task):
                 trials.append(Trial(worker, task))
                 waiting.remove(task)
                 break
@@ -92,11 +91,3 @@
         and task.unplaced_since is not None
         and now - task.unplaced_since >= TRIAL_DELAY_S
     ]
-
-
-def _may_run(task: state.Task, candidate: placement.Candidate) -> bool:
-    return (
-        candidate.worker.entry.service == task.job.queue.service
-        and candidate.fits(task.step)
-        and placement.meets_constraints(candidate, task, ())
-    )
--- a/packages/core/src/sapphirestall_core/batch/wait_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/wait_reports.py
@@ -193,7 +193,7 @@
     """
     candidates: dict[str, list[placement.Candidate]] = {}
     for worker in workers:
-        candidate = _make_candidate(worker)
+        candidate = placement.make_candidate(worker)
         candidates.setdefault(worker.entry.service, []).append(candidate)
     counts: collections.Counter[Obstacle] = collections.Counter()
     for same_step in _group_by_step(tasks):
@@ -212,12 +212,6 @@
     return list(by_step.values())
 
 
-def _make_candidate(worker: state.Worker) -> placement.Candidate:
-    candidate = placement.Candidate(worker)
-    candidate.refresh()
-    return candidate
-
-
 def _group_unusable_workers(
     partition: state.Partition, tasks: list[state.Task], now: float
 ) -> tuple[UnusableWorkers, ...]:
@@ -231,28 +225,22 @@
     candidates: dict[usability.Obstacle, list[placement.Candidate]] = {}
     for worker, obstacle in usability.list_unusable_workers(partition, now):
         group = candidates.setdefault(obstacle, [])
-        group.append(_make_candidate(worker))
+        group.append(placement.make_candidate(worker))
     steps = _group_by_step(tasks)
     return tuple(
         UnusableWorkers(
             obstacle,
             len(group),
-            sum(len(same) for same in steps if _fits_any(same[0], group)),
+            sum(
+                len(same)
+                for same in steps
+                if any(placement.can_run(each, same[0]) for each in group)
+            ),
         )
         for obstacle, group in candidates.items()
     )
 
 
-def _fits_any(task: state.Task, candidates: list[placement.Candidate]) -> bool:
-    """Returns whether a task could run on one of some workers."""
-    return any(
-        candidate.worker.entry.service == task.job.queue.service
-        and candidate.fits(task.step)
-        and placement.meets_constraints(candidate, task, ())
-        for candidate in candidates
-    )
-
-
 def _find_obstacle(
     task: state.Task, candidates: list[placement.Candidate]
 ) -> Obstacle:
--- a/packages/core/src/sapphirestall_core/batch/worker_faults.py
+++ b/packages/core/src/sapphirestall_core/batch/worker_faults.py
@@ -16,77 +16,21 @@
 
 import attrs
 
+from sapphirestall_core import failure_shares
+
 if TYPE_CHECKING:
     from sapphirestall_core.batch import state
 
-# Share of runs that fail, or of starts that get no answer, on a faulty worker.
-FAULTY_SHARE = 0.9
-# A worker seems faulty if its failures are this many times as likely with a
-# fault as without one. At a few hundred, sound workers seemed faulty several
-# times a day in a fleet that completes fifteen thousand runs.
-FAULTY_ODDS = 50_000
-# Shares of failures on sound workers that are assumed before the first
-# outcomes, and the number of outcomes that they count as much as.
-ASSUMED_FAILED_RUNS = 0.02
+# Share of starts that is assumed to get no answer from sound workers.
 ASSUMED_UNANSWERED_STARTS = 0.002
-ASSUMED_OUTCOMES = 50.0
-# Beyond this number of outcomes older ones count less.
-MAX_OUTCOMES = 400.0
-# Lower limit of an estimated share. Without failures for long it would become
-# 0, and a single failure would seem to be no chance.
-LOWEST_SHARE = 0.001
 # Number of failures in a row that are kept. While a faulty worker is tried
 # again and again, their number grows.
 LONGEST_ROW = 100
 
 
-@attrs.define(slots=True, eq=False)
-class FailureShare:
-    """Share of failures on workers that have turned out to be sound.
-
-    Attributes:
-        outcomes: Number of outcomes.
-        failures: Number of failures among them.
-    """
-
-    outcomes: float
-    failures: float
-
-    def record(self, successes: int, failures: int) -> None:
-        """Adds outcomes."""
-        self.outcomes += successes + failures
-        self.failures += failures
-        if self.outcomes > MAX_OUTCOMES:
-            self.failures *= MAX_OUTCOMES / self.outcomes
-            self.outcomes = MAX_OUTCOMES
-
-    def estimate(self) -> float:
-        """Returns the estimated share."""
-        share = self.failures / self.outcomes
-        return min(max(share, LOWEST_SHARE), FAULTY_SHARE)
-
-    def makes_unlikely(self, failures: int) -> bool:
-        """Returns whether failures one after another are too many for chance.
-
-        Args:
-            failures: Number of failures on one worker.
-        """
-        weight = math.log(FAULTY_SHARE / self.estimate())
-        return failures * weight >= math.log(FAULTY_ODDS)
-
-
-def assume_failed_runs() -> FailureShare:
-    """Returns the share of failed runs before the first outcomes."""
-    return FailureShare(
-        ASSUMED_OUTCOMES, ASSUMED_OUTCOMES * ASSUMED_FAILED_RUNS
-    )
-
-
-def assume_unanswered_starts() -> FailureShare:
+def assume_unanswered_starts() -> failure_shares.FailureShare:
     """Returns the share of unanswered starts before the first outcomes."""
-    return FailureShare(
-        ASSUMED_OUTCOMES, ASSUMED_OUTCOMES * ASSUMED_UNANSWERED_STARTS
-    )
+    return failure_shares.assume(ASSUMED_UNANSWERED_STARTS)
 
 
 @attrs.frozen(slots=True, eq=False)
@@ -117,7 +61,9 @@
     row: list[Failure] = attrs.field(factory=list)
     succeeded_start_at: float = -math.inf
 
-    def record(self, failure: Failure, share: FailureShare) -> bool:
+    def record(
+        self, failure: Failure, share: failure_shares.FailureShare
+    ) -> bool:
         """Records a failure.
 
         It has another cause than the worker if a later start has succeeded.
@@ -136,7 +82,9 @@
         del self.row[:-LONGEST_ROW]
         return True
 
-    def record_success(self, started_at: float, share: FailureShare) -> None:
+    def record_success(
+        self, started_at: float, share: failure_shares.FailureShare
+    ) -> None:
         """Records that something started at a time has succeeded.
 
         A row that shows a fault tells nothing about sound workers, and does not
@@ -150,7 +98,9 @@
         share.record(1, 0 if shows_fault else len(self.row))
         self.explain(started_at, share)
 
-    def explain(self, started_at: float, share: FailureShare) -> None:
+    def explain(
+        self, started_at: float, share: failure_shares.FailureShare
+    ) -> None:
         """Removes the failures that a success explains.
 
         Args:
@@ -166,13 +116,13 @@
             failure for failure in self.row if failure.started_at > started_at
         ]
 
-    def show_fault(self, share: FailureShare) -> bool:
+    def show_fault(self, share: failure_shares.FailureShare) -> bool:
         """Returns whether the failures are too many to be chance.
 
         Args:
             share: Share of such failures on sound workers.
         """
-        return share.makes_unlikely(len(self.row))
+        return bool(self.row) and share.makes_unlikely(len(self.row))
 
 
 class SuspensionCause(enum.Enum):
@@ -188,13 +138,11 @@
 
     Attributes:
         cause: What seems to show that the worker has a fault.
-        since: Monotonic time of its beginning, in seconds.
         until: Monotonic time of its end, in seconds.
         tried_at: Monotonic time at which a run was last started on trial, in
             seconds.
     """
 
     cause: SuspensionCause
-    since: float
     until: float
     tried_at: float = -math.inf
--- a/packages/core/src/sapphirestall_core/probation.py
+++ b/packages/core/src/sapphirestall_core/probation.py
@@ -11,8 +11,8 @@
 
 import attrs
 
+from sapphirestall_core import failure_shares
 from sapphirestall_core import task_messages
-from sapphirestall_core.batch import worker_faults
 
 # Lowest number of failures since the last success that puts a worker on
 # probation. More are needed where many tasks fail on sound workers too.
@@ -67,7 +67,7 @@
     next_trial_at: float = -math.inf
     failed_trials: int = 0
 
-    def shows_fault(self, share: worker_faults.FailureShare) -> bool:
+    def shows_fault(self, share: failure_shares.FailureShare) -> bool:
         """Returns whether the failures seem to have their cause in the worker.
 
         They do at `MAX_TASKS_AT_RISK` too, whatever share of tasks fails: the
@@ -98,8 +98,8 @@
     """
 
     records: dict[str, WorkerRecord] = attrs.field(factory=dict)
-    failed_share: worker_faults.FailureShare = attrs.field(
-        factory=worker_faults.assume_failed_runs
+    failed_share: failure_shares.FailureShare = attrs.field(
+        factory=failure_shares.assume_failed_runs
     )
 
     def count_allowed_starts(self, worker_id: str, now: float) -> int:
--- a/packages/core/src/sapphirestall_core/store_health.py
+++ b/packages/core/src/sapphirestall_core/store_health.py
@@ -8,20 +8,16 @@
 
 import attrs
 
-from sapphirestall_core.batch import worker_faults
+from sapphirestall_core import failure_shares
 
 # Lowest number of failed calls that shows an outage.
 FEWEST_FAILURES = 3
-# Share of calls that fail while the store is available, as assumed before the
-# first outcomes, and the number of outcomes that it counts as much as.
+# Share of calls that is assumed to fail while the store is available.
 ASSUMED_FAILED_CALLS = 0.02
-ASSUMED_OUTCOMES = 50.0
 
 
-def _assume_failed_calls() -> worker_faults.FailureShare:
-    return worker_faults.FailureShare(
-        ASSUMED_OUTCOMES, ASSUMED_OUTCOMES * ASSUMED_FAILED_CALLS
-    )
+def _assume_failed_calls() -> failure_shares.FailureShare:
+    return failure_shares.assume(ASSUMED_FAILED_CALLS)
 
 
 @attrs.define
@@ -37,7 +33,7 @@
 
     failures: int = 0
     succeeded_sent_at: float = -math.inf
-    failed_share: worker_faults.FailureShare = attrs.field(
+    failed_share: failure_shares.FailureShare = attrs.field(
         factory=_assume_failed_calls
     )
 
--- a/tools/batch_mutations.py
+++ b/tools/batch_mutations.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from sapphirestall_core import failure_shares
 from sapphirestall_core.batch import acquisition
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commands
@@ -393,8 +394,8 @@
 
 def ignore_usual_share() -> None:
     """Weighs failures as if no outcome on sound workers were known."""
-    worker_faults.FailureShare.estimate = lambda _: (
-        worker_faults.ASSUMED_FAILED_RUNS
+    failure_shares.FailureShare.estimate = lambda _: (
+        failure_shares.ASSUMED_FAILED_RUNS
     )
 
 
@@ -405,7 +406,7 @@
     def mutated(
         failures: worker_faults.Failures,
         _: float,
-        share: worker_faults.FailureShare,
+        share: failure_shares.FailureShare,
     ) -> None:
         record_success(failures, math.inf, share)
 
@@ -419,7 +420,7 @@
     def mutated(
         failures: worker_faults.Failures,
         started_at: float,
-        share: worker_faults.FailureShare,
+        share: failure_shares.FailureShare,
     ) -> None:
         before = len(failures.row)
         record_success(failures, started_at, share)
