Count the leases of a former owner from its last write that can be dated

The store turned an owner away and took its keys soon after a renewal; its successor did not reach one worker, and started its task elsewhere 4.4 s later, while the former owner's last extension lasted 5.0 s.

Cause: a successor took the end of a key for its expiry, and so the last renewal to be 2.5 s older. The end has a second cause, a revocation, and nothing in the store says when a renewal took place.

Fix: run leases end 6.3 s after the older one of the last renewal and the last write under the owner key (roster or summary; the summary is written each second anyway). A successor waits 6.4 s from the time at which it first saw the store at the revision of that write, or from the end of the key.

--- a/features/batch_cuts.feature
+++ b/features/batch_cuts.feature
@@ -25,6 +25,38 @@
       | other data centre | 4.5      | 0.3    |
       | other data centre | 4.5      | 1.2    |
 
+  Scenario Outline: A store lease that is revoked soon after its renewal
+    Guards against tasks that run twice: the next owner took the end of the key
+    for its expiry, and so the last renewal of the former owner, which alone
+    reaches a worker, to be older than it was. Its leases lasted longer.
+    Given an owner in the same data centre of three workers with long-running tasks
+    When a worker loses the store so that its entry expires after <expiry_s> s
+    And the owner's store lease is revoked <revoked_s> s after its last renewal
+    And only that owner reaches the worker
+    And 20 s pass
+    Then no invariant was violated
+    When all cuts end
+    And 9 s pass
+    Then every task runs once
+
+    Examples: The entry of the worker is there
+      | expiry_s | revoked_s |
+      | 60       | 0         |
+      | 60       | 0.3       |
+      | 60       | 0.6       |
+      | 60       | 1         |
+      | 60       | 1.5       |
+      | 60       | 2         |
+      | 60       | 2.4       |
+
+    Examples: The entry of the worker expires before the key is gone, or after it
+      | expiry_s | revoked_s |
+      | 0        | 0         |
+      | 0        | 1         |
+      | 0.5      | 0         |
+      | 2        | 0.3       |
+      | 4        | 0.6       |
+
   Scenario Outline: A draining worker that only the former owner reaches
     Guards against tasks that run twice: the next owner took the runs of a
     draining worker that it did not reach as ended with the worker's exit.
--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -315,6 +315,28 @@
     And a listing with the run arrives, and then an older one without it
     Then the run is still known on the worker
 
+  Scenario Outline: The last proof of a former owner bounds the wait for its runs
+    Guards against tasks that run twice: the wait took the end of the key for its
+    expiry. It counts from the last write that the former owner made under its
+    key, if this instance knows when the store had it, else from the key's end.
+    Given a new owner that finds a settled roster of a process of another instance
+    And that <proof>
+    When a worker of that roster answers
+    Then former runs on silent workers are awaited for <seconds> s from its start
+
+    Examples:
+      | proof                                                        | seconds |
+      | knew nothing of the former owner's summary                   | 6.4     |
+      | knew the former owner's summary for 0 s                      | 6.4     |
+      | knew the former owner's summary for 1 s                      | 5.4     |
+      | knew the former owner's summary for 2.5 s                    | 4.1     |
+      | knew the former owner's summary for 20 s                     | 4.1     |
+      | knew an older summary, and the roster for 1 s                | 5.4     |
+      | reads that another owner knew the summary for 2.5 s          | 4.1     |
+      | reads that another owner knew the summary for 1 s            | 5.4     |
+      | reads that another owner knew the roster for 2.5 s           | 6.4     |
+      | knew no summary, and the roster for 1 s                      | 5.4     |
+
   Scenario Outline: The wait for former runs depends on who may still extend leases
     Guards against tasks that run twice: another owner may still extend leases on
     workers that send no listing, also one before an owner of this instance that
@@ -326,14 +348,14 @@
 
     Examples:
       | process                                     | roster                                    | event                          | seconds |
-      | an earlier process of the same instance     | a settled roster                          | a worker of that roster answers | 4.2     |
+      | an earlier process of the same instance     | a settled roster                          | a worker of that roster answers | 6.1     |
       | an earlier process of the same instance     | a settled roster                          | no worker answers              | 6.1     |
-      | an earlier process of the same instance     | an unsettled roster                       | a worker of that roster answers | 4.2     |
-      | an earlier process of the same instance     | an unsettled roster                       | no worker answers              | 50.4    |
-      | a process of the same name at other address | a settled roster                          | a worker of that roster answers | 4.2     |
-      | a process of the same name at other address | a settled roster                          | no worker answers              | 50.4    |
-      | a process of another instance               | a settled roster                          | a worker of that roster answers | 4.2     |
-      | a process of another instance               | a settled roster                          | no worker answers              | 50.4    |
-      | a process of another instance               | an unsettled roster whose workers are new | a worker of that roster answers | 50.4    |
-      | this process                                | a settled roster                          | a worker of that roster answers | 4.2     |
-      | this process                                | a settled roster                          | no worker answers              | 50.4    |
+      | an earlier process of the same instance     | an unsettled roster                       | a worker of that roster answers | 6.4     |
+      | an earlier process of the same instance     | an unsettled roster                       | no worker answers              | 52.9    |
+      | a process of the same name at other address | a settled roster                          | a worker of that roster answers | 6.4     |
+      | a process of the same name at other address | a settled roster                          | no worker answers              | 52.9    |
+      | a process of another instance               | a settled roster                          | a worker of that roster answers | 6.4     |
+      | a process of another instance               | a settled roster                          | no worker answers              | 52.9    |
+      | a process of another instance               | an unsettled roster whose workers are new | a worker of that roster answers | 52.9    |
+      | this process                                | a settled roster                          | a worker of that roster answers | 6.4     |
+      | this process                                | a settled roster                          | no worker answers              | 52.9    |
--- a/features/builders.py
+++ b/features/builders.py
@@ -62,6 +62,7 @@
         1, (make_queue(0), make_queue(2))
     )
     partition = state.Partition(OWN, 1, NOW - 500, state.Phase.ACTIVE, 1)
+    partition.proved_at = NOW + 60.0
     partition.roster = frozenset(w.entry.worker_id for w in workers)
     partition.workers = {w.entry.worker_id: w for w in workers}
     context.batch.partitions[OWN] = partition
--- a/features/steps/batch_cuts_steps.py
+++ b/features/steps/batch_cuts_steps.py
@@ -175,6 +175,20 @@
     batch_faults.BatchFaults(context.world).revoke_store_lease(context.owner)
 
 
+@behave.when(
+    "the owner's store lease is revoked {seconds:g} s after its last renewal"
+)
+def step(context, seconds):
+    world, batch = context.world, context.owner.batch
+    before = batch.lease_renewed_at
+    while batch.lease_renewed_at == before:
+        world.run(KEY_CHECK_S)
+    # The next renewal must not succeed.
+    context.owner.store_unreachable = True
+    world.run(max(0.0, batch.lease_renewed_at + seconds - world.now))
+    batch_faults.BatchFaults(world).revoke_store_lease(context.owner)
+
+
 @behave.when("the worker is replaced once the next owner has acknowledged this")
 def step(context):
     world = context.world
--- a/features/steps/batch_published_capacity_steps.py
+++ b/features/steps/batch_published_capacity_steps.py
@@ -193,7 +193,7 @@
 def step(context, count):
     found = context.converter.structure(context.stored, FormerSummary)
     expected = {**attrs.asdict(context.summary, recurse=False)}
-    del expected["groups"]
+    del expected["groups"], expected["revision_ages_ms"]
     assert found == FormerSummary(**expected), found
     assert len(found.rooms) == count, found
 
--- a/features/steps/batch_takeover_steps.py
+++ b/features/steps/batch_takeover_steps.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import balance
 from sapphirestall_core.batch import commits
 from sapphirestall_core.batch import contact
+from sapphirestall_core.batch import former_proofs
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import instance
 from sapphirestall_core.batch import job_changes
@@ -21,6 +22,7 @@
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import releases
+from sapphirestall_core.batch import revisions
 from sapphirestall_core.batch import rosters
 from sapphirestall_core.batch import state
 from sapphirestall_core.batch import summaries
@@ -32,6 +34,7 @@
 
 PARTITION = "north"
 TOKEN = 50
+ROSTER_REVISION = TOKEN - 5
 OLD_TOKEN = 20
 NOW = 100.0
 JOB = "00000000000000aa"
@@ -113,7 +116,7 @@
     effects = reply(
         context,
         rosters.RosterRead(PARTITION, TOKEN),
-        store_messages.Found(key, roster, 0, TOKEN - 20, TOKEN - 5),
+        store_messages.Found(key, roster, 0, TOKEN - 20, ROSTER_REVISION),
         now,
     )
     confirm_roster(context, effects, now)
@@ -1076,6 +1079,65 @@
     load_remaining(context, NOW, OWNERS[process], *ROSTERS[roster])
 
 
+@behave.given("that knew nothing of the former owner's summary")
+def step(context):
+    reply_summaries(context, store_messages.Unavailable(False, "refused"))
+
+
+@behave.given("that knew the former owner's summary for {seconds:g} s")
+def step(context, seconds):
+    note_revision(context, ROSTER_REVISION + 1, seconds)
+    list_summaries(context, ROSTER_REVISION + 1)
+
+
+@behave.given("that knew an older summary, and the roster for {seconds:g} s")
+def step(context, seconds):
+    note_revision(context, ROSTER_REVISION, seconds)
+    list_summaries(context, ROSTER_REVISION - 1)
+
+
+@behave.given("that knew no summary, and the roster for {seconds:g} s")
+def step(context, seconds):
+    note_revision(context, ROSTER_REVISION, seconds)
+    reply_summaries(context, store_messages.Listed((), TOKEN + 6))
+
+
+@behave.given("that reads that another owner knew {what} for {seconds:g} s")
+def step(context, what, seconds):
+    revision = ROSTER_REVISION + (what == "the summary")
+    ages_ms = {str(revision): int(seconds * 1000)}
+    list_summaries(context, ROSTER_REVISION + 1, ages_ms)
+
+
+def note_revision(context, revision, age_s):
+    """Lets the instance know that the store had reached a revision."""
+    times = revisions.RevisionTimes()
+    times.record(ROSTER_REVISION - 1, NOW - 25)
+    times.record(revision, NOW - age_s)
+    context.batch.revision_times = times
+
+
+def list_summaries(context, own_revision, other_ages_ms=None):
+    """Replies with the former owner's summary and that of another owner."""
+    own = records.SummaryRecord()
+    other = records.SummaryRecord(revision_ages_ms=other_ages_ms or {})
+    found = tuple(
+        store_messages.Found(
+            records.make_summary_key(name), summary, 0, 1, revision
+        )
+        for name, summary, revision in (
+            (PARTITION, own, own_revision),
+            ("other", other, TOKEN + 5),
+        )
+    )
+    reply_summaries(context, store_messages.Listed(found, TOKEN + 6))
+
+
+def reply_summaries(context, outcome):
+    purpose = former_proofs.FormerSummaryRead(PARTITION, TOKEN, ROSTER_REVISION)
+    reply(context, purpose, outcome)
+
+
 @behave.when("a worker of that roster answers")
 def step(context):
     listing = worker_messages.Listing(1000, (), ())
--- a/features/steps/batch_tenure_steps.py
+++ b/features/steps/batch_tenure_steps.py
@@ -139,7 +139,9 @@
 def step(context):
     lease_s = leases.choose_run_lease(context.batch.identity.limits)
     key_gone_at = NOW + tenure.LEASE_TTL_S
-    wait_end_at = tenure.find_leases_end(lease_s, key_gone_at, None)
+    wait_end_at = tenure.find_leases_end(
+        lease_s, key_gone_at, key_gone_at, None
+    )
     assert NOW + 10 < context.last_end_at <= wait_end_at, context.last_end_at
 
 
--- a/packages/core/src/sapphirestall_core/batch/configuration.py
+++ b/packages/core/src/sapphirestall_core/batch/configuration.py
@@ -29,9 +29,11 @@
 
     Attributes:
         configuration: The newest version; None if the read failed.
+        revision: Revision of the store at the read; 0 if it is not known.
     """
 
     configuration: model.Configuration | None
+    revision: int = 0
 
 
 @attrs.frozen
@@ -54,7 +56,13 @@
 def apply_configuration(
     event: ConfigurationRead, batch: state.Batch, now: float
 ) -> dispatch.Effects:
-    """Puts a configuration into force if it is newer than the current one."""
+    """Puts a configuration into force if it is newer than the current one.
+
+    An instance that owns nothing calls the store for little else, and learns
+    from these reads when the store had reached which revision.
+    """
+    if event.revision:
+        batch.revision_times.record(event.revision, now)
     interval_s = READ_INTERVAL_SHARE * batch.identity.limits.configuration_s
     effects: dispatch.Effects = [
         messages.StartTimer(ConfigurationDue(), interval_s, 0.1)
--- a/packages/core/src/sapphirestall_core/batch/confirmation_reports.py
+++ b/packages/core/src/sapphirestall_core/batch/confirmation_reports.py
@@ -30,6 +30,7 @@
         "partition": partition.name,
         "token": partition.token,
         "confirmed_age_s": round(now - batch.lease_renewed_at, 3),
+        "proved_age_s": round(now - partition.proved_at, 3),
         "workers": len(partition.workers),
         "longest_silent": longest,
         "contact_age_s": round(ages.get(longest, 0.0), 3),
@@ -40,7 +41,7 @@
 def _classify(
     batch: state.Batch, partition: state.Partition, now: float
 ) -> state.Confirmation:
-    if tenure.is_confirmed(batch, now):
+    if tenure.is_confirmed(batch, partition, now):
         return state.Confirmation.CONFIRMED
     if tenure.may_have_successor(batch, partition, now):
         return state.Confirmation.SUSPENDED
--- a/packages/core/src/sapphirestall_core/batch/former_runs.py
+++ b/packages/core/src/sapphirestall_core/batch/former_runs.py
@@ -97,7 +97,10 @@
         lease_s: Longest lease that an owner requests, in seconds.
     """
     end_at = tenure.find_leases_end(
-        lease_s, partition.vacancy.since, partition.witness_answered_at
+        lease_s,
+        partition.vacancy.since,
+        partition.former_proved_at,
+        partition.witness_answered_at,
     )
     if partition.former_owner_ended_at is not None:
         longest_s = leases.find_longest_duration(lease_s)
@@ -186,6 +189,7 @@
         "released": released,
         "withheld": len(ended & partition.former_withheld_end_at.keys()),
         "unowned_s": round(now - partition.vacancy.since, 3),
+        "proved_s": round(now - partition.former_proved_at, 3),
         "contact_s": "" if answered_at is None else round(now - answered_at, 3),
         "held_s": round(now - partition.acquired_at, 3),
     }
--- a/packages/core/src/sapphirestall_core/batch/instance.py
+++ b/packages/core/src/sapphirestall_core/batch/instance.py
@@ -301,8 +301,8 @@
 def _end_store_lease(batch: state.Batch, now: float) -> dispatch.Effects:
     """Ends the store lease of the owner keys if all releases are stored.
 
-    Without a release, the next owner counts from the end of the key and assumes
-    that it came `LEASE_TTL_S` after the last renewal.
+    Without a release, the next owner may be of the version before, which takes
+    the end of the key for an expiry `LEASE_TTL_S` after the last renewal.
     """
     lease_id, batch.lease_id = batch.lease_id, ""
     if batch.release_missing or batch.releases_in_flight:
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -10,6 +10,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import model
 from sapphirestall_core.batch import published_capacity
+from sapphirestall_core.batch import revisions
 
 # Prefix of the job records and a copy of the owner key of each partition, which
 # its owner watches together.
@@ -254,6 +255,16 @@
     harms: tuple[InterferenceEstimate, ...] = ()
 
 
+def _check_ages(
+    record: object, attribute: object, ages_ms: dict[str, int]
+) -> None:
+    """Checks what a successor uses to bound the leases of former owners."""
+    most_ms = revisions.PUBLISHED_AGE_S * 1000
+    for revision, age_ms in ages_ms.items():
+        if not revision.isdecimal() or not 0 <= age_ms <= most_ms:
+            raise ValueError("a bad revision or age")
+
+
 @attrs.frozen(slots=True)
 class SummaryRecord:
     """Summary that an owner publishes of its partition.
@@ -272,6 +283,9 @@
             if it is not known.
         groups: The workers that accept new runs with their free capacity, by
             service; None if an owner of the version before wrote the summary.
+        revision_ages_ms: By recent revision of the store, the time since which
+            it had that revision when the summary was written, in milliseconds.
+            It changes all the time, and is no reason to write a summary.
     """
 
     pending: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
@@ -281,6 +295,9 @@
     offers: dict[str, tuple[str, ...]] | None = None
     workers: dict[str, int] = attrs.field(factory=dict)
     groups: dict[str, tuple[published_capacity.WorkerGroup, ...]] | None = None
+    revision_ages_ms: dict[str, int] = attrs.field(
+        factory=dict, eq=False, validator=_check_ages
+    )
 
 
 @store_messages.check_key.register
--- a/packages/core/src/sapphirestall_core/batch/rosters.py
+++ b/packages/core/src/sapphirestall_core/batch/rosters.py
@@ -14,6 +14,7 @@
 from sapphirestall_core import store_messages
 from sapphirestall_core.batch import contact
 from sapphirestall_core.batch import dispatch
+from sapphirestall_core.batch import former_proofs
 from sapphirestall_core.batch import former_runs
 from sapphirestall_core.batch import leases
 from sapphirestall_core.batch import model
@@ -22,6 +23,7 @@
 from sapphirestall_core.batch import process_ids
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import withheld_leases
 from sapphirestall_core.batch import worker_messages
 
@@ -169,6 +171,7 @@
         partition.former_owner_ended_at = batch.started_at
     lease_s = leases.choose_run_lease(batch.identity.limits)
     former_runs.update_end(partition, lease_s)
+    effects += former_proofs.read_summary(partition, found.revision)
     return effects
 
 
@@ -324,6 +327,7 @@
         # The write may still take effect, so the next attempt reads first.
         partition.roster_revision = None
         return _retry(partition)
+    tenure.record_proof(partition, reply.sent_at)
     partition.roster_revision = outcome.revision
     partition.roster = frozenset(purpose.roster.workers)
     partition.roster_settled = purpose.roster.settled
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -475,6 +475,8 @@
         phase: How far the takeover has come.
         confirmation: Whether the ownership was confirmed when that was last
             logged.
+        proved_at: Monotonic time at which the last proof of the ownership was
+            sent, in seconds; see `tenure`.
         generation: Number of owners that the partition has had.
         generation_raised: Whether the roster in the store counts this owner.
         roster: Workers on which runs may exist, as written to the store.
@@ -504,6 +506,9 @@
             because no listing has shown all runs there yet.
         former_runs_end_at: Monotonic time at which the leases of all such runs
             have expired, in seconds.
+        former_proved_at: Monotonic time at which the store had the last proof
+            of a former owner for certain, in seconds; infinite before that is
+            known.
         former_owner_ended_at: Monotonic time before which the former owner's
             process, and all before it, had ended, in seconds; None if that is
             not known.
@@ -562,6 +567,7 @@
     acquired_at: float
     phase: Phase = Phase.LOADING
     confirmation: Confirmation = Confirmation.CONFIRMED
+    proved_at: float = -math.inf
     generation: int = 0
     generation_raised: bool = False
     roster: frozenset[str] = frozenset()
@@ -580,6 +586,7 @@
     workers_listed: bool = False
     unlisted_workers: set[str] = attrs.field(factory=set)
     former_runs_end_at: float = math.inf
+    former_proved_at: float = math.inf
     former_owner_ended_at: float | None = None
     release_read: bool = False
     released_generation: int = -1
--- a/packages/core/src/sapphirestall_core/batch/summaries.py
+++ b/packages/core/src/sapphirestall_core/batch/summaries.py
@@ -17,6 +17,7 @@
 from sapphirestall_core.batch import published_capacity
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import state
+from sapphirestall_core.batch import tenure
 from sapphirestall_core.batch import usability
 from sapphirestall_core.batch import yielding_capacity
 
@@ -24,7 +25,7 @@
 SUMMARY_INTERVAL_S = 0.7
 # A summary that does not change is written again after this time, in seconds,
 # so that others can tell an unchanged summary from an owner that cannot reach
-# the store.
+# the store, and as a proof of the ownership (`tenure`).
 SUMMARY_HEARTBEAT_S = 0.9
 # For this time, in seconds, a job that was moved away still counts as pending
 # here, as the new owner may become unreachable before its own summary shows the
@@ -73,6 +74,8 @@
     unchanged = summary == partition.summary
     if unchanged and now < partition.summary_written_at + SUMMARY_HEARTBEAT_S:
         return []
+    ages_ms = batch.revision_times.list_ages_ms(now)
+    summary = attrs.evolve(summary, revision_ages_ms=ages_ms)
     partition.summary_written_at = now
     partition.summary_write_in_flight = True
     key = records.make_summary_key(partition.name)
@@ -254,6 +257,7 @@
     partition.summary_write_in_flight = False
     if isinstance(reply.outcome, store_messages.Committed):
         partition.summary = purpose.summary
+        tenure.record_proof(partition, reply.sent_at)
     if isinstance(reply.outcome, store_messages.Conflict):
         return ownership.resign(batch, partition.name, "conflict", now)
     return []
--- a/packages/core/src/sapphirestall_core/batch/tenure.py
+++ b/packages/core/src/sapphirestall_core/batch/tenure.py
@@ -1,12 +1,17 @@
 """Bounds on what an owner does while its ownership is not confirmed.
 
-An owner confirms its ownership by a renewal of its store lease. If the last
-renewal is older than the lifetime of that lease, the owner key may be gone and
-a successor may control some of the workers, even if this owner still reaches
-others. Owner and successor share the bounds of this module:
+An owner confirms its ownership by a renewal of its store lease, and proves it
+by writes that expect its owner key: of its roster and of its summary, which it
+writes about once a second. Nobody else can tell when a renewal took place, but
+a write has a revision, and a successor knows when the store had reached it. The
+end of the key tells nothing, as it may have been revoked before its time.
+
+If the last renewal is older than the lifetime of the store lease, the owner key
+may be gone and a successor may control some of the workers, even if this owner
+still reaches others. Owner and successor share the bounds of this module:
 
 * An owner requests run leases that end at most `CONFIRMED_EXTRA_S` and the
-  duration of a run lease after its last confirmation.
+  duration of a run lease after its last confirmation and its last proof.
 * Without a confirmation it requests short leases, and starts tasks, only while
   every worker that its stored roster names has answered a call sent in the last
   `MAX_CALL_AGE_S`. A worker that a successor has called refuses such calls.
@@ -26,9 +31,10 @@
 # slow, for this long causes a takeover.
 LEASE_TTL_S = 2.5
 LEASE_RENEWAL_INTERVAL_S = 0.6
-# Run leases may end this much later after a confirmation than they last, so
-# that an owner whose renewals succeed requests leases of the full duration.
-CONFIRMED_EXTRA_S = LEASE_RENEWAL_INTERVAL_S
+# Run leases may end this much later after a confirmation than they last. More
+# makes those longer that are requested just before the next proof, and delays
+# the tasks of a worker that is lost together with its owner by as much.
+CONFIRMED_EXTRA_S = 0.3
 # Age of the last confirmation from which on polls return sooner, so that recent
 # answers are known when the store lease may have expired.
 CONFIRMATION_OVERDUE_S = 2 * LEASE_RENEWAL_INTERVAL_S
@@ -45,12 +51,19 @@
 UNCONFIRMED_LIMIT_S = 50.0
 
 
-def is_confirmed(batch: state.Batch, now: float) -> bool:
-    """Returns whether the owner keys of this instance exist for certain.
+def is_confirmed(
+    batch: state.Batch, partition: state.Partition, now: float
+) -> bool:
+    """Returns whether the owner may act as if its owner key existed.
 
-    A store lease that was revoked before its time is the exception.
+    It does exist, unless it was revoked since the last renewal. The leases of
+    starts have to end within the bound that follows from the last proof, too.
     """
-    return now - batch.lease_renewed_at <= LEASE_TTL_S
+    if now - batch.lease_renewed_at > LEASE_TTL_S:
+        return False
+    lease_s = leases.choose_run_lease(batch.identity.limits)
+    longest_age_s = lease_s + CONFIRMED_EXTRA_S - leases.START_LEASE_S
+    return now - partition.proved_at <= longest_age_s
 
 
 def is_overdue(batch: state.Batch, now: float) -> bool:
@@ -69,7 +82,7 @@
     not the current workers, because the successor reads the former. A worker
     that has been replaced since, or that this owner has given up, is silent.
     """
-    if is_confirmed(batch, now):
+    if is_confirmed(batch, partition, now):
         return False
     if now - batch.lease_renewed_at > UNCONFIRMED_LIMIT_S:
         return True
@@ -98,8 +111,8 @@
         None, for no extension, if this owner may have a successor.
     """
     lease_s = leases.choose_run_lease(batch.identity.limits)
-    if is_confirmed(batch, now):
-        age_s = now - batch.lease_renewed_at
+    if is_confirmed(batch, partition, now):
+        age_s = now - min(batch.lease_renewed_at, partition.proved_at)
         return min(lease_s, lease_s + CONFIRMED_EXTRA_S - age_s)
     if may_have_successor(batch, partition, now):
         return None
@@ -107,18 +120,23 @@
 
 
 def find_leases_end(
-    lease_s: float, unowned_since: float, witness_answered_at: float | None
+    lease_s: float,
+    unowned_since: float,
+    proved_at: float,
+    witness_answered_at: float | None,
 ) -> float:
     """Returns when all leases that former owners requested have expired.
 
-    The last confirmation of a former owner is at least `LEASE_TTL_S` older than
-    the end of its key. An owner without a confirmation notices its successor
-    when that has called a worker of its roster.
+    A former owner had no confirmation after the end of its key, and no proof
+    after the last one that is stored. An owner without a confirmation notices
+    its successor when that has called a worker of its roster.
 
     Args:
         lease_s: Longest lease that an owner requests, in seconds.
         unowned_since: Monotonic time at which the key of the former owner was
             gone, in seconds.
+        proved_at: Monotonic time at which the store had the last proof of a
+            former owner for certain, in seconds; infinite if it is not known.
         witness_answered_at: Monotonic time at which a worker that each former
             owner had in its roster first answered the new owner, in seconds;
             None if none has.
@@ -126,12 +144,11 @@
     Returns:
         Monotonic time, in seconds.
     """
-    confirmed_at = unowned_since - LEASE_TTL_S
-    confirmed_end_at = confirmed_at + leases.find_longest_duration(
-        lease_s + CONFIRMED_EXTRA_S
-    )
+    confirmed_end_at = min(
+        unowned_since, proved_at
+    ) + leases.find_longest_duration(lease_s + CONFIRMED_EXTRA_S)
     if witness_answered_at is None:
-        last_request_at = confirmed_at + UNCONFIRMED_LIMIT_S
+        last_request_at = unowned_since + UNCONFIRMED_LIMIT_S
     else:
         last_request_at = witness_answered_at + MAX_CALL_AGE_S
     unconfirmed_end_at = last_request_at + leases.find_longest_duration(
@@ -140,6 +157,16 @@
     return max(confirmed_end_at, unconfirmed_end_at)
 
 
+def record_proof(partition: state.Partition, sent_at: float) -> None:
+    """Records that a write under the owner key of a partition has succeeded.
+
+    Args:
+        partition: The owned partition.
+        sent_at: Monotonic time at which the write was sent, in seconds.
+    """
+    partition.proved_at = max(partition.proved_at, sent_at)
+
+
 def was_confirmed_since(batch: state.Batch, since: float) -> bool:
     """Returns whether the ownership was confirmed after a monotonic time.
 
--- a/standins/batch_world.py
+++ b/standins/batch_world.py
@@ -581,8 +581,11 @@
 def _(
     effect: configuration.ReadConfiguration, world: BatchWorld, node: Node
 ) -> None:
-    found = world.configuration if world.reaches_store(node) else None
-    event = configuration.ConfigurationRead(found)
+    event = configuration.ConfigurationRead(None)
+    if world.reaches_store(node):
+        event = configuration.ConfigurationRead(
+            world.configuration, world.store.revision
+        )
     world.schedule(STORE_DELAY_S, lambda: world.deliver(node, event))
 
 
