Let the record of a moved job say whether the job has started

Cause: `first_number` above 1 was taken for a start that happened. It only means that run numbers must rise: a new owner raises it when it moves a job that is older than its ownership, as a former one may have started tasks without a sign. `jobs.build_job` and `pending_jobs` read it so.

Fix: the record has a field of its own, `has_started`, set from what the owner knows for certain: a confirmed or listed run, stored progress, or an earlier record. Without it a job counts as pending. The version before reads such records, and drops the field in those that it writes.

Evidence: the rows of batch_pending.feature with a shutdown and a kill of the owner gave 0 of 6 jobs before, 6 now, also after a kill of the next owner; jobs that ran stay out.

--- a/packages/core/src/sapphirestall_core/batch/job_moves.py
+++ b/packages/core/src/sapphirestall_core/batch/job_moves.py
@@ -74,6 +74,7 @@
         partition=target,
         first_number=first_number,
         has_progress=job.progress_revision > 0,
+        has_started=job.start_confirmed,
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/jobs.py
+++ b/packages/core/src/sapphirestall_core/batch/jobs.py
@@ -46,8 +46,9 @@
         accepted_at=min(now, record.accepted_ms / 1000 - wall_clock_offset_s),
     )
     job.progress_revision = progress.revision if progress else 0
+    # Numbers also rise where a former owner may have sent a start, or not.
     job.start_sent = progress is not None or record.first_number > 1
-    job.start_confirmed = job.start_sent
+    job.start_confirmed = progress is not None or record.has_started
     for number, step in enumerate(record.steps):
         step_progress = progress.record.steps[number] if progress else None
         job.steps.append(
@@ -120,6 +121,7 @@
     """Applies a newer record of a job: adds and removes moved tasks."""
     job.record = loaded.record
     job.revision = loaded.revision
+    job.start_confirmed |= loaded.record.has_started
     for number, step in enumerate(job.steps):
         if not step.step.long_running:
             continue
--- a/packages/core/src/sapphirestall_core/batch/pending_jobs.py
+++ b/packages/core/src/sapphirestall_core/batch/pending_jobs.py
@@ -171,7 +171,7 @@
             isinstance(record, records.JobRecord)
             and found.create_revision > published_at
             and record.partition == name
-            and record.first_number == 1
+            and not (record.has_started or record.has_progress)
         ):
             pending.setdefault(record.queue.name, set()).add(record.job_id)
     return pending
--- a/packages/core/src/sapphirestall_core/batch/records.py
+++ b/packages/core/src/sapphirestall_core/batch/records.py
@@ -72,6 +72,9 @@
         first_number: Lowest number that the next run of any task may have.
         has_progress: Whether the job was moved here from another partition
             together with its progress.
+        has_started: Whether a task of the job had started when an owner last
+            moved the job or some of its tasks. Owners of the version before
+            drop this.
     """
 
     job_id: str
@@ -85,6 +88,7 @@
     accepted_ms: int = 0
     first_number: int = 1
     has_progress: bool = False
+    has_started: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -238,10 +238,10 @@
         progress_revision: Store revision of the progress record; 0 when it does
             not exist.
         final_state: State to be written to the store; None until the job ends.
-        start_sent: Whether a start of any of its tasks was ever sent, as far as
-            this owner knows.
-        start_confirmed: Whether a worker has ever confirmed a start of any of
-            its tasks, as far as this owner knows.
+        start_sent: Whether a start of any of its tasks may have been sent, as
+            far as this owner knows.
+        start_confirmed: Whether a task of it has started for certain: a worker
+            has confirmed or listed a run, or a record says so.
         reread_in_flight: Whether the job's record is being read again after a
             write conflict; its progress is not written meanwhile.
         move_in_flight: Whether a write that moves tasks of the job to another
--- a/packages/core/src/sapphirestall_core/batch/task_moves.py
+++ b/packages/core/src/sapphirestall_core/batch/task_moves.py
@@ -64,7 +64,7 @@
                 moved[records.make_task_key(number, index)] = move
     if moved == job.record.moved:
         return None
-    return attrs.evolve(job.record, moved=moved)
+    return _change_moved(job, moved)
 
 
 def plan_move_to_yielding(
@@ -98,12 +98,19 @@
             if move is None:
                 break
             key = records.make_task_key(number, index)
-            return attrs.evolve(
-                job.record, moved={**job.record.moved, key: move}
-            )
+            return _change_moved(job, {**job.record.moved, key: move})
     return None
 
 
+def _change_moved(
+    job: state.Job, moved: dict[str, records.MovedTask]
+) -> records.JobRecord:
+    """Returns the record of a job whose long-running tasks move."""
+    return attrs.evolve(
+        job.record, moved=moved, has_started=job.start_confirmed
+    )
+
+
 def _may_claim(task: state.Task, now: float) -> bool:
     """Returns whether a task has waited and has no worker nominated."""
     if task.nomination is not None and task.nomination.worker_id:
