Send the first pace of runs that a new owner adopts

Cause: the successor took the pace of adopted runs to be 100, which nobody had told it, wanted 100 and sent nothing. The former owner had paced them down to 0.

Fix: the pace of an adopted run counts as not confirmed, so that the first pace that is chosen is sent. It costs one command a run and takeover.

--- a/features/batch_pacing.feature
+++ b/features/batch_pacing.feature
@@ -36,3 +36,21 @@
     Then all runs of image "loud" have a pace of 0
     When an older command sets their paces to 100 percent
     Then the serving task is never over its target for 3 s beside working runs
+
+  Scenario Outline: The successor of an owner that paced runs down
+    Guards against accepted work that never ends: a new owner took the runs that
+    it adopted to work at full pace, wanted no other, and so sent none, while
+    their former owner had paced them down.
+    Given a serving task with load 0.3, swing 0.0, seed 1
+    And six runs of image "loud", which did not disturb it for 12 s
+    When the load of the serving task rises to <load> for 10 s
+    Then all runs of image "loud" work at less than full pace
+    When the owner <event> and the load falls to 0.3
+    And a new owner has had the worker for 12 s
+    Then all runs of image "loud" have a pace of 100
+
+    Examples:
+      | load | event      |
+      | 0.74 | is killed  |
+      | 0.74 | shuts down |
+      | 0.55 | is killed  |
--- a/features/steps/batch_pacing_steps.py
+++ b/features/steps/batch_pacing_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from sapphirestall_core import messages
 from sapphirestall_core import resources
 from sapphirestall_core.batch import model
 from standins import batch_contention
@@ -94,6 +95,32 @@
     assert found == {percent}, found
 
 
+@behave.then('all runs of image "loud" work at less than full pace')
+def step(context):
+    found = {
+        run.percent for run in context.worker.running.values() if run.step.fills
+    }
+    assert max(found) < 100, found
+
+
+@behave.when("the owner {event} and the load falls to {load:g}")
+def step(context, event, load):
+    if event == "is killed":
+        context.world.kill(context.node)
+    else:
+        context.world.deliver(context.node, messages.ShutdownRequested())
+    context.world.contention.load = load
+
+
+@behave.when("a new owner has had the worker for {seconds:g} s")
+def step(context, seconds):
+    world = context.world
+    world.add_node("e-2", "north")
+    while world.find_owner("north") in (None, context.node):
+        world.run(SAMPLE_S)
+    world.run(seconds)
+
+
 @behave.when("an older command sets their paces to {percent:d} percent")
 def step(context, percent):
     for key in context.worker.running:
--- a/packages/core/src/sapphirestall_core/batch/polls.py
+++ b/packages/core/src/sapphirestall_core/batch/polls.py
@@ -305,7 +305,11 @@
     listed_run: model.ListedRun,
     now: float,
 ) -> state.Run:
-    """Assigns a run that a former owner started to its task."""
+    """Assigns a run that a former owner started to its task.
+
+    That owner may have set another pace than the full one, which no listing
+    shows, so that the first pace that is chosen here is sent in any case.
+    """
     run = state.Run(
         task,
         worker.entry.worker_id,
@@ -313,6 +317,7 @@
         state.RunPhase.RUNNING,
         now,
         leases.find_latest_end(worker),
+        pace_unconfirmed=task.step.fills,
     )
     task.run = run
     task.next_run_number = max(task.next_run_number, listed_run.number + 1)
--- a/packages/core/src/sapphirestall_core/batch/state.py
+++ b/packages/core/src/sapphirestall_core/batch/state.py
@@ -110,7 +110,7 @@
             or sent again, in seconds.
         pace_in_flight: Whether a pace command is in flight.
         pace_unconfirmed: Whether the last pace command got no answer or was
-            refused.
+            refused, or a former owner may have set the pace.
         forced: Whether the task was placed although it was expected to disturb
             serving tasks on the worker, because it had waited too long.
         low_pace_since: Monotonic time since which the pace is so low that the
