Move jobs as a whole until their long-running steps may start

Cause: of a job with a long-running step only the long-running tasks moved. Its finite tasks stayed in a partition without workers, and the others wait for them.

Fix: such a job moves as a whole, with its progress, until its first long-running step is unblocked. From then on its tasks move one by one.

Finite tasks beside long-running ones that run already still do not move.

--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -115,3 +115,21 @@
       | 378  |
       | 449  |
       | 578  |
+
+  Scenario Outline: A job whose finite step precedes a long-running one moves
+    Guards against accepted work that never goes on: no finite task of a job with
+    a long-running step ever moved, though its partition had lost its workers and
+    another one had room.
+    Given 1 partitions with one worker each
+    When a job with a finite step before a long-running one is submitted
+    And another worker joins a partition
+    And the first worker crashes <seconds> s later
+    And 26 s pass
+    Then 2 tasks run
+    And no invariant was violated
+
+    Examples: While the finite step runs, or after it
+      | seconds |
+      | 1       |
+      | 3       |
+      | 9       |
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -9,6 +9,7 @@
 from sapphirestall_core.batch import move_writes
 from sapphirestall_core.batch import summary_reads
 from standins import batch_call_faults
+from standins import batch_faults
 from standins import batch_moves
 from standins import batch_world
 
@@ -278,3 +279,22 @@
 @behave.then("all its tasks run again in time")
 def step(context):
     assert not context.failure, context.failure
+
+
+@behave.when("a job with a finite step before a long-running one is submitted")
+def step(context):
+    world = context.world
+    world.run_duration_s = (4.0, 4.0)
+    amount = resources.Vector(1000, 100, 0)
+    world.submit(
+        world.nodes[0],
+        JOB,
+        model.Step(4, amount),
+        model.Step(2, amount, after=(0,), long_running=True),
+    )
+
+
+@behave.when("the first worker crashes {seconds:g} s later")
+def step(context, seconds):
+    context.world.run(seconds)
+    batch_faults.BatchFaults(context.world).crash_worker("w-0")
--- a/packages/core/src/sapphirestall_core/batch/balance.py
+++ b/packages/core/src/sapphirestall_core/batch/balance.py
@@ -1,9 +1,9 @@
 """Moves of jobs and tasks from one partition to another.
 
 The owner of a partition moves what it cannot start. It moves a job as a whole,
-with its progress, once no run of it can exist. Of a job with long-running tasks
-it moves single tasks, and each partition that runs some of them has a copy of
-the job's record.
+with its progress, once no run of it can exist. Of a job whose long-running
+tasks may run it moves single tasks, and each partition that runs some of them
+has a copy of the job's record.
 """
 
 import attrs
@@ -244,8 +244,13 @@
 
 
 def _moves_tasks(job: state.Job) -> bool:
-    """Returns whether tasks of a job move, and not the job as a whole."""
-    return any(step.step.long_running for step in job.steps)
+    """Returns whether tasks of a job move, and not the job as a whole.
+
+    A job whose long-running steps still wait for finite ones moves as a whole.
+    """
+    return bool(job.record.moved) or any(
+        step.step.long_running and step.unblocked for step in job.steps
+    )
 
 
 def _plan_move(
