Move opportunistic jobs that no worker of their partition can hold

Cause: a partition for a job with opportunistic tasks was chosen by the load of processors alone; whether a worker can hold a task was asked of labels only.

Fix: if no worker of the partition could hold a task, even if it were idle, the job moves to the least loaded partition that shows room for one.

Evidence: the new scenario in batch_moves.feature failed before where another partition has a large worker, and passes now; where none has, the job waits and does not move.

--- a/features/batch_moves.feature
+++ b/features/batch_moves.feature
@@ -133,3 +133,19 @@
       | 1       |
       | 3       |
       | 9       |
+
+  Scenario Outline: An opportunistic job leaves a partition without its memory
+    Guards against accepted work that never runs again: a job with opportunistic
+    tasks moved by the load of processors alone, and stayed where no worker was
+    left with the memory that a task requests.
+    Given a partition with a large and a small worker, and another with <others>
+    When an opportunistic job that only a large worker can hold is submitted
+    And the first worker crashes <seconds> s later
+    And 26 s pass
+    Then every task of the job <outcome>
+    And no invariant was violated
+
+    Examples:
+      | others         | seconds | outcome       |
+      | a large worker | 2       | is done       |
+      | a small worker | 2       | waits         |
--- a/features/steps/batch_moves_steps.py
+++ b/features/steps/batch_moves_steps.py
@@ -294,7 +294,56 @@
     )
 
 
+def add_worker(world, name, partition, memory_mb):
+    """Adds a worker with an amount of memory."""
+    worker = world.add_worker(
+        name, DATA_CENTRE, 32_000, make_rack_name(partition)
+    )
+    capacity = resources.Vector(32_000, memory_mb, 0)
+    worker.entry = attrs.evolve(worker.entry, capacity=capacity)
+    world.listed_workers[name] = worker.entry
+
+
+@behave.given(
+    "a partition with a large and a small worker, and another with {others}"
+)
+def step(context, others):
+    context.world = world = batch_world.BatchWorld(1)
+    world.run_duration_s = (5.0, 5.0)
+    add_worker(world, "w-0", 0, 64_000)
+    add_worker(world, "w-1", 0, 32_000)
+    for number in range(3):
+        world.add_node(f"e-{number}", DATA_CENTRE)
+    world.run(START_S)
+    context.other_memory_mb = 64_000 if others == "a large worker" else 32_000
+
+
+@behave.when(
+    "an opportunistic job that only a large worker can hold is submitted"
+)
+def step(context):
+    world = context.world
+    amount = resources.Vector(2000, 60_000, 0)
+    step = model.Step(1, amount, fills=True, image="i")
+    world.submit(world.nodes[0], JOB, step)
+    world.run(0.5)
+    assert [name for name, _, _ in world.list_runs()] == ["w-0"]
+    add_worker(world, "w-2", 7, context.other_memory_mb)
+
+
 @behave.when("the first worker crashes {seconds:g} s later")
 def step(context, seconds):
     context.world.run(seconds)
     batch_faults.BatchFaults(context.world).crash_worker("w-0")
+
+
+@behave.then("every task of the job is done")
+def step(context):
+    state = context.world.get_state(JOB)
+    assert state is model.JobState.COMPLETED, state
+
+
+@behave.then("every task of the job waits")
+def step(context):
+    assert not context.world.list_runs()
+    assert not list_moves(context.world)
--- a/packages/core/src/sapphirestall_core/batch/job_moves.py
+++ b/packages/core/src/sapphirestall_core/batch/job_moves.py
@@ -6,6 +6,7 @@
 import attrs
 
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import placement
 from sapphirestall_core.batch import records
 from sapphirestall_core.batch import routing
 from sapphirestall_core.batch import state
@@ -52,11 +53,12 @@
     # A job that has not started has to fit as a whole.
     candidates = list_waiting_steps(job) if job.start_sent else job.record.steps
     step = max(candidates, key=lambda step: step.count * step.amount.cpu_millis)
-    target = (
-        _choose_less_loaded(batch, partition, job, others)
-        if step.fills
-        else _choose_roomiest(job, step, others)
-    )
+    if not step.fills:
+        target = _choose_roomiest(job, step, others)
+    elif _can_hold(partition, job, step):
+        target = _choose_less_loaded(batch, partition, job, others)
+    else:
+        target = _choose_least_loaded_with_room(batch, job, step, others)
     if target is None:
         return None
     routing.deduct_job(batch, target, job.record.steps, job.queue.service)
@@ -106,6 +108,49 @@
     return target if advantage > routing.MIN_LOAD_ADVANTAGE else None
 
 
+def _can_hold(
+    partition: state.Partition, job: state.Job, step: model.Step
+) -> bool:
+    """Returns whether a worker here can hold a task of a step, free or not."""
+    amount = placement.find_reserved_amount(step)
+    return any(
+        worker.is_registered
+        and not worker.entry.draining
+        and worker.entry.service == job.queue.service
+        and (
+            not step.required_label
+            or step.required_label in worker.entry.labels
+        )
+        and amount.fits(worker.entry.capacity)
+        for worker in partition.workers.values()
+    )
+
+
+def _choose_least_loaded_with_room(
+    batch: state.Batch,
+    job: state.Job,
+    step: model.Step,
+    others: dict[str, records.SummaryRecord],
+) -> str | None:
+    """Chooses a partition with room for tasks that no worker here can hold.
+
+    Returns:
+        The partition; None if none has room for a task.
+    """
+    # Opportunistic tasks reserve no processors.
+    reserving = attrs.evolve(step, amount=placement.find_reserved_amount(step))
+    loads = {
+        name: routing.estimate_load(
+            batch.division, name, summary, job.record.steps
+        )
+        for name, summary in others.items()
+        if summary_capacity.count_fitting_tasks(
+            summary, job.queue.service, reserving, 1
+        )
+    }
+    return routing.choose_by_load(loads, job.record.job_id) if loads else None
+
+
 def _choose_roomiest(
     job: state.Job, step: model.Step, others: dict[str, records.SummaryRecord]
 ) -> str | None:
