Draw revoked store leases of owners that are cut off at random

They can revoke the lease of each owner that they cut off now. The seeds of the other sequences draw the same numbers as before.

A range of seeds on the command line plays both kinds.

--- a/features/batch_cut_sequences.feature
+++ b/features/batch_cut_sequences.feature
@@ -63,3 +63,21 @@
       | seed |
       | 1    |
       | 2    |
+
+  Scenario Outline: Random cuts of owners whose store leases are revoked
+    Guards against tasks that run twice, or again after they were done, when the
+    store lease of an owner that has lost the store ends before its time.
+    Given a random deployment with paths that are cut, by seed <seed>
+    When paths are cut in 2 rounds and store leases are revoked
+    Then no invariant was violated
+    And every job that should have ended has ended
+    And long-running tasks had runs again in time
+
+    Examples:
+      | seed |
+      | 10   |
+      | 41   |
+      | 64   |
+      | 65   |
+      | 70   |
+      | 71   |
--- a/features/steps/batch_cut_sequences_steps.py
+++ b/features/steps/batch_cut_sequences_steps.py
@@ -5,8 +5,8 @@
 from standins import batch_cuts
 
 
-def play(context, rounds, *, mixed):
-    context.cuts = batch_cuts.build_scenario(context.seed, mixed=mixed)
+def play(context, rounds, **faults):
+    context.cuts = batch_cuts.build_scenario(context.seed, **faults)
     context.world = context.cuts.world
     context.cuts.run(rounds)
 
@@ -18,7 +18,12 @@
 
 @behave.when("paths are cut in {rounds:d} rounds")
 def step(context, rounds):
-    play(context, rounds, mixed=False)
+    play(context, rounds)
+
+
+@behave.when("paths are cut in {rounds:d} rounds and store leases are revoked")
+def step(context, rounds):
+    play(context, rounds, revoking=True)
 
 
 @behave.when("paths are cut in {rounds:d} rounds beside other faults")
--- a/standins/batch_cuts.py
+++ b/standins/batch_cuts.py
@@ -14,6 +14,7 @@
 
 from sapphirestall_core import resources
 from sapphirestall_core.batch import model
+from sapphirestall_core.batch import tenure
 from standins import batch_faults
 from standins import batch_restarts
 from standins import batch_world
@@ -57,6 +58,8 @@
         check: Check of the long-running tasks.
         mixed: Whether instances are killed, restarted and paused, and workers
             replaced, beside the cuts.
+        revoking: Whether the store lease of an owner that is cut off from the
+            store is revoked soon after its last renewal.
         submitting: Whether jobs are still submitted.
         jobs: Number of jobs that end by themselves.
         workers: Number of workers that were ever started.
@@ -67,6 +70,7 @@
     faults: batch_faults.BatchFaults
     check: batch_restarts.RestartCheck
     mixed: bool = False
+    revoking: bool = False
     submitting: bool = True
     jobs: int = 0
     workers: int = 0
@@ -198,11 +202,24 @@
         workers = self._list_workers()
         seconds = rng.uniform(*OWNER_CUT_S)
         self.faults.cut_node_from_store(owner, seconds)
+        if self.revoking:
+            self._revoke_soon(owner)
         self.faults.cut_paths(
             others, self._choose(workers, len(workers) // 2), seconds
         )
         self._answer_polls_late()
 
+    def _revoke_soon(self, name: str) -> None:
+        """Revokes the store lease of an instance before it can expire."""
+
+        def revoke() -> None:
+            for node in self.faults.list_sound_nodes():
+                if node.name == name:
+                    self.faults.revoke_store_lease(node)
+
+        delay_s = self.world.rng.uniform(0, tenure.LEASE_TTL_S)
+        self.world.schedule(delay_s, revoke)
+
     def _cut_at_random(self) -> None:
         """Cuts a few paths that have nothing to do with each other."""
         rng = self.world.rng
@@ -317,19 +334,22 @@
             faults.pause_node(node, rng.uniform(1, 8))
 
 
-def build_scenario(seed: int, *, mixed: bool = False) -> CutScenario:
+def build_scenario(
+    seed: int, *, mixed: bool = False, revoking: bool = False
+) -> CutScenario:
     """Starts a random deployment.
 
     Args:
         seed: Seed of the random numbers.
         mixed: Whether there are other faults beside the cuts.
+        revoking: Whether store leases of owners that are cut off are revoked.
     """
     world = batch_world.BatchWorld(seed)
     world.run_duration_s = world.rng.choice(RUN_S)
     world.store_division(world.rng.choice((1, 2)))
     faults = batch_faults.BatchFaults(world)
     check = batch_restarts.RestartCheck(world, faults)
-    scenario = CutScenario(world, faults, check, mixed)
+    scenario = CutScenario(world, faults, check, mixed, revoking)
     for name in DATA_CENTRES:
         scenario.add_data_centre(name)
     world.run(START_S)
@@ -352,10 +372,17 @@
 
 
 def play(seed: int, rounds: int, *, mixed: bool) -> str:
-    """Plays the scenario of a seed and describes the broken invariants."""
-    scenario = build_scenario(seed, mixed=mixed)
-    scenario.run(rounds)
-    return describe(scenario)
+    """Plays the scenario of a seed and describes the broken invariants.
+
+    Also plays it with store leases that are revoked.
+    """
+    found = []
+    for revoking in (False, True):
+        scenario = build_scenario(seed, mixed=mixed, revoking=revoking)
+        scenario.run(rounds)
+        if description := describe(scenario):
+            found.append(("revoking: " if revoking else "") + description)
+    return "; ".join(found)
 
 
 def main() -> None:
