Tell jobs of different queues apart

Callers could read and cancel a job of another queue by its id, and a submission with an id that another queue uses was told that it had been accepted (read by the review, not played; shown by the new scenario of batch_intake.feature, which failed before).

The state that the store holds names the queue. A read or a cancellation through another queue is answered 410; a submission is refused as never run, with the code `id_in_use`, since tasks are told apart by the id alone.

--- a/features/batch_intake.feature
+++ b/features/batch_intake.feature
@@ -186,3 +186,14 @@
     or lost after it was accepted.
     When callers repeat their calls at any instance with the seeds 1 to 12
     Then all answers are kept
+
+  Scenario: Callers of another queue neither see nor cancel a job
+    Guards against callers who read or cancel the job of somebody else, or are
+    told that theirs is accepted, because jobs were told apart by their ids alone.
+    Given one instance with a store and two queues
+    When a job is submitted to the instance
+    And 1 s pass after the submission
+    And the same id is read, cancelled and submitted in the other queue
+    Then the callers are told twice that there is no such job, then "id_in_use"
+    When 1 s pass after the submission
+    Then the job's record shows that it is completed
--- a/features/steps/batch_intake_steps.py
+++ b/features/steps/batch_intake_steps.py
@@ -304,3 +304,36 @@
 def step(context, state):
     is_available = context.batch.store_down_since is None
     assert is_available == (state == "available")
+
+
+@behave.given("one instance with a store and two queues")
+def step(context):
+    context.execute_steps("Given one instance with a store")
+    other = attrs.evolve(batch_world.QUEUE, name="other", prefix="/other/")
+    context.world.configuration = model.Configuration(
+        2, (batch_world.QUEUE, other)
+    )
+    context.world.run(2.0)
+
+
+@behave.when("the same id is read, cancelled and submitted in the other queue")
+def step(context):
+    world, node = context.world, context.node
+    kinds = (caller_messages.StateCalled, caller_messages.CancelCalled)
+    context.call_ids = [
+        world.call(node, kind, f"/other/{JOB}") for kind in kinds
+    ]
+    world.run(0.2)
+    step = model.Step(1, AMOUNT)
+    context.call_ids.append(world.submit(node, JOB, step, prefix="/other/"))
+    world.run(0.2)
+
+
+@behave.then(
+    'the callers are told twice that there is no such job, then "{code}"'
+)
+def step(context, code):
+    *gone, refused = (context.world.answers[name] for name in context.call_ids)
+    assert gone == [caller_messages.Gone()] * 2, gone
+    assert isinstance(refused, caller_messages.Refused), refused
+    assert refused.code == code, refused
--- a/packages/core/src/sapphirestall_core/batch/intake.py
+++ b/packages/core/src/sapphirestall_core/batch/intake.py
@@ -156,7 +156,8 @@
     """Answers a submission of a job of which a state was stored before.
 
     A repeat is answered like the first submission. A job that was cancelled
-    before it was submitted never runs.
+    before it was submitted never runs, nor does one whose id belongs to a job
+    of another queue: tasks are told apart by the id alone.
     """
     call = batch.calls.get(purpose.call_id)
     if call is None:
@@ -170,8 +171,11 @@
         answer = caller_messages.Undecided("state_removed")
         return calls.answer_call(batch, call, answer, now)
     assert isinstance(outcome.value, records.StateRecord)
-    if outcome.value.submitted:
+    is_own = outcome.value.queue == call.queue.name
+    if outcome.value.submitted and is_own:
         answer = caller_messages.Accepted()
+    elif not is_own:
+        answer = caller_messages.Refused("id_in_use", calls.MIN_RETRY_AFTER_S)
     else:
         answer = caller_messages.Refused("cancelled", calls.MIN_RETRY_AFTER_S)
     return calls.answer_call(
@@ -181,7 +185,7 @@
         now,
         queue=call.queue.name,
         partition=outcome.value.partition,
-        repeat=outcome.value.submitted,
+        repeat=outcome.value.submitted and is_own,
     )
 
 
--- a/packages/core/src/sapphirestall_core/batch/store_calls.py
+++ b/packages/core/src/sapphirestall_core/batch/store_calls.py
@@ -149,7 +149,9 @@
     if not isinstance(outcome, store_messages.Found):
         return handle_failure(purpose, outcome, batch, call, now)
     assert isinstance(outcome.value, records.StateRecord)
-    if not outcome.value.submitted:
+    # Callers of other queues neither see a job nor cancel it.
+    is_own = outcome.value.queue == call.queue.name
+    if not (outcome.value.submitted and is_own):
         return calls.answer_call(batch, call, caller_messages.Gone(), now)
     return FoundJob(call, outcome.value, outcome)
 
