--- a/packages/core/src/sapphirestall_core/batch/job_moves.py
+++ b/packages/core/src/sapphirestall_core/batch/job_moves.py
@@ -80,6 +80,19 @@
     )
 
 
+def _estimate_loads(
+    batch: state.Batch,
+    job: state.Job,
+    summaries: dict[str, records.SummaryRecord],
+) -> dict[str, float]:
+    """Returns the load of each partition for a job."""
+    steps = job.record.steps
+    return {
+        name: routing.estimate_load(batch.division, name, summary, steps)
+        for name, summary in summaries.items()
+    }
+
+
 def _choose_less_loaded(
     batch: state.Batch,
     partition: state.Partition,
@@ -93,10 +106,7 @@
         clearly higher.
     """
     steps = job.record.steps
-    loads = {
-        name: routing.estimate_load(batch.division, name, summary, steps)
-        for name, summary in others.items()
-    }
+    loads = _estimate_loads(batch, job, others)
     target = routing.choose_by_load(loads, job.record.job_id)
     own_summary = batch.summaries[partition.name]
     if not routing.can_run(own_summary, job.queue.service, steps):
@@ -139,15 +149,14 @@
     """
     # Opportunistic tasks reserve no processors.
     reserving = attrs.evolve(step, amount=placement.find_reserved_amount(step))
-    loads = {
-        name: routing.estimate_load(
-            batch.division, name, summary, job.record.steps
-        )
+    fitting = {
+        name: summary
         for name, summary in others.items()
         if summary_capacity.count_fitting_tasks(
             summary, job.queue.service, reserving, 1
         )
     }
+    loads = _estimate_loads(batch, job, fitting)
     return routing.choose_by_load(loads, job.record.job_id) if loads else None
 
 
