--- a/features/batch_takeover.feature
+++ b/features/batch_takeover.feature
@@ -326,16 +326,16 @@
 
     Examples:
       | proof                                                        | seconds |
-      | knew nothing of the former owner's summary                   | 6.4     |
-      | knew the former owner's summary for 0 s                      | 6.4     |
-      | knew the former owner's summary for 1 s                      | 5.4     |
-      | knew the former owner's summary for 2.5 s                    | 4.1     |
+      | knew nothing of the former owner's summary                   | 6.7     |
+      | knew the former owner's summary for 0 s                      | 6.7     |
+      | knew the former owner's summary for 1 s                      | 5.7     |
+      | knew the former owner's summary for 2.5 s                    | 4.2     |
       | knew the former owner's summary for 20 s                     | 4.1     |
-      | knew an older summary, and the roster for 1 s                | 5.4     |
-      | reads that another owner knew the summary for 2.5 s          | 4.1     |
-      | reads that another owner knew the summary for 1 s            | 5.4     |
-      | reads that another owner knew the roster for 2.5 s           | 6.4     |
-      | knew no summary, and the roster for 1 s                      | 5.4     |
+      | knew an older summary, and the roster for 1 s                | 5.7     |
+      | reads that another owner knew the summary for 2.5 s          | 4.2     |
+      | reads that another owner knew the summary for 1 s            | 5.7     |
+      | reads that another owner knew the roster for 2.5 s           | 6.7     |
+      | knew no summary, and the roster for 1 s                      | 5.7     |
 
   Scenario Outline: The wait for former runs depends on who may still extend leases
     Guards against tasks that run twice: another owner may still extend leases on
@@ -350,12 +350,12 @@
       | process                                     | roster                                    | event                          | seconds |
       | an earlier process of the same instance     | a settled roster                          | a worker of that roster answers | 6.1     |
       | an earlier process of the same instance     | a settled roster                          | no worker answers              | 6.1     |
-      | an earlier process of the same instance     | an unsettled roster                       | a worker of that roster answers | 6.4     |
+      | an earlier process of the same instance     | an unsettled roster                       | a worker of that roster answers | 6.7     |
       | an earlier process of the same instance     | an unsettled roster                       | no worker answers              | 52.9    |
-      | a process of the same name at other address | a settled roster                          | a worker of that roster answers | 6.4     |
+      | a process of the same name at other address | a settled roster                          | a worker of that roster answers | 6.7     |
       | a process of the same name at other address | a settled roster                          | no worker answers              | 52.9    |
-      | a process of another instance               | a settled roster                          | a worker of that roster answers | 6.4     |
+      | a process of another instance               | a settled roster                          | a worker of that roster answers | 6.7     |
       | a process of another instance               | a settled roster                          | no worker answers              | 52.9    |
       | a process of another instance               | an unsettled roster whose workers are new | a worker of that roster answers | 52.9    |
-      | this process                                | a settled roster                          | a worker of that roster answers | 6.4     |
+      | this process                                | a settled roster                          | a worker of that roster answers | 6.7     |
       | this process                                | a settled roster                          | no worker answers              | 52.9    |
--- a/packages/core/src/sapphirestall_core/batch/tenure.py
+++ b/packages/core/src/sapphirestall_core/batch/tenure.py
@@ -31,10 +31,10 @@
 # slow, for this long causes a takeover.
 LEASE_TTL_S = 2.5
 LEASE_RENEWAL_INTERVAL_S = 0.6
-# Run leases may end this much later after a confirmation than they last. More
-# makes those longer that are requested just before the next proof, and delays
-# the tasks of a worker that is lost together with its owner by as much.
-CONFIRMED_EXTRA_S = 0.3
+# Run leases may end this much later after a confirmation than they last. With
+# less, more of them end in a cut of some seconds; with more, the tasks of a
+# worker that is lost together with its owner wait longer.
+CONFIRMED_EXTRA_S = LEASE_RENEWAL_INTERVAL_S
 # Age of the last confirmation from which on polls return sooner, so that recent
 # answers are known when the store lease may have expired.
 CONFIRMATION_OVERDUE_S = 2 * LEASE_RENEWAL_INTERVAL_S
