--- a/packages/core/src/sapphirestall_core/batch/job_moves.py
+++ b/packages/core/src/sapphirestall_core/batch/job_moves.py
@@ -55,10 +55,10 @@
     step = max(candidates, key=lambda step: step.count * step.amount.cpu_millis)
     if not step.fills:
         target = _choose_roomiest(job, step, others)
-    elif _can_hold(partition, job, step):
-        target = _choose_less_loaded(batch, partition, job, others)
-    else:
+    elif _is_too_large(batch, partition, job, step):
         target = _choose_least_loaded_with_room(batch, job, step, others)
+    else:
+        target = _choose_less_loaded(batch, partition, job, others)
     if target is None:
         return None
     routing.deduct_job(batch, target, job.record.steps, job.queue.service)
@@ -118,15 +118,24 @@
     return target if advantage > routing.MIN_LOAD_ADVANTAGE else None
 
 
-def _can_hold(
-    partition: state.Partition, job: state.Job, step: model.Step
+def _is_too_large(
+    batch: state.Batch,
+    partition: state.Partition,
+    job: state.Job,
+    step: model.Step,
 ) -> bool:
-    """Returns whether a worker here can hold a task of a step, free or not."""
+    """Returns whether no worker here can hold a task of a step, free or not.
+
+    Does not hold if there is no worker for the step at all.
+    """
+    service = job.queue.service
+    if not routing.can_run(batch.summaries[partition.name], service, (step,)):
+        return False
     amount = placement.find_reserved_amount(step)
-    return any(
+    return not any(
         worker.is_registered
         and not worker.entry.draining
-        and worker.entry.service == job.queue.service
+        and worker.entry.service == service
         and (
             not step.required_label
             or step.required_label in worker.entry.labels
